--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 PKG_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lck -lmsgpackc -largtable2 -lm
 SAN = $(if $(SANITIZE),-fsanitize=$(SANITIZE) -fno-omit-frame-pointer)
 WARN = -Wall -Wextra -Werror -Wshadow -Wpointer-arith -Wvla -Wno-unused-result
-CPPFLAGS += -D_GNU_SOURCE -DPARSLEYRILL_VERSION='"$(VERSION)"' -Isrc $(PKG_CFLAGS)
+CPPFLAGS += -D_GNU_SOURCE -DPARSLEYRILL_VERSION='"$(VERSION)"' -Isrc -Iplatform $(PKG_CFLAGS)
 CFLAGS += -std=c17 -O2 -g -fPIC -pthread $(WARN) -Wmissing-prototypes -Wstrict-prototypes $(SAN)
 CXXFLAGS += -std=c++17 -O1 -g -pthread -Wall -Wextra -Werror $(SAN)
 LDFLAGS += -pthread $(SAN)
@@ -18,16 +18,18 @@
 LIB_OBJ = $(patsubst src/%.c,$(BUILD)/src/%.o,$(wildcard src/*.c))
 STANDIN_OBJ = $(patsubst standins/%.c,$(BUILD)/standins/%.o,$(wildcard standins/*.c))
 BENCH_OBJ = $(patsubst bench/%.c,$(BUILD)/bench/%.o,$(wildcard bench/*.c))
+PLATFORM_OBJ = $(patsubst platform/%.c,$(BUILD)/platform/%.o,$(wildcard platform/*.c))
 LIB_A = $(BUILD)/libparsleyrill.a
 LIB_SO = $(BUILD)/libparsleyrill.so.0
 STANDIN_A = $(BUILD)/libstandin.a
-PROGRAMS = $(BUILD)/parsleyd $(BUILD)/parsleyctl $(if $(STANDIN_OBJ),$(BUILD)/parsley-standin) $(if $(BENCH_OBJ),$(BUILD)/parsley-bench)
+PLATFORM_A = $(BUILD)/libplatform.a
+PROGRAMS = $(BUILD)/parsleyd $(BUILD)/parsleyctl $(BUILD)/parsley-gate $(if $(STANDIN_OBJ),$(BUILD)/parsley-standin) $(if $(BENCH_OBJ),$(BUILD)/parsley-bench)
 TESTS = $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test_*.c))
 PROPS = $(patsubst tests/%.cc,$(BUILD)/tests/%,$(wildcard tests/prop_*.cc))
 SOCKET_TESTS = $(sort $(wildcard tests/sock_*.sh))
 FUZZERS = $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/fuzz_*.c))
-C_FILES = $(wildcard src/*.c daemons/*.c standins/*.c bench/*.c tests/*.c)
-H_FILES = $(wildcard src/*.h src/*.def standins/*.h bench/*.h tests/*.h)
+C_FILES = $(wildcard src/*.c platform/*.c daemons/*.c standins/*.c bench/*.c tests/*.c)
+H_FILES = $(wildcard src/*.h src/*.def platform/*.h standins/*.h bench/*.h tests/*.h)
 CC_FILES = $(wildcard tests/*.cc)
 
 all: $(LIB_A) $(LIB_SO) $(PROGRAMS) $(BUILD)/parsleyrill.pc
@@ -46,6 +48,13 @@
 $(BUILD)/parsleyd $(BUILD)/parsleyctl: $(BUILD)/%: $(BUILD)/daemons/%.o $(LIB_A)
 	$(CC) $(LDFLAGS) $^ $(PKG_LIBS) -o $@
 
+$(PLATFORM_A): $(PLATFORM_OBJ)
+	rm -f $@
+	ar rcs $@ $^
+
+$(BUILD)/parsley-gate: $(BUILD)/daemons/parsley-gate.o $(PLATFORM_A) $(LIB_A)
+	$(CC) $(LDFLAGS) $^ $(PKG_LIBS) -o $@
+
 $(BUILD)/parsley-standin: $(STANDIN_OBJ) $(LIB_A)
 	$(CC) $(LDFLAGS) $^ $(PKG_LIBS) -o $@
 
@@ -56,7 +65,7 @@
 	rm -f $@
 	ar rcs $@ $^
 
-$(BUILD)/tests/test_%: $(BUILD)/tests/test_%.o $(STANDIN_A) $(LIB_A)
+$(BUILD)/tests/test_%: $(BUILD)/tests/test_%.o $(STANDIN_A) $(PLATFORM_A) $(LIB_A)
 	$(CC) $(LDFLAGS) $^ $(PKG_LIBS) -o $@
 
 $(BUILD)/tests/prop_%: tests/prop_%.cc $(LIB_A)
@@ -98,8 +107,8 @@
 
 lint:
 	clang-format --dry-run --Werror $(C_FILES) $(filter %.h,$(H_FILES)) $(CC_FILES)
-	printf '%s\n' $(filter src/% daemons/% standins/% bench/%,$(C_FILES)) | xargs -P 8 -I{} clang-tidy --quiet {} -- $(CPPFLAGS) -std=c17 2>$(or $(TMPDIR),/tmp)/parsleyrill-tidy.err
-	cppcheck --quiet --error-exitcode=1 --std=c11 --enable=warning,performance,portability --inline-suppr --suppress=missingIncludeSystem --suppress=uninitvar -D_GNU_SOURCE -Isrc -j 8 src daemons standins bench
+	printf '%s\n' $(filter src/% platform/% daemons/% standins/% bench/%,$(C_FILES)) | xargs -P 8 -I{} clang-tidy --quiet {} -- $(CPPFLAGS) -std=c17 2>$(or $(TMPDIR),/tmp)/parsleyrill-tidy.err
+	cppcheck --quiet --error-exitcode=1 --std=c11 --enable=warning,performance,portability --inline-suppr --suppress=missingIncludeSystem --suppress=uninitvar -D_GNU_SOURCE -Isrc -Iplatform -j 8 src platform daemons standins bench
 
 install: all
 	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/lib/pkgconfig $(DESTDIR)$(PREFIX)/include/parsleyrill $(DESTDIR)$(PREFIX)/share/man/man1
@@ -121,7 +130,7 @@
 	git archive --prefix=parsleyrill-$(VERSION)/ -o parsleyrill-$(VERSION).tar.gz HEAD
 
 clean:
-	rm -rf build build-address build-thread
+	rm -rf build build-address build-thread target
 
 distclean: clean
 	rm -f compile_commands.json parsleyrill-*.tar.gz
--- /dev/null
+++ b/daemons/parsley-gate.c
@@ -0,0 +1,412 @@
+#include <errno.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/signalfd.h>
+#include <sys/stat.h>
+#include <unistd.h>
+#include <argtable2.h>
+#include <curl/curl.h>
+#include <glib.h>
+#include "callers.h"
+#include "boot.h"
+#include "document.h"
+#include "engine.h"
+#include "gate.h"
+#include "log.h"
+#include "store.h"
+#include "ts.h"
+
+#define LOOK_MS 1000 /* between looks whether the settings file changed */
+#define STOP_MARGIN_MS 800 /* kept of the time for a planned stop */
+#define LOG_LINES_PER_S 400
+#define FILES_RESERVED 300 /* descriptors that are not callers' */
+
+enum
+{
+  EXIT_OK = 0,
+  EXIT_START = 1,    /* a port or resource could not be had */
+  EXIT_SETTINGS = 2, /* bad settings: nothing was started */
+  EXIT_USAGE = 3
+};
+
+struct options
+{
+  char *settings;   /* path */
+  char *peer_token; /* secret that nodes prove to each other */
+  int metrics_port; /* 0: no metrics */
+  enum log_level log_level;
+  enum log_format log_format;
+  bool check_only;
+  bool over; /* help or version was asked for */
+};
+
+struct process
+{
+  const struct options *options;
+  struct boot boot;
+  struct loop *loop;
+  struct httpc *httpc;
+  struct platform *platform;
+  struct backend *backend;
+  struct gate *gate;
+  struct loop_watch signals;
+  struct loop_timer look;
+  struct timespec changed; /* of the settings file, as last read */
+  off_t size;
+};
+
+/* The command line.  */
+
+static const char *
+env_or (const char *name, const char *fallback)
+{
+  const char *value = getenv (name);
+
+  return value != NULL && *value != '\0' ? value : fallback;
+}
+
+static void
+take_options (const struct arg_str *settings, const struct arg_int *metrics,
+              const struct arg_str *level, const struct arg_str *format,
+              struct options *out, struct findings *findings)
+{
+  const char *l = level->count > 0 ? level->sval[0]
+                                   : env_or ("PARSLEY_LOG_LEVEL", "info");
+  const char *f = format->count > 0 ? format->sval[0]
+                                    : env_or ("PARSLEY_LOG_FORMAT", "logfmt");
+
+  out->settings
+      = g_strdup (settings->count > 0
+                      ? settings->sval[0]
+                      : env_or (BOOT_PATH_VARIABLE, NULL));
+  out->metrics_port = metrics->count > 0
+                          ? metrics->ival[0]
+                          : atoi (env_or ("PARSLEY_METRICS_PORT", "0"));
+  out->peer_token = g_strdup (env_or ("PARSLEY_PEER_TOKEN", NULL));
+  if (out->peer_token == NULL)
+    findings_add (findings, "PARSLEY_PEER_TOKEN", "not set");
+  if (out->metrics_port < 0 || out->metrics_port > UINT16_MAX)
+    findings_add (findings, "--metrics-port", "%d is no port",
+                  out->metrics_port);
+  if (log_level_parse (l, &out->log_level) < 0)
+    findings_add (findings, "--log-level", "\"%s\" is no level", l);
+  if (log_format_parse (f, &out->log_format) < 0)
+    findings_add (findings, "--log-format", "\"%s\" is no format", f);
+}
+
+static int
+read_options (int argc, char **argv, struct options *out,
+              struct findings *findings)
+{
+  struct arg_lit *help = arg_lit0 ("h", "help", "print this help");
+  struct arg_lit *version = arg_lit0 ("V", "version", "print the version");
+  struct arg_lit *check
+      = arg_lit0 (NULL, "check-settings", "check all and start nothing");
+  struct arg_str *settings = arg_str0 (
+      NULL, "settings", "FILE", "settings file, or " BOOT_PATH_VARIABLE);
+  struct arg_int *metrics
+      = arg_int0 (NULL, "metrics-port", "PORT",
+                  "serve metrics there, or PARSLEY_METRICS_PORT");
+  struct arg_str *level = arg_str0 (NULL, "log-level", "LEVEL",
+                                    "debug, info, notice, warning or error");
+  struct arg_str *format
+      = arg_str0 (NULL, "log-format", "FORMAT", "logfmt or json");
+  struct arg_end *end = arg_end (10);
+  void *table[] = { help, version, check, settings, metrics, level, format,
+                    end };
+  int err = 0;
+
+  if (arg_parse (argc, argv, table) > 0)
+    {
+      arg_print_errors (stderr, end, "parsley-gate");
+      err = -EINVAL;
+    }
+  out->over = help->count > 0 || version->count > 0;
+  out->check_only = check->count > 0;
+  if (help->count > 0)
+    {
+      printf ("Usage: parsley-gate");
+      arg_print_syntax (stdout, table, "\n");
+      arg_print_glossary (stdout, table, "  %-22s %s\n");
+    }
+  else if (version->count > 0)
+    printf ("parsley-gate %s\n", PARSLEYRILL_VERSION);
+  else if (err == 0)
+    take_options (settings, metrics, level, format, out, findings);
+  arg_freetable (table, sizeof table / sizeof table[0]);
+  return err;
+}
+
+/* Settings that change while the process runs.  */
+
+static bool
+file_changed (struct process *process)
+{
+  struct stat now;
+
+  if (stat (process->options->settings, &now) < 0)
+    return false;
+  if (ts_cmp (now.st_mtim, process->changed) == 0
+      && now.st_size == process->size)
+    return false;
+  process->changed = now.st_mtim;
+  process->size = now.st_size;
+  return true;
+}
+
+static void
+log_settings (const struct boot *boot)
+{
+  struct log_line line;
+
+  log_begin (&line, EVENT_SETTINGS_READ);
+  log_str (&line, "platform", boot->settings.platform);
+  log_str (&line, "seeds", boot->settings.seeds);
+  log_int (&line, "grace_ms", boot->grace_ms);
+  log_dbl (&line, "retry_share", boot->retry_share);
+  log_int (&line, "retry_burst", boot->retry_burst);
+  log_end (&line);
+}
+
+/* Of changed settings only new peers matter to a running process: addresses
+   and limits are those of its start.  */
+static void
+read_again (struct process *process)
+{
+  struct boot boot;
+  struct findings findings;
+  const struct finding *finding;
+  struct log_line line;
+
+  findings_init (&findings);
+  if (boot_read (process->options->settings, &boot, &findings) == 0)
+    {
+      log_settings (&boot);
+      gate_seeds (process->gate, boot.settings.seeds);
+    }
+  CK_STAILQ_FOREACH (finding, &findings.list, link)
+  {
+    log_begin (&line, EVENT_SETTINGS_REFUSED);
+    log_str (&line, "place", finding->place);
+    log_str (&line, "why", finding->text);
+    log_end (&line);
+  }
+  findings_clear (&findings);
+  boot_clear (&boot);
+}
+
+static void
+on_look (struct loop_timer *timer)
+{
+  struct process *process
+      = (struct process *)((char *)timer - offsetof (struct process, look));
+
+  if (file_changed (process))
+    read_again (process);
+  loop_timer_set (process->loop, timer,
+                  ts_add_ms (loop_now (process->loop), LOOK_MS));
+}
+
+static void
+on_signal (struct loop_watch *watch, uint32_t events)
+{
+  struct process *process
+      = (struct process *)((char *)watch - offsetof (struct process, signals));
+  struct signalfd_siginfo info;
+
+  (void)events;
+  if (read (watch->fd, &info, sizeof info) != (ssize_t)sizeof info)
+    return;
+  if (info.ssi_signo == SIGHUP)
+    read_again (process);
+  else
+    gate_drain (process->gate);
+}
+
+/* Before anything is opened, so that no signal is lost.  */
+static int
+block_signals (void)
+{
+  sigset_t set;
+
+  sigemptyset (&set);
+  sigaddset (&set, SIGTERM);
+  sigaddset (&set, SIGINT);
+  sigaddset (&set, SIGHUP);
+  signal (SIGPIPE, SIG_IGN);
+  sigprocmask (SIG_BLOCK, &set, NULL);
+  return signalfd (-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+}
+
+/* The process.  */
+
+static void
+start_log (const struct process *process)
+{
+  struct log_options options = { .fd = STDOUT_FILENO,
+                                 .level = process->options->log_level,
+                                 .format = process->options->log_format,
+                                 .node = process->boot.settings.node,
+                                 .clk = clk_real (),
+                                 .lines_per_s = LOG_LINES_PER_S };
+  int flags = fcntl (STDOUT_FILENO, F_GETFL);
+
+  if (flags >= 0)
+    fcntl (STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  log_setup (&options);
+}
+
+/* Ends the calls under way, each with its callback.  */
+static void
+close_outside (void *user)
+{
+  struct process *process = user;
+
+  httpc_free (process->httpc);
+  process->httpc = NULL;
+}
+
+static struct gateway_address
+address_of (const struct boot_listen *listen)
+{
+  struct gateway_address address
+      = { .address = listen->address, .port = listen->port };
+
+  return address;
+}
+
+static int
+make_gate (struct process *process)
+{
+  struct boot *boot = &process->boot;
+  struct gate_options options
+      = { .clk = clk_real (),
+          .loop = process->loop,
+          .settings = &boot->settings,
+          .platform = process->platform,
+          .backend = process->backend,
+          .catalog = document_catalog (),
+          .drain_ms = boot->grace_ms - STOP_MARGIN_MS,
+          .close = close_outside,
+          .user = process };
+
+  options.gateway.caller = callers ();
+  options.gateway.front = address_of (&boot->front);
+  options.gateway.directory = address_of (&boot->directory);
+  options.gateway.ready = address_of (&boot->ready);
+  options.gateway.zone = boot->settings.zone;
+  options.gateway.retry_share = boot->retry_share;
+  options.gateway.retry_burst = boot->retry_burst;
+  options.gateway.max_connections
+      = boot->files > 2 * FILES_RESERVED ? boot->files - FILES_RESERVED
+                                           : boot->files / 2;
+  if (process->options->metrics_port > 0)
+    {
+      options.gateway.metrics.address = boot->front.address;
+      options.gateway.metrics.port = (uint16_t)process->options->metrics_port;
+    }
+  return gate_new (&options, &process->gate);
+}
+
+static int
+make_process (struct process *process)
+{
+  struct httpc_options http = { 0 };
+  struct store_options store
+      = { .address = process->boot.settings.platform };
+
+  process->loop = loop_new (clk_real ());
+  if (process->loop == NULL)
+    return -errno;
+  http.loop = process->loop;
+  process->httpc = httpc_new (&http);
+  if (process->httpc == NULL)
+    return -ENOMEM;
+  store.httpc = process->httpc;
+  process->platform = store_new (&store);
+  process->backend = engine_new (process->httpc);
+  return make_gate (process);
+}
+
+static void
+free_process (struct process *process)
+{
+  if (process->gate != NULL)
+    gate_free (process->gate);
+  else
+    httpc_free (process->httpc);
+  store_free (process->platform);
+  engine_free (process->backend);
+  loop_free (process->loop);
+}
+
+static int
+run (struct process *process)
+{
+  int err;
+
+  start_log (process);
+  log_settings (&process->boot);
+  file_changed (process);
+  err = make_process (process);
+  if (err < 0)
+    fprintf (stderr, "parsley-gate: cannot start: %s\n", strerror (-err));
+  if (err == 0)
+    {
+      process->signals.ready = on_signal;
+      process->look.fire = on_look;
+      loop_watch (process->loop, &process->signals, EPOLLIN);
+      loop_timer_set (process->loop, &process->look,
+                      loop_now (process->loop));
+      gate_run (process->gate);
+      loop_timer_clear (process->loop, &process->look);
+      loop_unwatch (process->loop, &process->signals);
+    }
+  free_process (process);
+  return err == 0 ? EXIT_OK : EXIT_START;
+}
+
+static int
+start (const struct options *options, struct findings *findings)
+{
+  struct process process = { .options = options };
+  int status = EXIT_OK;
+
+  process.signals.fd = block_signals ();
+  boot_read (options->settings, &process.boot, findings);
+  process.boot.settings.peer_token = g_strdup (options->peer_token);
+  if (findings->count > 0)
+    {
+      findings_print (findings, "parsley-gate", stderr);
+      status = EXIT_SETTINGS;
+    }
+  else if (!options->check_only)
+    {
+      curl_global_init (CURL_GLOBAL_DEFAULT);
+      status = run (&process);
+      curl_global_cleanup ();
+    }
+  close (process.signals.fd);
+  boot_clear (&process.boot);
+  return status;
+}
+
+int
+main (int argc, char **argv)
+{
+  struct options options = { 0 };
+  struct findings findings;
+  int status = EXIT_USAGE;
+
+  findings_init (&findings);
+  if (read_options (argc, argv, &options, &findings) == 0)
+    status = options.over ? EXIT_OK : start (&options, &findings);
+  findings_clear (&findings);
+  g_free (options.settings);
+  g_free (options.peer_token);
+  return status;
+}
--- a/src/backend.h
+++ b/src/backend.h
@@ -38,11 +38,18 @@
   const char *adapter; /* NULL but for adapter orders */
   const char *role;    /* NULL but for BACKEND_ROLE */
   uint64_t memory_mb;
+  const char *holder; /* node that gives the order */
+  /* Orders that the engine must have accepted before this one; it refuses
+     the order otherwise.  Only engines that count them look at it.  */
+  uint64_t expected;
 };
 
 enum backend_status
 {
   BACKEND_ACCEPTED, /* under way or done; reports tell the rest */
+  BACKEND_HOLDS,    /* it was so before: nothing was done */
+  BACKEND_BUSY,     /* not carried out: another order, or not as EXPECTED */
+  BACKEND_MOVED,    /* not carried out: another instance has the address */
   BACKEND_REFUSED,  /* surely not carried out */
   BACKEND_FENCED,   /* refused: a higher fencing token was seen */
   BACKEND_UNKNOWN,  /* may be carried out */
@@ -92,6 +99,9 @@
   size_t on_disk_count;
   const char *const *settled; /* order ids finished lately */
   size_t settled_count;
+  bool busy; /* an order of a model is carried out */
+  const char *const *in_memory; /* models whose weights the host holds */
+  size_t in_memory_count;
 };
 
 struct backend_ops
--- /dev/null
+++ b/src/caller.c
@@ -0,0 +1,12 @@
+#include "caller.h"
+
+#include <string.h>
+
+void
+caller_request_clear (struct caller_request *request)
+{
+  g_free (request->id);
+  g_free (request->model);
+  g_free (request->adapter);
+  memset (request, 0, sizeof *request);
+}
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -105,33 +105,6 @@
   exchange->ops->begin (exchange->user, &result);
 }
 
-/* Bytes are kept only when they were taken, for they come again after
-   -EAGAIN.  */
-static int
-pass_events (struct exchange *exchange, const char *bytes, size_t n)
-{
-  size_t before = exchange->held->len;
-  struct relay relay = exchange->relay;
-  int64_t passed;
-  int err = 0;
-
-  g_string_append_len (exchange->held, bytes, (gssize)n);
-  passed = relay_scan (&relay, exchange->held->str, exchange->held->len);
-  if (passed < 0)
-    return (int)passed;
-  if (passed > 0)
-    err = exchange->ops->bytes (exchange->user, exchange->held->str,
-                                (size_t)passed);
-  if (err < 0)
-    {
-      g_string_truncate (exchange->held, before);
-      return err;
-    }
-  g_string_erase (exchange->held, 0, (gssize)passed);
-  exchange->relay = relay;
-  return 0;
-}
-
 static int
 on_bytes (void *user, const char *bytes, size_t n)
 {
@@ -140,7 +113,8 @@
   if (exchange->foreign)
     return -ECANCELED;
   if (exchange->streaming && exchange->closes)
-    return pass_events (exchange, bytes, n);
+    return relay_pass (&exchange->relay, exchange->held, bytes, n,
+                       exchange->ops->bytes, exchange->user);
   if (exchange->streaming)
     return exchange->ops->bytes (exchange->user, bytes, n);
   if (exchange->held->len + n > EXCHANGE_BODY_MAX)
--- /dev/null
+++ b/src/forward.c
@@ -0,0 +1,245 @@
+#include "forward.h"
+
+#include <string.h>
+#include "counter.h"
+#include "forward_state.h"
+#include "lookup.h"
+#include "ts.h"
+
+#define STARTING_RETRY_MS 500 /* a node knows the configuration by then */
+#define DEFAULT_TIMEOUT_MS 60000 /* where neither caller nor route says */
+
+static void
+forward_free (struct forward *forward)
+{
+  for (size_t i = 0; i < forward->tried_count; i++)
+    route_engine_unref (forward->engines[i]);
+  route_engine_unref (forward->engine);
+  caller_request_clear (&forward->asked);
+  site_unref (forward->site);
+  g_string_free (forward->held, TRUE);
+  g_free (forward->target);
+  forward->gateway->open--;
+  g_free (forward);
+}
+
+static void
+free_if_over (struct forward *forward)
+{
+  if (forward->state == FORWARD_OVER && forward->request == NULL
+      && forward->call == NULL)
+    forward_free (forward);
+}
+
+void
+forward_over (struct forward *forward)
+{
+  forward_leave (forward);
+  forward->state = FORWARD_OVER;
+  loop_timer_clear (forward->gateway->core->loop, &forward->timer);
+  free_if_over (forward);
+}
+
+static void
+answer_refusal (struct forward *forward, unsigned status, const char *why,
+                int64_t retry_ms)
+{
+  const char *headers[5] = { NULL };
+  char seconds[32];
+  size_t n = 0;
+  char *text = g_strdup_printf ("{\"error\":\"%s\"}\n", why);
+
+  if (retry_ms > 0)
+    {
+      g_snprintf (seconds, sizeof seconds, "%.3f",
+                  (double)retry_ms / (double)TS_MS_PER_S);
+      headers[n++] = "Retry-After";
+      headers[n++] = seconds;
+    }
+  if (forward->gateway->core->draining)
+    {
+      headers[n++] = "Connection";
+      headers[n++] = "close";
+    }
+  httpd_answer (forward->request, status, "application/json", headers, text,
+                strlen (text));
+  g_free (text);
+}
+
+void
+forward_refuse (struct forward *forward, unsigned status, const char *why,
+                int64_t retry_ms)
+{
+  counter_add (COUNTER_REFUSED, 1);
+  forward_log_refused (forward, status, why, retry_ms);
+  if (forward->request != NULL && forward->begun)
+    httpd_stream_abort (forward->request);
+  else if (forward->request != NULL)
+    answer_refusal (forward, status, why, retry_ms);
+  forward_over (forward);
+}
+
+void
+forward_fail (struct forward *forward, const char *why, int64_t retry_ms)
+{
+  if (forward_not_run (forward))
+    forward_refuse (forward, 503, why, retry_ms);
+  else
+    forward_refuse (forward, 502, why, 0);
+}
+
+static void
+on_deadline (struct loop_timer *timer)
+{
+  struct forward *forward
+      = (struct forward *)((char *)timer - offsetof (struct forward, timer));
+
+  forward_cancel (forward);
+  if (forward_not_run (forward))
+    forward_refuse (forward, 503, "no server was free in time", 0);
+  else
+    forward_refuse (forward, 504, "no answer in time", 0);
+}
+
+void
+forward_gone (struct forward *forward)
+{
+  forward->request = NULL;
+  if (forward->state != FORWARD_OVER)
+    {
+      forward_log_gone (forward);
+      forward_cancel (forward);
+      forward_over (forward);
+    }
+  else
+    free_if_over (forward);
+}
+
+void
+forward_writable (struct forward *forward)
+{
+  if (forward->call != NULL && forward->streaming)
+    httpc_unpause (forward->call);
+}
+
+static void
+refuse_head (struct forward *forward, unsigned status, const char *why)
+{
+  struct log_line line;
+
+  counter_add (COUNTER_BAD_INPUT, 1);
+  log_begin (&line, EVENT_BAD_REQUEST);
+  log_str (&line, "method", httpd_method (forward->request));
+  log_str (&line, "path", httpd_path (forward->request));
+  log_str (&line, "why", why);
+  log_end (&line);
+  forward_refuse (forward, status, why, 0);
+}
+
+static void
+set_deadline (struct forward *forward)
+{
+  int64_t ms = forward->route->timeout_ms;
+
+  if (forward->asked.deadline_ms > 0
+      && (ms <= 0 || forward->asked.deadline_ms < ms))
+    ms = forward->asked.deadline_ms;
+  if (ms <= 0)
+    ms = DEFAULT_TIMEOUT_MS;
+  forward->deadline = ts_add_ms (forward->arrived, ms);
+  forward->timer.fire = on_deadline;
+  loop_timer_set (forward->gateway->core->loop, &forward->timer,
+                  forward->deadline);
+}
+
+/* Requests of one prompt stay with one service.  */
+static uint64_t
+identity (const struct forward *forward)
+{
+  const struct caller_request *asked = &forward->asked;
+
+  if (asked->part_count > 0)
+    return asked->parts[asked->part_count - 1];
+  return lookup_weight (asked->id != NULL ? asked->id : "", "", 0);
+}
+
+static bool
+find_service (struct forward *forward)
+{
+  const char *name = site_split (forward->route, identity (forward));
+
+  if (name != NULL)
+    forward->service = site_service (forward->site, name);
+  if (forward->service == NULL)
+    return false;
+  if (forward->service->engines && forward->asked.model != NULL)
+    forward->target
+        = servers_target (forward->asked.model, forward->asked.adapter);
+  return true;
+}
+
+static char *
+path_of (const struct httpd_request *request)
+{
+  const char *uri = httpd_uri (request);
+
+  return g_strndup (uri, strcspn (uri, "?"));
+}
+
+static const struct site_route *
+find_route (struct forward *forward)
+{
+  const char *host = httpd_header (forward->request, "Host");
+  char *path = path_of (forward->request);
+  const struct site_route *route
+      = site_route (forward->site, host != NULL ? host : "", path);
+
+  g_free (path);
+  return route;
+}
+
+static void
+judge (struct forward *forward)
+{
+  struct gateway *gateway = forward->gateway;
+  const char *why = "";
+
+  if (gateway->options.caller->ops->read (gateway->options.caller, forward->request,
+                                  &forward->asked, &why)
+      < 0)
+    {
+      refuse_head (forward, 400, why);
+      return;
+    }
+  if (listing_site (gateway->listing) == NULL)
+    {
+      forward_refuse (forward, 503, "starting", STARTING_RETRY_MS);
+      return;
+    }
+  forward->site = site_ref (listing_site (gateway->listing));
+  forward->route = find_route (forward);
+  if (forward->route == NULL || !find_service (forward))
+    {
+      refuse_head (forward, 404, "no such route");
+      return;
+    }
+  set_deadline (forward);
+  if (forward->target != NULL)
+    stocker_call (gateway->stocker, forward->service->name, forward->target);
+  forward_seek (forward);
+}
+
+void
+forward_start (struct gateway *gateway, struct httpd_request *request)
+{
+  struct forward *forward = g_new0 (struct forward, 1);
+
+  forward->gateway = gateway;
+  forward->request = request;
+  forward->held = g_string_new (NULL);
+  forward->arrived = forward_now (forward);
+  gateway->open++;
+  counter_add (COUNTER_REQUESTS, 1);
+  httpd_set_user (request, forward);
+  judge (forward);
+}
--- /dev/null
+++ b/src/forward_send.c
@@ -0,0 +1,316 @@
+#include <string.h>
+#include "counter.h"
+#include "forward_state.h"
+#include "ts.h"
+
+#define SERVE_MS 60 /* least time that a useful answer takes */
+#define SOON_MS 300 /* a caller comes back after it when nothing is known */
+#define URGENCY_MAX 9
+#define URGENCY_STEP 2 /* between two priorities of routes */
+#define URGENCY_FIRST 2
+#define FLOW_GAPS 4 /* objective gaps without an event: the stream is dead */
+#define QUEUE_SHARE 1.5 /* of a plain server's slots: it queues a few */
+
+/* Counts one more or less that wait for the target, and tells the decider.  */
+static void
+count_waiting (struct forward *forward, int change)
+{
+  struct gateway *gateway = forward->gateway;
+  const char *service = forward->service->name;
+  char *key;
+  int n;
+
+  if (forward->target == NULL)
+    return;
+  key = g_strdup_printf ("%s %s", service, forward->target);
+  n = GPOINTER_TO_INT (g_hash_table_lookup (gateway->waiting_for, key))
+      + change;
+  stocker_want (gateway->stocker, service, forward->target, (unsigned)n,
+                forward->deadline, forward->route->priority);
+  if (n > 0)
+    g_hash_table_replace (gateway->waiting_for, key, GINT_TO_POINTER (n));
+  else
+    {
+      g_hash_table_remove (gateway->waiting_for, key);
+      g_free (key);
+    }
+}
+
+static bool
+goes_before (const struct forward *a, const struct forward *b)
+{
+  if (a->route->priority != b->route->priority)
+    return a->route->priority < b->route->priority;
+  return ts_before (a->deadline, b->deadline);
+}
+
+static void
+enter (struct forward *forward, struct timespec ready_at)
+{
+  struct gateway *gateway = forward->gateway;
+  struct forward *at;
+
+  if (forward->state == FORWARD_WAITING)
+    return;
+  forward->state = FORWARD_WAITING;
+  TAILQ_FOREACH (at, &gateway->waiting, link)
+  {
+    if (goes_before (forward, at))
+      break;
+  }
+  if (at != NULL)
+    TAILQ_INSERT_BEFORE (at, forward, link);
+  else
+    TAILQ_INSERT_TAIL (&gateway->waiting, forward, link);
+  counter_add (COUNTER_WAITING, 1);
+  forward_log_waiting (forward, ready_at);
+  count_waiting (forward, 1);
+  gateway_pump_soon (gateway);
+}
+
+void
+forward_leave (struct forward *forward)
+{
+  if (forward->state != FORWARD_WAITING)
+    return;
+  TAILQ_REMOVE (&forward->gateway->waiting, forward, link);
+  forward->state = FORWARD_NEW;
+  counter_add (COUNTER_WAITING, -1);
+  count_waiting (forward, -1);
+}
+
+static int64_t
+left_ms (const struct forward *forward)
+{
+  return ts_to_ms (ts_sub (forward->deadline, forward_now (forward)));
+}
+
+/* The longest part of the prompt whose cache is known somewhere.  */
+static uint64_t
+prefix_of (const struct forward *forward)
+{
+  const struct caller_request *asked = &forward->asked;
+
+  if (asked->part_count == 0)
+    return 0;
+  return asked->parts[asked->part_count > 1 ? asked->part_count - 2 : 0];
+}
+
+static GPtrArray *
+avoided (struct forward *forward, const GArray *replicas)
+{
+  GPtrArray *ids = g_ptr_array_new ();
+
+  for (size_t i = 0; i < forward->tried_count; i++)
+    g_ptr_array_add (ids, (gpointer)forward->tried[i]);
+  for (guint i = 0; i < replicas->len; i++)
+    {
+      char *id
+          = g_array_index (replicas, struct route_replica, i).engine->id;
+
+      if (reach_down (forward->gateway->reach, id, forward_now (forward)))
+        g_ptr_array_add (ids, id);
+    }
+  return ids;
+}
+
+/* The server to use now, a reference; NULL: none.  */
+static struct route_engine *
+choose (struct forward *forward, const GArray *replicas)
+{
+  GPtrArray *ids = avoided (forward, replicas);
+  struct pick_request request
+      = { .replicas = (const struct route_replica *)replicas->data,
+          .count = replicas->len,
+          .tried = (const char *const *)ids->pdata,
+          .tried_count = ids->len,
+          .eject = forward->gateway->eject,
+          .prefix = prefix_of (forward),
+          .adapter = forward->asked.adapter != NULL };
+  ptrdiff_t at = pick_replica (forward->gateway->pick, &request,
+                               forward_now (forward), &forward->why);
+
+  g_ptr_array_unref (ids);
+  if (at < 0)
+    return NULL;
+  if (!forward->why.free_slot && forward->why.load > QUEUE_SHARE)
+    return NULL;
+  return route_engine_ref (request.replicas[at].engine);
+}
+
+void
+forward_note_tried (struct forward *forward)
+{
+  if (forward->tried_count == FORWARD_SENDS_MAX)
+    return;
+  forward->engines[forward->tried_count]
+      = route_engine_ref (forward->engine);
+  forward->tried[forward->tried_count++] = forward->engine->id;
+}
+
+static unsigned
+urgency_of (const struct forward *forward)
+{
+  return MIN (URGENCY_FIRST + URGENCY_STEP * forward->route->priority,
+              URGENCY_MAX);
+}
+
+static GPtrArray *
+headers_of (struct forward *forward)
+{
+  struct gateway *gateway = forward->gateway;
+  struct caller_send send = { .request = &forward->asked,
+                              .from = forward->request,
+                              .server = forward->engine->id,
+                              .left_ms = left_ms (forward),
+                              .urgency = urgency_of (forward),
+                              .resumes = forward->asked.resumes,
+                              .resume_after = forward->asked.resume_after };
+  GPtrArray *headers = g_ptr_array_new_with_free_func (g_free);
+
+  if (forward->begun)
+    {
+      send.resumes = true;
+      send.resume_after = forward->last_event;
+    }
+  gateway->options.caller->ops->head (gateway->options.caller, &send, headers);
+  g_ptr_array_add (headers, NULL);
+  return headers;
+}
+
+/* Whether the request may go on a connection that was used before: one that
+   broke in between would leave its fate unknown.  */
+static bool
+needs_new_connection (const struct forward *forward)
+{
+  return reach_fresh_only (forward->gateway->reach, forward->engine->id,
+                           forward_now (forward));
+}
+
+static void
+start_call (struct forward *forward)
+{
+  bool idempotent = site_idempotent (forward->route);
+  GPtrArray *headers = headers_of (forward);
+  char *url = g_strdup_printf ("http://%s/", forward->engine->address);
+  struct httpc_request request
+      = { .method = httpd_method (forward->request),
+          .url = url,
+          .target = httpd_uri (forward->request),
+          .headers = (const char *const *)headers->pdata,
+          .fresh_connection = needs_new_connection (forward),
+          .head = forward_on_head,
+          .body_cb = forward_on_bytes,
+          .done = forward_on_done,
+          .user = forward };
+
+  request.body = httpd_body (forward->request, &request.length);
+  if (request.length == 0
+      && (strcmp (request.method, "GET") == 0
+          || strcmp (request.method, "HEAD") == 0))
+    request.body = NULL;
+  if (idempotent)
+    request.reused_silence_ms
+        = MAX (reach_patience_ms (forward->gateway->reach,
+                                  forward->engine->id),
+               2 * forward->route->objective_ms);
+  if (idempotent && forward->route->kind == SITE_STREAM)
+    request.flow_silence_ms = FLOW_GAPS * forward->route->gap_ms;
+  forward->call = httpc_start (forward->gateway->httpc, &request);
+  g_ptr_array_unref (headers);
+  g_free (url);
+}
+
+static void
+send_to (struct forward *forward, struct route_engine *engine)
+{
+  struct gateway *gateway = forward->gateway;
+  struct timespec now = forward_now (forward);
+
+  forward_leave (forward);
+  route_engine_unref (forward->engine);
+  forward->engine = engine;
+  if (forward->sends++ == 0)
+    retry_first (gateway->retry, forward->service->name);
+  forward->state = FORWARD_SENT;
+  forward->sent_at = now;
+  forward->first_at = (struct timespec){ 0 };
+  forward->judged = false;
+  forward->streaming = false;
+  relay_init (&forward->relay);
+  g_string_truncate (forward->held, 0);
+  attempt_begin (&forward->attempts[forward->count++], forward->sends);
+  eject_begin (gateway->eject, engine->id, now);
+  engine->inflight++;
+  forward_log_sent (forward);
+  start_call (forward);
+  if (forward->call != NULL)
+    return;
+  engine->inflight--;
+  forward->count--;
+  eject_abandon (gateway->eject, engine->id);
+  forward_fail (forward, "no memory for a connection", SOON_MS);
+}
+
+void
+forward_cancel (struct forward *forward)
+{
+  if (forward->call == NULL)
+    return;
+  attempt_cancel (&forward->attempts[forward->count - 1],
+                  httpc_phase (forward->call));
+  httpc_cancel (forward->call);
+  forward->call = NULL;
+  forward->engine->inflight--;
+  eject_abandon (forward->gateway->eject, forward->engine->id);
+}
+
+/* A model that comes too late is no reason to wait.  */
+static bool
+hopeless (const struct forward *forward, struct timespec ready_at)
+{
+  return !ts_is_zero (ready_at)
+         && ts_before (forward->deadline, ts_add_ms (ready_at, SERVE_MS));
+}
+
+void
+forward_seek (struct forward *forward)
+{
+  struct gateway *gateway = forward->gateway;
+  GArray *replicas
+      = g_array_new (FALSE, FALSE, sizeof (struct route_replica));
+  struct timespec now = forward_now (forward);
+  struct route_engine *engine = NULL;
+  struct timespec ready_at;
+
+  servers_replicas (listing_servers (gateway->listing),
+                    forward->service->name,
+                    forward->target != NULL ? forward->asked.model : NULL,
+                    forward->asked.adapter, now, replicas, &ready_at);
+  if (replicas->len > 0)
+    engine = choose (forward, replicas);
+  g_array_unref (replicas);
+  if (engine != NULL)
+    send_to (forward, engine);
+  else if (left_ms (forward) < SERVE_MS)
+    forward_fail (forward, "no server is free in time", 0);
+  else if (hopeless (forward, ready_at))
+    forward_fail (forward, "the model is not loaded in time",
+                  ts_to_ms (ts_sub (ready_at, now)));
+  else
+    enter (forward, ready_at);
+}
+
+void
+forward_pump (struct gateway *gateway)
+{
+  struct forward *forward;
+  struct forward *next;
+
+  for (forward = TAILQ_FIRST (&gateway->waiting); forward != NULL;
+       forward = next)
+    {
+      next = TAILQ_NEXT (forward, link);
+      forward_seek (forward);
+    }
+}
--- /dev/null
+++ b/src/gate.c
@@ -0,0 +1,191 @@
+#include "gate.h"
+
+#include <errno.h>
+#include <glib.h>
+#include "core.h"
+#include "links.h"
+#include "listing.h"
+#include "log.h"
+#include "stocker.h"
+#include "ts.h"
+
+#define DRAIN_CHECK_MS 50
+#define LOOK_AGAIN_MS 1500 /* behind the life of an answer that named it */
+
+struct gate
+{
+  struct core core;
+  struct gate_options options;
+  struct service *links;
+  struct service *listing;
+  struct service *stocker;
+  struct service *gateway;
+  struct loop_timer drain_timer;
+  struct timespec drain_from;
+};
+
+static int
+core_start (struct service *service, struct kernel *kernel)
+{
+  (void)service;
+  (void)kernel;
+  return 0;
+}
+
+static void
+core_stop (struct service *service)
+{
+  (void)service;
+}
+
+static const struct service_ops core_ops = { core_start, core_stop, NULL };
+
+static void
+make_core (struct gate *gate)
+{
+  const struct gate_options *options = &gate->options;
+  struct core *core = &gate->core;
+
+  core->service.ops = &core_ops;
+  core->service.name = CORE_NAME;
+  core->settings = options->settings;
+  core->clk = options->clk;
+  core->loop = options->loop;
+  core->platform = options->platform;
+  core->backend = options->backend;
+  core->incarnation = (uint64_t)ts_ns (clk_wall (core->clk));
+  core->node = g_strdup (options->settings->node);
+  core->address = g_strdup_printf ("%s:%u", options->gateway.front.address,
+                                   options->gateway.front.port);
+  core->rand = g_rand_new_with_seed ((guint32)core->incarnation);
+  core->kernel = kernel_new ();
+}
+
+static void
+register_services (struct gate *gate)
+{
+  struct kernel *kernel = gate->core.kernel;
+  struct listing_options listing = { .catalog = gate->options.catalog };
+
+  kernel_register (kernel, &gate->core.service);
+  kernel_register (kernel, gate->links = links_new ());
+  kernel_register (kernel, gate->listing = listing_new (&listing));
+  kernel_register (kernel, gate->stocker = stocker_new ());
+  kernel_register (kernel,
+                   gate->gateway = gateway_new (&gate->options.gateway));
+}
+
+static void
+log_started (const struct gate *gate)
+{
+  const struct settings *settings = gate->core.settings;
+  struct log_line line;
+
+  log_begin (&line, EVENT_STARTED);
+  log_str (&line, "listen", gate->core.address);
+  log_str (&line, "zone", settings->zone);
+  log_str (&line, "region", settings->region);
+  log_str (&line, "seeds", settings->seeds);
+  log_end (&line);
+}
+
+int
+gate_new (const struct gate_options *options, struct gate **out)
+{
+  struct gate *gate = g_new0 (struct gate, 1);
+  int err;
+
+  gate->options = *options;
+  make_core (gate);
+  register_services (gate);
+  err = kernel_start (gate->core.kernel);
+  if (err < 0)
+    {
+      gate_free (gate);
+      return err;
+    }
+  log_started (gate);
+  *out = gate;
+  return 0;
+}
+
+void
+gate_run (struct gate *gate)
+{
+  loop_run (gate->core.loop);
+}
+
+void
+gate_stop (struct gate *gate)
+{
+  loop_stop (gate->core.loop);
+}
+
+void
+gate_seeds (struct gate *gate, const char *seeds)
+{
+  char **parts = g_strsplit (seeds, ",", -1);
+
+  for (char **part = parts; *part != NULL; part++)
+    if (**part != '\0')
+      links_connect ((struct links *)gate->links, *part);
+  g_strfreev (parts);
+}
+
+static void
+drain_check (struct loop_timer *timer)
+{
+  struct gate *gate
+      = (struct gate *)((char *)timer - offsetof (struct gate, drain_timer));
+  struct timespec now = loop_now (gate->core.loop);
+  int64_t look_ms
+      = (int64_t)gate->core.settings->entry_ttl_s * TS_MS_PER_S
+        + LOOK_AGAIN_MS;
+  int64_t passed_ms = ts_to_ms (ts_sub (now, gate->drain_from));
+  unsigned open = gateway_open (gate->gateway);
+
+  if (passed_ms >= gate->options.drain_ms
+      || (open == 0 && passed_ms >= look_ms))
+    gate_stop (gate);
+  else
+    loop_timer_set (gate->core.loop, timer, ts_add_ms (now, DRAIN_CHECK_MS));
+}
+
+void
+gate_drain (struct gate *gate)
+{
+  struct log_line line;
+
+  if (gate->core.draining)
+    return;
+  gate->core.draining = true;
+  log_begin (&line, EVENT_STOPPING);
+  log_int (&line, "open", gateway_open (gate->gateway));
+  log_end (&line);
+  kernel_post (gate->core.kernel, KERNEL_DRAIN, NULL);
+  gate->drain_from = loop_now (gate->core.loop);
+  gate->drain_timer.fire = drain_check;
+  loop_timer_set (gate->core.loop, &gate->drain_timer, gate->drain_from);
+}
+
+void
+gate_free (struct gate *gate)
+{
+  struct log_line line;
+
+  log_begin (&line, EVENT_STOPPED);
+  log_int (&line, "open", gateway_open (gate->gateway));
+  log_end (&line);
+  loop_timer_clear (gate->core.loop, &gate->drain_timer);
+  kernel_stop (gate->core.kernel);
+  gate->options.close (gate->options.user);
+  gateway_free (gate->gateway);
+  stocker_free (gate->stocker);
+  listing_free (gate->listing);
+  links_free (gate->links);
+  kernel_free (gate->core.kernel);
+  g_rand_free (gate->core.rand);
+  g_free (gate->core.node);
+  g_free (gate->core.address);
+  g_free (gate);
+}
--- /dev/null
+++ b/src/gateway_state.h
@@ -0,0 +1,54 @@
+/* gateway_state - what gateway and the modules of a request share.  */
+
+#ifndef PARSLEYRILL_GATEWAY_STATE_H
+#define PARSLEYRILL_GATEWAY_STATE_H
+
+#include <sys/queue.h>
+#include <glib.h>
+#include "caller.h"
+#include "core.h"
+#include "eject.h"
+#include "gateway.h"
+#include "httpc.h"
+#include "kernel.h"
+#include "links.h"
+#include "listing.h"
+#include "loop.h"
+#include "pick.h"
+#include "reach.h"
+#include "retry.h"
+#include "servers.h"
+#include "stocker.h"
+
+struct forward;
+
+TAILQ_HEAD (forward_list, forward);
+
+struct gateway
+{
+  struct service service; /* first */
+  struct core *core;
+  struct gateway_options options;
+  struct listing *listing;
+  struct stocker *stocker;
+  struct links *links;
+  struct httpc *httpc;
+  struct httpd *front;
+  struct httpd *directory;
+  struct httpd *ready;
+  struct httpd *metrics;
+  struct pick *pick;
+  struct eject *eject;
+  struct reach *reach;
+  struct retry *retry;
+  struct forward_list waiting; /* most urgent first */
+  GHashTable *waiting_for;     /* "SERVICE TARGET" to count */
+  struct loop_timer pump;
+  struct loop_timer clean;
+  unsigned open; /* requests not over */
+};
+
+/* Lets waiting requests try again at the next turn of the loop.  */
+void gateway_pump_soon (struct gateway *gateway);
+
+#endif
--- a/src/httpc.c
+++ b/src/httpc.c
@@ -525,6 +525,8 @@
   call->collected = g_string_new (NULL);
   call->silence.fire = silence_fire;
   curl_easy_setopt (easy, CURLOPT_URL, request->url);
+  if (request->target != NULL)
+    curl_easy_setopt (easy, CURLOPT_REQUEST_TARGET, request->target);
   set_headers (call);
   set_body (call);
   set_limits (call);
--- a/src/httpc.h
+++ b/src/httpc.h
@@ -47,6 +47,7 @@
 {
   const char *method; /* NULL: GET, or POST when there is a body */
   const char *url;
+  const char *target; /* path and query as they are sent; NULL: URL's */
   const void *body;
   size_t length;
   const char *const *headers; /* "Name: value", NULL-terminated, or NULL */
--- a/src/httpd.c
+++ b/src/httpd.c
@@ -16,9 +16,6 @@
 #define DEFAULT_CONNECTIONS 4096u
 #define DEFAULT_IDLE_S 30u
 #define READING_IDLES 2 /* idle timeouts that a request may take to come */
-#define CONNECTION_MEMORY                                                     \
-  (16u << 10)                    /* bytes; bounds the head of a request       \
-                                  */
 #define STREAM_BLOCK (16u << 10) /* bytes offered to the library at once */
 
 CK_LIST_HEAD (request_list, httpd_request);
@@ -355,7 +352,7 @@
       flags, 0, NULL, NULL, on_access, httpd, MHD_OPTION_LISTEN_SOCKET, fd,
       MHD_OPTION_CONNECTION_LIMIT, o->max_connections,
       MHD_OPTION_CONNECTION_TIMEOUT, o->idle_timeout_s,
-      MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, o->head_memory,
       MHD_OPTION_NOTIFY_CONNECTION, on_connection, httpd,
       MHD_OPTION_URI_LOG_CALLBACK, on_uri, httpd, MHD_OPTION_NOTIFY_COMPLETED,
       on_completed, httpd, MHD_OPTION_END);
@@ -370,6 +367,8 @@
     options->idle_timeout_s = DEFAULT_IDLE_S;
   if (options->body_max == 0)
     options->body_max = HTTPD_BODY_MAX;
+  if (options->head_memory == 0)
+    options->head_memory = HTTPD_HEAD_MEMORY;
 }
 
 int
--- a/src/httpd.h
+++ b/src/httpd.h
@@ -37,6 +37,9 @@
   /* Without a byte; a request must come within twice this.  0: 30.  */
   unsigned idle_timeout_s;
   size_t body_max; /* bytes; 0: HTTPD_BODY_MAX */
+  /* Bytes of a connection; bounds the head of a request.  0:
+     HTTPD_HEAD_MEMORY.  */
+  size_t head_memory;
   void (*request) (void *user, struct httpd_request *request);
   /* The request will not be used any more; see Ownership.  */
   void (*gone) (void *user, struct httpd_request *request, bool complete);
@@ -48,6 +51,7 @@
 };
 
 #define HTTPD_BODY_MAX (4u << 20)       /* bytes */
+#define HTTPD_HEAD_MEMORY (16u << 10)   /* bytes */
 #define HTTPD_STREAM_BUFFER (64u << 10) /* bytes held for a slow reader */
 
 /* 0 and *OUT, or a negative errno.  */
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -32,6 +32,10 @@
   KERNEL_CELLS,   /* placement or lease of a cell changed: NULL */
   KERNEL_MESSAGE, /* from a traffic thread: struct msg */
   KERNEL_PEER,    /* from a peer: struct links_msg */
+  KERNEL_SITE,    /* routed traffic is configured anew: struct site */
+  KERNEL_SERVERS, /* other servers can be used than before: NULL */
+  KERNEL_ENTRY,   /* a server was listed: struct server_entry */
+  KERNEL_DROPPED, /* a server is listed no more: its id */
   KERNEL_DRAIN    /* planned stop began: NULL */
 };
 
--- a/src/lease.c
+++ b/src/lease.c
@@ -455,7 +455,9 @@
   switch (status)
     {
     case PLATFORM_OK:
-      succeed (lease, lease->attempt.check.version + 1, now, out);
+      succeed (lease,
+               row != NULL ? row->version : lease->attempt.check.version + 1,
+               now, out);
       return;
     case PLATFORM_CONFLICT:
       lease->attempt.doubtful = true;
--- a/src/lease.h
+++ b/src/lease.h
@@ -87,7 +87,8 @@
                 const struct platform_row *row, struct timespec now,
                 struct action_list *out);
 
-/* ROW is the row as it is, on PLATFORM_CONFLICT; NULL: not known.  */
+/* ROW is the row as it is, on PLATFORM_OK and PLATFORM_CONFLICT; NULL: not
+   known.  */
 void lease_txn_done (struct lease *lease, uint64_t attempt,
                      enum platform_status status,
                      const struct platform_row *row, struct timespec now,
--- a/src/links.c
+++ b/src/links.c
@@ -43,6 +43,17 @@
   return (struct links *)((char *)timer - offsetof (struct links, discover));
 }
 
+static void
+log_bad_address (const char *address)
+{
+  struct log_line line;
+
+  log_begin (&line, EVENT_PEER_REFUSED);
+  log_str (&line, "address", address);
+  log_str (&line, "why", "no address");
+  log_end (&line);
+}
+
 static void
 send_gossip (struct links *links, const struct member_action *action)
 {
@@ -361,6 +372,13 @@
   links->member = member_new (&options);
 }
 
+void
+links_connect (struct links *links, const char *address)
+{
+  if (peer_connect (links->peer, address) < 0)
+    log_bad_address (address);
+}
+
 static void
 connect_seeds (struct links *links)
 {
@@ -368,7 +386,7 @@
 
   for (char **seed = seeds; *seed != NULL; seed++)
     if (**seed != '\0')
-      peer_connect (links->peer, *seed);
+      links_connect (links, *seed);
   g_strfreev (seeds);
 }
 
@@ -391,8 +409,9 @@
   links->timer.fire = timer_fire;
   links->discover.fire = discover_fire;
   set_timer (links);
-  loop_timer_set (links->core->loop, &links->discover,
-                  loop_now (links->core->loop));
+  if (links->fleet != NULL)
+    loop_timer_set (links->core->loop, &links->discover,
+                    loop_now (links->core->loop));
   return 0;
 }
 
--- a/src/links.h
+++ b/src/links.h
@@ -2,7 +2,8 @@
 
    A service of the control thread, "links": drives membership and the peer
    links, posts KERNEL_MEMBERS when the live nodes change and KERNEL_PEER for
-   every message that is not membership's own.  */
+   every message that is not membership's own.  Where the service "fleet" runs
+   too, nodes of its list are asked where they listen for peers.  */
 
 #ifndef PARSLEYRILL_LINKS_H
 #define PARSLEYRILL_LINKS_H
@@ -46,6 +47,10 @@
                 const struct peer_msg *msg);
 unsigned links_broadcast (struct links *links, const struct peer_msg *msg);
 
+/* Keeps a link to the peer at ADDRESS, IP:port, as found elsewhere than in
+   the list of instances.  */
+void links_connect (struct links *links, const char *address);
+
 /* Own facts, passed on with heartbeats.  */
 void links_set_doc_version (struct links *links, uint64_t version);
 
--- /dev/null
+++ b/src/listing.c
@@ -0,0 +1,510 @@
+#include "listing.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <glib.h>
+#include <jansson.h>
+#include "backoff.h"
+#include "core.h"
+#include "links.h"
+#include "log.h"
+#include "ts.h"
+
+#define SERVERS_WAIT_MS 1500 /* a watch of a table that changes all the time */
+#define SERVERS_GAP_MS 700   /* between two of them: each is a call, and a
+                                leaving server must be known within 2 s */
+#define CONFIG_WAIT_MS 2500  /* a silent connection is noticed after it */
+#define CONFIG_GAP_MS 100
+#define RETURN_MS 2500 /* servers that live are listed again this soon after
+                          an outage of the store */
+#define EXPIRE_MS 250  /* between looks at servers to be dropped */
+#define NODES_MS 10000 /* between looks at the other nodes */
+#define NODES_TABLE "nodes"
+
+/* One watched table.  */
+struct feed
+{
+  struct listing *listing;
+  const char *table;
+  int64_t wait_ms;
+  int64_t gap_ms;
+  void (*take) (struct listing *listing, const struct platform_changes *got,
+                bool whole);
+  bool listed;
+  uint64_t version;
+  unsigned failures;
+  struct loop_timer timer;
+};
+
+struct listing
+{
+  struct service service; /* first */
+  const struct catalog *catalog;
+  struct core *core;
+  struct links *links;
+  struct site *site;
+  struct servers *servers;
+  struct feed config;
+  struct feed backends;
+  struct loop_timer expire;
+  struct loop_timer nodes;
+  bool registered;            /* this node's own row is written */
+  struct timespec outage_end; /* last failure of the store seen */
+};
+
+static struct timespec
+now_of (const struct listing *listing)
+{
+  return loop_now (listing->core->loop);
+}
+
+static void
+log_bad_row (const char *table, const char *key, const char *why)
+{
+  struct log_line line;
+
+  log_begin (&line, EVENT_BAD_ROW);
+  log_str (&line, "table", table);
+  log_str (&line, "key", key);
+  log_str (&line, "why", why);
+  log_end (&line);
+}
+
+/* The configuration.  */
+
+static void
+put_in_force (struct listing *listing, struct site *site)
+{
+  struct log_line line;
+
+  site_unref (listing->site);
+  listing->site = site;
+  log_begin (&line, EVENT_CONFIG_IN_FORCE);
+  log_int (&line, "version", (int64_t)site->version);
+  log_int (&line, "routes", site->routes->len);
+  log_int (&line, "services", site->services->len);
+  log_end (&line);
+  links_set_doc_version (listing->links, site->version);
+  kernel_post (listing->core->kernel, KERNEL_SITE, site);
+}
+
+static void
+take_config (struct listing *listing, const struct platform_row *row)
+{
+  const struct catalog *catalog = listing->catalog;
+  struct findings findings;
+  struct site *site = NULL;
+
+  findings_init (&findings);
+  if (catalog->ops->site (catalog, row->value, &site, &findings) < 0)
+    {
+      const struct finding *first = CK_STAILQ_FIRST (&findings.list);
+
+      log_bad_row (catalog->config_table, row->key,
+                   first != NULL ? first->text : "unreadable");
+    }
+  else if (listing->site != NULL && site->version <= listing->site->version)
+    site_unref (site);
+  else
+    put_in_force (listing, site);
+  findings_clear (&findings);
+}
+
+static void
+take_configs (struct listing *listing, const struct platform_changes *got,
+              bool whole)
+{
+  (void)whole;
+  for (size_t i = 0; i < got->count; i++)
+    if (got->rows[i].value != NULL
+        && strcmp (got->rows[i].key, listing->catalog->config_key) == 0)
+      take_config (listing, &got->rows[i]);
+}
+
+/* Backend servers.  */
+
+static void
+log_listed (const struct server_entry *entry)
+{
+  struct log_line line;
+
+  log_begin (&line, EVENT_SERVER_LISTED);
+  log_str (&line, "engine", entry->id);
+  log_str (&line, "service", entry->service);
+  log_str (&line, "address", entry->address);
+  log_str (&line, "zone", entry->zone);
+  log_int (&line, "leaving", entry->leaving);
+  if (entry->holding != NULL)
+    {
+      log_int (&line, "born", entry->holding->born);
+      log_int (&line, "sequence", (int64_t)entry->holding->sequence);
+    }
+  log_end (&line);
+}
+
+static bool
+take_server (struct listing *listing, const struct platform_row *row)
+{
+  const struct catalog *catalog = listing->catalog;
+  struct server_entry entry = { 0 };
+  const char *why = "";
+  bool changed;
+
+  if (catalog->ops->server (catalog, row->key, row->value, &entry, &why) < 0)
+    {
+      log_bad_row (catalog->servers_table, row->key, why);
+      return false;
+    }
+  changed = servers_put (listing->servers, &entry, now_of (listing));
+  if (changed)
+    log_listed (&entry);
+  kernel_post (listing->core->kernel, KERNEL_ENTRY, &entry);
+  server_entry_clear (&entry);
+  return changed;
+}
+
+/* Entries lapse while the store is away, so what vanishes soon afterwards may
+   come back.  */
+static struct timespec
+drop_time (const struct listing *listing)
+{
+  struct timespec now = now_of (listing);
+
+  if (ts_is_zero (listing->outage_end))
+    return now;
+  return ts_max (now, ts_add_ms (listing->outage_end, RETURN_MS));
+}
+
+static void
+drop_server (struct listing *listing, const char *id)
+{
+  struct log_line line;
+
+  if (servers_find (listing->servers, id) == NULL)
+    return;
+  log_begin (&line, EVENT_SERVER_DROPPED);
+  log_str (&line, "engine", id);
+  log_end (&line);
+  servers_drop (listing->servers, id, drop_time (listing));
+}
+
+static bool
+listed_among (const struct platform_changes *got, const char *id)
+{
+  for (size_t i = 0; i < got->count; i++)
+    if (strcmp (got->rows[i].key, id) == 0)
+      return true;
+  return false;
+}
+
+static void
+drop_unlisted (struct listing *listing, const struct platform_changes *got)
+{
+  GHashTableIter iter;
+  const char *id;
+
+  g_hash_table_iter_init (&iter, servers_all (listing->servers));
+  while (g_hash_table_iter_next (&iter, (gpointer *)&id, NULL))
+    if (!listed_among (got, id))
+      drop_server (listing, id);
+}
+
+static void
+expire_servers (struct listing *listing)
+{
+  GHashTableIter iter;
+  const char *id;
+  const struct server *server;
+
+  g_hash_table_iter_init (&iter, servers_all (listing->servers));
+  while (g_hash_table_iter_next (&iter, (gpointer *)&id, (gpointer *)&server))
+    if (!ts_is_zero (server->drop_at)
+        && !ts_before (now_of (listing), server->drop_at))
+      kernel_post (listing->core->kernel, KERNEL_DROPPED, id);
+  if (servers_expire (listing->servers, now_of (listing)))
+    kernel_post (listing->core->kernel, KERNEL_SERVERS, NULL);
+}
+
+static void
+take_servers (struct listing *listing, const struct platform_changes *got,
+              bool whole)
+{
+  bool changed = false;
+
+  for (size_t i = 0; i < got->count; i++)
+    if (got->rows[i].value == NULL)
+      drop_server (listing, got->rows[i].key);
+    else
+      changed = take_server (listing, &got->rows[i]) || changed;
+  if (whole)
+    drop_unlisted (listing, got);
+  expire_servers (listing);
+  if (changed)
+    kernel_post (listing->core->kernel, KERNEL_SERVERS, NULL);
+}
+
+static void
+on_expire (struct loop_timer *timer)
+{
+  struct listing *listing
+      = (struct listing *)((char *)timer - offsetof (struct listing, expire));
+
+  expire_servers (listing);
+  loop_timer_set (listing->core->loop, timer,
+                  ts_add_ms (now_of (listing), EXPIRE_MS));
+}
+
+/* Feeds.  */
+
+static void
+feed_failed (struct feed *feed, enum platform_status status)
+{
+  struct listing *listing = feed->listing;
+  struct timespec now = now_of (listing);
+
+  if (status == PLATFORM_COMPACTED)
+    {
+      feed->listed = false;
+      loop_timer_set (listing->core->loop, &feed->timer, now);
+      return;
+    }
+  listing->outage_end = now;
+  loop_timer_set (
+      listing->core->loop, &feed->timer,
+      backoff_next (MIN (feed->failures, 1), listing->core->rand, now));
+  feed->failures++;
+}
+
+static void
+on_feed (void *user, enum platform_status status,
+         const struct platform_changes *got)
+{
+  struct feed *feed = user;
+  struct listing *listing = feed->listing;
+  bool whole = !feed->listed;
+
+  if (status != PLATFORM_OK)
+    {
+      feed_failed (feed, status);
+      return;
+    }
+  feed->failures = 0;
+  feed->listed = true;
+  feed->version = got->version;
+  feed->take (listing, got, whole);
+  loop_timer_set (listing->core->loop, &feed->timer,
+                  ts_add_ms (now_of (listing), feed->gap_ms));
+}
+
+static void
+feed_fire (struct loop_timer *timer)
+{
+  struct feed *feed
+      = (struct feed *)((char *)timer - offsetof (struct feed, timer));
+  struct platform *platform = feed->listing->core->platform;
+  struct platform_changes_cb cb = { .done = on_feed, .user = feed };
+
+  if (feed->listed)
+    platform->ops->watch (platform, feed->table, feed->version,
+                          feed->wait_ms, cb);
+  else
+    platform->ops->list (platform, feed->table, cb);
+}
+
+static void
+feed_start (struct feed *feed)
+{
+  struct loop *loop = feed->listing->core->loop;
+
+  feed->timer.fire = feed_fire;
+  loop_timer_set (loop, &feed->timer, loop_now (loop));
+}
+
+/* Nodes of this system: each writes where its peers find it.  */
+
+static void
+on_registered (void *user, enum platform_status status,
+               const struct platform_rows *rows)
+{
+  struct listing *listing = user;
+
+  (void)rows;
+  listing->registered = status == PLATFORM_OK;
+}
+
+static void
+register_node (struct listing *listing)
+{
+  struct platform *platform = listing->core->platform;
+  char *key
+      = g_strdup_printf ("%s/%s", NODES_TABLE, listing->core->node);
+  json_t *json = json_pack ("{s:s}", "peer", links_address (listing->links));
+  char *value = json_dumps (json, JSON_COMPACT);
+  char *token = core_token (listing->core);
+  struct platform_write write = { .key = key, .value = value };
+  struct platform_txn txn
+      = { .token = token, .writes = &write, .write_count = 1 };
+  struct platform_txn_cb cb = { .done = on_registered, .user = listing };
+
+  platform->ops->txn (platform, &txn, cb);
+  json_decref (json);
+  free (value);
+  g_free (token);
+  g_free (key);
+}
+
+static void
+take_node (struct listing *listing, const struct platform_row *row)
+{
+  json_t *json = json_loads (row->value, 0, NULL);
+  const char *peer = json_string_value (json_object_get (json, "peer"));
+
+  if (peer == NULL)
+    log_bad_row (NODES_TABLE, row->key, "no address of a peer");
+  else if (strcmp (peer, links_address (listing->links)) != 0)
+    links_connect (listing->links, peer);
+  json_decref (json);
+}
+
+static void
+on_nodes (void *user, enum platform_status status,
+          const struct platform_changes *got)
+{
+  struct listing *listing = user;
+
+  if (status != PLATFORM_OK)
+    return;
+  for (size_t i = 0; i < got->count; i++)
+    if (got->rows[i].value != NULL)
+      take_node (listing, &got->rows[i]);
+}
+
+/* A newcomer finds the others here; those who are known tell of it.  */
+static void
+nodes_fire (struct loop_timer *timer)
+{
+  struct listing *listing
+      = (struct listing *)((char *)timer - offsetof (struct listing, nodes));
+  struct platform *platform = listing->core->platform;
+  struct platform_changes_cb cb = { .done = on_nodes, .user = listing };
+  size_t members;
+
+  links_members (listing->links, &members);
+  if (!listing->registered)
+    register_node (listing);
+  if (!listing->registered || members < 2)
+    platform->ops->list (platform, NODES_TABLE, cb);
+  loop_timer_set (listing->core->loop, timer,
+                  ts_add_ms (now_of (listing),
+                             listing->registered ? NODES_MS : TS_MS_PER_S));
+}
+
+static void
+unregister_node (struct listing *listing)
+{
+  struct platform *platform = listing->core->platform;
+  char *key
+      = g_strdup_printf ("%s/%s", NODES_TABLE, listing->core->node);
+  char *token = core_token (listing->core);
+  struct platform_write write = { .key = key };
+  struct platform_txn txn
+      = { .token = token, .writes = &write, .write_count = 1 };
+  struct platform_txn_cb cb = { .done = on_registered, .user = listing };
+
+  loop_timer_clear (listing->core->loop, &listing->nodes);
+  platform->ops->txn (platform, &txn, cb);
+  g_free (token);
+  g_free (key);
+}
+
+/* The service.  */
+
+static void
+listing_event (struct service *service, const struct kernel_event *event)
+{
+  if (event->type == KERNEL_DRAIN)
+    unregister_node ((struct listing *)service);
+}
+
+static int
+listing_start (struct service *service, struct kernel *kernel)
+{
+  struct listing *listing = (struct listing *)service;
+
+  listing->core = core_find (kernel);
+  listing->links = links_find (kernel);
+  feed_start (&listing->config);
+  feed_start (&listing->backends);
+  listing->expire.fire = on_expire;
+  listing->nodes.fire = nodes_fire;
+  loop_timer_set (listing->core->loop, &listing->expire, now_of (listing));
+  loop_timer_set (listing->core->loop, &listing->nodes, now_of (listing));
+  return 0;
+}
+
+static void
+listing_stop (struct service *service)
+{
+  struct listing *listing = (struct listing *)service;
+  struct loop *loop = listing->core->loop;
+
+  loop_timer_clear (loop, &listing->config.timer);
+  loop_timer_clear (loop, &listing->backends.timer);
+  loop_timer_clear (loop, &listing->expire);
+  loop_timer_clear (loop, &listing->nodes);
+}
+
+static const struct service_ops listing_ops
+    = { listing_start, listing_stop, listing_event };
+
+struct service *
+listing_new (const struct listing_options *options)
+{
+  struct listing *listing = g_new0 (struct listing, 1);
+
+  listing->service.ops = &listing_ops;
+  listing->service.name = LISTING_NAME;
+  listing->catalog = options->catalog;
+  listing->servers = servers_new ();
+  listing->config = (struct feed){ .listing = listing,
+                                   .table = options->catalog->config_table,
+                                   .wait_ms = CONFIG_WAIT_MS,
+                                   .gap_ms = CONFIG_GAP_MS,
+                                   .take = take_configs };
+  listing->backends = (struct feed){ .listing = listing,
+                                     .table = options->catalog->servers_table,
+                                     .wait_ms = SERVERS_WAIT_MS,
+                                     .gap_ms = SERVERS_GAP_MS,
+                                     .take = take_servers };
+  return &listing->service;
+}
+
+void
+listing_free (struct service *service)
+{
+  struct listing *listing = (struct listing *)service;
+
+  if (listing == NULL)
+    return;
+  site_unref (listing->site);
+  servers_free (listing->servers);
+  g_free (listing);
+}
+
+struct listing *
+listing_find (struct kernel *kernel)
+{
+  return (struct listing *)kernel_find (kernel, LISTING_NAME);
+}
+
+struct site *
+listing_site (const struct listing *listing)
+{
+  return listing->site;
+}
+
+struct servers *
+listing_servers (const struct listing *listing)
+{
+  return listing->servers;
+}
--- a/src/log.c
+++ b/src/log.c
@@ -170,6 +170,47 @@
   log_str (line, "time", text);
 }
 
+/* Lines of the present second, and lines left out since it was last told.  */
+static int64_t second;
+static unsigned lines;
+static unsigned dropped;
+
+static void
+drop (void)
+{
+  __atomic_add_fetch (&dropped, 1, __ATOMIC_RELAXED);
+}
+
+/* Whether one more line may be written in this second.  */
+static bool
+within_limit (void)
+{
+  int64_t now = clk_now (log_opts.clk).tv_sec;
+
+  if (log_opts.lines_per_s == 0)
+    return true;
+  if (__atomic_exchange_n (&second, now, __ATOMIC_RELAXED) != now)
+    __atomic_store_n (&lines, 0, __ATOMIC_RELAXED);
+  if (__atomic_add_fetch (&lines, 1, __ATOMIC_RELAXED)
+      <= log_opts.lines_per_s)
+    return true;
+  drop ();
+  return false;
+}
+
+static void
+tell_dropped (void)
+{
+  unsigned n = __atomic_exchange_n (&dropped, 0, __ATOMIC_RELAXED);
+  struct log_line line;
+
+  if (n == 0)
+    return;
+  log_begin (&line, EVENT_LOG_DROPPED);
+  log_int (&line, "lines", n);
+  log_end (&line);
+}
+
 void
 log_begin (struct log_line *line, enum log_event event)
 {
@@ -181,7 +222,7 @@
   if (log_opts.fd < 0 || info->number == 0)
     return;
   log_level_parse (info->level, &level);
-  if (level < log_opts.level)
+  if (level < log_opts.level || !within_limit ())
     return;
   line->enabled = true;
   if (log_opts.format == LOG_FORMAT_JSON)
@@ -203,5 +244,7 @@
     line->text[line->length++] = '}';
   line->text[line->length++] = '\n';
   if (write (log_opts.fd, line->text, line->length) < 0)
-    line->enabled = false;
+    drop ();
+  else
+    tell_dropped ();
 }
--- a/src/log.h
+++ b/src/log.h
@@ -2,7 +2,8 @@
 
    A line is built on the caller's stack and written with one write(2); any
    thread may log at any time.  Fields keep the order of the calls.  A value
-   longer than its buffer is cut.  */
+   longer than its buffer is cut.  On a descriptor that does not block, a line
+   that has no room is left out and counted.  */
 
 #ifndef PARSLEYRILL_LOG_H
 #define PARSLEYRILL_LOG_H
@@ -41,6 +42,7 @@
   enum log_format format;
   const char *node; /* name of this process, borrowed; NULL: left out */
   const struct clk *clk;
+  unsigned lines_per_s; /* more are left out and counted; 0: no limit */
 };
 
 #define LOG_LINE_MAX 2048 /* bytes */
--- a/src/platform.h
+++ b/src/platform.h
@@ -25,11 +25,11 @@
   PLATFORM_CONFLICT, /* a condition did not hold: nothing was written */
   PLATFORM_ABSENT,   /* no such row or object */
   PLATFORM_REFUSED,  /* surely not done: rate limit, not connected */
-  PLATFORM_UNKNOWN   /* may have been done */
+  PLATFORM_UNKNOWN,  /* may have been done */
+  PLATFORM_COMPACTED /* watch: the history asked for is no longer kept */
 };
 
-/* A row: VERSION is 0 when there is none and grows by one with each write.
-   TOKEN is the attempt that wrote it last.  */
+/* A row: VERSION is 0 when there is none and grows with each write.  is the attempt that wrote it last, "" when it is not known.  */
 struct platform_row
 {
   char *key;
@@ -67,6 +67,15 @@
   size_t count;
 };
 
+/* Rows of one table, keys without the table's name.  A row whose VALUE is
+   NULL was deleted.  VERSION is what to watch from next.  */
+struct platform_changes
+{
+  const struct platform_row *rows;
+  size_t count;
+  uint64_t version;
+};
+
 struct platform_instance
 {
   char *id;
@@ -84,7 +93,8 @@
 };
 
 /* On PLATFORM_CONFLICT, ROWS holds the rows whose check failed, as they
-   are.  */
+   are.  On PLATFORM_OK it may hold the rows written, for their versions; a
+   platform that leaves them out counts versions one by one.  */
 struct platform_txn_cb
 {
   void (*done) (void *user, enum platform_status status,
@@ -106,6 +116,13 @@
   void *user;
 };
 
+struct platform_changes_cb
+{
+  void (*done) (void *user, enum platform_status status,
+                const struct platform_changes *changes);
+  void *user;
+};
+
 struct platform_instances_cb
 {
   void (*done) (void *user, enum platform_status status,
@@ -129,6 +146,14 @@
                          struct platform_object_cb cb);
   void (*instances) (struct platform *platform,
                      struct platform_instances_cb cb);
+  /* All rows of TABLE.  This and watch are NULL for a platform that has
+     neither.  */
+  void (*list) (struct platform *platform, const char *table,
+                struct platform_changes_cb cb);
+  /* What changed in TABLE after version AFTER; waits up to WAIT_MS for a
+     first change.  */
+  void (*watch) (struct platform *platform, const char *table, uint64_t after,
+                 int64_t wait_ms, struct platform_changes_cb cb);
 };
 
 struct platform
--- a/src/relay.c
+++ b/src/relay.c
@@ -1,6 +1,7 @@
 #include "relay.h"
 
 #include <errno.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define CLOSING "data: [DONE]"
@@ -38,6 +39,30 @@
          && (event[n] == '\n' || event[n] == '\r');
 }
 
+/* The id of the last event that has one: a client gives it to go on.  */
+static void
+note_id (struct relay *relay, const char *event, size_t length)
+{
+  const char *line = event;
+  const char *end = event + length;
+
+  while (line < end)
+    {
+      const char *next = memchr (line, '\n', (size_t)(end - line));
+      char *rest;
+      uint64_t id;
+
+      if (end - line > 3 && memcmp (line, "id:", 3) == 0)
+        {
+          id = strtoull (line + 3, &rest, 10);
+          relay->has_id = relay->has_id || rest > line + 3;
+          if (rest > line + 3)
+            relay->last_id = id;
+        }
+      line = next != NULL ? next + 1 : end;
+    }
+}
+
 /* What was held has no whole event, but may end within an empty line.  */
 static size_t
 scan_from (const struct relay *relay)
@@ -59,7 +84,10 @@
       if (is_closing (bytes + passed, n))
         relay->whole = true;
       else
-        relay->events++;
+        {
+          relay->events++;
+          note_id (relay, bytes + passed, n);
+        }
       passed += n;
       from = 0;
     }
@@ -68,3 +96,28 @@
     return -EPROTO;
   return relay->held > RELAY_EVENT_MAX ? -EMSGSIZE : (int64_t)passed;
 }
+
+int
+relay_pass (struct relay *relay, GString *held, const char *bytes, size_t n,
+            int (*sink) (void *user, const char *bytes, size_t n), void *user)
+{
+  size_t before = held->len;
+  struct relay after = *relay;
+  int64_t passed;
+  int err = 0;
+
+  g_string_append_len (held, bytes, (gssize)n);
+  passed = relay_scan (&after, held->str, held->len);
+  if (passed < 0)
+    return (int)passed;
+  if (passed > 0)
+    err = sink (user, held->str, (size_t)passed);
+  if (err < 0)
+    {
+      g_string_truncate (held, before);
+      return err;
+    }
+  g_string_erase (held, 0, (gssize)passed);
+  *relay = after;
+  return 0;
+}
--- a/src/relay.h
+++ b/src/relay.h
@@ -10,6 +10,7 @@
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <glib.h>
 
 #define RELAY_EVENT_MAX (1u << 20) /* bytes of one event */
 
@@ -18,6 +19,8 @@
   uint64_t events; /* let through, the closing one not counted */
   bool whole;      /* the closing event was seen */
   size_t held;     /* bytes at the end that are no whole event yet */
+  bool has_id;     /* an event let through had a number as its id */
+  uint64_t last_id;
 };
 
 void relay_init (struct relay *relay);
@@ -27,4 +30,12 @@
    when an event is too long, -EPROTO when bytes follow the closing event.  */
 int64_t relay_scan (struct relay *relay, const char *bytes, size_t length);
 
+/* Takes N bytes that came: HELD and they are scanned, SINK is given what may
+   be let through, and HELD keeps the rest.  When SINK fails, nothing has been
+   taken and its negative errno is returned.  */
+int relay_pass (struct relay *relay, GString *held, const char *bytes,
+                size_t n,
+                int (*sink) (void *user, const char *bytes, size_t n),
+                void *user);
+
 #endif
--- a/src/retry.c
+++ b/src/retry.c
@@ -1,28 +1,60 @@
 #include "retry.h"
 
+#include <limits.h>
 #include "ts.h"
 
 #define TOKEN 100 /* parts of one retry */
+#define UNLIMITED (UINT_MAX / 2) /* parts */
 
 struct retry
 {
-  unsigned budget;     /* parts */
-  unsigned most;       /* parts */
+  unsigned percent;
+  unsigned budget;      /* parts */
+  unsigned most;        /* parts */
+  unsigned target_most; /* parts */
   GHashTable *targets; /* name -> parts */
 };
 
 struct retry *
 retry_new (unsigned threads)
 {
-  struct retry *retry = g_new0 (struct retry, 1);
+  struct retry_options options
+      = { .percent = RETRY_PERCENT, .burst = RETRY_TARGET_BURST };
+  struct retry *retry = retry_new_with (&options);
 
   retry->most = RETRY_BURST * TOKEN / MAX (threads, 1);
   retry->budget = retry->most;
+  return retry;
+}
+
+struct retry *
+retry_new_with (const struct retry_options *options)
+{
+  struct retry *retry = g_new0 (struct retry, 1);
+
+  retry->most = UNLIMITED;
+  retry->budget = UNLIMITED;
   retry->targets
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  retry_limit (retry, options);
   return retry;
 }
 
+void
+retry_limit (struct retry *retry, const struct retry_options *options)
+{
+  GHashTableIter iter;
+  gpointer parts;
+
+  retry->percent = options->percent;
+  retry->target_most = options->burst * TOKEN;
+  g_hash_table_iter_init (&iter, retry->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &parts))
+    if (GPOINTER_TO_UINT (parts) > retry->target_most)
+      g_hash_table_iter_replace (&iter,
+                                 GUINT_TO_POINTER (retry->target_most));
+}
+
 void
 retry_free (struct retry *retry)
 {
@@ -39,14 +71,14 @@
 
   if (g_hash_table_lookup_extended (retry->targets, target, NULL, &parts))
     return GPOINTER_TO_UINT (parts);
-  return RETRY_TARGET_BURST * TOKEN;
+  return retry->target_most;
 }
 
 /* A full budget is the same as none kept, which bounds the table.  */
 static void
 set_target_budget (struct retry *retry, const char *target, unsigned parts)
 {
-  if (parts >= RETRY_TARGET_BURST * TOKEN)
+  if (parts >= retry->target_most)
     g_hash_table_remove (retry->targets, target);
   else
     g_hash_table_replace (retry->targets, g_strdup (target),
@@ -58,9 +90,9 @@
 {
   unsigned parts = target_budget (retry, target);
 
-  retry->budget = MIN (retry->budget + RETRY_PERCENT, retry->most);
-  if (parts < RETRY_TARGET_BURST * TOKEN)
-    set_target_budget (retry, target, parts + RETRY_PERCENT);
+  retry->budget = MIN (retry->budget + retry->percent, retry->most);
+  if (parts < retry->target_most)
+    set_target_budget (retry, target, parts + retry->percent);
 }
 
 bool
--- a/src/retry.h
+++ b/src/retry.h
@@ -23,7 +23,18 @@
 
 struct retry;
 
+/* A budget of its own for each target, and none for all of them.  */
+struct retry_options
+{
+  unsigned percent; /* of the first attempts */
+  unsigned burst;   /* retries saved up at most, a target */
+};
+
 struct retry *retry_new (unsigned threads);
+struct retry *retry_new_with (const struct retry_options *options);
+
+/* Other limits from now on; what was saved up beyond them is lost.  */
+void retry_limit (struct retry *retry, const struct retry_options *options);
 void retry_free (struct retry *retry);
 
 /* A request of TARGET made its first attempt.  */
--- /dev/null
+++ b/src/servers.c
@@ -0,0 +1,322 @@
+#include "servers.h"
+
+#include <string.h>
+#include "backend.h"
+#include "ts.h"
+
+struct servers
+{
+  GHashTable *all;  /* id to struct server */
+  GHashTable *told; /* engine id to GHashTable: target to struct told */
+  struct timespec told_at;
+};
+
+struct told
+{
+  bool loaded;
+  struct timespec ready_at; /* when it is being loaded */
+};
+
+void
+server_entry_clear (struct server_entry *entry)
+{
+  g_free (entry->id);
+  g_free (entry->address);
+  g_free (entry->zone);
+  g_free (entry->service);
+  holding_free (entry->holding);
+  memset (entry, 0, sizeof *entry);
+}
+
+static void
+server_free (gpointer data)
+{
+  struct server *server = data;
+
+  __atomic_store_n (&server->route->gone, 1, __ATOMIC_RELAXED);
+  route_engine_unref (server->route);
+  holding_free (server->holding);
+  g_hash_table_unref (server->lacks);
+  g_free (server);
+}
+
+static void
+free_table (gpointer table)
+{
+  g_hash_table_unref (table);
+}
+
+struct servers *
+servers_new (void)
+{
+  struct servers *servers = g_new0 (struct servers, 1);
+
+  servers->all
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, server_free);
+  servers->told
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_table);
+  return servers;
+}
+
+void
+servers_free (struct servers *servers)
+{
+  if (servers == NULL)
+    return;
+  g_hash_table_unref (servers->all);
+  g_hash_table_unref (servers->told);
+  g_free (servers);
+}
+
+char *
+servers_target (const char *model, const char *adapter)
+{
+  if (adapter == NULL)
+    return g_strdup (model);
+  return g_strconcat (model, "/", adapter, NULL);
+}
+
+static struct server *
+server_new (const struct server_entry *entry)
+{
+  struct server *server = g_new0 (struct server, 1);
+
+  server->route = route_engine_new (entry->id, entry->address, entry->zone,
+                                    entry->service);
+  server->lacks
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  return server;
+}
+
+/* One that starts again under its id holds nothing of before; at another
+   address or for another service it is another server.  */
+static bool
+same_server (const struct server *server, const struct server_entry *entry)
+{
+  bool reborn = server->holding != NULL && entry->holding != NULL
+                && server->holding->born != entry->holding->born;
+
+  return !reborn && strcmp (server->route->address, entry->address) == 0
+         && strcmp (server->route->pool, entry->service) == 0;
+}
+
+static bool
+take_holding (struct server *server, const struct holding *holding)
+{
+  if (holding == NULL
+      || (server->holding != NULL && holding_newer (server->holding, holding)))
+    return false;
+  holding_free (server->holding);
+  server->holding = holding_copy (holding);
+  return true;
+}
+
+bool
+servers_put (struct servers *servers, const struct server_entry *entry,
+             struct timespec now)
+{
+  struct server *server = servers_find (servers, entry->id);
+  bool changed = false;
+
+  if (server != NULL && !same_server (server, entry))
+    {
+      g_hash_table_remove (servers->told, entry->id);
+      server = NULL;
+    }
+  if (server == NULL)
+    {
+      server = server_new (entry);
+      g_hash_table_replace (servers->all, g_strdup (entry->id), server);
+      changed = true;
+    }
+  changed = changed || server->leaving != entry->leaving
+            || !ts_is_zero (server->drop_at);
+  server->slots = entry->slots;
+  server->leaving = entry->leaving;
+  server->slow_until = ts_add_ms (now, entry->slow_for_ms);
+  server->drop_at = (struct timespec){ 0 };
+  return take_holding (server, entry->holding) || changed;
+}
+
+void
+servers_drop (struct servers *servers, const char *id, struct timespec at)
+{
+  struct server *server = servers_find (servers, id);
+
+  if (server != NULL && ts_is_zero (server->drop_at))
+    server->drop_at = at;
+}
+
+bool
+servers_expire (struct servers *servers, struct timespec now)
+{
+  const struct server *server;
+  GHashTableIter iter;
+  bool any = false;
+
+  g_hash_table_iter_init (&iter, servers->all);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&server))
+    if (!ts_is_zero (server->drop_at) && !ts_before (now, server->drop_at))
+      {
+        g_hash_table_remove (servers->told, server->route->id);
+        g_hash_table_iter_remove (&iter);
+        any = true;
+      }
+  return any;
+}
+
+struct server *
+servers_find (const struct servers *servers, const char *id)
+{
+  return g_hash_table_lookup (servers->all, id);
+}
+
+GHashTable *
+servers_all (const struct servers *servers)
+{
+  return servers->all;
+}
+
+void
+servers_load (struct servers *servers, const char *id, unsigned running,
+              unsigned queued, struct timespec now)
+{
+  struct server *server = servers_find (servers, id);
+
+  if (server == NULL)
+    return;
+  server->running = running;
+  server->queued = queued;
+  server->own_when_heard = server->route->inflight;
+  server->heard_at = now;
+}
+
+void
+servers_lacks (struct servers *servers, const char *id, const char *target,
+               struct timespec now)
+{
+  struct server *server = servers_find (servers, id);
+  struct timespec *until;
+
+  if (server == NULL)
+    return;
+  until = g_new (struct timespec, 1);
+  *until = ts_add_ms (now, SERVERS_LACKS_MS);
+  g_hash_table_replace (server->lacks, g_strdup (target), until);
+}
+
+void
+servers_told_begin (struct servers *servers, struct timespec at)
+{
+  g_hash_table_remove_all (servers->told);
+  servers->told_at = at;
+}
+
+void
+servers_told (struct servers *servers, const struct peer_replica *replica)
+{
+  GHashTable *engine = g_hash_table_lookup (servers->told, replica->engine);
+  struct told *told = g_new0 (struct told, 1);
+
+  if (engine == NULL)
+    {
+      engine
+          = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+      g_hash_table_insert (servers->told, g_strdup (replica->engine), engine);
+    }
+  told->loaded = replica->state == BACKEND_COPY_LOADED;
+  if (replica->state == BACKEND_COPY_LOADING)
+    told->ready_at = ts_add_ms (servers->told_at, (int64_t)replica->ready_ms);
+  g_hash_table_replace (engine,
+                        servers_target (replica->model, replica->adapter),
+                        told);
+}
+
+static bool
+lacks_now (const struct server *server, const char *target,
+           struct timespec now)
+{
+  const struct timespec *until = g_hash_table_lookup (server->lacks, target);
+
+  if (until == NULL)
+    return false;
+  if (ts_before (now, *until))
+    return true;
+  g_hash_table_remove (server->lacks, target);
+  return false;
+}
+
+static void
+note_ready (const struct told *told, struct timespec *ready_at)
+{
+  if (told == NULL || ts_is_zero (told->ready_at))
+    return;
+  if (ts_is_zero (*ready_at) || ts_before (told->ready_at, *ready_at))
+    *ready_at = told->ready_at;
+}
+
+/* Whether SERVER holds the model with its adapter; else *READY_AT as in
+   servers_replicas.  */
+static bool
+holds (const struct servers *servers, const struct server *server,
+       const char *model, const char *adapter, struct timespec now,
+       struct timespec *ready_at)
+{
+  struct timespec fresh_until
+      = ts_add_ms (servers->told_at, SERVERS_TOLD_MS);
+  GHashTable *engine = NULL;
+  const struct told *told;
+  char *target;
+
+  if (!ts_is_zero (servers->told_at) && ts_before (now, fresh_until))
+    engine = g_hash_table_lookup (servers->told, server->route->id);
+  if (engine == NULL)
+    return server->holding != NULL
+           && holding_has (server->holding, model, adapter);
+  target = servers_target (model, adapter);
+  told = g_hash_table_lookup (engine, target);
+  g_free (target);
+  if (told != NULL && told->loaded)
+    return true;
+  note_ready (told, ready_at);
+  return false;
+}
+
+static void
+append (const struct server *server, const char *adapter, GArray *replicas)
+{
+  struct route_replica replica = { .engine = server->route,
+                                   .slots = server->slots,
+                                   .running = server->running,
+                                   .queued = server->queued,
+                                   .own_at_report = server->own_when_heard,
+                                   .reported_at = server->heard_at,
+                                   .leaving = server->leaving,
+                                   .adapter_loaded = adapter != NULL };
+
+  g_array_append_val (replicas, replica);
+}
+
+void
+servers_replicas (struct servers *servers, const char *service,
+                  const char *model, const char *adapter, struct timespec now,
+                  GArray *replicas, struct timespec *ready_at)
+{
+  char *target = model != NULL ? servers_target (model, adapter) : NULL;
+  const struct server *server;
+  GHashTableIter iter;
+
+  *ready_at = (struct timespec){ 0 };
+  g_hash_table_iter_init (&iter, servers->all);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&server))
+    {
+      if (strcmp (server->route->pool, service) != 0 || server->leaving)
+        continue;
+      if (model != NULL
+          && (!holds (servers, server, model, adapter, now, ready_at)
+              || lacks_now (server, target, now)))
+        continue;
+      append (server, adapter, replicas);
+    }
+  g_free (target);
+}
--- /dev/null
+++ b/src/site.h
@@ -0,0 +1,120 @@
+/* site - the configuration of routed traffic: routes, the services behind
+   them, the models of their engines, and limits on callers.
+
+   A struct site is filled by the platform adapter, closed with site_index and
+   not changed afterwards.  It is shared by reference count, one thread.
+
+   Units are in the names: _mb is 2^20 bytes, _ms milliseconds, _s seconds.
+   Ownership: all strings and arrays belong to the struct (g_malloc).  */
+
+#ifndef PARSLEYRILL_SITE_H
+#define PARSLEYRILL_SITE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <glib.h>
+
+enum site_kind
+{
+  SITE_IDEMPOTENT, /* may run more than once */
+  SITE_ONCE,       /* runs at most once */
+  SITE_STREAM      /* server-sent events; idempotent only when resumable */
+};
+
+struct site_model
+{
+  char *name;
+  uint64_t memory_mb;
+  uint64_t adapter_mb; /* of each adapter */
+  unsigned adapters;   /* named a1, a2, ... */
+  double load_s;       /* from the weight store */
+  double disk_s;       /* from the engine's disk */
+  double memory_s;     /* from the engine's host memory */
+};
+
+struct site_service
+{
+  char *name;
+  bool engines;            /* model engines, not a plain service */
+  unsigned slots;          /* requests that an engine runs at once */
+  unsigned adapter_slots;  /* adapters that an engine holds at once */
+  uint64_t memory_mb;      /* of an engine, for weights and adapters */
+  uint64_t cache_tokens;   /* of an engine, for prompts and answers */
+  double loads_per_s;      /* that the weight store allows, all engines */
+  unsigned max_connections; /* of a backend server, from all its callers */
+  struct site_model *models;
+  size_t model_count;
+};
+
+struct site_split
+{
+  char *service;
+  unsigned weight;
+};
+
+struct site_route
+{
+  char *name;
+  char *host;
+  char *prefix; /* begins and ends with a slash */
+  enum site_kind kind;
+  bool resumable; /* a stream may go on at another engine */
+  bool sticky;    /* requests of a session share a prompt */
+  unsigned priority; /* 0 is the highest */
+  unsigned max_attempts;
+  int64_t timeout_ms;
+  int64_t objective_ms; /* to the answer, or the first event of a stream */
+  int64_t gap_ms;       /* objective between two events of a stream */
+  struct site_split *splits;
+  size_t split_count;
+};
+
+struct site_limits
+{
+  size_t head_bytes;
+  size_t body_bytes;
+  int64_t head_ms; /* a request may take to come */
+  int64_t idle_ms; /* a connection may be idle */
+};
+
+struct site
+{
+  uint64_t version; /* grows with each change, in uneven steps */
+  unsigned refs;
+  GArray *routes;   /* struct site_route */
+  GArray *services; /* struct site_service */
+  struct site_limits limits;
+  GHashTable *hosts; /* name to GPtrArray of routes, longest prefix first */
+};
+
+/* An empty one with one reference.  */
+struct site *site_new (void);
+struct site *site_ref (struct site *site);
+void site_unref (struct site *site); /* NULL allowed */
+
+/* Closes the filling: routes can be found from now on.  */
+void site_index (struct site *site);
+
+/* The route for PATH (no query) at HOST, whose port is ignored; NULL when
+   there is none.  */
+const struct site_route *site_route (const struct site *site,
+                                     const char *host, const char *path);
+const struct site_service *site_service (const struct site *site,
+                                         const char *name);
+const struct site_model *site_model (const struct site_service *service,
+                                     const char *name);
+
+/* The service that takes a request whose identity is HASH, by the weights of
+   the route; NULL when all weights are 0.  */
+const char *site_split (const struct site_route *route, uint64_t hash);
+
+/* May a request of ROUTE run more than once?  */
+static inline bool
+site_idempotent (const struct site_route *route)
+{
+  return route->kind == SITE_IDEMPOTENT
+         || (route->kind == SITE_STREAM && route->resumable);
+}
+
+#endif
--- /dev/null
+++ b/src/stock_order.c
@@ -0,0 +1,326 @@
+#include <string.h>
+#include "stock_state.h"
+#include "ts.h"
+
+#define RESEND_MS 400    /* an order without an answer is sent again */
+#define REPORT_LAG_MS 150 /* reports are older than the engine's state */
+#define ASK_MS 250       /* between reports while an order is carried out */
+#define REFUSED_MS 400   /* no further order after a refusal */
+#define OVERDUE_MS 4000  /* an accepted order that shows nowhere was lost */
+
+static void
+action_release (struct action *action)
+{
+  struct stock_action *mine = (struct stock_action *)action;
+
+  g_free (mine->engine);
+  g_free (mine->address);
+  g_free (mine->model);
+  g_free (mine->adapter);
+  g_free (mine->reason);
+}
+
+static struct stock_action *
+push (const struct stock_engine *engine, enum stock_action_type type,
+      struct action_list *out)
+{
+  struct stock_action *action = action_push (out, sizeof *action, type);
+  const struct stock_order *order = &engine->order;
+
+  action->action.release = action_release;
+  action->engine = g_strdup (engine->id);
+  action->address = g_strdup (engine->address);
+  if (type == STOCK_ASK)
+    return action;
+  action->type = order->type;
+  action->model = g_strdup (order->model);
+  action->adapter = g_strdup (order->adapter);
+  action->expected = order->expected;
+  action->reason = g_strdup (order->reason);
+  return action;
+}
+
+bool
+stock_can_order (const struct stock_engine *engine, struct timespec now)
+{
+  return engine->order.stage == STAGE_NONE && !engine->leaving
+         && !engine->held->busy && !ts_before (now, engine->quiet_until);
+}
+
+double
+stock_load_s (const struct stock_engine *engine,
+              const struct site_model *model, bool *fetches)
+{
+  *fetches = false;
+  if (holding_names (engine->held->in_memory, model->name))
+    return model->memory_s;
+  if (holding_names (engine->held->on_disk, model->name))
+    return model->disk_s;
+  *fetches = true;
+  return model->load_s;
+}
+
+static uint64_t
+adapter_reserve_mb (const struct stock *stock)
+{
+  uint64_t largest = 0;
+
+  for (size_t i = 0; i < stock->service->model_count; i++)
+    largest = MAX (largest, stock->service->models[i].adapter_mb);
+  return largest * stock->service->adapter_slots;
+}
+
+int64_t
+stock_free_mb (const struct stock *stock, const struct stock_engine *engine)
+{
+  const struct stock_order *order = &engine->order;
+  int64_t left = (int64_t)stock->service->memory_mb
+                 - (int64_t)adapter_reserve_mb (stock);
+  const struct site_model *model;
+
+  for (guint i = 0; i < engine->held->models->len; i++)
+    {
+      const struct holding_model *held
+          = g_ptr_array_index (engine->held->models, i);
+
+      model = site_model (stock->service, held->name);
+      left -= model != NULL ? (int64_t)model->memory_mb
+                            : (int64_t)stock->service->memory_mb;
+    }
+  if (order->stage == STAGE_NONE || order->type != BACKEND_LOAD
+      || holding_model (engine->held, order->model) != NULL)
+    return left;
+  model = site_model (stock->service, order->model);
+  return left - (model != NULL ? (int64_t)model->memory_mb : 0);
+}
+
+void
+stock_order_clear (struct stock *stock, struct stock_engine *engine)
+{
+  struct stock_order *order = &engine->order;
+
+  if (order->stage != STAGE_NONE && order->fetches)
+    budget_done (&stock->budget, 0, 0);
+  g_free (order->model);
+  g_free (order->adapter);
+  g_free (order->reason);
+  memset (order, 0, sizeof *order);
+}
+
+static void
+settle (struct stock *stock, struct stock_engine *engine, bool ok,
+        struct action_list *out)
+{
+  push (engine, STOCK_SETTLED, out)->ok = ok;
+  stock_order_clear (stock, engine);
+}
+
+void
+stock_give (struct stock *stock, struct stock_engine *engine,
+            enum backend_order_type type, const char *model,
+            const char *adapter, char *reason, struct timespec now,
+            struct action_list *out)
+{
+  struct stock_order *order = &engine->order;
+
+  order->stage = STAGE_SENT;
+  order->type = type;
+  order->model = g_strdup (model);
+  order->adapter = g_strdup (adapter);
+  order->reason = reason;
+  order->expected = engine->held->sequence;
+  order->sent_at = now;
+  if (type == BACKEND_LOAD)
+    stock_load_s (engine, site_model (stock->service, model),
+                  &order->fetches);
+  if (order->fetches)
+    budget_take (&stock->budget, now);
+  push (engine, STOCK_ORDER, out);
+}
+
+static bool
+is_done (const struct stock_engine *engine)
+{
+  const struct stock_order *order = &engine->order;
+  bool there = holding_has (engine->held, order->model, order->adapter);
+
+  if (order->type == BACKEND_LOAD || order->type == BACKEND_ADAPTER_LOAD)
+    return there;
+  return !there;
+}
+
+/* What the engine holds afterwards, as far as the order alone goes.  */
+static void
+apply (struct stock_engine *engine)
+{
+  const struct stock_order *order = &engine->order;
+  struct holding_model *model;
+
+  if (order->type == BACKEND_LOAD)
+    holding_add (engine->held, order->model);
+  else if (order->type == BACKEND_UNLOAD)
+    holding_remove (engine->held, order->model);
+  model = holding_model (engine->held, order->model);
+  if (model != NULL && order->type == BACKEND_ADAPTER_LOAD)
+    holding_add_adapter (model, order->adapter);
+  else if (model != NULL && order->type == BACKEND_ADAPTER_UNLOAD)
+    holding_remove_adapter (model, order->adapter);
+}
+
+static void
+accepted (struct stock *stock, struct stock_engine *engine,
+          struct timespec now, struct action_list *out)
+{
+  struct stock_order *order = &engine->order;
+  const struct site_model *model
+      = site_model (stock->service, order->model);
+  bool fetches;
+
+  engine->held->sequence = order->expected + 1;
+  if (order->adapter != NULL)
+    {
+      apply (engine);
+      settle (stock, engine, true, out);
+      return;
+    }
+  order->stage = STAGE_RUNNING;
+  engine->held->busy = true;
+  order->ready_at = now;
+  if (order->type == BACKEND_LOAD && model != NULL)
+    order->ready_at = ts_add (
+        now, ts_from_s (stock_load_s (engine, model, &fetches)));
+  order->next_at = ts_add_ms (order->ready_at, REPORT_LAG_MS);
+}
+
+static void
+ask (struct stock_engine *engine, struct action_list *out)
+{
+  if (engine->asking)
+    return;
+  engine->asking = true;
+  push (engine, STOCK_ASK, out);
+}
+
+/* A sending before this one may have been carried out: only a report can
+   tell.  */
+static void
+refused (struct stock *stock, struct stock_engine *engine,
+         struct timespec now, struct action_list *out)
+{
+  struct stock_order *order = &engine->order;
+
+  engine->quiet_until = ts_add_ms (now, REFUSED_MS);
+  if (order->doubtful)
+    {
+      order->stage = STAGE_UNSURE;
+      order->next_at = ts_add_ms (now, RESEND_MS);
+    }
+  else
+    settle (stock, engine, false, out);
+}
+
+void
+stock_answered (struct stock *stock, const char *id,
+                enum backend_status status, struct timespec now,
+                struct action_list *out)
+{
+  struct stock_engine *engine = g_hash_table_lookup (stock->engines, id);
+
+  if (engine == NULL || engine->order.stage != STAGE_SENT)
+    return;
+  switch (status)
+    {
+    case BACKEND_ACCEPTED:
+      accepted (stock, engine, now, out);
+      break;
+    case BACKEND_HOLDS:
+      apply (engine);
+      settle (stock, engine, true, out);
+      break;
+    case BACKEND_BUSY:
+      refused (stock, engine, now, out);
+      ask (engine, out);
+      break;
+    case BACKEND_MOVED:
+      engine->leaving = true;
+      settle (stock, engine, false, out);
+      break;
+    case BACKEND_REFUSED:
+    case BACKEND_FENCED:
+    case BACKEND_DOWN:
+      refused (stock, engine, now, out);
+      break;
+    case BACKEND_UNKNOWN:
+      engine->order.doubtful = true;
+      engine->order.stage = STAGE_UNSURE;
+      engine->order.next_at = ts_add_ms (now, RESEND_MS);
+      break;
+    }
+}
+
+/* The engine has accepted more orders than before this one was sent.  */
+static void
+compare_unsure (struct stock *stock, struct stock_engine *engine,
+                struct timespec now, struct action_list *out)
+{
+  struct stock_order *order = &engine->order;
+
+  if (engine->held->sequence <= order->expected)
+    return;
+  if (engine->held->busy)
+    {
+      order->stage = STAGE_RUNNING;
+      order->ready_at = now;
+      order->next_at = ts_add_ms (now, ASK_MS);
+    }
+  else
+    settle (stock, engine, is_done (engine), out);
+}
+
+void
+stock_compare (struct stock *stock, struct stock_engine *engine,
+               struct timespec now, struct action_list *out)
+{
+  struct stock_order *order = &engine->order;
+  struct timespec overdue = ts_add_ms (order->ready_at, OVERDUE_MS);
+
+  if (order->stage == STAGE_UNSURE)
+    compare_unsure (stock, engine, now, out);
+  else if (order->stage == STAGE_RUNNING && is_done (engine))
+    settle (stock, engine, true, out);
+  else if (order->stage == STAGE_RUNNING && !engine->held->busy
+           && !ts_before (now, overdue))
+    settle (stock, engine, false, out);
+}
+
+static void
+send_again (struct stock_engine *engine, struct timespec now,
+            struct action_list *out)
+{
+  engine->order.stage = STAGE_SENT;
+  engine->order.sent_at = now;
+  push (engine, STOCK_ORDER, out);
+  ask (engine, out);
+}
+
+void
+stock_follow (struct stock *stock, struct stock_engine *engine,
+              struct timespec now, struct action_list *out)
+{
+  struct stock_order *order = &engine->order;
+
+  (void)stock;
+  if (order->stage == STAGE_UNSURE && !ts_before (now, order->next_at))
+    send_again (engine, now, out);
+  else if (order->stage == STAGE_RUNNING && !ts_before (now, order->next_at))
+    {
+      ask (engine, out);
+      order->next_at = ts_add_ms (now, ASK_MS);
+    }
+  else if (order->stage == STAGE_NONE && engine->held->busy
+           && !ts_before (now, engine->quiet_until))
+    {
+      ask (engine, out);
+      engine->quiet_until = ts_add_ms (now, ASK_MS);
+    }
+}
--- /dev/null
+++ b/src/stock_plan.c
@@ -0,0 +1,612 @@
+#include <math.h>
+#include <string.h>
+#include "stock_state.h"
+#include "ts.h"
+
+/* Engine seconds that a call takes, in the mean over prompt and answer, and
+   the share of an engine's time that calls of one model may fill: from
+   engines that read 38,700 prompt tokens a second.  */
+#define CALL_S 0.12
+#define BUSY_SHARE 0.4
+
+#define HORIZON_S 10.0     /* of calls that a reload would hold up */
+#define PRIOR_PER_S 0.03   /* calls of a model never called, for its value */
+#define HELD_VALUE 0.3     /* of any model loaded, whatever its calls: a
+                              reload is an order and may hold others up */
+#define SURPLUS_VALUE 0.05 /* of a replica more than are needed */
+#define START_REPLICAS 3   /* kept of a model before its calls are known */
+#define LEARN_S 10.0       /* until calls are known */
+#define WANTED_VALUE 1e6   /* never evicted */
+
+/* A model in this round.  */
+struct plan_model
+{
+  const struct site_model *site;
+  double per_s;
+  unsigned replicas; /* loaded or being loaded, on engines that stay */
+  unsigned loaded;
+  unsigned waiting;  /* requests, adapters' included */
+  unsigned priority; /* of the most urgent */
+  bool at_hand;      /* some engine has its weights in memory or on disk */
+  bool planned;      /* room is being made for it */
+};
+
+struct plan
+{
+  struct stock *stock;
+  struct timespec now;
+  struct action_list *out;
+  GHashTable *models; /* name to struct plan_model */
+};
+
+/* One way to get a model onto an engine.  */
+struct plan_place
+{
+  struct stock_engine *engine;
+  double load_s;
+  double loss; /* value of what has to go */
+  bool fetches;
+};
+
+static struct plan_model *
+plan_model (const struct plan *plan, const char *name)
+{
+  return g_hash_table_lookup (plan->models, name);
+}
+
+static void
+count_engine (struct plan *plan, const struct stock_engine *engine)
+{
+  const struct stock_order *order = &engine->order;
+  struct plan_model *model;
+
+  for (guint i = 0; i < engine->held->models->len; i++)
+    {
+      const struct holding_model *held
+          = g_ptr_array_index (engine->held->models, i);
+
+      model = plan_model (plan, held->name);
+      if (model == NULL || engine->leaving)
+        continue;
+      if (order->stage != STAGE_NONE && order->type == BACKEND_UNLOAD
+          && strcmp (order->model, held->name) == 0)
+        continue;
+      model->replicas++;
+      model->loaded++;
+    }
+  if (engine->leaving)
+    return;
+  if (order->stage != STAGE_NONE && order->type == BACKEND_LOAD
+      && holding_model (engine->held, order->model) == NULL)
+    {
+      model = plan_model (plan, order->model);
+      if (model != NULL)
+        model->replicas++;
+    }
+  if (engine->goal != NULL)
+    {
+      model = plan_model (plan, engine->goal);
+      if (model != NULL)
+        model->planned = true;
+    }
+}
+
+static void
+mark_at_hand (struct plan *plan, const GPtrArray *names)
+{
+  for (guint i = 0; i < names->len; i++)
+    {
+      struct plan_model *model
+          = plan_model (plan, g_ptr_array_index (names, i));
+
+      if (model != NULL)
+        model->at_hand = true;
+    }
+}
+
+static void
+count_want (struct plan *plan, const struct stock_want *want)
+{
+  char *name = g_strndup (want->target, strcspn (want->target, "/"));
+  struct plan_model *model = plan_model (plan, name);
+
+  g_free (name);
+  if (model == NULL)
+    return;
+  if (model->waiting == 0 || want->priority < model->priority)
+    model->priority = want->priority;
+  model->waiting += want->waiting;
+}
+
+static void
+plan_begin (struct plan *plan)
+{
+  struct stock *stock = plan->stock;
+  const struct stock_engine *engine;
+  const struct stock_want *want;
+  GHashTableIter iter;
+
+  plan->models = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  for (size_t i = 0; i < stock->service->model_count; i++)
+    {
+      struct plan_model *model = g_new0 (struct plan_model, 1);
+
+      model->site = &stock->service->models[i];
+      model->per_s = stock_rate (stock, model->site->name, plan->now);
+      g_hash_table_insert (plan->models, model->site->name, model);
+    }
+  g_hash_table_iter_init (&iter, stock->engines);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&engine))
+    {
+      count_engine (plan, engine);
+      mark_at_hand (plan, engine->held->in_memory);
+      mark_at_hand (plan, engine->held->on_disk);
+    }
+  g_hash_table_iter_init (&iter, stock->wants);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&want))
+    count_want (plan, want);
+}
+
+/* Replicas that the calls of MODEL need.  */
+static unsigned
+needed (const struct plan *plan, const struct plan_model *model)
+{
+  double known_s = ts_to_s (ts_sub (plan->now, plan->stock->started_at));
+  unsigned n = (unsigned)ceil (model->per_s * CALL_S / BUSY_SHARE);
+
+  if (known_s < LEARN_S)
+    n = MAX (n, MIN (model->loaded, START_REPLICAS));
+  return n;
+}
+
+/* What is lost when MODEL leaves ENGINE.  */
+static double
+value_of (const struct plan *plan, const struct stock_engine *engine,
+          const char *name)
+{
+  const struct plan_model *model = plan_model (plan, name);
+  double reload_s;
+
+  if (model == NULL)
+    return 0;
+  if (model->waiting > 0)
+    return WANTED_VALUE;
+  if (model->replicas > 1 && model->replicas > needed (plan, model))
+    return SURPLUS_VALUE * (1.0 + model->per_s);
+  reload_s = holding_names (engine->held->in_memory, name)
+                 ? model->site->memory_s
+                 : model->site->disk_s;
+  return HELD_VALUE + model->per_s * HORIZON_S * reload_s;
+}
+
+/* The least valuable model that ENGINE holds; NULL when there is none that
+   may go.  */
+static const char *
+victim_of (const struct plan *plan, const struct stock_engine *engine,
+           const GPtrArray *gone, double *value)
+{
+  const char *victim = NULL;
+
+  *value = WANTED_VALUE;
+  for (guint i = 0; i < engine->held->models->len; i++)
+    {
+      const struct holding_model *held
+          = g_ptr_array_index (engine->held->models, i);
+      double v = value_of (plan, engine, held->name);
+
+      if (v >= *value || (gone != NULL && holding_names (gone, held->name)))
+        continue;
+      *value = v;
+      victim = held->name;
+    }
+  return victim;
+}
+
+/* The value that ENGINE loses for MODEL; WANTED_VALUE when no room can be
+   made.  */
+static double
+loss_of (const struct plan *plan, const struct stock_engine *engine,
+         const struct site_model *model)
+{
+  int64_t left = stock_free_mb (plan->stock, engine);
+  GPtrArray *gone = g_ptr_array_new ();
+  double loss = 0;
+
+  while (left < (int64_t)model->memory_mb)
+    {
+      double value;
+      const char *victim = victim_of (plan, engine, gone, &value);
+      const struct plan_model *known;
+
+      if (victim == NULL)
+        {
+          loss = WANTED_VALUE;
+          break;
+        }
+      known = plan_model (plan, victim);
+      left += known != NULL ? (int64_t)known->site->memory_mb
+                            : (int64_t)plan->stock->service->memory_mb;
+      loss += value;
+      g_ptr_array_add (gone, (gpointer)victim);
+    }
+  g_ptr_array_unref (gone);
+  return loss;
+}
+
+/* The engine on which MODEL is had soonest for the least loss.  FETCH: also
+   from the weight store.  */
+static struct plan_place
+best_place (const struct plan *plan, const struct site_model *model,
+            bool fetch)
+{
+  struct plan_place best = { .loss = WANTED_VALUE };
+  struct stock_engine *engine;
+  GHashTableIter iter;
+  double least = WANTED_VALUE;
+
+  g_hash_table_iter_init (&iter, plan->stock->engines);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&engine))
+    {
+      struct plan_place place = { .engine = engine };
+
+      if (!stock_can_order (engine, plan->now) || engine->goal != NULL
+          || holding_model (engine->held, model->name) != NULL)
+        continue;
+      place.load_s = stock_load_s (engine, model, &place.fetches);
+      if (place.fetches && !fetch)
+        continue;
+      place.loss = loss_of (plan, engine, model);
+      if (place.load_s + place.loss >= least)
+        continue;
+      least = place.load_s + place.loss;
+      best = place;
+    }
+  return best;
+}
+
+static void
+load (struct plan *plan, struct stock_engine *engine, const char *name,
+      const char *cause)
+{
+  const struct plan_model *model = plan_model (plan, name);
+  bool fetches;
+  double load_s = stock_load_s (engine, model->site, &fetches);
+  char *reason = g_strdup_printf (
+      "cause=%s waiting=%u per_s=%.2f replicas=%u load_s=%.2f source=%s",
+      cause, model->waiting, model->per_s, model->replicas, load_s,
+      fetches ? "store" : "hand");
+
+  stock_give (plan->stock, engine, BACKEND_LOAD, name, NULL, reason,
+              plan->now, plan->out);
+}
+
+static void
+evict (struct plan *plan, struct stock_engine *engine, const char *victim,
+       double value)
+{
+  struct plan_model *model = plan_model (plan, victim);
+
+  if (model != NULL)
+    model->replicas--;
+  stock_give (plan->stock, engine, BACKEND_UNLOAD, victim, NULL,
+              g_strdup_printf ("cause=room for=%s value=%.2f", engine->goal,
+                               value),
+              plan->now, plan->out);
+}
+
+/* Goes on making room for the goal of ENGINE, or loads it.  */
+static void
+pursue (struct plan *plan, struct stock_engine *engine)
+{
+  const struct plan_model *model = plan_model (plan, engine->goal);
+  const char *victim;
+  double value;
+  bool fetches;
+
+  if (!stock_can_order (engine, plan->now))
+    return;
+  if (model == NULL || holding_model (engine->held, engine->goal) != NULL)
+    {
+      g_clear_pointer (&engine->goal, g_free);
+      return;
+    }
+  stock_load_s (engine, model->site, &fetches);
+  if (stock_free_mb (plan->stock, engine) >= (int64_t)model->site->memory_mb)
+    {
+      if (fetches && !budget_allows (&plan->stock->budget, plan->now))
+        return;
+      load (plan, engine, engine->goal, "goal");
+      g_clear_pointer (&engine->goal, g_free);
+      return;
+    }
+  victim = victim_of (plan, engine, NULL, &value);
+  if (victim == NULL)
+    g_clear_pointer (&engine->goal, g_free);
+  else
+    evict (plan, engine, victim, value);
+}
+
+/* Begins to bring MODEL onto the engine of PLACE.  */
+static void
+begin (struct plan *plan, struct plan_model *model,
+       const struct plan_place *place)
+{
+  place->engine->goal = g_strdup (model->site->name);
+  model->planned = true;
+  pursue (plan, place->engine);
+}
+
+static bool
+try_place (struct plan *plan, struct plan_model *model, double benefit,
+           bool fetch)
+{
+  struct plan_place place;
+
+  if (fetch)
+    fetch = budget_allows (&plan->stock->budget, plan->now);
+  place = best_place (plan, model->site, fetch);
+  if (place.engine == NULL || place.loss >= benefit)
+    return false;
+  begin (plan, model, &place);
+  return true;
+}
+
+/* Most urgent first, then most waiting, then most called.  */
+static gint
+by_need (gconstpointer a, gconstpointer b)
+{
+  const struct plan_model *x = *(const struct plan_model *const *)a;
+  const struct plan_model *y = *(const struct plan_model *const *)b;
+
+  if ((x->waiting > 0) != (y->waiting > 0))
+    return x->waiting > 0 ? -1 : 1;
+  if (x->waiting > 0 && x->priority != y->priority)
+    return x->priority < y->priority ? -1 : 1;
+  if (x->waiting != y->waiting)
+    return x->waiting > y->waiting ? -1 : 1;
+  if (x->per_s != y->per_s)
+    return x->per_s > y->per_s ? -1 : 1;
+  return strcmp (x->site->name, y->site->name);
+}
+
+static GPtrArray *
+sorted_models (const struct plan *plan)
+{
+  GPtrArray *models = g_ptr_array_new ();
+  struct plan_model *model;
+  GHashTableIter iter;
+
+  g_hash_table_iter_init (&iter, plan->models);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&model))
+    g_ptr_array_add (models, model);
+  g_ptr_array_sort (models, by_need);
+  return models;
+}
+
+/* For requests that wait any loss is taken but that of another model for
+   which requests wait.  */
+static void
+serve_waiting (struct plan *plan, const GPtrArray *models)
+{
+  for (guint i = 0; i < models->len; i++)
+    {
+      struct plan_model *model = g_ptr_array_index (models, i);
+
+      if (model->waiting > 0 && model->replicas == 0 && !model->planned)
+        try_place (plan, model, WANTED_VALUE, true);
+    }
+}
+
+static void
+add_replicas (struct plan *plan, const GPtrArray *models)
+{
+  for (guint i = 0; i < models->len; i++)
+    {
+      struct plan_model *model = g_ptr_array_index (models, i);
+      unsigned need = needed (plan, model);
+
+      if (!model->planned && model->replicas > 0 && model->replicas < need)
+        try_place (plan, model, model->per_s * CALL_S * HORIZON_S, true);
+    }
+}
+
+/* Models on no engine: those called lately, then those never held, so that
+   their weights are at hand when they are called.  One fetch is left for
+   requests that wait.  */
+static void
+preload (struct plan *plan, const GPtrArray *models)
+{
+  const struct budget *budget = &plan->stock->budget;
+  bool fetch = budget->flying + 1 < budget->at_once;
+
+  for (guint i = 0; i < models->len; i++)
+    {
+      struct plan_model *model = g_ptr_array_index (models, i);
+      double per_s = MAX (model->per_s, PRIOR_PER_S);
+      double reload_s
+          = model->at_hand ? model->site->disk_s : model->site->load_s;
+
+      if (model->replicas > 0 || model->planned)
+        continue;
+      if (try_place (plan, model, per_s * HORIZON_S * reload_s,
+                     fetch && !model->at_hand))
+        fetch = budget->flying + 1 < budget->at_once;
+    }
+}
+
+/* Adapters.  */
+
+/* An adapter that may go from ENGINE: the least called, none that requests
+   wait for; *MODEL is its model.  */
+static const char *
+adapter_victim (const struct plan *plan, const struct stock_engine *engine,
+                const char **model)
+{
+  const char *victim = NULL;
+  double least = INFINITY;
+
+  for (guint i = 0; i < engine->held->models->len; i++)
+    {
+      const struct holding_model *held
+          = g_ptr_array_index (engine->held->models, i);
+
+      for (guint j = 0; j < held->adapters->len; j++)
+        {
+          const char *adapter = g_ptr_array_index (held->adapters, j);
+          char *target = servers_target (held->name, adapter);
+          double per_s = stock_rate (plan->stock, target, plan->now);
+
+          g_free (target);
+          if (per_s >= least)
+            continue;
+          least = per_s;
+          victim = adapter;
+          *model = held->name;
+        }
+    }
+  return victim;
+}
+
+static unsigned
+adapter_replicas (const struct plan *plan, const char *model,
+                  const char *adapter)
+{
+  const struct stock_engine *engine;
+  GHashTableIter iter;
+  unsigned n = 0;
+
+  g_hash_table_iter_init (&iter, plan->stock->engines);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&engine))
+    {
+      const struct stock_order *order = &engine->order;
+
+      if (engine->leaving)
+        continue;
+      n += holding_has (engine->held, model, adapter);
+      n += order->stage != STAGE_NONE && order->type == BACKEND_ADAPTER_LOAD
+           && strcmp (order->model, model) == 0
+           && strcmp (order->adapter, adapter) == 0;
+    }
+  return n;
+}
+
+/* The engine with MODEL that has most room for an adapter.  */
+static struct stock_engine *
+adapter_engine (const struct plan *plan, const char *model,
+                const char *adapter)
+{
+  struct stock_engine *best = NULL;
+  struct stock_engine *engine;
+  unsigned least = UINT_MAX;
+  GHashTableIter iter;
+
+  g_hash_table_iter_init (&iter, plan->stock->engines);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&engine))
+    {
+      unsigned n = holding_adapters (engine->held);
+
+      if (!stock_can_order (engine, plan->now) || n >= least
+          || !holding_has (engine->held, model, NULL)
+          || holding_has (engine->held, model, adapter))
+        continue;
+      best = engine;
+      least = n;
+    }
+  return best;
+}
+
+static void
+place_adapter (struct plan *plan, const char *model, const char *adapter,
+               const char *cause, bool evict)
+{
+  struct stock_engine *engine = adapter_engine (plan, model, adapter);
+  const char *victim;
+  const char *of = NULL;
+
+  if (engine == NULL)
+    return;
+  if (holding_adapters (engine->held) < plan->stock->service->adapter_slots)
+    {
+      stock_give (plan->stock, engine, BACKEND_ADAPTER_LOAD, model, adapter,
+                  g_strdup_printf ("cause=%s", cause), plan->now, plan->out);
+      return;
+    }
+  victim = evict ? adapter_victim (plan, engine, &of) : NULL;
+  if (victim != NULL)
+    stock_give (plan->stock, engine, BACKEND_ADAPTER_UNLOAD, of, victim,
+                g_strdup_printf ("cause=room for=%s/%s", model, adapter),
+                plan->now, plan->out);
+}
+
+static void
+serve_adapters (struct plan *plan)
+{
+  const struct stock_want *want;
+  GHashTableIter iter;
+
+  g_hash_table_iter_init (&iter, plan->stock->wants);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&want))
+    {
+      const char *slash = strchr (want->target, '/');
+      char *model;
+
+      if (slash == NULL)
+        continue;
+      model = g_strndup (want->target, (gsize)(slash - want->target));
+      if (plan_model (plan, model) != NULL
+          && adapter_replicas (plan, model, slash + 1) == 0)
+        place_adapter (plan, model, slash + 1, "waiting", true);
+      g_free (model);
+    }
+}
+
+/* An adapter that is called more often than one engine should serve gets
+   another place where one is free.  */
+static void
+add_adapter_replicas (struct plan *plan)
+{
+  const struct stock_demand *demand;
+  const char *target;
+  GHashTableIter iter;
+
+  g_hash_table_iter_init (&iter, plan->stock->demand);
+  while (
+      g_hash_table_iter_next (&iter, (gpointer *)&target, (gpointer *)&demand))
+    {
+      const char *slash = strchr (target, '/');
+      double per_s = stock_rate (plan->stock, target, plan->now);
+      unsigned need = (unsigned)ceil (per_s * CALL_S / BUSY_SHARE);
+      char *model;
+
+      if (slash == NULL || need < 2)
+        continue;
+      model = g_strndup (target, (gsize)(slash - target));
+      if (plan_model (plan, model) != NULL
+          && adapter_replicas (plan, model, slash + 1) < need)
+        place_adapter (plan, model, slash + 1, "calls", false);
+      g_free (model);
+    }
+}
+
+void
+stock_plan (struct stock *stock, struct timespec now, struct action_list *out)
+{
+  struct plan plan = { .stock = stock, .now = now, .out = out };
+  struct stock_engine *engine;
+  GHashTableIter iter;
+  GPtrArray *models;
+
+  plan_begin (&plan);
+  g_hash_table_iter_init (&iter, stock->engines);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&engine))
+    if (engine->goal != NULL)
+      pursue (&plan, engine);
+  serve_adapters (&plan);
+  models = sorted_models (&plan);
+  serve_waiting (&plan, models);
+  add_replicas (&plan, models);
+  add_adapter_replicas (&plan);
+  preload (&plan, models);
+  g_ptr_array_unref (models);
+  g_hash_table_unref (plan.models);
+}
--- /dev/null
+++ b/src/stock_state.h
@@ -0,0 +1,108 @@
+/* stock_state - what the modules stock, stock_order and stock_plan share.
+   Private to them.  */
+
+#ifndef PARSLEYRILL_STOCK_STATE_H
+#define PARSLEYRILL_STOCK_STATE_H
+
+#include <time.h>
+#include <glib.h>
+#include "budget.h"
+#include "stock.h"
+
+enum stock_stage
+{
+  STAGE_NONE,
+  STAGE_SENT,    /* an answer is awaited */
+  STAGE_UNSURE,  /* no answer came: it is sent again, just the same */
+  STAGE_RUNNING  /* accepted; reports tell the end */
+};
+
+struct stock_order
+{
+  enum stock_stage stage;
+  enum backend_order_type type;
+  char *model;
+  char *adapter;
+  char *reason;
+  uint64_t expected;
+  bool fetches;    /* from the weight store: counted in the budget */
+  bool doubtful;   /* an earlier sending may have been carried out */
+  struct timespec sent_at;
+  struct timespec next_at; /* STAGE_UNSURE: send again; STAGE_RUNNING: ask */
+  struct timespec ready_at; /* STAGE_RUNNING: estimate */
+};
+
+struct stock_engine
+{
+  char *id;
+  char *address;
+  bool leaving;
+  bool asking;           /* a report is awaited */
+  struct holding *held;  /* never NULL */
+  struct stock_order order;
+  char *goal;            /* model that room is made for; NULL: none */
+  struct timespec quiet_until; /* no order before */
+};
+
+/* How often a model or adapter is called.  */
+struct stock_demand
+{
+  double per_s;
+  struct timespec at; /* of PER_S */
+};
+
+struct stock_want
+{
+  char *node;
+  char *target;
+  unsigned waiting;
+  unsigned priority;
+};
+
+struct stock
+{
+  const struct site_service *service;
+  GHashTable *engines; /* id to struct stock_engine */
+  GHashTable *demand;  /* target to struct stock_demand */
+  GHashTable *wants;   /* "NODE TARGET" to struct stock_want */
+  struct budget budget;
+  unsigned loads_at_once;
+  struct timespec started_at;
+};
+
+/* stock.c */
+
+double stock_rate (const struct stock *stock, const char *target,
+                   struct timespec now);
+
+/* stock_order.c */
+
+/* May ENGINE be given an order now?  */
+bool stock_can_order (const struct stock_engine *engine, struct timespec now);
+void stock_give (struct stock *stock, struct stock_engine *engine,
+                 enum backend_order_type type, const char *model,
+                 const char *adapter, char *reason, struct timespec now,
+                 struct action_list *out);
+/* Sends again, or asks for reports, what is due.  */
+void stock_follow (struct stock *stock, struct stock_engine *engine,
+                   struct timespec now, struct action_list *out);
+void stock_order_clear (struct stock *stock, struct stock_engine *engine);
+/* Compares the open order with what the engine holds.  */
+void stock_compare (struct stock *stock, struct stock_engine *engine,
+                    struct timespec now, struct action_list *out);
+
+/* Seconds that a load of MODEL takes on ENGINE; *FETCHES: from the weight
+   store.  */
+double stock_load_s (const struct stock_engine *engine,
+                     const struct site_model *model, bool *fetches);
+
+/* Memory left on ENGINE when the open order is carried out; never counts an
+   unload before it is seen.  */
+int64_t stock_free_mb (const struct stock *stock,
+                       const struct stock_engine *engine);
+
+/* stock_plan.c */
+void stock_plan (struct stock *stock, struct timespec now,
+                 struct action_list *out);
+
+#endif
