stock: what an engine holds and has accepted comes from its reports

Cause: the platform's list numbers the changes of an entry, which was taken for the number of orders that the engine had accepted; all 1057 orders named a wrong number and were refused (409). Ruled out: the lease's token (the answers were 409, not 412), the form of the order (400).

--- a/src/holding.h
+++ b/src/holding.h
@@ -1,8 +1,10 @@
 /* holding - what one engine holds: models in accelerator memory, their
    adapters, and copies of weights at hand.
 
-   SEQUENCE counts the orders that the engine accepted since its start, so it
-   orders two descriptions of one start; BORN tells the starts apart.
+   SEQUENCE orders two descriptions that came the same way since one start of
+   the engine; BORN tells the starts apart.  In a report of the engine it
+   counts the orders that were accepted, in the platform's list the changes of
+   its entry.
 
    Ownership: a struct holding owns all that hangs on it.  One thread.  */
 
--- a/src/stock.c
+++ b/src/stock.c
@@ -81,26 +81,24 @@
   return engine;
 }
 
+/* Another start holds other things; what it holds is for its report to
+   say.  */
 static void
-take_holding (struct stock *stock, struct stock_engine *engine,
-              const struct holding *holding, struct timespec now,
-              struct action_list *out)
+take_start (struct stock *stock, struct stock_engine *engine,
+            const struct holding *listed)
 {
-  if (holding_newer (engine->held, holding))
+  if (engine->held->born == listed->born)
     return;
-  if (holding->born != engine->held->born)
-    {
-      stock_order_clear (stock, engine);
-      g_clear_pointer (&engine->goal, g_free);
-    }
+  stock_order_clear (stock, engine);
+  g_clear_pointer (&engine->goal, g_free);
   holding_free (engine->held);
-  engine->held = holding_copy (holding);
-  stock_compare (stock, engine, now, out);
+  engine->held = holding_copy (listed);
+  engine->held->sequence = 0;
+  engine->known = false;
 }
 
 void
-stock_engine (struct stock *stock, const struct server_entry *entry,
-              struct timespec now, struct action_list *out)
+stock_engine (struct stock *stock, const struct server_entry *entry)
 {
   struct stock_engine *engine
       = g_hash_table_lookup (stock->engines, entry->id);
@@ -114,7 +112,7 @@
     engine = engine_new (stock, entry);
   engine->leaving = entry->leaving;
   if (entry->holding != NULL)
-    take_holding (stock, engine, entry->holding, now, out);
+    take_start (stock, engine, entry->holding);
 }
 
 void
@@ -138,8 +136,14 @@
   if (engine == NULL)
     return;
   engine->asking = false;
-  if (holding != NULL)
-    take_holding (stock, engine, holding, now, out);
+  if (holding == NULL || holding_newer (engine->held, holding))
+    return;
+  if (holding->born != engine->held->born)
+    take_start (stock, engine, holding);
+  engine->known = true;
+  holding_free (engine->held);
+  engine->held = holding_copy (holding);
+  stock_compare (stock, engine, now, out);
 }
 
 static double
--- a/src/stock.h
+++ b/src/stock.h
@@ -63,9 +63,8 @@
 void stock_service (struct stock *stock, const struct site_service *service,
                     struct timespec now);
 
-/* An engine as listed.  */
-void stock_engine (struct stock *stock, const struct server_entry *entry,
-                   struct timespec now, struct action_list *out);
+/* An engine as listed.  It gets no order before its first report.  */
+void stock_engine (struct stock *stock, const struct server_entry *entry);
 void stock_engine_gone (struct stock *stock, const char *engine);
 
 /* What the engine reported; HOLDING NULL: it did not answer.  */
--- a/src/stock_order.c
+++ b/src/stock_order.c
@@ -43,7 +43,8 @@
 bool
 stock_can_order (const struct stock_engine *engine, struct timespec now)
 {
-  return engine->order.stage == STAGE_NONE && !engine->leaving
+  return engine->known && engine->order.stage == STAGE_NONE
+         && !engine->leaving
          && !engine->held->busy && !ts_before (now, engine->quiet_until);
 }
 
@@ -310,7 +311,13 @@
   struct stock_order *order = &engine->order;
 
   (void)stock;
-  if (order->stage == STAGE_UNSURE && !ts_before (now, order->next_at))
+  if (!engine->known && !engine->leaving
+      && !ts_before (now, engine->ask_at))
+    {
+      ask (engine, out);
+      engine->ask_at = ts_add_ms (now, ASK_MS);
+    }
+  else if (order->stage == STAGE_UNSURE && !ts_before (now, order->next_at))
     send_again (engine, now, out);
   else if (order->stage == STAGE_RUNNING && !ts_before (now, order->next_at))
     {
--- a/src/stock_state.h
+++ b/src/stock_state.h
@@ -37,7 +37,9 @@
   char *id;
   char *address;
   bool leaving;
+  bool known;            /* it has reported since its start */
   bool asking;           /* a report is awaited */
+  struct timespec ask_at; /* while not known: not sooner */
   struct holding *held;  /* never NULL */
   struct stock_order order;
   char *goal;            /* model that room is made for; NULL: none */
--- a/src/stocker.c
+++ b/src/stocker.c
@@ -224,6 +224,20 @@
   set_timer (stocker);
 }
 
+static void
+log_refused (const struct errand *errand, enum backend_status status,
+             const char *why)
+{
+  struct log_line line;
+
+  log_begin (&line, EVENT_ORDER_REFUSED);
+  log_str (&line, "engine", errand->engine);
+  log_int (&line, "unknown", status == BACKEND_UNKNOWN);
+  log_int (&line, "fence", (int64_t)lease_fence (errand->stocker->lease));
+  log_str (&line, "why", why);
+  log_end (&line);
+}
+
 static void
 on_order (void *user, enum backend_status status, const char *why)
 {
@@ -232,7 +246,8 @@
   struct stock *stock = errand_stock (errand);
   struct action_list list;
 
-  (void)why;
+  if (status != BACKEND_ACCEPTED && status != BACKEND_HOLDS)
+    log_refused (errand, status, why);
   action_list_init (&list);
   if (stock != NULL)
     {
@@ -422,13 +437,9 @@
 take_entry (struct stocker *stocker, const struct server_entry *entry)
 {
   struct stock *stock = g_hash_table_lookup (stocker->stocks, entry->service);
-  struct action_list list;
 
-  if (stock == NULL || entry->holding == NULL)
-    return;
-  action_list_init (&list);
-  stock_engine (stock, entry, now_of (stocker), &list);
-  run_stock (stocker, entry->service, &list);
+  if (stock != NULL && entry->holding != NULL)
+    stock_engine (stock, entry);
 }
 
 /* Engines listed before this tenure.  */
