--- a/daemons/parsley-gate.c
+++ b/daemons/parsley-gate.c
@@ -80,9 +80,8 @@
                                     : env_or ("PARSLEY_LOG_FORMAT", "logfmt");
 
   out->settings
-      = g_strdup (settings->count > 0
-                      ? settings->sval[0]
-                      : env_or (BOOT_PATH_VARIABLE, NULL));
+      = g_strdup (settings->count > 0 ? settings->sval[0]
+                                      : env_or (BOOT_PATH_VARIABLE, NULL));
   out->metrics_port = metrics->count > 0
                           ? metrics->ival[0]
                           : atoi (env_or ("PARSLEY_METRICS_PORT", "0"));
@@ -116,8 +115,8 @@
   struct arg_str *format
       = arg_str0 (NULL, "log-format", "FORMAT", "logfmt or json");
   struct arg_end *end = arg_end (10);
-  void *table[] = { help, version, check, settings, metrics, level, format,
-                    end };
+  void *table[]
+      = { help, version, check, settings, metrics, level, format, end };
   int err = 0;
 
   if (arg_parse (argc, argv, table) > 0)
@@ -189,12 +188,12 @@
       gate_seeds (process->gate, boot.settings.seeds);
     }
   CK_STAILQ_FOREACH (finding, &findings.list, link)
-  {
-    log_begin (&line, EVENT_SETTINGS_REFUSED);
-    log_str (&line, "place", finding->place);
-    log_str (&line, "why", finding->text);
-    log_end (&line);
-  }
+    {
+      log_begin (&line, EVENT_SETTINGS_REFUSED);
+      log_str (&line, "place", finding->place);
+      log_str (&line, "why", finding->text);
+      log_end (&line);
+    }
   findings_clear (&findings);
   boot_clear (&boot);
 }
@@ -283,16 +282,15 @@
 make_gate (struct process *process)
 {
   struct boot *boot = &process->boot;
-  struct gate_options options
-      = { .clk = clk_real (),
-          .loop = process->loop,
-          .settings = &boot->settings,
-          .platform = process->platform,
-          .backend = process->backend,
-          .catalog = document_catalog (),
-          .drain_ms = boot->grace_ms - STOP_MARGIN_MS,
-          .close = close_outside,
-          .user = process };
+  struct gate_options options = { .clk = clk_real (),
+                                  .loop = process->loop,
+                                  .settings = &boot->settings,
+                                  .platform = process->platform,
+                                  .backend = process->backend,
+                                  .catalog = document_catalog (),
+                                  .drain_ms = boot->grace_ms - STOP_MARGIN_MS,
+                                  .close = close_outside,
+                                  .user = process };
 
   options.gateway.caller = callers ();
   options.gateway.front = address_of (&boot->front);
@@ -301,9 +299,9 @@
   options.gateway.zone = boot->settings.zone;
   options.gateway.retry_share = boot->retry_share;
   options.gateway.retry_burst = boot->retry_burst;
-  options.gateway.max_connections
-      = boot->files > 2 * FILES_RESERVED ? boot->files - FILES_RESERVED
-                                           : boot->files / 2;
+  options.gateway.max_connections = boot->files > 2 * FILES_RESERVED
+                                        ? boot->files - FILES_RESERVED
+                                        : boot->files / 2;
   if (process->options->metrics_port > 0)
     {
       options.gateway.metrics.address = boot->front.address;
@@ -316,8 +314,7 @@
 make_process (struct process *process)
 {
   struct httpc_options http = { 0 };
-  struct store_options store
-      = { .address = process->boot.settings.platform };
+  struct store_options store = { .address = process->boot.settings.platform };
 
   process->loop = loop_new (clk_real ());
   if (process->loop == NULL)
@@ -360,8 +357,7 @@
       process->signals.ready = on_signal;
       process->look.fire = on_look;
       loop_watch (process->loop, &process->signals, EPOLLIN);
-      loop_timer_set (process->loop, &process->look,
-                      loop_now (process->loop));
+      loop_timer_set (process->loop, &process->look, loop_now (process->loop));
       gate_run (process->gate);
       loop_timer_clear (process->loop, &process->look);
       loop_unwatch (process->loop, &process->signals);
--- a/src/backend.h
+++ b/src/backend.h
@@ -99,7 +99,7 @@
   size_t on_disk_count;
   const char *const *settled; /* order ids finished lately */
   size_t settled_count;
-  bool busy; /* an order of a model is carried out */
+  bool busy;                    /* an order of a model is carried out */
   const char *const *in_memory; /* models whose weights the host holds */
   size_t in_memory_count;
 };
--- a/src/caller.h
+++ b/src/caller.h
@@ -29,12 +29,12 @@
   char *model;   /* NULL: none is named */
   char *adapter; /* NULL: the model alone */
   uint64_t prompt_tokens;
-  uint64_t answer_tokens;     /* at most */
-  int64_t deadline_ms;        /* that the caller will wait; 0: not told */
+  uint64_t answer_tokens;       /* at most */
+  int64_t deadline_ms;          /* that the caller will wait; 0: not told */
   uint64_t parts[CALLER_PARTS]; /* identity of the prompt up to the end of
                                    each of its first parts */
   size_t part_count;
-  bool resumes;               /* goes on behind RESUME_AFTER */
+  bool resumes; /* goes on behind RESUME_AFTER */
   uint64_t resume_after;
 };
 
@@ -59,7 +59,7 @@
   bool not_run;          /* the server did not run it and never will */
   bool lacks;            /* because the server or what it holds is another */
   bool has_load;
-  unsigned running;      /* at the server, all callers' requests */
+  unsigned running; /* at the server, all callers' requests */
   unsigned queued;
 };
 
@@ -75,8 +75,8 @@
 {
   /* 0; or -EINVAL and *WHY, a constant text.  */
   int (*read) (const struct caller *caller,
-               const struct httpd_request *request,
-               struct caller_request *out, const char **why);
+               const struct httpd_request *request, struct caller_request *out,
+               const char **why);
   /* Appends "Name: value" lines that are freed with g_free.  */
   void (*head) (const struct caller *caller, const struct caller_send *send,
                 GPtrArray *headers);
--- a/src/forward.c
+++ b/src/forward.c
@@ -6,7 +6,7 @@
 #include "lookup.h"
 #include "ts.h"
 
-#define STARTING_RETRY_MS 500 /* a node knows the configuration by then */
+#define STARTING_RETRY_MS 500    /* a node knows the configuration by then */
 #define DEFAULT_TIMEOUT_MS 60000 /* where neither caller nor route says */
 
 static void
@@ -204,8 +204,8 @@
   struct gateway *gateway = forward->gateway;
   const char *why = "";
 
-  if (gateway->options.caller->ops->read (gateway->options.caller, forward->request,
-                                  &forward->asked, &why)
+  if (gateway->options.caller->ops->read (
+          gateway->options.caller, forward->request, &forward->asked, &why)
       < 0)
     {
       refuse_head (forward, 400, why);
--- a/src/forward_answer.c
+++ b/src/forward_answer.c
@@ -18,8 +18,9 @@
     return;
   forward->judged = true;
   forward->first_at = forward_now (forward);
-  gateway->options.caller->ops->judge (gateway->options.caller, forward->call, status,
-                               &forward->asked, &forward->answer);
+  gateway->options.caller->ops->judge (gateway->options.caller, forward->call,
+                                       status, &forward->asked,
+                                       &forward->answer);
   if (forward->answer.has_load)
     servers_load (listing_servers (gateway->listing), forward->engine->id,
                   forward->answer.running, forward->answer.queued,
@@ -155,9 +156,8 @@
     end_stream (forward);
   else if (forward->request != NULL)
     httpd_answer (forward->request, (unsigned)result->status,
-                  result->content_type,
-                  (const char *const *)headers->pdata, forward->held->str,
-                  forward->held->len);
+                  result->content_type, (const char *const *)headers->pdata,
+                  forward->held->str, forward->held->len);
   forward_over (forward);
 }
 
@@ -247,8 +247,7 @@
 /* A whole answer that says that the server failed may be had better
    elsewhere.  */
 static bool
-wants_better (const struct forward *forward,
-              const struct httpc_result *result)
+wants_better (const struct forward *forward, const struct httpc_result *result)
 {
   return result->status >= SERVER_FAULT && !forward->begun
          && may_run_again (forward)
--- a/src/forward_log.c
+++ b/src/forward_log.c
@@ -64,8 +64,7 @@
   struct log_line line;
 
   histo_add (HISTO_FIRST_BYTE, ts_sub (forward->first_at, forward->arrived));
-  histo_add (HISTO_TOTAL,
-             ts_sub (forward_now (forward), forward->arrived));
+  histo_add (HISTO_TOTAL, ts_sub (forward_now (forward), forward->arrived));
   begin (forward, &line, EVENT_REQUEST_DONE);
   log_str (&line, "engine", forward->engine->id);
   log_int (&line, "status", status);
@@ -76,8 +75,8 @@
 }
 
 void
-forward_log_refused (struct forward *forward, unsigned status,
-                     const char *why, int64_t retry_ms)
+forward_log_refused (struct forward *forward, unsigned status, const char *why,
+                     int64_t retry_ms)
 {
   struct log_line line;
 
@@ -91,8 +90,7 @@
 }
 
 void
-forward_log_failed (struct forward *forward,
-                    const struct httpc_result *result)
+forward_log_failed (struct forward *forward, const struct httpc_result *result)
 {
   struct log_line line;
 
--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -54,10 +54,10 @@
     return;
   forward->state = FORWARD_WAITING;
   TAILQ_FOREACH (at, &gateway->waiting, link)
-  {
-    if (goes_before (forward, at))
-      break;
-  }
+    {
+      if (goes_before (forward, at))
+        break;
+    }
   if (at != NULL)
     TAILQ_INSERT_BEFORE (at, forward, link);
   else
@@ -105,8 +105,7 @@
     g_ptr_array_add (ids, (gpointer)forward->tried[i]);
   for (guint i = 0; i < replicas->len; i++)
     {
-      char *id
-          = g_array_index (replicas, struct route_replica, i).engine->id;
+      char *id = g_array_index (replicas, struct route_replica, i).engine->id;
 
       if (reach_down (forward->gateway->reach, id, forward_now (forward)))
         g_ptr_array_add (ids, id);
@@ -143,8 +142,7 @@
 {
   if (forward->tried_count == FORWARD_SENDS_MAX)
     return;
-  forward->engines[forward->tried_count]
-      = route_engine_ref (forward->engine);
+  forward->engines[forward->tried_count] = route_engine_ref (forward->engine);
   forward->tried[forward->tried_count++] = forward->engine->id;
 }
 
@@ -210,10 +208,9 @@
           || strcmp (request.method, "HEAD") == 0))
     request.body = NULL;
   if (idempotent)
-    request.reused_silence_ms
-        = MAX (reach_patience_ms (forward->gateway->reach,
-                                  forward->engine->id),
-               2 * forward->route->objective_ms);
+    request.reused_silence_ms = MAX (
+        reach_patience_ms (forward->gateway->reach, forward->engine->id),
+        2 * forward->route->objective_ms);
   if (idempotent && forward->route->kind == SITE_STREAM)
     request.flow_silence_ms = FLOW_GAPS * forward->route->gap_ms;
   forward->call = httpc_start (forward->gateway->httpc, &request);
@@ -277,14 +274,12 @@
 forward_seek (struct forward *forward)
 {
   struct gateway *gateway = forward->gateway;
-  GArray *replicas
-      = g_array_new (FALSE, FALSE, sizeof (struct route_replica));
+  GArray *replicas = g_array_new (FALSE, FALSE, sizeof (struct route_replica));
   struct timespec now = forward_now (forward);
   struct route_engine *engine = NULL;
   struct timespec ready_at;
 
-  servers_replicas (listing_servers (gateway->listing),
-                    forward->service->name,
+  servers_replicas (listing_servers (gateway->listing), forward->service->name,
                     forward->target != NULL ? forward->asked.model : NULL,
                     forward->asked.adapter, now, replicas, &ready_at);
   if (replicas->len > 0)
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -36,25 +36,25 @@
   enum forward_state state;
   struct timespec arrived;
   struct timespec deadline;
-  struct loop_timer timer; /* deadline */
+  struct loop_timer timer;              /* deadline */
   struct attempt attempts[ATTEMPT_MAX]; /* that may have run */
   size_t count;
   unsigned sends;
   const char *tried[FORWARD_SENDS_MAX]; /* ids, of the engines below */
   struct route_engine *engines[FORWARD_SENDS_MAX];
   size_t tried_count;
-  struct httpc_call *call; /* NULL: none under way */
+  struct httpc_call *call;     /* NULL: none under way */
   struct route_engine *engine; /* of CALL */
   struct pick_why why;
   struct timespec sent_at;
-  struct timespec first_at;     /* first byte of the answer; zero: none */
-  struct caller_answer answer;  /* of the answer under way */
-  bool judged;                  /* ANSWER is filled */
-  bool streaming;               /* the answer under way is passed on */
-  bool begun;                   /* the caller has a head */
-  struct relay relay;           /* of the stream under way */
-  GString *held;                /* body so far, or part of an event */
-  bool can_resume;              /* LAST_EVENT is known */
+  struct timespec first_at;    /* first byte of the answer; zero: none */
+  struct caller_answer answer; /* of the answer under way */
+  bool judged;                 /* ANSWER is filled */
+  bool streaming;              /* the answer under way is passed on */
+  bool begun;                  /* the caller has a head */
+  struct relay relay;          /* of the stream under way */
+  GString *held;               /* body so far, or part of an event */
+  bool can_resume;             /* LAST_EVENT is known */
   uint64_t last_event;
 };
 
@@ -74,11 +74,10 @@
 
 /* The final answer of the node itself.  RETRY_MS 0: no word on when to come
    back.  */
-void forward_refuse (struct forward *forward, unsigned status,
-                     const char *why, int64_t retry_ms);
+void forward_refuse (struct forward *forward, unsigned status, const char *why,
+                     int64_t retry_ms);
 /* Ends what cannot be served: says that it has not run only if so.  */
-void forward_fail (struct forward *forward, const char *why,
-                   int64_t retry_ms);
+void forward_fail (struct forward *forward, const char *why, int64_t retry_ms);
 void forward_over (struct forward *forward);
 
 /* forward_send.c */
--- a/src/gate.c
+++ b/src/gate.c
@@ -138,9 +138,8 @@
   struct gate *gate
       = (struct gate *)((char *)timer - offsetof (struct gate, drain_timer));
   struct timespec now = loop_now (gate->core.loop);
-  int64_t look_ms
-      = (int64_t)gate->core.settings->entry_ttl_s * TS_MS_PER_S
-        + LOOK_AGAIN_MS;
+  int64_t look_ms = (int64_t)gate->core.settings->entry_ttl_s * TS_MS_PER_S
+                    + LOOK_AGAIN_MS;
   int64_t passed_ms = ts_to_ms (ts_sub (now, gate->drain_from));
   unsigned open = gateway_open (gate->gateway);
 
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -10,23 +10,24 @@
 #include "lookup.h"
 #include "ts.h"
 
-#define IDLE_S 120   /* longer than any limit that callers are given */
+#define IDLE_S 120           /* longer than any limit that callers are given */
 #define BODY_MAX (64u << 20) /* bytes; the configured limit is lower */
 #define HEAD_MEMORY (96u << 10) /* bytes of a connection, for the head */
-#define PUMP_MS 40   /* between chances given to requests that wait */
+#define PUMP_MS 40 /* between chances given to requests that wait */
 #define CLEAN_MS 5000
-#define KEEP_S 3     /* an idle connection to a server is used again within */
+#define KEEP_S 3 /* an idle connection to a server is used again within */
 #define SIDE_CONNECTIONS 256u
 #define SIDE_IDLE_S 30
 #define ADDRESSES_MAX 64 /* that callers look at */
 #define ADDRESSES 4
-#define RETRY_SAFETY 0.7 /* of what all nodes together may repeat: nodes count
-                            each on their own, and restart with a full one */
+/* Of what all nodes together may repeat: each counts on its own, and restarts
+   with a full budget.  */
+#define RETRY_SAFETY 0.7
 #define NODES_LEAST 4 /* assumed before the others are known */
 
 static void
-answer_text (struct httpd_request *request, unsigned status,
-             const char *type, const char *text)
+answer_text (struct httpd_request *request, unsigned status, const char *type,
+             const char *text)
 {
   httpd_answer (request, status, type, NULL, text, strlen (text));
 }
@@ -87,10 +88,10 @@
 {
   const struct route_node *picked[ADDRESSES_MAX];
   const char *addresses[ADDRESSES_MAX];
-  struct lookup_query query = { .target = lookup->zone != NULL ? lookup->zone
-                                                               : "",
-                                .zone = lookup->zone,
-                                .region = lookup->region };
+  struct lookup_query query
+      = { .target = lookup->zone != NULL ? lookup->zone : "",
+          .zone = lookup->zone,
+          .region = lookup->region };
   struct route_node *nodes;
   char *body = NULL;
   size_t count;
@@ -114,7 +115,8 @@
   struct caller_lookup lookup = { 0 };
   char *body;
 
-  if (!gateway->options.caller->ops->lookup (gateway->options.caller, request, &lookup))
+  if (!gateway->options.caller->ops->lookup (gateway->options.caller, request,
+                                             &lookup))
     {
       answer_text (request, 404, "text/plain", "no such page\n");
       return;
@@ -134,7 +136,8 @@
 {
   struct gateway *gateway = user;
 
-  if (!gateway->options.caller->ops->is_ready (gateway->options.caller, request))
+  if (!gateway->options.caller->ops->is_ready (gateway->options.caller,
+                                               request))
     answer_text (request, 404, "text/plain", "no such page\n");
   else if (is_ready (gateway))
     answer_text (request, 200, "text/plain", "ready\n");
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -25,8 +25,8 @@
   struct gateway_address directory;
   struct gateway_address ready;
   struct gateway_address metrics;
-  const char *zone;          /* of this node */
-  unsigned max_connections;  /* of callers */
+  const char *zone;         /* of this node */
+  unsigned max_connections; /* of callers */
   /* Repeats that all nodes together may send to a service: a share of its
      requests, and so many beside, saved up.  */
   double retry_share;
--- a/src/holding.h
+++ b/src/holding.h
@@ -25,7 +25,7 @@
 {
   int64_t born; /* milliseconds since the Epoch; 0: not told */
   uint64_t sequence;
-  bool busy; /* an order of a model is carried out */
+  bool busy;            /* an order of a model is carried out */
   GPtrArray *models;    /* struct holding_model */
   GPtrArray *in_memory; /* names of models whose weights the host holds */
   GPtrArray *on_disk;   /* names of models whose weights the disk holds */
@@ -47,8 +47,7 @@
                   const char *adapter);
 bool holding_adapter (const struct holding_model *model, const char *adapter);
 void holding_add_adapter (struct holding_model *model, const char *adapter);
-void holding_remove_adapter (struct holding_model *model,
-                             const char *adapter);
+void holding_remove_adapter (struct holding_model *model, const char *adapter);
 
 /* Adapters of all its models.  */
 unsigned holding_adapters (const struct holding *holding);
--- a/src/listing.c
+++ b/src/listing.c
@@ -10,13 +10,16 @@
 #include "log.h"
 #include "ts.h"
 
-#define SERVERS_WAIT_MS 1500 /* a watch of a table that changes all the time */
-#define SERVERS_GAP_MS 700   /* between two of them: each is a call, and a
-                                leaving server must be known within 2 s */
-#define CONFIG_WAIT_MS 2500  /* a silent connection is noticed after it */
+/* A watch of a table that changes all the time.  */
+#define SERVERS_WAIT_MS 1500
+/* Between two of them: each is a call, and a server that leaves must be known
+   within 2 s.  */
+#define SERVERS_GAP_MS 700
+/* A silent connection is noticed after it.  */
+#define CONFIG_WAIT_MS 2500
 #define CONFIG_GAP_MS 100
-#define RETURN_MS 2500 /* servers that live are listed again this soon after
-                          an outage of the store */
+/* Servers that live are listed again this soon after an outage.  */
+#define RETURN_MS 2500
 #define EXPIRE_MS 250  /* between looks at servers to be dropped */
 #define NODES_MS 10000 /* between looks at the other nodes */
 #define NODES_TABLE "nodes"
@@ -305,8 +308,8 @@
   struct platform_changes_cb cb = { .done = on_feed, .user = feed };
 
   if (feed->listed)
-    platform->ops->watch (platform, feed->table, feed->version,
-                          feed->wait_ms, cb);
+    platform->ops->watch (platform, feed->table, feed->version, feed->wait_ms,
+                          cb);
   else
     platform->ops->list (platform, feed->table, cb);
 }
@@ -336,8 +339,7 @@
 register_node (struct listing *listing)
 {
   struct platform *platform = listing->core->platform;
-  char *key
-      = g_strdup_printf ("%s/%s", NODES_TABLE, listing->core->node);
+  char *key = g_strdup_printf ("%s/%s", NODES_TABLE, listing->core->node);
   json_t *json = json_pack ("{s:s}", "peer", links_address (listing->links));
   char *value = json_dumps (json, JSON_COMPACT);
   char *token = core_token (listing->core);
@@ -403,8 +405,7 @@
 unregister_node (struct listing *listing)
 {
   struct platform *platform = listing->core->platform;
-  char *key
-      = g_strdup_printf ("%s/%s", NODES_TABLE, listing->core->node);
+  char *key = g_strdup_printf ("%s/%s", NODES_TABLE, listing->core->node);
   char *token = core_token (listing->core);
   struct platform_write write = { .key = key };
   struct platform_txn txn
--- a/src/log.c
+++ b/src/log.c
@@ -191,8 +191,7 @@
     return true;
   if (__atomic_exchange_n (&second, now, __ATOMIC_RELAXED) != now)
     __atomic_store_n (&lines, 0, __ATOMIC_RELAXED);
-  if (__atomic_add_fetch (&lines, 1, __ATOMIC_RELAXED)
-      <= log_opts.lines_per_s)
+  if (__atomic_add_fetch (&lines, 1, __ATOMIC_RELAXED) <= log_opts.lines_per_s)
     return true;
   drop ();
   return false;
--- a/src/platform.h
+++ b/src/platform.h
@@ -29,7 +29,8 @@
   PLATFORM_COMPACTED /* watch: the history asked for is no longer kept */
 };
 
-/* A row: VERSION is 0 when there is none and grows with each write.  is the attempt that wrote it last, "" when it is not known.  */
+/* A row: VERSION is 0 when there is none and grows with each write.  is the
+ * attempt that wrote it last, "" when it is not known.  */
 struct platform_row
 {
   char *key;
--- a/src/retry.c
+++ b/src/retry.c
@@ -3,7 +3,7 @@
 #include <limits.h>
 #include "ts.h"
 
-#define TOKEN 100 /* parts of one retry */
+#define TOKEN 100                /* parts of one retry */
 #define UNLIMITED (UINT_MAX / 2) /* parts */
 
 struct retry
@@ -12,7 +12,7 @@
   unsigned budget;      /* parts */
   unsigned most;        /* parts */
   unsigned target_most; /* parts */
-  GHashTable *targets; /* name -> parts */
+  GHashTable *targets;  /* name -> parts */
 };
 
 struct retry *
@@ -51,8 +51,7 @@
   g_hash_table_iter_init (&iter, retry->targets);
   while (g_hash_table_iter_next (&iter, NULL, &parts))
     if (GPOINTER_TO_UINT (parts) > retry->target_most)
-      g_hash_table_iter_replace (&iter,
-                                 GUINT_TO_POINTER (retry->target_most));
+      g_hash_table_iter_replace (&iter, GUINT_TO_POINTER (retry->target_most));
 }
 
 void
--- a/src/servers.c
+++ b/src/servers.c
@@ -220,16 +220,14 @@
 
   if (engine == NULL)
     {
-      engine
-          = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+      engine = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
       g_hash_table_insert (servers->told, g_strdup (replica->engine), engine);
     }
   told->loaded = replica->state == BACKEND_COPY_LOADED;
   if (replica->state == BACKEND_COPY_LOADING)
     told->ready_at = ts_add_ms (servers->told_at, (int64_t)replica->ready_ms);
-  g_hash_table_replace (engine,
-                        servers_target (replica->model, replica->adapter),
-                        told);
+  g_hash_table_replace (
+      engine, servers_target (replica->model, replica->adapter), told);
 }
 
 static bool
@@ -262,8 +260,7 @@
        const char *model, const char *adapter, struct timespec now,
        struct timespec *ready_at)
 {
-  struct timespec fresh_until
-      = ts_add_ms (servers->told_at, SERVERS_TOLD_MS);
+  struct timespec fresh_until = ts_add_ms (servers->told_at, SERVERS_TOLD_MS);
   GHashTable *engine = NULL;
   const struct told *told;
   char *target;
--- a/src/servers.h
+++ b/src/servers.h
@@ -19,10 +19,11 @@
 #include "holding.h"
 #include "route.h"
 
-#define SERVERS_TOLD_MS 3000 /* what the decider told is good for so long: six
-                                of its intervals */
-#define SERVERS_LACKS_MS 500 /* a target that a server lacked is not sought
-                                there again: longer than an adapter's load */
+/* What the decider told is good for so long: six of its intervals.  */
+#define SERVERS_TOLD_MS 3000
+/* A target that a server lacked is not sought there again for so long: longer
+   than an adapter's load.  */
+#define SERVERS_LACKS_MS 500
 
 /* A server as the platform lists it.  */
 struct server_entry
@@ -32,9 +33,9 @@
   char *zone;
   char *service;
   unsigned slots;
-  bool leaving;           /* gets no new work */
-  int64_t leaves_in_ms;   /* gone then, whatever it runs; 0: not told */
-  int64_t slow_for_ms;    /* just started; 0: at full speed */
+  bool leaving;            /* gets no new work */
+  int64_t leaves_in_ms;    /* gone then, whatever it runs; 0: not told */
+  int64_t slow_for_ms;     /* just started; 0: at full speed */
   struct holding *holding; /* NULL for a plain service */
 };
 
--- a/src/site.h
+++ b/src/site.h
@@ -36,12 +36,12 @@
 struct site_service
 {
   char *name;
-  bool engines;            /* model engines, not a plain service */
-  unsigned slots;          /* requests that an engine runs at once */
-  unsigned adapter_slots;  /* adapters that an engine holds at once */
-  uint64_t memory_mb;      /* of an engine, for weights and adapters */
-  uint64_t cache_tokens;   /* of an engine, for prompts and answers */
-  double loads_per_s;      /* that the weight store allows, all engines */
+  bool engines;             /* model engines, not a plain service */
+  unsigned slots;           /* requests that an engine runs at once */
+  unsigned adapter_slots;   /* adapters that an engine holds at once */
+  uint64_t memory_mb;       /* of an engine, for weights and adapters */
+  uint64_t cache_tokens;    /* of an engine, for prompts and answers */
+  double loads_per_s;       /* that the weight store allows, all engines */
   unsigned max_connections; /* of a backend server, from all its callers */
   struct site_model *models;
   size_t model_count;
@@ -59,8 +59,8 @@
   char *host;
   char *prefix; /* begins and ends with a slash */
   enum site_kind kind;
-  bool resumable; /* a stream may go on at another engine */
-  bool sticky;    /* requests of a session share a prompt */
+  bool resumable;    /* a stream may go on at another engine */
+  bool sticky;       /* requests of a session share a prompt */
   unsigned priority; /* 0 is the highest */
   unsigned max_attempts;
   int64_t timeout_ms;
@@ -98,8 +98,8 @@
 
 /* The route for PATH (no query) at HOST, whose port is ignored; NULL when
    there is none.  */
-const struct site_route *site_route (const struct site *site,
-                                     const char *host, const char *path);
+const struct site_route *site_route (const struct site *site, const char *host,
+                                     const char *path);
 const struct site_service *site_service (const struct site *site,
                                          const char *name);
 const struct site_model *site_model (const struct site_service *service,
--- a/src/stock.c
+++ b/src/stock.c
@@ -5,7 +5,7 @@
 #include "stock_state.h"
 #include "ts.h"
 
-#define RATE_S 8.0   /* time constant of the mean call rate */
+#define RATE_S 8.0 /* time constant of the mean call rate */
 
 static void
 engine_free (gpointer data)
@@ -155,8 +155,7 @@
 }
 
 double
-stock_rate (const struct stock *stock, const char *target,
-            struct timespec now)
+stock_rate (const struct stock *stock, const char *target, struct timespec now)
 {
   const struct stock_demand *demand
       = g_hash_table_lookup (stock->demand, target);
@@ -320,8 +319,7 @@
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&engine))
     {
       for (guint i = 0; i < engine->held->models->len; i++)
-        each_held (engine, g_ptr_array_index (engine->held->models, i),
-                   &each);
+        each_held (engine, g_ptr_array_index (engine->held->models, i), &each);
       each_coming (engine, &each);
     }
 }
--- a/src/stock.h
+++ b/src/stock.h
@@ -38,8 +38,8 @@
 
 enum stock_action_type
 {
-  STOCK_ORDER, /* send it; its result goes to stock_answered */
-  STOCK_ASK,   /* ask ENGINE for its report, for stock_report */
+  STOCK_ORDER,  /* send it; its result goes to stock_answered */
+  STOCK_ASK,    /* ask ENGINE for its report, for stock_report */
   STOCK_SETTLED /* an order was seen to be carried out, or not: for the log */
 };
 
@@ -65,15 +65,15 @@
 
 /* An engine as listed.  It gets no order before its first report.  */
 void stock_engine (struct stock *stock, const struct server_entry *entry);
-void stock_engine_gone (struct stock *stock, const char *engine);
+void stock_engine_gone (struct stock *stock, const char *id);
 
-/* What the engine reported; HOLDING NULL: it did not answer.  */
-void stock_report (struct stock *stock, const char *engine,
+/* What engine ID reported; HOLDING NULL: it did not answer.  */
+void stock_report (struct stock *stock, const char *id,
                    const struct holding *holding, struct timespec now,
                    struct action_list *out);
 
-/* The result of the last STOCK_ORDER for ENGINE.  */
-void stock_answered (struct stock *stock, const char *engine,
+/* The result of the last STOCK_ORDER for engine ID.  */
+void stock_answered (struct stock *stock, const char *id,
                      enum backend_status status, struct timespec now,
                      struct action_list *out);
 
--- a/src/stock_order.c
+++ b/src/stock_order.c
@@ -2,11 +2,11 @@
 #include "stock_state.h"
 #include "ts.h"
 
-#define RESEND_MS 400    /* an order without an answer is sent again */
+#define RESEND_MS 400     /* an order without an answer is sent again */
 #define REPORT_LAG_MS 150 /* reports are older than the engine's state */
-#define ASK_MS 250       /* between reports while an order is carried out */
-#define REFUSED_MS 400   /* no further order after a refusal */
-#define OVERDUE_MS 4000  /* an accepted order that shows nowhere was lost */
+#define ASK_MS 250        /* between reports while an order is carried out */
+#define REFUSED_MS 400    /* no further order after a refusal */
+#define OVERDUE_MS 4000   /* an accepted order that shows nowhere was lost */
 
 static void
 action_release (struct action *action)
@@ -43,8 +43,7 @@
 bool
 stock_can_order (const struct stock_engine *engine, struct timespec now)
 {
-  return engine->known && engine->order.stage == STAGE_NONE
-         && !engine->leaving
+  return engine->known && engine->order.stage == STAGE_NONE && !engine->leaving
          && !engine->held->busy && !ts_before (now, engine->quiet_until);
 }
 
@@ -132,8 +131,7 @@
   order->expected = engine->held->sequence;
   order->sent_at = now;
   if (type == BACKEND_LOAD)
-    stock_load_s (engine, site_model (stock->service, model),
-                  &order->fetches);
+    stock_load_s (engine, site_model (stock->service, model), &order->fetches);
   if (order->fetches)
     budget_take (&stock->budget, now);
   push (engine, STOCK_ORDER, out);
@@ -173,8 +171,7 @@
           struct timespec now, struct action_list *out)
 {
   struct stock_order *order = &engine->order;
-  const struct site_model *model
-      = site_model (stock->service, order->model);
+  const struct site_model *model = site_model (stock->service, order->model);
   bool fetches;
 
   engine->held->sequence = order->expected + 1;
@@ -188,8 +185,8 @@
   engine->held->busy = true;
   order->ready_at = now;
   if (order->type == BACKEND_LOAD && model != NULL)
-    order->ready_at = ts_add (
-        now, ts_from_s (stock_load_s (engine, model, &fetches)));
+    order->ready_at
+        = ts_add (now, ts_from_s (stock_load_s (engine, model, &fetches)));
   order->next_at = ts_add_ms (order->ready_at, REPORT_LAG_MS);
 }
 
@@ -205,8 +202,8 @@
 /* A sending before this one may have been carried out: only a report can
    tell.  */
 static void
-refused (struct stock *stock, struct stock_engine *engine,
-         struct timespec now, struct action_list *out)
+refused (struct stock *stock, struct stock_engine *engine, struct timespec now,
+         struct action_list *out)
 {
   struct stock_order *order = &engine->order;
 
@@ -311,8 +308,7 @@
   struct stock_order *order = &engine->order;
 
   (void)stock;
-  if (!engine->known && !engine->leaving
-      && !ts_before (now, engine->ask_at))
+  if (!engine->known && !engine->leaving && !ts_before (now, engine->ask_at))
     {
       ask (engine, out);
       engine->ask_at = ts_add_ms (now, ASK_MS);
--- a/src/stock_plan.c
+++ b/src/stock_plan.c
@@ -9,10 +9,11 @@
 #define CALL_S 0.12
 #define BUSY_SHARE 0.4
 
-#define HORIZON_S 10.0     /* of calls that a reload would hold up */
-#define PRIOR_PER_S 0.03   /* calls of a model never called, for its value */
-#define HELD_VALUE 0.3     /* of any model loaded, whatever its calls: a
-                              reload is an order and may hold others up */
+#define HORIZON_S 10.0   /* of calls that a reload would hold up */
+#define PRIOR_PER_S 0.03 /* calls of a model never called, for its value */
+/* Of any model loaded, whatever its calls: a reload is an order and may hold
+   others up.  */
+#define HELD_VALUE 0.3
 #define SURPLUS_VALUE 0.05 /* of a replica more than are needed */
 #define START_REPLICAS 3   /* kept of a model before its calls are known */
 #define LEARN_S 10.0       /* until calls are known */
@@ -276,8 +277,8 @@
       cause, model->waiting, model->per_s, model->replicas, load_s,
       fetches ? "store" : "hand");
 
-  stock_give (plan->stock, engine, BACKEND_LOAD, name, NULL, reason,
-              plan->now, plan->out);
+  stock_give (plan->stock, engine, BACKEND_LOAD, name, NULL, reason, plan->now,
+              plan->out);
 }
 
 static void
@@ -288,10 +289,10 @@
 
   if (model != NULL)
     model->replicas--;
-  stock_give (plan->stock, engine, BACKEND_UNLOAD, victim, NULL,
-              g_strdup_printf ("cause=room for=%s value=%.2f", engine->goal,
-                               value),
-              plan->now, plan->out);
+  stock_give (
+      plan->stock, engine, BACKEND_UNLOAD, victim, NULL,
+      g_strdup_printf ("cause=room for=%s value=%.2f", engine->goal, value),
+      plan->now, plan->out);
 }
 
 /* Goes on making room for the goal of ENGINE, or loads it.  */
--- a/src/stock_state.h
+++ b/src/stock_state.h
@@ -12,9 +12,9 @@
 enum stock_stage
 {
   STAGE_NONE,
-  STAGE_SENT,    /* an answer is awaited */
-  STAGE_UNSURE,  /* no answer came: it is sent again, just the same */
-  STAGE_RUNNING  /* accepted; reports tell the end */
+  STAGE_SENT,   /* an answer is awaited */
+  STAGE_UNSURE, /* no answer came: it is sent again, just the same */
+  STAGE_RUNNING /* accepted; reports tell the end */
 };
 
 struct stock_order
@@ -25,10 +25,10 @@
   char *adapter;
   char *reason;
   uint64_t expected;
-  bool fetches;    /* from the weight store: counted in the budget */
-  bool doubtful;   /* an earlier sending may have been carried out */
+  bool fetches;  /* from the weight store: counted in the budget */
+  bool doubtful; /* an earlier sending may have been carried out */
   struct timespec sent_at;
-  struct timespec next_at; /* STAGE_UNSURE: send again; STAGE_RUNNING: ask */
+  struct timespec next_at;  /* STAGE_UNSURE: send again; STAGE_RUNNING: ask */
   struct timespec ready_at; /* STAGE_RUNNING: estimate */
 };
 
@@ -37,12 +37,12 @@
   char *id;
   char *address;
   bool leaving;
-  bool known;            /* it has reported since its start */
-  bool asking;           /* a report is awaited */
+  bool known;             /* it has reported since its start */
+  bool asking;            /* a report is awaited */
   struct timespec ask_at; /* while not known: not sooner */
-  struct holding *held;  /* never NULL */
+  struct holding *held;   /* never NULL */
   struct stock_order order;
-  char *goal;            /* model that room is made for; NULL: none */
+  char *goal;                  /* model that room is made for; NULL: none */
   struct timespec quiet_until; /* no order before */
 };
 
--- a/src/stocker.c
+++ b/src/stocker.c
@@ -14,13 +14,14 @@
 #include "ts.h"
 #include "wants.h"
 
-#define CELL "engines"  /* all of them have one decider */
-#define FLUSH_MS 5      /* gathers what a burst wants */
-#define REPEAT_MS 500   /* wants and holdings are told again */
-#define LEASE_MS 3000   /* of the lease: the least time between the orders of
-                           two deciders */
-#define MARGIN_MS 700   /* an order may take so long to its engine */
-#define THREAD 0        /* the only one that wants anything */
+#define CELL "engines" /* all of them have one decider */
+#define FLUSH_MS 5     /* gathers what a burst wants */
+#define REPEAT_MS 500  /* wants and holdings are told again */
+/* The least time between the orders of two deciders.  */
+#define LEASE_MS 3000
+/* An order may take so long to its engine.  */
+#define MARGIN_MS 700
+#define THREAD 0 /* the only one that wants anything */
 
 struct stocker
 {
@@ -29,14 +30,14 @@
   struct links *links;
   struct listing *listing;
   struct lease *lease;
-  struct site *site;    /* held; what the stocks borrow from */
-  GHashTable *stocks;   /* service to struct stock; empty: not deciding */
+  struct site *site;  /* held; what the stocks borrow from */
+  GHashTable *stocks; /* service to struct stock; empty: not deciding */
   bool deciding;
-  uint64_t tenure;      /* number of the present or last one */
+  uint64_t tenure; /* number of the present or last one */
   struct spread_out *out;
   struct spread_in *in;
   struct wants *wants;
-  struct loop_timer timer;      /* of the lease and the stocks */
+  struct loop_timer timer; /* of the lease and the stocks */
   struct loop_timer flush;
   struct timespec tick_at;
   struct timespec repeat_at;
@@ -124,8 +125,7 @@
 static void
 tell_holdings (struct stocker *stocker)
 {
-  GArray *replicas
-      = g_array_new (FALSE, FALSE, sizeof (struct peer_replica));
+  GArray *replicas = g_array_new (FALSE, FALSE, sizeof (struct peer_replica));
   struct timespec now = now_of (stocker);
   struct peer_msg msg;
   struct stock *stock;
@@ -284,9 +284,8 @@
       return;
     }
   order.fence = lease_fence (stocker->lease);
-  counter_add (loads (action->type) ? COUNTER_LOAD_ORDERS
-                                    : COUNTER_UNLOAD_ORDERS,
-               1);
+  counter_add (
+      loads (action->type) ? COUNTER_LOAD_ORDERS : COUNTER_UNLOAD_ORDERS, 1);
   backend->ops->order (backend, &order, on_order, errand);
 }
 
@@ -404,8 +403,8 @@
     g_ptr_array_add (names, g_strdup (name));
   for (guint i = 0; i < names->len; i++)
     {
-      struct stock *stock = g_hash_table_lookup (
-          stocker->stocks, g_ptr_array_index (names, i));
+      struct stock *stock = g_hash_table_lookup (stocker->stocks,
+                                                 g_ptr_array_index (names, i));
 
       action_list_init (&list);
       if (stock != NULL)
@@ -520,8 +519,7 @@
 
 /* Splits "SERVICE TARGET".  */
 static struct stock *
-stock_of (const struct stocker *stocker, const char *want,
-          const char **target)
+stock_of (const struct stocker *stocker, const char *want, const char **target)
 {
   const char *space = strchr (want, ' ');
   struct stock *stock;
@@ -628,8 +626,7 @@
 }
 
 void
-stocker_call (struct stocker *stocker, const char *service,
-              const char *target)
+stocker_call (struct stocker *stocker, const char *service, const char *target)
 {
   char *want = g_strdup_printf ("%s %s", service, target);
 
@@ -638,9 +635,8 @@
 }
 
 void
-stocker_want (struct stocker *stocker, const char *service,
-              const char *target, unsigned waiting, struct timespec deadline,
-              unsigned priority)
+stocker_want (struct stocker *stocker, const char *service, const char *target,
+              unsigned waiting, struct timespec deadline, unsigned priority)
 {
   char *want = g_strdup_printf ("%s %s", service, target);
 
@@ -665,8 +661,7 @@
 /* The lease.  */
 
 static void
-log_lease (const struct stocker *stocker, enum log_event event,
-           uint64_t fence)
+log_lease (const struct stocker *stocker, enum log_event event, uint64_t fence)
 {
   struct log_line line;
 
@@ -754,8 +749,7 @@
 {
   struct platform *platform = stocker->core->platform;
   struct platform_rows_cb read = { .done = on_lease_row, .user = stocker };
-  struct peer_msg handover
-      = { .type = PEER_HANDOVER, .cell = (char *)CELL };
+  struct peer_msg handover = { .type = PEER_HANDOVER, .cell = (char *)CELL };
 
   switch ((enum lease_action_type)action->action.type)
     {
