--- a/src/stock_plan.c
+++ b/src/stock_plan.c
@@ -411,9 +411,10 @@
     }
 }
 
-/* Models on no engine: those called lately, then those never held, so that
-   their weights are at hand when they are called.  One fetch is left for
-   requests that wait.  */
+/* Models on no engine.  One whose weights are at hand is loaded for the calls
+   that it gets; one whose weights are nowhere also for those that may come,
+   since it would hold them up for longest.  One fetch is left for requests
+   that wait.  */
 static void
 preload (struct plan *plan, const GPtrArray *models)
 {
@@ -423,14 +424,14 @@
   for (guint i = 0; i < models->len; i++)
     {
       struct plan_model *model = g_ptr_array_index (models, i);
-      double per_s = MAX (model->per_s, PRIOR_PER_S);
-      double reload_s
-          = model->at_hand ? model->site->disk_s : model->site->load_s;
+      double value = model->per_s * HORIZON_S * model->site->disk_s;
 
+      if (!model->at_hand)
+        value = MAX (model->per_s, PRIOR_PER_S) * HORIZON_S
+                * model->site->load_s;
       if (model->replicas > 0 || model->planned)
         continue;
-      if (try_place (plan, model, per_s * HORIZON_S * reload_s,
-                     fetch && !model->at_hand))
+      if (try_place (plan, model, value, fetch && !model->at_hand))
         fetch = budget->flying + 1 < budget->at_once;
     }
 }
