--- a/src/stock_plan.c
+++ b/src/stock_plan.c
@@ -14,6 +14,7 @@
 /* Of any model loaded, whatever its calls: a reload is an order and may hold
    others up.  */
 #define HELD_VALUE 0.3
+#define FREE_VALUE 0.01 /* of a model in memory that nobody needs */
 #define SURPLUS_VALUE 0.05 /* of a replica more than are needed */
 #define START_REPLICAS 3   /* kept of a model before its calls are known */
 #define LEARN_S 10.0       /* until calls are known */
@@ -424,7 +425,7 @@
   for (guint i = 0; i < models->len; i++)
     {
       struct plan_model *model = g_ptr_array_index (models, i);
-      double value = model->per_s * HORIZON_S * model->site->disk_s;
+      double value = FREE_VALUE + model->per_s * HORIZON_S * model->site->disk_s;
 
       if (!model->at_hand)
         value = MAX (model->per_s, PRIOR_PER_S) * HORIZON_S
