stock: a model called a moment ago is not unloaded; calls are told in 50 ms

Cause: a request that had been sent and not begun was turned away (503) when its model was unloaded for another one; one inspector request was turned away twice and took 11 s. Calls reached the decider only with the repeat of 500 ms. Ruled out: slow loads (1.2 s each there).

--- a/src/stock.c
+++ b/src/stock.c
@@ -163,6 +163,16 @@
   return demand != NULL ? decayed (demand, now) : 0;
 }
 
+double
+stock_idle_s (const struct stock *stock, const char *target,
+              struct timespec now)
+{
+  const struct stock_demand *demand
+      = g_hash_table_lookup (stock->demand, target);
+
+  return demand != NULL ? ts_to_s (ts_sub (now, demand->at)) : INFINITY;
+}
+
 static void
 count_calls (struct stock *stock, const char *target, unsigned count,
              struct timespec now)
--- a/src/stock_plan.c
+++ b/src/stock_plan.c
@@ -18,6 +18,10 @@
 #define SURPLUS_VALUE 0.05 /* of a replica more than are needed */
 #define START_REPLICAS 3   /* kept of a model before its calls are known */
 #define LEARN_S 10.0       /* until calls are known */
+/* A call that came within this time may not have begun to run, and would be
+   turned away by an unload; an unload waits for those that run.  */
+#define RUNNING_S 1.5
+#define RUNNING_VALUE 3.0
 #define WANTED_VALUE 1e6   /* never evicted */
 
 /* A model in this round.  */
@@ -178,6 +182,8 @@
   reload_s = holding_names (engine->held->in_memory, name)
                  ? model->site->memory_s
                  : model->site->disk_s;
+  if (stock_idle_s (plan->stock, name, plan->now) < RUNNING_S)
+    return RUNNING_VALUE + model->per_s * HORIZON_S * reload_s;
   return HELD_VALUE + model->per_s * HORIZON_S * reload_s;
 }
 
--- a/src/stock_state.h
+++ b/src/stock_state.h
@@ -76,6 +76,9 @@
 
 double stock_rate (const struct stock *stock, const char *target,
                    struct timespec now);
+/* Seconds since the last call of TARGET; very many when there was none.  */
+double stock_idle_s (const struct stock *stock, const char *target,
+                     struct timespec now);
 
 /* stock_order.c */
 
--- a/src/stocker_want.c
+++ b/src/stocker_want.c
@@ -1,7 +1,8 @@
 #include <string.h>
 #include "stocker_state.h"
 
-#define FLUSH_MS 5 /* gathers what a burst wants */
+#define FLUSH_MS 5  /* gathers what a burst wants */
+#define CALLS_MS 50 /* calls are told to the decider within */
 #define THREAD 0   /* the only one that wants anything */
 
 /* What the engines hold, to this node's servers and to all others.  */
@@ -200,9 +201,9 @@
 }
 
 static void
-flush_soon (struct stocker *stocker)
+flush_within (struct stocker *stocker, int64_t ms)
 {
-  struct timespec at = ts_add_ms (stocker_now (stocker), FLUSH_MS);
+  struct timespec at = ts_add_ms (stocker_now (stocker), ms);
 
   if (ts_before (at, stocker->flush.at))
     loop_timer_set (stocker->core->loop, &stocker->flush, at);
@@ -214,6 +215,7 @@
   char *want = g_strdup_printf ("%s %s", service, target);
 
   wants_call (stocker->wants, want);
+  flush_within (stocker, CALLS_MS);
   g_free (want);
 }
 
@@ -225,7 +227,7 @@
 
   wants_set (stocker->wants, THREAD, want, waiting, deadline, priority);
   g_free (want);
-  flush_soon (stocker);
+  flush_within (stocker, FLUSH_MS);
 }
 
 void
