--- a/src/forward.c
+++ b/src/forward.c
@@ -7,6 +7,7 @@
 #include "ts.h"
 
 #define STARTING_RETRY_MS 500    /* a node knows the configuration by then */
+#define STOPPING_RETRY_MS 20     /* another node takes it at once */
 #define DEFAULT_TIMEOUT_MS 60000 /* where neither caller nor route says */
 
 static void
@@ -211,6 +212,11 @@
       refuse_head (forward, 400, why);
       return;
     }
+  if (!gateway_takes (gateway))
+    {
+      forward_refuse (forward, 503, "stopping", STOPPING_RETRY_MS);
+      return;
+    }
   if (listing_site (gateway->listing) == NULL)
     {
       forward_refuse (forward, 503, "starting", STARTING_RETRY_MS);
--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -282,11 +282,13 @@
   servers_replicas (listing_servers (gateway->listing), forward->service->name,
                     forward->target != NULL ? forward->asked.model : NULL,
                     forward->asked.adapter, now, replicas, &ready_at);
-  if (replicas->len > 0)
+  if (replicas->len > 0 && gateway_sends (gateway))
     engine = choose (forward, replicas);
   g_array_unref (replicas);
   if (engine != NULL)
     send_to (forward, engine);
+  else if (!gateway_sends (gateway))
+    forward_fail (forward, "stopping", SOON_MS);
   else if (left_ms (forward) < SERVE_MS)
     forward_fail (forward, "no server is free in time", 0);
   else if (hopeless (forward, ready_at))
--- a/src/gate.c
+++ b/src/gate.c
@@ -96,6 +96,7 @@
   int err;
 
   gate->options = *options;
+  gate->options.gateway.drain_ms = options->drain_ms;
   make_core (gate);
   register_services (gate);
   err = kernel_start (gate->core.kernel);
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -23,6 +23,11 @@
 /* Of what all nodes together may repeat: each counts on its own, and restarts
    with a full budget.  */
 #define RETRY_SAFETY 0.7
+/* Parts of the time for a planned stop in which requests are taken and sent:
+   callers have looked again by the first, and most answers take less than what
+   is left after the second.  */
+#define DRAIN_TAKES 0.4
+#define DRAIN_SENDS 0.6
 #define NODES_LEAST 4 /* assumed before the others are known */
 
 static void
@@ -188,6 +193,30 @@
                     loop_now (gateway->core->loop));
 }
 
+static bool
+within_drain (const struct gateway *gateway, double share)
+{
+  struct timespec now = clk_now (gateway->core->clk);
+  int64_t passed_ms;
+
+  if (!gateway->core->draining)
+    return true;
+  passed_ms = ts_to_ms (ts_sub (now, gateway->drain_from));
+  return (double)passed_ms < share * (double)gateway->options.drain_ms;
+}
+
+bool
+gateway_takes (const struct gateway *gateway)
+{
+  return within_drain (gateway, DRAIN_TAKES);
+}
+
+bool
+gateway_sends (const struct gateway *gateway)
+{
+  return within_drain (gateway, DRAIN_SENDS);
+}
+
 static void
 on_clean (struct loop_timer *timer)
 {
@@ -331,6 +360,8 @@
   struct gateway *gateway = (struct gateway *)service;
   struct retry_options retry;
 
+  if (event->type == KERNEL_DRAIN)
+    gateway->drain_from = clk_now (gateway->core->clk);
   if (event->type == KERNEL_SERVERS || event->type == KERNEL_SITE)
     gateway_pump_soon (gateway);
   if (event->type != KERNEL_MEMBERS || gateway->retry == NULL)
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -26,6 +26,7 @@
   struct gateway_address ready;
   struct gateway_address metrics;
   const char *zone;         /* of this node */
+  int64_t drain_ms;         /* a planned stop takes no longer */
   unsigned max_connections; /* of callers */
   /* Repeats that all nodes together may send to a service: a share of its
      requests, and so many beside, saved up.  */
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -46,8 +46,15 @@
   struct loop_timer pump;
   struct loop_timer clean;
   unsigned open; /* requests not over */
+  struct timespec drain_from; /* begin of the planned stop */
 };
 
+/* In a planned stop: whether a request that comes now can still be taken, and
+   whether one that waits can still be sent and answered before the end.  Both
+   true while there is no planned stop.  */
+bool gateway_takes (const struct gateway *gateway);
+bool gateway_sends (const struct gateway *gateway);
+
 /* Lets waiting requests try again at the next turn of the loop.  */
 void gateway_pump_soon (struct gateway *gateway);
 
