stocker: a decider whose lease may have lapsed neither plans nor takes wants

Ruled out: the lease itself, which sent nothing late.

Change: planning and wants go by what the lease allows now; a higher token heard from a peer ends the lease; what engines hold is told on.

--- a/src/stocker.c
+++ b/src/stocker.c
@@ -59,11 +59,11 @@
 void
 stocker_tick (struct stocker *stocker)
 {
-  stocker_each_stock (stocker, tick_stock, NULL);
-  if (!stocker->deciding)
-    return;
   stocker->tick_at = ts_add_ms (stocker_now (stocker), STOCK_TICK_MS);
-  stocker_tell_holdings (stocker);
+  if (stocker_sure (stocker))
+    stocker_each_stock (stocker, tick_stock, NULL);
+  if (stocker->deciding)
+    stocker_tell_holdings (stocker);
 }
 
 void
--- a/src/stocker_state.h
+++ b/src/stocker_state.h
@@ -55,6 +55,15 @@
   return loop_now (stocker->core->loop);
 }
 
+/* Whether this node may decide now: a lease that may have lapsed does not
+   count, whatever the last word of the store was.  */
+static inline bool
+stocker_sure (const struct stocker *stocker)
+{
+  return stocker->deciding
+         && lease_may_send (stocker->lease, clk_now (stocker->core->clk));
+}
+
 /* stocker.c */
 
 void stocker_set_timer (struct stocker *stocker);
--- a/src/stocker_want.c
+++ b/src/stocker_want.c
@@ -56,6 +56,19 @@
   servers_told (user, replica);
 }
 
+/* Another node decides with a higher token: this one's lease is over.  */
+static void
+step_down (struct stocker *stocker, uint64_t fence)
+{
+  struct action_list list;
+
+  if (!stocker->deciding || fence <= lease_fence (stocker->lease))
+    return;
+  action_list_init (&list);
+  lease_fenced (stocker->lease, fence, stocker_now (stocker), &list);
+  stocker_run_lease (stocker, &list);
+}
+
 void
 stocker_take_replicas (struct stocker *stocker, const char *from,
                        const struct peer_msg *msg)
@@ -64,6 +77,7 @@
   struct peer_msg ask
       = { .type = PEER_REPLICAS_ASK, .cell = (char *)STOCKER_CELL };
 
+  step_down (stocker, msg->fence);
   switch (spread_in_take (stocker->in, from, msg, stocker_now (stocker)))
     {
     case SPREAD_GAP:
@@ -146,7 +160,7 @@
     return;
   want->changed = false;
   want->calls = 0;
-  if (flush->stocker->deciding)
+  if (stocker_sure (flush->stocker))
     want_here (flush->stocker, flush->stocker->core->node, &wire);
   else
     g_array_append_val (flush->wants, wire);
@@ -171,7 +185,8 @@
   struct flush flush = { .stocker = stocker, .all = all };
   struct peer_msg msg = { .type = PEER_WANTS, .cell = (char *)STOCKER_CELL };
 
-  if (!stocker->deciding && to == NULL)
+  if (!stocker_sure (stocker)
+      && (to == NULL || strcmp (to, stocker->core->node) == 0))
     return;
   flush.wants = g_array_new (FALSE, TRUE, sizeof (struct peer_want));
   wants_each (stocker->wants, flush_want, &flush);
