--- a/src/forward_answer.c
+++ b/src/forward_answer.c
@@ -204,6 +204,19 @@
   return !forward->begun || forward->can_resume;
 }
 
+/* Nothing reached the server: others are tried, or it again when it is back;
+   no budget bounds what no server sees.  */
+static void
+not_reached (struct forward *forward)
+{
+  forward->count--;
+  forward->sends--;
+  if (forward->request == NULL)
+    forward_over (forward);
+  else
+    forward_seek (forward);
+}
+
 /* It has not run there: another server may be tried while the budget lasts. */
 static void
 not_run_there (struct forward *forward, const char *why)
@@ -294,7 +307,7 @@
   if (refusal)
     not_run_there (forward, "no server has room");
   else if (result->error != 0 && result->phase == HTTPC_UNSENT)
-    not_run_there (forward, "no server can be reached");
+    not_reached (forward);
   else if (result->error == 0)
     whole_answer (forward, result, headers);
   else
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -45,7 +45,7 @@
   GHashTable *waiting_for;     /* "SERVICE TARGET" to count */
   struct loop_timer pump;
   struct loop_timer clean;
-  unsigned open; /* requests not over */
+  unsigned open;              /* requests not over */
   struct timespec drain_from; /* begin of the planned stop */
 };
 
--- a/src/stock.c
+++ b/src/stock.c
@@ -126,6 +126,24 @@
   g_hash_table_remove (stock->engines, id);
 }
 
+void
+stock_engine_down (struct stock *stock, const char *id)
+{
+  struct stock_engine *engine = g_hash_table_lookup (stock->engines, id);
+  struct holding *nothing;
+
+  if (engine == NULL)
+    return;
+  engine->asking = false;
+  stock_order_clear (stock, engine);
+  g_clear_pointer (&engine->goal, g_free);
+  nothing = holding_new ();
+  nothing->born = engine->held->born;
+  holding_free (engine->held);
+  engine->held = nothing;
+  engine->known = false;
+}
+
 void
 stock_report (struct stock *stock, const char *id,
               const struct holding *holding, struct timespec now,
--- a/src/stock.h
+++ b/src/stock.h
@@ -72,6 +72,9 @@
                    const struct holding *holding, struct timespec now,
                    struct action_list *out);
 
+/* No process is at the address of engine ID: what it held is lost.  */
+void stock_engine_down (struct stock *stock, const char *id);
+
 /* The result of the last STOCK_ORDER for engine ID.  */
 void stock_answered (struct stock *stock, const char *id,
                      enum backend_status status, struct timespec now,
--- a/src/stock_order.c
+++ b/src/stock_order.c
@@ -5,6 +5,7 @@
 #define RESEND_MS 400     /* an order without an answer is sent again */
 #define REPORT_LAG_MS 150 /* reports are older than the engine's state */
 #define ASK_MS 250        /* between reports while an order is carried out */
+#define DOUBT_MS 500      /* between reports of an engine that may be gone */
 #define REFUSED_MS 400    /* no further order after a refusal */
 #define OVERDUE_MS 4000   /* an accepted order that shows nowhere was lost */
 
@@ -291,6 +292,16 @@
     settle (stock, engine, false, out);
 }
 
+void
+stock_doubt (struct stock_engine *engine, struct timespec now,
+             struct action_list *out)
+{
+  if (ts_before (now, engine->ask_at))
+    return;
+  engine->ask_at = ts_add_ms (now, DOUBT_MS);
+  ask (engine, out);
+}
+
 static void
 send_again (struct stock_engine *engine, struct timespec now,
             struct action_list *out)
--- a/src/stock_plan.c
+++ b/src/stock_plan.c
@@ -14,7 +14,7 @@
 /* Of any model loaded, whatever its calls: a reload is an order and may hold
    others up.  */
 #define HELD_VALUE 0.3
-#define FREE_VALUE 0.01 /* of a model in memory that nobody needs */
+#define FREE_VALUE 0.01    /* of a model in memory that nobody needs */
 #define SURPLUS_VALUE 0.05 /* of a replica more than are needed */
 #define START_REPLICAS 3   /* kept of a model before its calls are known */
 #define LEARN_S 10.0       /* until calls are known */
@@ -22,7 +22,7 @@
    turned away by an unload; an unload waits for those that run.  */
 #define RUNNING_S 1.5
 #define RUNNING_VALUE 3.0
-#define WANTED_VALUE 1e6   /* never evicted */
+#define WANTED_VALUE 1e6 /* never evicted */
 
 /* A model in this round.  */
 struct plan_model
@@ -405,6 +405,32 @@
     }
 }
 
+/* Requests wait for MODEL though engines are thought to hold it: these may be
+   gone, which their address tells sooner than the platform's list.  */
+static void
+doubt_holders (struct plan *plan, const struct plan_model *model)
+{
+  struct stock_engine *engine;
+  GHashTableIter iter;
+
+  g_hash_table_iter_init (&iter, plan->stock->engines);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&engine))
+    if (engine->known && holding_model (engine->held, model->site->name))
+      stock_doubt (engine, plan->now, plan->out);
+}
+
+static void
+check_waiting (struct plan *plan, const GPtrArray *models)
+{
+  for (guint i = 0; i < models->len; i++)
+    {
+      const struct plan_model *model = g_ptr_array_index (models, i);
+
+      if (model->waiting > 0 && model->loaded > 0)
+        doubt_holders (plan, model);
+    }
+}
+
 static void
 add_replicas (struct plan *plan, const GPtrArray *models)
 {
@@ -431,7 +457,8 @@
   for (guint i = 0; i < models->len; i++)
     {
       struct plan_model *model = g_ptr_array_index (models, i);
-      double value = FREE_VALUE + model->per_s * HORIZON_S * model->site->disk_s;
+      double value
+          = FREE_VALUE + model->per_s * HORIZON_S * model->site->disk_s;
 
       if (!model->at_hand)
         value = MAX (model->per_s, PRIOR_PER_S) * HORIZON_S
@@ -612,6 +639,7 @@
       pursue (&plan, engine);
   serve_adapters (&plan);
   models = sorted_models (&plan);
+  check_waiting (&plan, models);
   serve_waiting (&plan, models);
   add_replicas (&plan, models);
   add_adapter_replicas (&plan);
--- a/src/stock_state.h
+++ b/src/stock_state.h
@@ -39,7 +39,7 @@
   bool leaving;
   bool known;             /* it has reported since its start */
   bool asking;            /* a report is awaited */
-  struct timespec ask_at; /* while not known: not sooner */
+  struct timespec ask_at; /* while not known, or in doubt: not sooner */
   struct holding *held;   /* never NULL */
   struct stock_order order;
   char *goal;                  /* model that room is made for; NULL: none */
@@ -92,6 +92,9 @@
 void stock_follow (struct stock *stock, struct stock_engine *engine,
                    struct timespec now, struct action_list *out);
 void stock_order_clear (struct stock *stock, struct stock_engine *engine);
+/* Asks for a report unless one came or was asked for lately.  */
+void stock_doubt (struct stock_engine *engine, struct timespec now,
+                  struct action_list *out);
 /* Compares the open order with what the engine holds.  */
 void stock_compare (struct stock *stock, struct stock_engine *engine,
                     struct timespec now, struct action_list *out);
--- a/src/stocker_order.c
+++ b/src/stocker_order.c
@@ -184,6 +184,8 @@
     holding = holding_of (report);
   if (stock != NULL)
     {
+      if (status == BACKEND_DOWN)
+        stock_engine_down (stock, errand->engine);
       stock_report (stock, errand->engine, holding, stocker_now (stocker),
                     &list);
       stocker_run_stock (stocker, errand->service, &list);
--- a/src/stocker_want.c
+++ b/src/stocker_want.c
@@ -3,7 +3,7 @@
 
 #define FLUSH_MS 5  /* gathers what a burst wants */
 #define CALLS_MS 50 /* calls are told to the decider within */
-#define THREAD 0   /* the only one that wants anything */
+#define THREAD 0    /* the only one that wants anything */
 
 /* What the engines hold, to this node's servers and to all others.  */
 
