stock: weights at hand on a busy engine are waited for, not fetched elsewhere

Cause: an engine in the middle of an order was no candidate, so a model whose weights lay on its disk (1.2 s) was fetched from the weight store to another one (6 s), and requests for rare models waited 6 to 7 s. Ruled out: the store's rate (under half of it was used).

--- a/src/stock_plan.c
+++ b/src/stock_plan.c
@@ -18,6 +18,10 @@
 #define SURPLUS_VALUE 0.05 /* of a replica more than are needed */
 #define START_REPLICAS 3   /* kept of a model before its calls are known */
 #define LEARN_S 10.0       /* until calls are known */
+/* An engine that makes room for another model is not free for so long; one
+   that ends a single order takes the next soon after.  */
+#define GOAL_S 1.5
+#define SETTLE_S 0.3
 /* A call that came within this time may not have begun to run, and would be
    turned away by an unload; an unload waits for those that run.  */
 #define RUNNING_S 1.5
@@ -49,6 +53,7 @@
 struct plan_place
 {
   struct stock_engine *engine;
+  double busy_s; /* until the engine takes an order */
   double load_s;
   double loss; /* value of what has to go */
   bool fetches;
@@ -241,8 +246,22 @@
   return loss;
 }
 
-/* The engine on which MODEL is had soonest for the least loss.  FETCH: also
-   from the weight store.  */
+/* Seconds until ENGINE takes an order for another model.  */
+static double
+busy_s (const struct plan *plan, const struct stock_engine *engine)
+{
+  const struct stock_order *order = &engine->order;
+  double left_s = 0;
+
+  if (stock_can_order (engine, plan->now) && engine->goal == NULL)
+    return 0;
+  if (order->stage == STAGE_RUNNING)
+    left_s = ts_to_s (ts_sub (order->ready_at, plan->now));
+  return MAX (left_s, 0) + (engine->goal != NULL ? GOAL_S : SETTLE_S);
+}
+
+/* The engine on which MODEL is had soonest for the least loss, also one that
+   has to end something else first.  FETCH: also from the weight store.  */
 static struct plan_place
 best_place (const struct plan *plan, const struct site_model *model,
             bool fetch)
@@ -257,16 +276,17 @@
     {
       struct plan_place place = { .engine = engine };
 
-      if (!stock_can_order (engine, plan->now) || engine->goal != NULL
+      if (!engine->known || engine->leaving
           || holding_model (engine->held, model->name) != NULL)
         continue;
+      place.busy_s = busy_s (plan, engine);
       place.load_s = stock_load_s (engine, model, &place.fetches);
       if (place.fetches && !fetch)
         continue;
       place.loss = loss_of (plan, engine, model);
-      if (place.load_s + place.loss >= least)
+      if (place.busy_s + place.load_s + place.loss >= least)
         continue;
-      least = place.load_s + place.loss;
+      least = place.busy_s + place.load_s + place.loss;
       best = place;
     }
   return best;
@@ -353,7 +373,7 @@
   if (fetch)
     fetch = budget_allows (&plan->stock->budget, plan->now);
   place = best_place (plan, model->site, fetch);
-  if (place.engine == NULL || place.loss >= benefit)
+  if (place.engine == NULL || place.loss >= benefit || place.busy_s > 0)
     return false;
   begin (plan, model, &place);
   return true;
