stock: an adapter on its way is not unloaded, and an unload at once is counted

And an adapter that no request uses is unloaded at once with the same answer, which counts as an order: the next one was refused. Ruled out: late orders (Expected held).

--- a/src/backend.h
+++ b/src/backend.h
@@ -100,6 +100,7 @@
   const char *const *settled; /* order ids finished lately */
   size_t settled_count;
   bool busy;                    /* an order of a model is carried out */
+  unsigned coming;              /* adapters on their way, not among ADAPTERS */
   const char *const *in_memory; /* models whose weights the host holds */
   size_t in_memory_count;
 };
--- a/src/holding.c
+++ b/src/holding.c
@@ -49,6 +49,7 @@
   copy->born = holding->born;
   copy->sequence = holding->sequence;
   copy->busy = holding->busy;
+  copy->coming = holding->coming;
   for (guint i = 0; i < holding->models->len; i++)
     {
       const struct holding_model *model
@@ -142,7 +143,7 @@
 unsigned
 holding_adapters (const struct holding *holding)
 {
-  unsigned n = 0;
+  unsigned n = holding->coming;
 
   for (guint i = 0; i < holding->models->len; i++)
     n += ((const struct holding_model *)g_ptr_array_index (holding->models, i))
--- a/src/holding.h
+++ b/src/holding.h
@@ -26,6 +26,7 @@
   int64_t born; /* milliseconds since the Epoch; 0: not told */
   uint64_t sequence;
   bool busy;            /* an order of a model is carried out */
+  unsigned coming;      /* adapters on their way, in no model's list yet */
   GPtrArray *models;    /* struct holding_model */
   GPtrArray *in_memory; /* names of models whose weights the host holds */
   GPtrArray *on_disk;   /* names of models whose weights the disk holds */
@@ -49,7 +50,7 @@
 void holding_add_adapter (struct holding_model *model, const char *adapter);
 void holding_remove_adapter (struct holding_model *model, const char *adapter);
 
-/* Adapters of all its models.  */
+/* Places for adapters that are taken.  */
 unsigned holding_adapters (const struct holding *holding);
 
 /* Whether NAME is among NAMES.  */
--- /dev/null
+++ b/src/rates.c
@@ -0,0 +1,94 @@
+#include "rates.h"
+
+#include <math.h>
+#include "ts.h"
+
+#define FORGOTTEN 0.05 /* calls: a rate below it is not told on */
+
+struct rate
+{
+  double per_s;
+  struct timespec at; /* of PER_S, the last call */
+};
+
+struct rates
+{
+  GHashTable *all; /* name to struct rate */
+};
+
+struct rates *
+rates_new (void)
+{
+  struct rates *rates = g_new0 (struct rates, 1);
+
+  rates->all = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  return rates;
+}
+
+void
+rates_free (struct rates *rates)
+{
+  if (rates == NULL)
+    return;
+  g_hash_table_unref (rates->all);
+  g_free (rates);
+}
+
+static double
+decayed (const struct rate *rate, struct timespec now)
+{
+  double passed_s = ts_to_s (ts_sub (now, rate->at));
+
+  return rate->per_s * exp (-MAX (passed_s, 0) / RATES_S);
+}
+
+void
+rates_add (struct rates *rates, const char *name, double count,
+           struct timespec now)
+{
+  struct rate *rate = g_hash_table_lookup (rates->all, name);
+
+  if (rate == NULL)
+    {
+      rate = g_new0 (struct rate, 1);
+      rate->at = now;
+      g_hash_table_insert (rates->all, g_strdup (name), rate);
+    }
+  rate->per_s = decayed (rate, now) + count / RATES_S;
+  rate->at = now;
+}
+
+double
+rates_per_s (const struct rates *rates, const char *name, struct timespec now)
+{
+  const struct rate *rate = g_hash_table_lookup (rates->all, name);
+
+  return rate != NULL ? decayed (rate, now) : 0;
+}
+
+double
+rates_idle_s (const struct rates *rates, const char *name, struct timespec now)
+{
+  const struct rate *rate = g_hash_table_lookup (rates->all, name);
+
+  return rate != NULL ? ts_to_s (ts_sub (now, rate->at)) : INFINITY;
+}
+
+void
+rates_each (const struct rates *rates, struct timespec now,
+            void (*fn) (void *user, const char *name, double count),
+            void *user)
+{
+  const struct rate *rate;
+  GHashTableIter iter;
+  const char *name;
+
+  g_hash_table_iter_init (&iter, rates->all);
+  while (g_hash_table_iter_next (&iter, (gpointer *)&name, (gpointer *)&rate))
+    {
+      double count = decayed (rate, now) * RATES_S;
+
+      if (count >= FORGOTTEN)
+        fn (user, name, count);
+    }
+}
--- a/src/stock.c
+++ b/src/stock.c
@@ -1,12 +1,9 @@
 #include "stock.h"
 
-#include <math.h>
 #include <string.h>
 #include "stock_state.h"
 #include "ts.h"
 
-#define RATE_S 8.0 /* time constant of the mean call rate */
-
 static void
 engine_free (gpointer data)
 {
@@ -41,11 +38,11 @@
   stock->started_at = options->now;
   stock->engines
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, engine_free);
-  stock->demand
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  stock->demand = rates_new ();
   stock->wants
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, want_free);
   budget_init (&stock->budget, 0, options->loads_at_once, options->now);
+  stock->budget.tokens = 0; /* the decider before may just have used them */
   return stock;
 }
 
@@ -55,7 +52,7 @@
   if (stock == NULL)
     return;
   g_hash_table_unref (stock->engines);
-  g_hash_table_unref (stock->demand);
+  rates_free (stock->demand);
   g_hash_table_unref (stock->wants);
   g_free (stock);
 }
@@ -164,61 +161,18 @@
   stock_compare (stock, engine, now, out);
 }
 
-static double
-decayed (const struct stock_demand *demand, struct timespec now)
-{
-  double passed_s = ts_to_s (ts_sub (now, demand->at));
-
-  return demand->per_s * exp (-MAX (passed_s, 0) / RATE_S);
-}
-
-double
-stock_rate (const struct stock *stock, const char *target, struct timespec now)
-{
-  const struct stock_demand *demand
-      = g_hash_table_lookup (stock->demand, target);
-
-  return demand != NULL ? decayed (demand, now) : 0;
-}
-
-double
-stock_idle_s (const struct stock *stock, const char *target,
-              struct timespec now)
-{
-  const struct stock_demand *demand
-      = g_hash_table_lookup (stock->demand, target);
-
-  return demand != NULL ? ts_to_s (ts_sub (now, demand->at)) : INFINITY;
-}
-
-static void
-count_calls (struct stock *stock, const char *target, unsigned count,
-             struct timespec now)
-{
-  struct stock_demand *demand = g_hash_table_lookup (stock->demand, target);
-
-  if (demand == NULL)
-    {
-      demand = g_new0 (struct stock_demand, 1);
-      demand->at = now;
-      g_hash_table_insert (stock->demand, g_strdup (target), demand);
-    }
-  demand->per_s = decayed (demand, now) + count / RATE_S;
-  demand->at = now;
-}
-
 void
-stock_call (struct stock *stock, const char *target, unsigned count,
+stock_call (struct stock *stock, const char *target, double count,
             struct timespec now)
 {
   const char *slash = strchr (target, '/');
   char *model;
 
-  count_calls (stock, target, count, now);
+  rates_add (stock->demand, target, count, now);
   if (slash == NULL)
     return;
   model = g_strndup (target, (gsize)(slash - target));
-  count_calls (stock, model, count, now);
+  rates_add (stock->demand, model, count, now);
   g_free (model);
 }
 
--- a/src/stock.h
+++ b/src/stock.h
@@ -81,7 +81,7 @@
                      struct action_list *out);
 
 /* COUNT calls for TARGET, "MODEL" or "MODEL/ADAPTER", arrived.  */
-void stock_call (struct stock *stock, const char *target, unsigned count,
+void stock_call (struct stock *stock, const char *target, double count,
                  struct timespec now);
 
 /* At NODE, WAITING requests wait for TARGET.  Replaces what NODE said before
--- a/src/stock_order.c
+++ b/src/stock_order.c
@@ -5,9 +5,12 @@
 #define RESEND_MS 400     /* an order without an answer is sent again */
 #define REPORT_LAG_MS 150 /* reports are older than the engine's state */
 #define ASK_MS 250        /* between reports while an order is carried out */
-#define DOUBT_MS 500      /* between reports of an engine that may be gone */
-#define REFUSED_MS 400    /* no further order after a refusal */
-#define OVERDUE_MS 4000   /* an accepted order that shows nowhere was lost */
+/* An adapter takes some 10 ms, longer in proportion while many are on their
+   way; to unload it before it is there has no effect.  */
+#define ADAPTER_MS 400
+#define DOUBT_MS 500    /* between reports of an engine that may be gone */
+#define REFUSED_MS 400  /* no further order after a refusal */
+#define OVERDUE_MS 4000 /* an accepted order that shows nowhere was lost */
 
 static void
 action_release (struct action *action)
@@ -176,6 +179,8 @@
   bool fetches;
 
   engine->held->sequence = order->expected + 1;
+  if (order->type == BACKEND_ADAPTER_LOAD)
+    engine->settled_at = ts_add_ms (now, ADAPTER_MS);
   if (order->adapter != NULL)
     {
       apply (engine);
@@ -233,10 +238,18 @@
       accepted (stock, engine, now, out);
       break;
     case BACKEND_HOLDS:
+      /* An adapter that no request uses is unloaded with this answer, which
+         counts as an order; if it was not there, the next order is refused
+         and a report tells the count.  */
+      if (engine->order.type == BACKEND_ADAPTER_UNLOAD)
+        engine->held->sequence = engine->order.expected + 1;
       apply (engine);
       settle (stock, engine, true, out);
       break;
     case BACKEND_BUSY:
+      engine->known = false;
+      engine->held->sequence = 0;
+      engine->ask_at = ts_add_ms (now, REPORT_LAG_MS);
       refused (stock, engine, now, out);
       ask (engine, out);
       break;
--- a/src/stock_plan.c
+++ b/src/stock_plan.c
@@ -143,7 +143,7 @@
       struct plan_model *model = g_new0 (struct plan_model, 1);
 
       model->site = &stock->service->models[i];
-      model->per_s = stock_rate (stock, model->site->name, plan->now);
+      model->per_s = rates_per_s (stock->demand, model->site->name, plan->now);
       g_hash_table_insert (plan->models, model->site->name, model);
     }
   g_hash_table_iter_init (&iter, stock->engines);
@@ -187,7 +187,7 @@
   reload_s = holding_names (engine->held->in_memory, name)
                  ? model->site->memory_s
                  : model->site->disk_s;
-  if (stock_idle_s (plan->stock, name, plan->now) < RUNNING_S)
+  if (rates_idle_s (plan->stock->demand, name, plan->now) < RUNNING_S)
     return RUNNING_VALUE + model->per_s * HORIZON_S * reload_s;
   return HELD_VALUE + model->per_s * HORIZON_S * reload_s;
 }
@@ -510,7 +510,7 @@
         {
           const char *adapter = g_ptr_array_index (held->adapters, j);
           char *target = servers_target (held->name, adapter);
-          double per_s = stock_rate (plan->stock, target, plan->now);
+          double per_s = rates_per_s (plan->stock->demand, target, plan->now);
 
           g_free (target);
           if (per_s >= least)
@@ -587,6 +587,8 @@
                   g_strdup_printf ("cause=%s", cause), plan->now, plan->out);
       return;
     }
+  if (ts_before (plan->now, engine->settled_at) || engine->held->coming > 0)
+    return;
   victim = evict ? adapter_victim (plan, engine, &of) : NULL;
   if (victim != NULL)
     stock_give (plan->stock, engine, BACKEND_ADAPTER_UNLOAD, of, victim,
@@ -619,29 +621,20 @@
 /* An adapter that is called more often than one engine should serve gets
    another place where one is free.  */
 static void
-add_adapter_replicas (struct plan *plan)
+add_adapter (void *user, const char *target, double count)
 {
-  const struct stock_demand *demand;
-  const char *target;
-  GHashTableIter iter;
-
-  g_hash_table_iter_init (&iter, plan->stock->demand);
-  while (
-      g_hash_table_iter_next (&iter, (gpointer *)&target, (gpointer *)&demand))
-    {
-      const char *slash = strchr (target, '/');
-      double per_s = stock_rate (plan->stock, target, plan->now);
-      unsigned need = (unsigned)ceil (per_s * CALL_S / BUSY_SHARE);
-      char *model;
+  struct plan *plan = user;
+  const char *slash = strchr (target, '/');
+  unsigned need = (unsigned)ceil (count / RATES_S * CALL_S / BUSY_SHARE);
+  char *model;
 
-      if (slash == NULL || need < 2)
-        continue;
-      model = g_strndup (target, (gsize)(slash - target));
-      if (plan_model (plan, model) != NULL
-          && adapter_replicas (plan, model, slash + 1) < need)
-        place_adapter (plan, model, slash + 1, "calls", false);
-      g_free (model);
-    }
+  if (slash == NULL || need < 2)
+    return;
+  model = g_strndup (target, (gsize)(slash - target));
+  if (plan_model (plan, model) != NULL
+      && adapter_replicas (plan, model, slash + 1) < need)
+    place_adapter (plan, model, slash + 1, "calls", false);
+  g_free (model);
 }
 
 void
@@ -662,7 +655,7 @@
   check_waiting (&plan, models);
   serve_waiting (&plan, models);
   add_replicas (&plan, models);
-  add_adapter_replicas (&plan);
+  rates_each (stock->demand, now, add_adapter, &plan);
   preload (&plan, models);
   g_ptr_array_unref (models);
   g_hash_table_unref (plan.models);
--- a/src/stock_state.h
+++ b/src/stock_state.h
@@ -7,6 +7,7 @@
 #include <time.h>
 #include <glib.h>
 #include "budget.h"
+#include "rates.h"
 #include "stock.h"
 
 enum stock_stage
@@ -44,13 +45,7 @@
   struct stock_order order;
   char *goal;                  /* model that room is made for; NULL: none */
   struct timespec quiet_until; /* no order before */
-};
-
-/* How often a model or adapter is called.  */
-struct stock_demand
-{
-  double per_s;
-  struct timespec at; /* of PER_S */
+  struct timespec settled_at;  /* adapters have come: one may be unloaded */
 };
 
 struct stock_want
@@ -64,22 +59,14 @@
 struct stock
 {
   const struct site_service *service;
-  GHashTable *engines; /* id to struct stock_engine */
-  GHashTable *demand;  /* target to struct stock_demand */
-  GHashTable *wants;   /* "NODE TARGET" to struct stock_want */
+  GHashTable *engines;  /* id to struct stock_engine */
+  struct rates *demand; /* of targets */
+  GHashTable *wants;    /* "NODE TARGET" to struct stock_want */
   struct budget budget;
   unsigned loads_at_once;
   struct timespec started_at;
 };
 
-/* stock.c */
-
-double stock_rate (const struct stock *stock, const char *target,
-                   struct timespec now);
-/* Seconds since the last call of TARGET; very many when there was none.  */
-double stock_idle_s (const struct stock *stock, const char *target,
-                     struct timespec now);
-
 /* stock_order.c */
 
 /* May ENGINE be given an order now?  */
--- a/src/stocker_order.c
+++ b/src/stocker_order.c
@@ -159,6 +159,7 @@
   holding->born = (int64_t)report->epoch;
   holding->sequence = report->seq;
   holding->busy = report->busy;
+  holding->coming = report->coming;
   for (size_t i = 0; i < report->model_count; i++)
     holding_add (holding, report->models[i].model);
   add_adapters (holding, report);
--- a/src/stocker_want.c
+++ b/src/stocker_want.c
@@ -142,7 +142,7 @@
   if (stock == NULL)
     return;
   if (want->calls > 0)
-    stock_call (stock, target, (unsigned)want->calls, stocker_now (stocker));
+    stock_call (stock, target, (double)want->calls, stocker_now (stocker));
   stock_want (stock, node, target, (unsigned)want->count,
               (unsigned)want->priority);
 }
--- /dev/null
+++ b/tests/prop_stock.cc
@@ -0,0 +1,545 @@
+/* Placement on engines that count orders, under answers that are lost, orders
+   that are carried out late, engines that start again, and deciders that take
+   over from each other: an engine is never ordered beyond what it can hold,
+   and the weight store's rate is kept.
+
+   The engines here do what the platform's do: an order is checked when it is
+   carried out, an adapter that is still on its way cannot be unloaded.  */
+
+#include <rapidcheck.h>
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+extern "C"
+{
+#include "stock.h"
+#include "ts.h"
+}
+
+namespace
+{
+
+const int step_ms = 20;
+const int report_lag_ms = 200;
+const int adapter_ms = 90; /* many are on their way */
+const double loads_per_s = 2.0;
+const unsigned slots = 2;
+const int memory_mb = 200;
+const int adapter_mb = 1;
+const int window_ms = 5000;
+
+struct order
+{
+  enum backend_order_type type;
+  std::string model;
+  std::string adapter;
+  uint64_t expected;
+};
+
+struct state
+{
+  uint64_t sequence = 0;
+  bool busy = false;
+  unsigned coming = 0;
+  std::map<std::string, std::set<std::string> > models;
+};
+
+struct engine
+{
+  std::string id;
+  int64_t born = 1;
+  state now;
+  std::deque<std::pair<int64_t, state> > past; /* for reports that lag */
+  std::set<std::string> disk;
+  std::string changing; /* model being loaded or unloaded; "": none */
+  bool loading = false;
+  int64_t ends_ms = 0;
+  std::map<std::string, int64_t> coming; /* "model/adapter" to its arrival */
+  bool overloaded = false;
+};
+
+struct event
+{
+  int64_t at_ms;
+  std::string engine;
+  bool answer;    /* else: an order arrives */
+  bool is_report; /* an answer to a question for a report */
+  enum backend_status status;
+  order what;
+  int64_t born;
+  unsigned decider;
+};
+
+struct world
+{
+  int64_t now_ms = 1000;
+  std::map<std::string, engine> engines;
+  std::vector<event> events;
+  std::vector<int64_t> fetches;
+  struct site_service service = {};
+  std::vector<struct site_model> models;
+  std::vector<std::string> names;
+  struct stock *stock = nullptr;
+  unsigned decider = 0;
+  GRand *rand = nullptr;
+  int lost = 0; /* of 100 answers */
+  int late = 0; /* of 100 orders */
+};
+
+timespec
+ts (int64_t ms)
+{
+  return ts_from_ms (ms);
+}
+
+int
+used_mb (const world &w, const engine &e)
+{
+  int used = 0;
+
+  for (const auto &model : e.now.models)
+    {
+      size_t i = std::find (w.names.begin (), w.names.end (), model.first)
+                 - w.names.begin ();
+
+      used += (int)w.models[i].memory_mb;
+    }
+  if (e.changing != "" && e.loading)
+    {
+      size_t i = std::find (w.names.begin (), w.names.end (), e.changing)
+                 - w.names.begin ();
+
+      used += (int)w.models[i].memory_mb;
+    }
+  return used;
+}
+
+unsigned
+adapters (const engine &e)
+{
+  unsigned n = 0;
+
+  for (const auto &model : e.now.models)
+    n += model.second.size ();
+  return n + e.coming.size ();
+}
+
+/* What the engine does with an order when it gets to it.  */
+enum backend_status
+carry_out (world &w, engine &e, const order &o)
+{
+  bool there = e.now.models.count (o.model) > 0;
+  std::string target = o.model + "/" + o.adapter;
+
+  if (e.now.busy || o.expected != e.now.sequence)
+    return BACKEND_BUSY;
+  if (o.type == BACKEND_LOAD && there)
+    return BACKEND_HOLDS;
+  if (o.type == BACKEND_UNLOAD && !there)
+    return BACKEND_HOLDS;
+  if (o.type == BACKEND_ADAPTER_LOAD)
+    {
+      if (!there)
+        return BACKEND_REFUSED;
+      if (e.now.models[o.model].count (o.adapter) || e.coming.count (target))
+        return BACKEND_HOLDS;
+      e.coming[target] = w.now_ms + adapter_ms;
+      e.now.sequence++;
+    }
+  else if (o.type == BACKEND_ADAPTER_UNLOAD)
+    {
+      if (!there || !e.now.models[o.model].erase (o.adapter))
+        return BACKEND_HOLDS;
+      e.now.sequence++;
+      return BACKEND_HOLDS;
+    }
+  else
+    {
+      e.changing = o.model;
+      e.loading = o.type == BACKEND_LOAD;
+      e.now.busy = true;
+      e.now.sequence++;
+      e.ends_ms = w.now_ms + (e.loading ? 1000 : 100);
+      if (e.loading && !e.disk.count (o.model))
+        w.fetches.push_back (w.now_ms);
+    }
+  e.overloaded |= used_mb (w, e) + (int)adapters (e) * adapter_mb > memory_mb
+                  || adapters (e) > slots;
+  return BACKEND_ACCEPTED;
+}
+
+void
+run_engine (world &w, engine &e)
+{
+  if (e.changing != "" && w.now_ms >= e.ends_ms)
+    {
+      if (e.loading)
+        {
+          e.now.models[e.changing];
+          e.disk.insert (e.changing);
+        }
+      else
+        e.now.models.erase (e.changing);
+      e.changing = "";
+      e.now.busy = false;
+    }
+  for (auto at = e.coming.begin (); at != e.coming.end ();)
+    if (w.now_ms >= at->second)
+      {
+        size_t slash = at->first.find ('/');
+        std::string model = at->first.substr (0, slash);
+
+        if (e.now.models.count (model))
+          e.now.models[model].insert (at->first.substr (slash + 1));
+        at = e.coming.erase (at);
+      }
+    else
+      ++at;
+  e.now.coming = (unsigned)e.coming.size ();
+  e.past.emplace_back (w.now_ms, e.now);
+  while (e.past.size () > 1 && e.past[1].first <= w.now_ms - report_lag_ms)
+    e.past.pop_front ();
+}
+
+struct holding *
+report_of (const engine &e)
+{
+  const state &then = e.past.front ().second;
+  struct holding *holding = holding_new ();
+
+  holding->born = e.born;
+  holding->sequence = then.sequence;
+  holding->busy = then.busy;
+  holding->coming = then.coming;
+  for (const auto &model : then.models)
+    {
+      struct holding_model *held = holding_add (holding, model.first.c_str ());
+
+      for (const auto &adapter : model.second)
+        holding_add_adapter (held, adapter.c_str ());
+    }
+  for (const auto &name : e.disk)
+    g_ptr_array_add (holding->on_disk, g_strdup (name.c_str ()));
+  return holding;
+}
+
+struct server_entry
+entry_of (const engine &e)
+{
+  struct server_entry entry = {};
+
+  entry.id = (char *)e.id.c_str ();
+  entry.address = (char *)"10.0.0.1:1";
+  entry.zone = (char *)"z";
+  entry.service = (char *)"s";
+  entry.slots = 8;
+  entry.holding = holding_new ();
+  entry.holding->born = e.born;
+  return entry;
+}
+
+void
+list_engine (world &w, const engine &e)
+{
+  struct server_entry entry = entry_of (e);
+
+  stock_engine (w.stock, &entry);
+  holding_free (entry.holding);
+}
+
+void
+send_order (world &w, const struct stock_action *action)
+{
+  event e = {};
+
+  e.at_ms = w.now_ms + 2;
+  e.engine = action->engine;
+  e.what
+      = { action->type, action->model,
+          action->adapter != NULL ? action->adapter : "", action->expected };
+  e.born = w.engines[e.engine].born;
+  e.decider = w.decider;
+  if (g_rand_int_range (w.rand, 0, 100) < w.late)
+    {
+      event unanswered = e;
+
+      e.at_ms += g_rand_int_range (w.rand, 2000, 12000);
+      unanswered.answer = true;
+      unanswered.status = BACKEND_UNKNOWN;
+      unanswered.at_ms += 600;
+      w.events.push_back (unanswered);
+      e.decider = 0; /* its answer goes nowhere */
+    }
+  w.events.push_back (e);
+}
+
+void
+run_actions (world &w, struct action_list *list)
+{
+  struct action *next;
+
+  while ((next = action_pop (list)) != NULL)
+    {
+      const struct stock_action *action = (struct stock_action *)next;
+
+      if (next->type == STOCK_ORDER)
+        send_order (w, action);
+      else if (next->type == STOCK_ASK)
+        {
+          event e = {};
+
+          e.at_ms = w.now_ms + 4;
+          e.engine = action->engine;
+          e.answer = true;
+          e.is_report = true;
+          e.decider = w.decider;
+          w.events.push_back (e);
+        }
+      action_free (next);
+    }
+}
+
+void
+arrive (world &w, event e)
+{
+  engine &to = w.engines[e.engine];
+
+  if (e.born != to.born)
+    e.status = BACKEND_MOVED;
+  else
+    e.status = carry_out (w, to, e.what);
+  if (g_rand_int_range (w.rand, 0, 100) < w.lost)
+    e.status = BACKEND_UNKNOWN;
+  e.answer = true;
+  e.at_ms = w.now_ms + 2;
+  w.events.push_back (e);
+}
+
+void
+answer (world &w, const event &e)
+{
+  struct action_list list;
+
+  if (e.decider != w.decider)
+    return;
+  action_list_init (&list);
+  if (e.is_report)
+    {
+      struct holding *holding = report_of (w.engines[e.engine]);
+
+      stock_report (w.stock, e.engine.c_str (), holding, ts (w.now_ms), &list);
+      holding_free (holding);
+    }
+  else
+    stock_answered (w.stock, e.engine.c_str (), e.status, ts (w.now_ms),
+                    &list);
+  run_actions (w, &list);
+}
+
+void
+new_decider (world &w)
+{
+  struct stock_options options = { 2, ts (w.now_ms) };
+
+  stock_free (w.stock);
+  w.stock = stock_new (&options);
+  stock_service (w.stock, &w.service, ts (w.now_ms));
+  w.decider++;
+  for (const auto &e : w.engines)
+    list_engine (w, e.second);
+}
+
+void
+restart (world &w, engine &e)
+{
+  e.born++;
+  e.now = state ();
+  e.past.clear ();
+  e.past.emplace_back (w.now_ms, e.now);
+  e.changing = "";
+  e.coming.clear ();
+  list_engine (w, e);
+}
+
+void
+turn (world &w)
+{
+  struct action_list list;
+  std::vector<event> due;
+
+  w.now_ms += step_ms;
+  for (auto &e : w.engines)
+    run_engine (w, e.second);
+  for (size_t i = 0; i < w.events.size ();)
+    if (w.events[i].at_ms <= w.now_ms)
+      {
+        due.push_back (w.events[i]);
+        w.events.erase (w.events.begin () + (long)i);
+      }
+    else
+      i++;
+  for (const auto &e : due)
+    e.answer ? answer (w, e) : arrive (w, e);
+  action_list_init (&list);
+  if (w.now_ms % STOCK_TICK_MS < step_ms)
+    stock_tick (w.stock, ts (w.now_ms), &list);
+  run_actions (w, &list);
+}
+
+std::string
+target_of (const world &w, unsigned model, unsigned adapter)
+{
+  std::string target = w.names[model % w.names.size ()];
+
+  return adapter > 0 ? target + "/a" + std::to_string (adapter) : target;
+}
+
+void
+make_world (world &w, unsigned engines, unsigned models)
+{
+  for (unsigned i = 0; i < models; i++)
+    w.names.push_back ("m" + std::to_string (i));
+  for (unsigned i = 0; i < models; i++)
+    {
+      struct site_model model = {};
+
+      model.name = (char *)w.names[i].c_str ();
+      model.memory_mb = i % 3 == 0 ? 90 : 60;
+      model.adapter_mb = adapter_mb;
+      model.adapters = 4;
+      model.load_s = 1.0;
+      model.disk_s = 1.0;
+      model.memory_s = 1.0;
+      w.models.push_back (model);
+    }
+  w.service.name = (char *)"s";
+  w.service.engines = true;
+  w.service.adapter_slots = slots;
+  w.service.memory_mb = memory_mb;
+  w.service.loads_per_s = loads_per_s;
+  w.service.models = w.models.data ();
+  w.service.model_count = w.models.size ();
+  for (unsigned i = 0; i < engines; i++)
+    {
+      engine e;
+
+      e.id = "e" + std::to_string (i);
+      e.past.emplace_back (w.now_ms, e.now);
+      w.engines[e.id] = e;
+    }
+}
+
+void
+check (const world &w)
+{
+  int64_t most = (int64_t)(loads_per_s * window_ms / 1000.0 * 1.1) + 3;
+
+  for (const auto &e : w.engines)
+    RC_ASSERT (!e.second.overloaded);
+  for (size_t i = 0; i < w.fetches.size (); i++)
+    {
+      int64_t n = std::count_if (
+          w.fetches.begin (), w.fetches.end (), [&] (int64_t at) {
+            return at >= w.fetches[i] && at < w.fetches[i] + window_ms;
+          });
+
+      RC_ASSERT (n <= most);
+    }
+}
+
+const int turns_a_day = 12;
+const size_t wanted_at_once = 4;
+
+/* Each day another target is wanted, beside those of the days before.  */
+void
+play (world &w, const std::vector<unsigned> &days, bool faults)
+{
+  std::deque<std::string> wanted;
+
+  for (unsigned day : days)
+    {
+      std::string target = target_of (w, day / 5 % 3, day % 5);
+
+      wanted.push_back (target);
+      stock_call (w.stock, target.c_str (), 1, ts (w.now_ms));
+      for (const auto &one : wanted)
+        stock_want (w.stock, "n", one.c_str (), 1, 0);
+      for (int i = 0; i < turns_a_day; i++)
+        turn (w);
+      if (wanted.size () == wanted_at_once)
+        {
+          stock_want (w.stock, "n", wanted.front ().c_str (), 0, 0);
+          wanted.pop_front ();
+        }
+      if (faults && day % 17 == 0)
+        new_decider (w);
+      if (faults && day % 23 == 0)
+        restart (w, w.engines.begin ()->second);
+      check (w);
+    }
+  for (const auto &one : wanted)
+    stock_want (w.stock, "n", one.c_str (), 0, 0);
+}
+
+void
+finish (world &w)
+{
+  stock_free (w.stock);
+  g_rand_free (w.rand);
+}
+
+} // namespace
+
+int
+main ()
+{
+  bool ok = true;
+
+  ok &= rc::check ("never beyond what an engine holds", [] {
+    world w;
+    auto days = *rc::gen::container<std::vector<unsigned> > (
+        60, rc::gen::inRange (0u, 1000u));
+
+    w.rand = g_rand_new_with_seed (*rc::gen::inRange<uint32_t> (1, 1000000));
+    w.lost = *rc::gen::element (0, 20, 50);
+    w.late = *rc::gen::element (0, 20, 50);
+    make_world (w, *rc::gen::inRange (1u, 4u), *rc::gen::inRange (2u, 9u));
+    new_decider (w);
+    play (w, days, *rc::gen::arbitrary<bool> ());
+    finish (w);
+  });
+  ok &= rc::check ("what is waited for comes", [] (uint16_t which) {
+    world w;
+
+    w.rand = g_rand_new_with_seed (which + 1u);
+    make_world (w, 3, 8);
+    new_decider (w);
+    play (w, { 1, 6, 12, 18, 24 }, false);
+
+    std::string target = target_of (w, which, which % 3);
+    std::string model = target.substr (0, target.find ('/'));
+    bool there = false;
+
+    stock_want (w.stock, "n", target.c_str (), 1, 0);
+    for (int i = 0; i < 400 && !there; i++)
+      {
+        turn (w);
+        for (const auto &e : w.engines)
+          {
+            auto held = e.second.now.models.find (model);
+
+            there |= held != e.second.now.models.end ()
+                     && (model == target
+                         || held->second.count (
+                             target.substr (model.size () + 1)));
+          }
+      }
+    RC_ASSERT (there);
+    finish (w);
+  });
+  return ok ? 0 : 1;
+}
