stock: an adapter is told of when it has come

Cause: an adapter was told of as loaded when its load was accepted, some 10 ms before it is there: the requests that had waited for it were sent at once, turned away (421), and kept from that engine for half a second. Ruled out: the engine's capacity for adapters.

--- a/src/stock.c
+++ b/src/stock.c
@@ -223,6 +223,21 @@
   stock_plan (stock, now, out);
 }
 
+struct timespec
+stock_next (const struct stock *stock, struct timespec now)
+{
+  struct timespec next = ts_add_ms (now, STOCK_TICK_MS);
+  const struct stock_engine *engine;
+  GHashTableIter iter;
+
+  g_hash_table_iter_init (&iter, stock->engines);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&engine))
+    if (engine->order.stage == STAGE_RUNNING
+        && engine->order.type == BACKEND_ADAPTER_LOAD)
+      next = ts_min (next, ts_max (now, engine->order.ready_at));
+  return next;
+}
+
 struct each
 {
   void (*fn) (void *user, const struct peer_replica *replica);
--- a/src/stock.h
+++ b/src/stock.h
@@ -93,6 +93,9 @@
 void stock_tick (struct stock *stock, struct timespec now,
                  struct action_list *out);
 
+/* When the next tick is wanted.  */
+struct timespec stock_next (const struct stock *stock, struct timespec now);
+
 /* Calls FN for each model and adapter on each engine; strings borrowed.  */
 void stock_each (const struct stock *stock, struct timespec now,
                  void (*fn) (void *user, const struct peer_replica *replica),
--- a/src/stock_order.c
+++ b/src/stock_order.c
@@ -8,6 +8,8 @@
 /* An adapter takes some 10 ms, longer in proportion while many are on their
    way; to unload it before it is there has no effect.  */
 #define ADAPTER_MS 400
+/* By then it usually has come; no report says so in time.  */
+#define ARRIVES_MS 15
 #define DOUBT_MS 500    /* between reports of an engine that may be gone */
 #define REFUSED_MS 400  /* no further order after a refusal */
 #define OVERDUE_MS 4000 /* an accepted order that shows nowhere was lost */
@@ -180,8 +182,13 @@
 
   engine->held->sequence = order->expected + 1;
   if (order->type == BACKEND_ADAPTER_LOAD)
-    engine->settled_at = ts_add_ms (now, ADAPTER_MS);
-  if (order->adapter != NULL)
+    {
+      engine->settled_at = ts_add_ms (now, ADAPTER_MS);
+      order->stage = STAGE_RUNNING;
+      order->ready_at = ts_add_ms (now, ARRIVES_MS);
+      return;
+    }
+  if (order->type == BACKEND_ADAPTER_UNLOAD)
     {
       apply (engine);
       settle (stock, engine, true, out);
@@ -331,12 +338,19 @@
 {
   struct stock_order *order = &engine->order;
 
-  (void)stock;
   if (!engine->known && !engine->leaving && !ts_before (now, engine->ask_at))
     {
       ask (engine, out);
       engine->ask_at = ts_add_ms (now, ASK_MS);
     }
+  else if (order->stage == STAGE_RUNNING
+           && order->type == BACKEND_ADAPTER_LOAD)
+    {
+      if (ts_before (now, order->ready_at))
+        return;
+      apply (engine);
+      settle (stock, engine, true, out);
+    }
   else if (order->stage == STAGE_UNSURE && !ts_before (now, order->next_at))
     send_again (engine, now, out);
   else if (order->stage == STAGE_RUNNING && !ts_before (now, order->next_at))
--- a/src/stocker.c
+++ b/src/stocker.c
@@ -52,8 +52,11 @@
 tick_stock (struct stocker *stocker, struct stock *stock,
             struct action_list *out, const void *data)
 {
+  struct timespec now = stocker_now (stocker);
+
   (void)data;
-  stock_tick (stock, stocker_now (stocker), out);
+  stock_tick (stock, now, out);
+  stocker->tick_at = ts_min (stocker->tick_at, stock_next (stock, now));
 }
 
 void
