--- a/src/stock_plan.c
+++ b/src/stock_plan.c
@@ -22,6 +22,8 @@
    that ends a single order takes the next soon after.  */
 #define GOAL_S 1.5
 #define SETTLE_S 0.3
+/* Of a call a second whose adapter may have to wait for a load, a second.  */
+#define HELD_UP_VALUE 0.3
 /* A call that came within this time may not have begun to run, and would be
    turned away by an unload; an unload waits for those that run.  */
 #define RUNNING_S 1.5
@@ -260,6 +262,25 @@
   return MAX (left_s, 0) + (engine->goal != NULL ? GOAL_S : SETTLE_S);
 }
 
+/* Calls a second of models on ENGINE that have adapters: none of these can be
+   exchanged while the engine loads a model.  */
+static double
+adapter_calls (const struct plan *plan, const struct stock_engine *engine)
+{
+  double per_s = 0;
+
+  for (guint i = 0; i < engine->held->models->len; i++)
+    {
+      const struct holding_model *held
+          = g_ptr_array_index (engine->held->models, i);
+      const struct plan_model *model = plan_model (plan, held->name);
+
+      if (model != NULL && model->site->adapters > 0)
+        per_s += model->per_s / MAX (model->loaded, 1);
+    }
+  return per_s;
+}
+
 /* The engine on which MODEL is had soonest for the least loss, also one that
    has to end something else first.  FETCH: also from the weight store.  */
 static struct plan_place
@@ -283,7 +304,9 @@
       place.load_s = stock_load_s (engine, model, &place.fetches);
       if (place.fetches && !fetch)
         continue;
-      place.loss = loss_of (plan, engine, model);
+      place.loss
+          = loss_of (plan, engine, model)
+            + HELD_UP_VALUE * place.load_s * adapter_calls (plan, engine);
       if (place.busy_s + place.load_s + place.loss >= least)
         continue;
       least = place.busy_s + place.load_s + place.loss;
