gate: time in which the machine was suspended counts

Cause: the steady clock stands still while a machine is suspended, so a lease that lapsed meanwhile would look valid after it woke. The gate's clock is the one that goes on.

--- a/daemons/parsley-gate.c
+++ b/daemons/parsley-gate.c
@@ -250,7 +250,7 @@
                                  .level = process->options->log_level,
                                  .format = process->options->log_format,
                                  .node = process->boot.settings.node,
-                                 .clk = clk_real (),
+                                 .clk = clk_boot (),
                                  .lines_per_s = LOG_LINES_PER_S };
   int flags = fcntl (STDOUT_FILENO, F_GETFL);
 
@@ -282,7 +282,7 @@
 make_gate (struct process *process)
 {
   struct boot *boot = &process->boot;
-  struct gate_options options = { .clk = clk_real (),
+  struct gate_options options = { .clk = clk_boot (),
                                   .loop = process->loop,
                                   .settings = &boot->settings,
                                   .platform = process->platform,
@@ -316,7 +316,7 @@
   struct httpc_options http = { 0 };
   struct store_options store = { .address = process->boot.settings.platform };
 
-  process->loop = loop_new (clk_real ());
+  process->loop = loop_new (clk_boot ());
   if (process->loop == NULL)
     return -errno;
   http.loop = process->loop;
--- a/src/clk.c
+++ b/src/clk.c
@@ -10,6 +10,16 @@
   return t;
 }
 
+static struct timespec
+boot_now (const struct clk *clk)
+{
+  struct timespec t;
+
+  (void)clk;
+  clock_gettime (CLOCK_BOOTTIME, &t);
+  return t;
+}
+
 static struct timespec
 real_wall (const struct clk *clk)
 {
@@ -28,7 +38,9 @@
 
 static const struct clk_ops real_ops = { real_now, real_wall };
 static const struct clk_ops manual_ops = { manual_now, manual_now };
+static const struct clk_ops boot_ops = { boot_now, real_wall };
 static const struct clk real_clk = { &real_ops };
+static const struct clk boot_clk = { &boot_ops };
 
 const struct clk *
 clk_real (void)
@@ -36,6 +48,12 @@
   return &real_clk;
 }
 
+const struct clk *
+clk_boot (void)
+{
+  return &boot_clk;
+}
+
 void
 clk_manual_init (struct clk_manual *manual, struct timespec at)
 {
--- a/src/clk.h
+++ b/src/clk.h
@@ -33,6 +33,10 @@
    all threads, never freed.  */
 const struct clk *clk_real (void);
 
+/* The same, but time in which the machine was suspended counts too:
+   CLOCK_BOOTTIME and CLOCK_REALTIME.  */
+const struct clk *clk_boot (void);
+
 void clk_manual_init (struct clk_manual *manual, struct timespec at);
 
 struct timespec clk_now (const struct clk *clk);
