stocker: the lease goes by what the settings say of fences

Ruled out: the candidates (the row could not be written by anyone).

Change: where engines check fences, a holder that the store does not answer goes on until it hears of a higher token; one whose members say it is dead is not waited out.

--- a/daemons/parsley-gate.c
+++ b/daemons/parsley-gate.c
@@ -282,15 +282,17 @@
 make_gate (struct process *process)
 {
   struct boot *boot = &process->boot;
-  struct gate_options options = { .clk = clk_boot (),
-                                  .loop = process->loop,
-                                  .settings = &boot->settings,
-                                  .platform = process->platform,
-                                  .backend = process->backend,
-                                  .catalog = document_catalog (),
-                                  .drain_ms = boot->grace_ms - STOP_MARGIN_MS,
-                                  .close = close_outside,
-                                  .user = process };
+  struct gate_options options
+      = { .clk = clk_boot (),
+          .loop = process->loop,
+          .settings = &boot->settings,
+          .platform = process->platform,
+          .backend = process->backend,
+          .catalog = document_catalog (),
+          .stocker = { .checks_fence = boot->checks_fence },
+          .drain_ms = boot->grace_ms - STOP_MARGIN_MS,
+          .close = close_outside,
+          .user = process };
 
   options.gateway.caller = callers ();
   options.gateway.front = address_of (&boot->front);
--- a/src/gate.c
+++ b/src/gate.c
@@ -70,7 +70,8 @@
   kernel_register (kernel, &gate->core.service);
   kernel_register (kernel, gate->links = links_new ());
   kernel_register (kernel, gate->listing = listing_new (&listing));
-  kernel_register (kernel, gate->stocker = stocker_new ());
+  kernel_register (kernel,
+                   gate->stocker = stocker_new (&gate->options.stocker));
   kernel_register (kernel,
                    gate->gateway = gateway_new (&gate->options.gateway));
 }
--- a/src/gate.h
+++ b/src/gate.h
@@ -13,6 +13,7 @@
 #include "loop.h"
 #include "platform.h"
 #include "settings.h"
+#include "stocker.h"
 
 struct gate;
 
@@ -26,6 +27,7 @@
   struct backend *backend;
   const struct catalog *catalog;
   struct gateway_options gateway;
+  struct stocker_options stocker;
   int64_t drain_ms; /* a planned stop takes no longer, whatever is open */
   /* Ends the calls under way at the platform and at engines; called once,
      after the services have stopped and before they are freed.  */
--- a/src/stocker.c
+++ b/src/stocker.c
@@ -285,6 +285,7 @@
   options.node = stocker->core->node;
   options.incarnation = stocker->core->incarnation;
   options.rand = stocker->core->rand;
+  options.checks_fence = stocker->options.checks_fence;
   options.duration = ts_from_ms (LEASE_MS);
   options.margin = ts_from_ms (MARGIN_MS);
   stocker->lease = lease_new (&options);
@@ -314,12 +315,13 @@
 }
 
 struct service *
-stocker_new (void)
+stocker_new (const struct stocker_options *options)
 {
   struct stocker *stocker = g_new0 (struct stocker, 1);
 
   stocker->service.ops = &stocker_ops;
   stocker->service.name = STOCKER_NAME;
+  stocker->options = *options;
   stocker->stocks
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_stock);
   stocker->in = spread_in_new ();
--- a/src/stocker.h
+++ b/src/stocker.h
@@ -8,6 +8,7 @@
 #ifndef PARSLEYRILL_STOCKER_H
 #define PARSLEYRILL_STOCKER_H
 
+#include <stdbool.h>
 #include <time.h>
 #include "kernel.h"
 
@@ -15,7 +16,12 @@
 
 struct stocker;
 
-struct service *stocker_new (void);
+struct stocker_options
+{
+  bool checks_fence; /* all engines refuse orders with an old token */
+};
+
+struct service *stocker_new (const struct stocker_options *options);
 void stocker_free (struct service *service);
 struct stocker *stocker_find (struct kernel *kernel);
 
--- a/src/stocker_state.h
+++ b/src/stocker_state.h
@@ -21,6 +21,7 @@
 struct stocker
 {
   struct service service; /* first */
+  struct stocker_options options;
   struct core *core;
   struct links *links;
   struct listing *listing;
