stock: requests are refused at once when their model comes too late

Ruled out: the order of loads (most urgent first already).

Change: the decider estimates when a model that is waited for and not planned may be had, and tells it with the holdings.

--- a/src/servers.c
+++ b/src/servers.c
@@ -279,6 +279,18 @@
   return false;
 }
 
+/* When MODEL may be had that no engine holds.  */
+static void
+note_expected (const struct servers *servers, const char *model,
+               struct timespec now, struct timespec *ready_at)
+{
+  struct timespec fresh_until = ts_add_ms (servers->told_at, SERVERS_TOLD_MS);
+  GHashTable *expected = g_hash_table_lookup (servers->told, SERVERS_NOWHERE);
+
+  if (expected != NULL && ts_before (now, fresh_until))
+    note_ready (g_hash_table_lookup (expected, model), ready_at);
+}
+
 static void
 append (const struct server *server, const char *adapter, GArray *replicas)
 {
@@ -315,5 +327,7 @@
         continue;
       append (server, adapter, replicas);
     }
+  if (model != NULL && replicas->len == 0 && ts_is_zero (*ready_at))
+    note_expected (servers, model, now, ready_at);
   g_free (target);
 }
--- a/src/servers.h
+++ b/src/servers.h
@@ -86,6 +86,9 @@
 void servers_lacks (struct servers *servers, const char *id,
                     const char *target, struct timespec now);
 
+/* The engine of a replica that no engine loads yet.  */
+#define SERVERS_NOWHERE "-"
+
 /* The decider's view: begin, each replica, and it replaces the one before.
    AT is when it was told.  */
 void servers_told_begin (struct servers *servers, struct timespec at);
--- a/src/stock.c
+++ b/src/stock.c
@@ -39,6 +39,8 @@
   stock->engines
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, engine_free);
   stock->demand = rates_new ();
+  stock->expected
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   stock->wants
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, want_free);
   budget_init (&stock->budget, 0, options->loads_at_once, options->now);
@@ -53,6 +55,7 @@
     return;
   g_hash_table_unref (stock->engines);
   rates_free (stock->demand);
+  g_hash_table_unref (stock->expected);
   g_hash_table_unref (stock->wants);
   g_free (stock);
 }
@@ -303,6 +306,27 @@
   each->fn (each->user, &replica);
 }
 
+/* On no engine yet.  */
+static void
+each_expected (const struct stock *stock, const struct each *each)
+{
+  const struct timespec *at;
+  GHashTableIter iter;
+  char *model;
+
+  g_hash_table_iter_init (&iter, stock->expected);
+  while (g_hash_table_iter_next (&iter, (gpointer *)&model, (gpointer *)&at))
+    {
+      struct peer_replica replica = { .engine = (char *)SERVERS_NOWHERE,
+                                      .model = model,
+                                      .state = BACKEND_COPY_LOADING };
+
+      if (ts_before (each->now, *at))
+        replica.ready_ms = (uint64_t)ts_to_ms (ts_sub (*at, each->now));
+      each->fn (each->user, &replica);
+    }
+}
+
 void
 stock_each (const struct stock *stock, struct timespec now,
             void (*fn) (void *user, const struct peer_replica *replica),
@@ -319,6 +343,7 @@
         each_held (engine, g_ptr_array_index (engine->held->models, i), &each);
       each_coming (engine, &each);
     }
+  each_expected (stock, &each);
 }
 
 unsigned
--- a/src/stock_plan.c
+++ b/src/stock_plan.c
@@ -660,6 +660,35 @@
   g_free (model);
 }
 
+/* When the models may be had that requests wait for and no engine loads: the
+   weight store serves the most urgent first, some at a time.  */
+static void
+estimate (struct plan *plan, const GPtrArray *models)
+{
+  const struct budget *budget = &plan->stock->budget;
+  unsigned ahead = budget->flying;
+
+  g_hash_table_remove_all (plan->stock->expected);
+  for (guint i = 0; i < models->len; i++)
+    {
+      const struct plan_model *model = g_ptr_array_index (models, i);
+      const struct site_model *site = model->site;
+      double ready_s = GOAL_S + site->disk_s;
+      struct timespec *at;
+
+      if (model->waiting == 0 || model->replicas > 0)
+        continue;
+      if (!model->at_hand)
+        {
+          ready_s = site->load_s + site->load_s * ahead / budget->at_once;
+          ahead++;
+        }
+      at = g_new (struct timespec, 1);
+      *at = ts_add (plan->now, ts_from_s (ready_s));
+      g_hash_table_insert (plan->stock->expected, g_strdup (site->name), at);
+    }
+}
+
 void
 stock_plan (struct stock *stock, struct timespec now, struct action_list *out)
 {
@@ -680,6 +709,7 @@
   add_replicas (&plan, models);
   rates_each (stock->demand, now, add_adapter, &plan);
   preload (&plan, models);
+  estimate (&plan, models);
   g_ptr_array_unref (models);
   g_hash_table_unref (plan.models);
 }
--- a/src/stock_state.h
+++ b/src/stock_state.h
@@ -63,6 +63,8 @@
   struct rates *demand; /* of targets */
   GHashTable *wants;    /* "NODE TARGET" to struct stock_want */
   struct budget budget;
+  GHashTable *expected; /* model that requests wait for and no engine loads
+                           yet, to struct timespec: when it may be had */
   unsigned loads_at_once;
   struct timespec started_at;
 };
