lease: a node that starts again takes the lease of its former process at once

Cause: after all nodes had been killed or lost power, the lease of the former holder was waited out, 3 to 4 s in which nothing could be loaded, though the holder itself was back and its former process surely gone. Ruled out: the store (it answered in 4 ms). Only where engines check fences.

/lease/former-self fails before and passes.

--- a/src/lease.c
+++ b/src/lease.c
@@ -182,6 +182,14 @@
          && lease->seen.incarnation == lease->incarnation;
 }
 
+/* An earlier process of this very node, which is no more.  */
+static bool
+seen_former_self (const struct lease *lease)
+{
+  return g_strcmp0 (lease->seen.holder, lease->node) == 0
+         && lease->seen.incarnation < lease->incarnation;
+}
+
 /* When this candidate may take the lease that it sees.  */
 static struct timespec
 take_at (const struct lease *lease)
@@ -193,7 +201,8 @@
   if (seen_self (lease) && !seen->released)
     return seen->at;
   if (seen->version != 0 && !seen->released
-      && !(lease->checks_fence && seen->holder_dead))
+      && !(lease->checks_fence
+           && (seen->holder_dead || seen_former_self (lease))))
     free_at = ts_add (seen->at,
                       ts_from_s (ts_to_s (lease->duration) * WAIT_FACTOR));
   return ts_add (free_at, delay);
--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -1,5 +1,6 @@
 #include <glib.h>
 #include "fake_cell_steps.h"
+#include "leaserow.h"
 
 #define STEP_MS 10
 #define PHASES 40
@@ -200,6 +201,51 @@
   cell_clear (&cell);
 }
 
+/* Whether node "a", started as number 2, takes within MS the lease that HOLDER
+   held as number 1 with no word since.  */
+static bool
+takes_within (bool checks_fence, const char *holder, int64_t ms)
+{
+  struct lease_options options
+      = { .cell = "c", .node = "a", .incarnation = 2 };
+  char *value = leaserow_text (holder, 1, 7, false);
+  struct platform_row row
+      = { .key = "cell/c", .version = 40, .value = value, .token = "" };
+  struct action_list list;
+  struct action *action;
+  struct lease *lease;
+  bool took = false;
+
+  options.checks_fence = checks_fence;
+  lease = lease_new (&options);
+  action_list_init (&list);
+  lease_set_rank (lease, 0, ts_from_ms (0));
+  for (int64_t at = 0; at <= ms; at += STEP_MS)
+    {
+      lease_tick (lease, ts_from_ms (at), &list);
+      while ((action = action_pop (&list)) != NULL)
+        {
+          took = took || action->type == LEASE_TXN;
+          if (action->type == LEASE_READ)
+            lease_row (lease, PLATFORM_OK, &row, ts_from_ms (at), &list);
+          action_free (action);
+        }
+    }
+  lease_free (lease);
+  g_free (value);
+  return took;
+}
+
+/* The process that held it is no more, and its engines refuse its token.  */
+static void
+test_former_self (void)
+{
+  g_assert_true (takes_within (true, "a", 100));
+  g_assert_false (takes_within (true, "b", LEASE_DURATION_MS - 100));
+  g_assert_false (takes_within (false, "a", LEASE_DURATION_MS - 100));
+  g_assert_true (takes_within (false, "a", 3 * LEASE_DURATION_MS));
+}
+
 int
 main (int argc, char **argv)
 {
@@ -207,6 +253,7 @@
   g_test_add_func ("/lease/take-over", test_take_over);
   g_test_add_func ("/lease/hand-over", test_hand_over);
   g_test_add_func ("/lease/offer", test_offer);
+  g_test_add_func ("/lease/former-self", test_former_self);
   g_test_add_data_func ("/lease/paused/ignore", GINT_TO_POINTER (0),
                         test_paused);
   g_test_add_data_func ("/lease/paused/check", GINT_TO_POINTER (1),
