--- a/src/lease.c
+++ b/src/lease.c
@@ -242,7 +242,9 @@
   double ms = POLL_MS * (double)(1 + MIN (lease->rank, LEASE_CANDIDATES));
 
   lease->next = backoff_jitter (ms, lease->rand, now);
-  if (candidate (lease) && lease->seen.known)
+  if (candidate (lease) && !lease->seen.known)
+    lease->next = now;
+  else if (candidate (lease))
     lease->next = ts_min (lease->next, take_at (lease));
 }
 
