gate: a test of the whole gate; servers that were all tried are used again

tests/test_gate.c plays store, backend server and caller around a gate with the platform's protocol: starting, heads, retries by kind, not run, resumed streams, callers that leave, servers that leave, unreadable rows, planned stop, heads that can be read in two ways.

It found: a request whose only server had failed it once waited for another one until its deadline. Now all are used again after the usual pause.

--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -65,7 +65,7 @@
   counter_add (COUNTER_WAITING, 1);
   forward_log_waiting (forward, ready_at);
   count_waiting (forward, 1);
-  gateway_pump_soon (gateway);
+  gateway_pump_later (gateway);
 }
 
 void
@@ -146,6 +146,15 @@
   forward->tried[forward->tried_count++] = forward->engine->id;
 }
 
+/* All that could be used were tried: after a pause they may be used again.  */
+static void
+forget_tried (struct forward *forward)
+{
+  for (size_t i = 0; i < forward->tried_count; i++)
+    route_engine_unref (forward->engines[i]);
+  forward->tried_count = 0;
+}
+
 static unsigned
 urgency_of (const struct forward *forward)
 {
@@ -295,7 +304,10 @@
     forward_fail (forward, "the model is not loaded in time",
                   ts_to_ms (ts_sub (ready_at, now)));
   else
-    enter (forward, ready_at);
+    {
+      forget_tried (forward);
+      enter (forward, ready_at);
+    }
 }
 
 void
--- a/src/gate.c
+++ b/src/gate.c
@@ -134,6 +134,12 @@
   g_strfreev (parts);
 }
 
+uint16_t
+gate_port (const struct gate *gate)
+{
+  return gateway_port (gate->gateway);
+}
+
 static void
 drain_check (struct loop_timer *timer)
 {
--- a/src/gate.h
+++ b/src/gate.h
@@ -47,6 +47,9 @@
 void gate_drain (struct gate *gate);
 void gate_stop (struct gate *gate);
 
+/* The port that callers' requests come to, host order.  */
+uint16_t gate_port (const struct gate *gate);
+
 /* More addresses of peers to try, IP:port separated by commas.  */
 void gate_seeds (struct gate *gate, const char *seeds);
 
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -193,6 +193,16 @@
                     loop_now (gateway->core->loop));
 }
 
+void
+gateway_pump_later (struct gateway *gateway)
+{
+  struct loop *loop = gateway->core->loop;
+
+  if (gateway->pump.slot == 0)
+    loop_timer_set (loop, &gateway->pump,
+                    ts_add_ms (loop_now (loop), PUMP_MS));
+}
+
 static bool
 within_drain (const struct gateway *gateway, double share)
 {
@@ -402,6 +412,12 @@
   g_free (gateway);
 }
 
+uint16_t
+gateway_port (const struct service *service)
+{
+  return httpd_port (((const struct gateway *)service)->front);
+}
+
 unsigned
 gateway_open (const struct service *service)
 {
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -37,6 +37,9 @@
 struct service *gateway_new (const struct gateway_options *options);
 void gateway_free (struct service *service);
 
+/* The port that callers' requests come to, host order.  */
+uint16_t gateway_port (const struct service *service);
+
 /* Requests of callers that are not over.  */
 unsigned gateway_open (const struct service *service);
 
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -55,7 +55,9 @@
 bool gateway_takes (const struct gateway *gateway);
 bool gateway_sends (const struct gateway *gateway);
 
-/* Lets waiting requests try again at the next turn of the loop.  */
+/* Lets waiting requests try again at the next turn of the loop, or after the
+   usual pause.  */
 void gateway_pump_soon (struct gateway *gateway);
+void gateway_pump_later (struct gateway *gateway);
 
 #endif
--- /dev/null
+++ b/tests/gate_fixture.h
@@ -0,0 +1,482 @@
+/* gate_fixture - a gate between a caller, one backend server and a store,
+   which are all played by the test on the gate's own loop.  */
+
+#ifndef GATE_FIXTURE_H
+#define GATE_FIXTURE_H
+
+#include <stdlib.h>
+#include <string.h>
+#include <glib.h>
+#include <jansson.h>
+#include "callers.h"
+#include "clk.h"
+#include "document.h"
+#include "engine.h"
+#include "gate.h"
+#include "httpc.h"
+#include "httpd.h"
+#include "store.h"
+#include "ts.h"
+
+struct row
+{
+  char *value; /* base64 */
+  uint64_t version;
+};
+
+struct fixture
+{
+  struct loop *loop;
+  struct httpd *store;
+  struct httpd *server;
+  struct httpc *caller;
+  struct httpc *outside;
+  struct platform *platform;
+  struct backend *backend;
+  struct settings settings;
+  struct gate *gate;
+  GHashTable *rows; /* "TABLE/KEY" to struct row */
+  uint64_t version;
+  GPtrArray *feeds;           /* struct httpd_request: nothing new yet */
+  struct httpd_request *held; /* at the server, not answered */
+  unsigned at_server;         /* requests that reached it */
+  unsigned gone_at_server;
+  GString *seen; /* "name: value\n" of the last one */
+  /* of the caller's last request */
+  struct httpc_call *call;
+  bool done;
+  int error;
+  long status;
+  GString *got;
+  char *retry_after;
+};
+
+/* Defined by the test program: what the backend server does.  */
+static void at_server (struct fixture *f, struct httpd_request *request);
+
+static void
+row_free (gpointer data)
+{
+  struct row *row = data;
+
+  g_free (row->value);
+  g_free (row);
+}
+
+/* The store.  */
+
+static json_t *
+rows_json (struct fixture *f, const char *table, uint64_t after)
+{
+  json_t *rows = json_array ();
+  GHashTableIter iter;
+  const char *key;
+  const struct row *row;
+
+  g_hash_table_iter_init (&iter, f->rows);
+  while (g_hash_table_iter_next (&iter, (gpointer *)&key, (gpointer *)&row))
+    if (row->version > after && g_str_has_prefix (key, table)
+        && key[strlen (table)] == '/')
+      json_array_append_new (
+          rows, json_pack ("{s:s, s:s, s:s*, s:I, s:b}", "Table", table, "Key",
+                           key + strlen (table) + 1, "Value", row->value,
+                           "Ver", (json_int_t)row->version, "Tombstone",
+                           row->value == NULL));
+  return rows;
+}
+
+static void
+answer_json (struct httpd_request *request, unsigned status, json_t *json)
+{
+  char *text = json_dumps (json, JSON_COMPACT);
+
+  httpd_answer (request, status, "application/json", NULL, text,
+                strlen (text));
+  free (text);
+  json_decref (json);
+}
+
+static bool
+answer_rows (struct fixture *f, struct httpd_request *request, bool wait)
+{
+  const char *after = httpd_query (request, "after");
+  json_t *rows = rows_json (f, httpd_query (request, "Table"),
+                            after != NULL ? strtoull (after, NULL, 10) : 0);
+
+  if (wait && json_array_size (rows) == 0)
+    {
+      json_decref (rows);
+      return false;
+    }
+  answer_json (request, 200,
+               json_pack ("{s:o, s:b, s:I}", "Rows", rows, "HasMore", 0, "Ver",
+                          (json_int_t)f->version));
+  return true;
+}
+
+static void
+put_row (struct fixture *f, const char *key, const char *value)
+{
+  struct row *row = g_new0 (struct row, 1);
+
+  row->value = value != NULL
+                   ? g_base64_encode ((const guchar *)value, strlen (value))
+                   : NULL;
+  row->version = ++f->version;
+  g_hash_table_replace (f->rows, g_strdup (key), row);
+  for (guint i = f->feeds->len; i > 0; i--)
+    if (answer_rows (f, g_ptr_array_index (f->feeds, i - 1), true))
+      g_ptr_array_remove_index (f->feeds, i - 1);
+}
+
+static char *
+name_of (const json_t *row)
+{
+  return g_strdup_printf ("%s/%s",
+                          json_string_value (json_object_get (row, "Table")),
+                          json_string_value (json_object_get (row, "Key")));
+}
+
+static bool
+holds (struct fixture *f, const json_t *body)
+{
+  const json_t *item;
+  bool ok = true;
+  size_t i;
+
+  json_array_foreach (json_object_get (body, "Expected"), i, item)
+    {
+      char *name = name_of (item);
+      const struct row *row = g_hash_table_lookup (f->rows, name);
+      uint64_t version = row != NULL && row->value != NULL ? row->version : 0;
+
+      ok = ok
+           && version
+                  == (uint64_t)json_integer_value (
+                      json_object_get (item, "Ver"));
+      g_free (name);
+    }
+  return ok;
+}
+
+static void
+write_rows (struct fixture *f, struct httpd_request *request)
+{
+  size_t length;
+  const char *bytes = httpd_body (request, &length);
+  json_t *body = json_loadb (bytes, length, 0, NULL);
+  const json_t *item;
+  size_t i;
+
+  if (!holds (f, body))
+    {
+      json_decref (body);
+      answer_json (request, 412, json_pack ("{s:[]}", "Rows"));
+      return;
+    }
+  json_array_foreach (json_object_get (body, "SetKeys"), i, item)
+    {
+      const char *encoded
+          = json_string_value (json_object_get (item, "Value"));
+      gsize n;
+      guchar *value = g_base64_decode (encoded, &n);
+      char *text = g_strndup ((const char *)value, n);
+      char *name = name_of (item);
+
+      put_row (f, name, text);
+      g_free (name);
+      g_free (text);
+      g_free (value);
+    }
+  json_decref (body);
+  answer_json (request, 200,
+               json_pack ("{s:I}", "Ver", (json_int_t)f->version));
+}
+
+static void
+on_store (void *user, struct httpd_request *request)
+{
+  struct fixture *f = user;
+  const char *path = httpd_path (request);
+
+  if (strcmp (path, "/v1/rows-tx") == 0)
+    write_rows (f, request);
+  else if (!answer_rows (f, request, strcmp (path, "/v1/rows-feed") == 0))
+    g_ptr_array_add (f->feeds, request);
+}
+
+static void
+on_store_gone (void *user, struct httpd_request *request, bool complete)
+{
+  struct fixture *f = user;
+
+  (void)complete;
+  g_ptr_array_remove (f->feeds, request);
+}
+
+/* The backend server.  */
+
+static void
+note_header (void *user, const char *name, const char *value)
+{
+  g_string_append_printf (user, "%s: %s\n", name, value);
+}
+
+static void
+on_server (void *user, struct httpd_request *request)
+{
+  struct fixture *f = user;
+
+  f->at_server++;
+  g_string_printf (f->seen, "%s %s\n", httpd_method (request),
+                   httpd_uri (request));
+  httpd_each_header (request, note_header, f->seen);
+  at_server (f, request);
+}
+
+static void
+on_server_gone (void *user, struct httpd_request *request, bool complete)
+{
+  struct fixture *f = user;
+
+  (void)complete;
+  if (f->held == request)
+    f->held = NULL;
+  f->gone_at_server++;
+}
+
+#define SEAL "Parsleyrill-Response-Seal"
+#define ID "Parsleyrill-Request-Id"
+
+static void
+answer (struct httpd_request *request, unsigned status, const char *body)
+{
+  const char *headers[]
+      = { ID, httpd_header (request, ID), SEAL, "seal", NULL };
+
+  httpd_answer (request, status, "text/plain", headers, body, strlen (body));
+}
+
+static void
+begin_events (struct httpd_request *request, const char *events)
+{
+  const char *headers[]
+      = { ID, httpd_header (request, ID), SEAL, "seal", NULL };
+
+  httpd_stream_begin (request, 200, "text/event-stream", headers);
+  httpd_stream_write (request, events, strlen (events));
+}
+
+/* The caller.  */
+
+static void
+on_done (void *user, const struct httpc_result *result)
+{
+  struct fixture *f = user;
+  const struct httpc_call *call = f->call;
+  const char *value;
+
+  f->done = true;
+  f->call = NULL;
+  f->error = result->error;
+  f->status = result->status;
+  g_string_assign (f->got, result->body != NULL ? result->body : "");
+  value
+      = result->status != 0 ? httpc_answer_header (call, "Retry-After") : NULL;
+  g_free (f->retry_after);
+  f->retry_after = g_strdup (value);
+}
+
+static void
+turn (struct fixture *f)
+{
+  loop_turn (f->loop, 5);
+}
+
+#define UNTIL(f, condition)                                                   \
+  while (!(condition))                                                        \
+  turn (f)
+
+static void
+start (struct fixture *f, const char *method, const char *path,
+       const char *const *headers)
+{
+  char *url
+      = g_strdup_printf ("http://127.0.0.1:%u%s", gate_port (f->gate), path);
+  GPtrArray *all = g_ptr_array_new ();
+  struct httpc_request request
+      = { .method = method, .url = url, .done = on_done, .user = f };
+
+  for (; headers != NULL && *headers != NULL; headers++)
+    g_ptr_array_add (all, (gpointer)*headers);
+  g_ptr_array_add (all, (gpointer) "Host: h.example");
+  g_ptr_array_add (all, (gpointer) "Parsleyrill-Request-Id: r1");
+  g_ptr_array_add (all, NULL);
+  request.headers = (const char *const *)all->pdata;
+  f->done = false;
+  f->call = httpc_start (f->caller, &request);
+  g_ptr_array_unref (all);
+  g_free (url);
+}
+
+static void
+call (struct fixture *f, const char *method, const char *path,
+      const char *const *headers)
+{
+  start (f, method, path, headers);
+  UNTIL (f, f->done);
+}
+
+/* Setting up.  */
+
+static const char config[]
+    = "{\"Version\":%d,\"Routes\":["
+      "{\"Name\":\"safe\",\"Hostname\":\"h.example\",\"Prefix\":\"/safe/\","
+      "\"Kind\":\"safe\",\"TimeoutMs\":20000,\"Service\":\"app\","
+      "\"MaxAttempts\":2},"
+      "{\"Name\":\"once\",\"Hostname\":\"h.example\",\"Prefix\":\"/once/\","
+      "\"Kind\":\"unsafe\",\"TimeoutMs\":20000,\"Service\":\"app\","
+      "\"MaxAttempts\":2},"
+      "{\"Name\":\"long\",\"Hostname\":\"h.example\",\"Prefix\":\"/long/\","
+      "\"Kind\":\"streaming\",\"TimeoutMs\":20000,\"Service\":\"app\","
+      "\"MaxAttempts\":2,\"Resumable\":true,\"GapAimMs\":5000},"
+      "{\"Name\":\"cut\",\"Hostname\":\"h.example\",\"Prefix\":\"/cut/\","
+      "\"Kind\":\"streaming\",\"TimeoutMs\":20000,\"Service\":\"app\","
+      "\"MaxAttempts\":2,\"Resumable\":false}"
+      "],\"Services\":[{\"Name\":\"app\"}],\"Limits\":{}}";
+
+static void
+put_config (struct fixture *f, int version)
+{
+  char *text = g_strdup_printf (config, version);
+
+  put_row (f, "op/config", text);
+  g_free (text);
+}
+
+static void
+list_server (struct fixture *f, const char *state)
+{
+  char *text = g_strdup_printf (
+      "{\"Service\":\"app\",\"Address\":\"127.0.0.1:%u\",\"Zone\":\"z\","
+      "\"Slots\":8,\"State\":\"%s\",\"Sequence\":1}",
+      httpd_port (f->server), state);
+
+  put_row (f, "servers/i-1", text);
+  g_free (text);
+}
+
+static void
+close_outside (void *user)
+{
+  struct fixture *f = user;
+
+  httpc_free (f->outside);
+}
+
+static struct httpd *
+listen_at (struct fixture *f,
+           void (*request) (void *user, struct httpd_request *request),
+           void (*gone) (void *user, struct httpd_request *request,
+                         bool complete))
+{
+  struct httpd_options options = { .loop = f->loop,
+                                   .address = "127.0.0.1",
+                                   .request = request,
+                                   .gone = gone,
+                                   .user = f };
+  struct httpd *httpd;
+
+  g_assert_cmpint (httpd_new (&options, &httpd), ==, 0);
+  return httpd;
+}
+
+static void
+start_gate (struct fixture *f)
+{
+  struct gate_options options = { .clk = clk_real (),
+                                  .loop = f->loop,
+                                  .settings = &f->settings,
+                                  .platform = f->platform,
+                                  .backend = f->backend,
+                                  .catalog = document_catalog (),
+                                  .drain_ms = 5000,
+                                  .close = close_outside,
+                                  .user = f };
+
+  options.gateway.caller = callers ();
+  options.gateway.front.address = "127.0.0.1";
+  options.gateway.zone = "z";
+  options.gateway.max_connections = 100;
+  options.gateway.retry_share = 1.0;
+  options.gateway.retry_burst = 100;
+  g_assert_cmpint (gate_new (&options, &f->gate), ==, 0);
+}
+
+static void
+set_up (struct fixture *f)
+{
+  struct httpc_options http = { 0 };
+  struct store_options store = { 0 };
+  char *address;
+
+  memset (f, 0, sizeof *f);
+  f->loop = loop_new (clk_real ());
+  f->rows = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, row_free);
+  f->feeds = g_ptr_array_new ();
+  f->seen = g_string_new (NULL);
+  f->got = g_string_new (NULL);
+  f->store = listen_at (f, on_store, on_store_gone);
+  f->server = listen_at (f, on_server, on_server_gone);
+  http.loop = f->loop;
+  f->caller = httpc_new (&http);
+  f->outside = httpc_new (&http);
+  address = g_strdup_printf ("127.0.0.1:%u", httpd_port (f->store));
+  store.httpc = f->outside;
+  store.address = address;
+  f->platform = store_new (&store);
+  f->backend = engine_new (f->outside);
+  g_free (address);
+  f->settings.node = g_strdup ("n1");
+  f->settings.zone = g_strdup ("z");
+  f->settings.region = g_strdup ("r");
+  f->settings.seeds = g_strdup ("");
+  f->settings.peer_address = g_strdup ("127.0.0.1");
+  f->settings.peer_token = g_strdup ("secret-of-nodes");
+  f->settings.entry_ttl_s = 1;
+  f->settings.loads_at_once = 4;
+  start_gate (f);
+}
+
+/* Until requests of routes are served.  */
+static void
+serve (struct fixture *f)
+{
+  put_config (f, 1);
+  list_server (f, "ready");
+  do
+    call (f, "GET", "/safe/warm", NULL);
+  while (f->status != 200);
+  f->at_server = 0;
+  f->gone_at_server = 0;
+}
+
+static void
+tear_down (struct fixture *f)
+{
+  httpc_free (f->caller);
+  gate_free (f->gate);
+  store_free (f->platform);
+  engine_free (f->backend);
+  httpd_free (f->store);
+  httpd_free (f->server);
+  loop_free (f->loop);
+  settings_clear (&f->settings);
+  g_hash_table_unref (f->rows);
+  g_ptr_array_unref (f->feeds);
+  g_string_free (f->seen, TRUE);
+  g_string_free (f->got, TRUE);
+  g_free (f->retry_after);
+}
+
+#endif
--- /dev/null
+++ b/tests/test_gate.c
@@ -0,0 +1,322 @@
+/* A whole gate with the platform's protocol, before a store and a backend
+   server that the test plays.  */
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include "gate_fixture.h"
+
+#define EVENT(n) "id: " #n "\ndata: x" #n "\n\n"
+
+/* What the server does goes by the last part of the path.  */
+static void
+at_server (struct fixture *f, struct httpd_request *request)
+{
+  const char *what = strrchr (httpd_path (request), '/') + 1;
+  const char *last = httpd_header (request, "Last-Event-Id");
+  const char *not_run[] = { "Parsleyrill-Not-Executed", "1", NULL };
+  const char *other[] = { ID, "another", SEAL, "seal", NULL };
+
+  if (strcmp (what, "hold") == 0)
+    f->held = request;
+  else if (strcmp (what, "reset") == 0)
+    httpd_drop (request);
+  else if (strcmp (what, "full") == 0 && f->at_server < 3)
+    httpd_answer (request, 503, "text/plain", not_run, "", 0);
+  else if (strcmp (what, "never") == 0)
+    httpd_answer (request, 503, "text/plain", not_run, "", 0);
+  else if (strcmp (what, "fails") == 0)
+    answer (request, 500, "failed");
+  else if (strcmp (what, "unsigned") == 0)
+    httpd_answer (request, 200, "text/plain", NULL, "whose", 5);
+  else if (strcmp (what, "others") == 0)
+    httpd_answer (request, 200, "text/plain", other, "whose", 5);
+  else if (strcmp (what, "events") == 0 && last == NULL)
+    {
+      begin_events (request, EVENT (1) EVENT (2) "id: 3\nda");
+      httpd_stream_abort (request);
+    }
+  else if (strcmp (what, "events") == 0)
+    {
+      begin_events (request, EVENT (3));
+      httpd_stream_end (request);
+    }
+  else
+    answer (request, 200, "hello");
+}
+
+/* Without a configuration a node knows of no route, which is no word on
+   whether there is one.  */
+static void
+test_starting (void)
+{
+  struct fixture f;
+
+  set_up (&f);
+  call (&f, "GET", "/safe/x", NULL);
+  g_assert_cmpint (f.status, ==, 503);
+  g_assert_nonnull (f.retry_after);
+  serve (&f);
+  call (&f, "GET", "/nowhere/x", NULL);
+  g_assert_cmpint (f.status, ==, 404);
+  g_assert_cmpuint (f.at_server, ==, 0);
+  tear_down (&f);
+}
+
+/* Head and target are passed on as they came, but for what this system
+   sets.  */
+static void
+test_head (void)
+{
+  static const char *const headers[] = { "Parsleyrill-Deadline-Ms: 5000",
+                                         "X-Own: 1",
+                                         "Parsleyrill-Hold: h",
+                                         "Parsleyrill-Pin-Ms: 1",
+                                         "Connection: X-Gone",
+                                         "X-Gone: 1",
+                                         NULL };
+  struct fixture f;
+  const char *deadline;
+
+  set_up (&f);
+  serve (&f);
+  call (&f, "GET", "/safe/a%20b/x?q=1&r=%2F", headers);
+  g_assert_cmpint (f.status, ==, 200);
+  g_assert_cmpstr (f.got->str, ==, "hello");
+  g_assert_true (
+      g_str_has_prefix (f.seen->str, "GET /safe/a%20b/x?q=1&r=%2F\n"));
+  g_assert_nonnull (strstr (f.seen->str, "\nX-Own: 1\n"));
+  g_assert_nonnull (strstr (f.seen->str, "\nHost: h.example\n"));
+  g_assert_nonnull (strstr (f.seen->str, "\n" ID ": r1\n"));
+  g_assert_nonnull (
+      strstr (f.seen->str, "\nParsleyrill-Expect-Instance: i-1\n"));
+  g_assert_null (strstr (f.seen->str, "Parsleyrill-Hold"));
+  g_assert_null (strstr (f.seen->str, "Parsleyrill-Pin-Ms"));
+  g_assert_null (strstr (f.seen->str, "X-Gone"));
+  deadline = strstr (f.seen->str, "Parsleyrill-Deadline-Ms: ");
+  g_assert_nonnull (deadline);
+  g_assert_cmpint (atoi (deadline + strlen ("Parsleyrill-Deadline-Ms: ")), <=,
+                   5000);
+  tear_down (&f);
+}
+
+struct retry_case
+{
+  const char *path;
+  long status;
+  unsigned at_server; /* requests that reach it */
+};
+
+/* What ran is repeated only where it may be; what did not run is said so only
+   then.  */
+static void
+test_retries (void)
+{
+  static const struct retry_case cases[] = {
+    { "/once/x", 200, 1 },      { "/once/fails", 500, 1 },
+    { "/once/reset", 502, 1 },  { "/once/unsigned", 502, 1 },
+    { "/once/others", 502, 1 }, { "/safe/reset", 502, 2 },
+    { "/safe/fails", 500, 2 },  { "/safe/unsigned", 502, 2 },
+    { "/cut/reset", 502, 1 },
+  };
+  struct fixture f;
+
+  set_up (&f);
+  serve (&f);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      f.at_server = 0;
+      g_test_message ("%s", cases[i].path);
+      call (&f, "GET", cases[i].path, NULL);
+      g_assert_cmpint (f.status, ==, cases[i].status);
+      g_assert_cmpuint (f.at_server, ==, cases[i].at_server);
+    }
+  tear_down (&f);
+}
+
+static void
+test_not_run (void)
+{
+  static const char *const soon[] = { "Parsleyrill-Deadline-Ms: 400", NULL };
+  struct fixture f;
+
+  set_up (&f);
+  serve (&f);
+  call (&f, "GET", "/once/never", soon);
+  g_assert_cmpint (f.status, ==, 503);
+  g_assert_cmpuint (f.at_server, >=, 1);
+  tear_down (&f);
+}
+
+/* One stream of the caller from two runs, whole events only.  */
+static void
+test_resume (void)
+{
+  struct fixture f;
+
+  set_up (&f);
+  serve (&f);
+  call (&f, "GET", "/long/events", NULL);
+  g_assert_cmpint (f.error, ==, 0);
+  g_assert_cmpstr (f.got->str, ==, EVENT (1) EVENT (2) EVENT (3));
+  g_assert_nonnull (strstr (f.seen->str, "\nLast-Event-Id: 2\n"));
+  f.at_server = 0;
+  call (&f, "GET", "/cut/events", NULL);
+  g_assert_cmpint (f.error, <, 0);
+  g_assert_cmpuint (f.at_server, ==, 1);
+  tear_down (&f);
+}
+
+/* A caller that leaves ends the work for it.  */
+static void
+test_gone (void)
+{
+  struct fixture f;
+
+  set_up (&f);
+  serve (&f);
+  start (&f, "GET", "/safe/hold", NULL);
+  UNTIL (&f, f.held != NULL);
+  httpc_cancel (f.call);
+  UNTIL (&f, f.gone_at_server > 0);
+  tear_down (&f);
+}
+
+/* A server that leaves gets no more, one that comes again does; a row that
+   cannot be read changes nothing.  */
+static void
+test_leaving (void)
+{
+  static const char *const soon[] = { "Parsleyrill-Deadline-Ms: 300", NULL };
+  struct fixture f;
+
+  set_up (&f);
+  serve (&f);
+  put_row (&f, "servers/i-1", "\xff{");
+  put_row (&f, "servers/i-2", "{\"State\":\"odd\"}");
+  put_row (&f, "op/config", "{\"Version\":");
+  for (int i = 0; i < 400; i++)
+    turn (&f);
+  call (&f, "GET", "/safe/x", NULL);
+  g_assert_cmpint (f.status, ==, 200);
+  list_server (&f, "draining");
+  do
+    call (&f, "GET", "/safe/x", soon);
+  while (f.status == 200);
+  g_assert_cmpint (f.status, ==, 503);
+  list_server (&f, "ready");
+  do
+    call (&f, "GET", "/safe/x", NULL);
+  while (f.status != 200);
+  tear_down (&f);
+}
+
+/* A request that comes late in a planned stop is refused at once; one that
+   was taken is answered, and its connection closed.  */
+static void
+test_drain (void)
+{
+  struct fixture f;
+
+  set_up (&f);
+  serve (&f);
+  start (&f, "GET", "/safe/hold", NULL);
+  UNTIL (&f, f.held != NULL);
+  gate_drain (f.gate);
+  answer (f.held, 200, "late");
+  UNTIL (&f, f.done);
+  g_assert_cmpint (f.status, ==, 200);
+  g_assert_cmpstr (f.got->str, ==, "late");
+  do
+    call (&f, "GET", "/safe/x", NULL);
+  while (f.status == 200);
+  g_assert_cmpint (f.status, ==, 503);
+  g_assert_nonnull (f.retry_after);
+  tear_down (&f);
+}
+
+static void
+send_raw (struct fixture *f, const char *text, char *got, size_t size)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  size_t n = 0;
+  ssize_t read_now = 1;
+
+  address.sin_port = htons (gate_port (f->gate));
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  g_assert_cmpint (connect (fd, (struct sockaddr *)&address, sizeof address),
+                   ==, 0);
+  g_assert_cmpint (send (fd, text, strlen (text), MSG_NOSIGNAL), ==,
+                   (ssize_t)strlen (text));
+  while (read_now != 0 && n < size - 1)
+    {
+      turn (f);
+      read_now = recv (fd, got + n, size - 1 - n, MSG_DONTWAIT);
+      if (read_now > 0)
+        n += (size_t)read_now;
+    }
+  got[n] = '\0';
+  close (fd);
+}
+
+struct raw_case
+{
+  const char *text;
+  const char *status; /* "": closed without an answer */
+};
+
+/* Heads that can be read in two ways, or not at all.  */
+static void
+test_raw (void)
+{
+  static const struct raw_case cases[] = {
+    { "GET /safe/x HTTP/1.1\r\nHost: h.example\r\n"
+      "Connection: close\r\n\r\n",
+      "400" },
+    { "POST /safe/x HTTP/1.1\r\nHost: h.example\r\n" ID ": r\r\n"
+      "Connection: close\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\n"
+      "abcd",
+      "400" },
+    { "POST /safe/x HTTP/1.1\r\nHost: h.example\r\n" ID ": r\r\n"
+      "Connection: close\r\nContent-Length: 4\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      "400" },
+    { "rubbish\r\n\r\n", "" },
+    { "GET /safe/x HTTP/1.1\r\nHost: h.example\r\n" ID ": r\r\n"
+      "Connection: close\r\n\r\n",
+      "200" },
+  };
+  struct fixture f;
+  char got[4096];
+
+  set_up (&f);
+  serve (&f);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_test_message ("%.40s", cases[i].text);
+      send_raw (&f, cases[i].text, got, sizeof got);
+      if (*cases[i].status != '\0')
+        g_assert_cmpint (
+            strncmp (got + strlen ("HTTP/1.1 "), cases[i].status, 3), ==, 0);
+    }
+  g_assert_cmpuint (f.at_server, ==, 1);
+  tear_down (&f);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/gate/starting", test_starting);
+  g_test_add_func ("/gate/head", test_head);
+  g_test_add_func ("/gate/retries", test_retries);
+  g_test_add_func ("/gate/not-run", test_not_run);
+  g_test_add_func ("/gate/resume", test_resume);
+  g_test_add_func ("/gate/gone", test_gone);
+  g_test_add_func ("/gate/leaving", test_leaving);
+  g_test_add_func ("/gate/drain", test_drain);
+  g_test_add_func ("/gate/raw", test_raw);
+  return g_test_run ();
+}
