--- /dev/null
+++ b/tests/test_documents.c
@@ -0,0 +1,188 @@
+/* The platform's settings file and rows, read into the project's types.  */
+
+#include <glib/gstdio.h>
+#include <stdlib.h>
+#include <unistd.h>
+#include "boot.h"
+#include "cases.h"
+#include "document.h"
+
+static const char *
+rest_of (const GArray *block, const char *word)
+{
+  for (guint i = 0; i < block->len; i++)
+    {
+      const struct cases_line *line
+          = &g_array_index (block, struct cases_line, i);
+
+      if (strcmp (line->word, word) == 0)
+        return line->rest;
+    }
+  return NULL;
+}
+
+static char *
+wanted_findings (const GArray *block, const char *path)
+{
+  GString *text = g_string_new (NULL);
+
+  for (guint i = 0; i < block->len; i++)
+    {
+      const struct cases_line *line
+          = &g_array_index (block, struct cases_line, i);
+
+      if (strcmp (line->word, "find") == 0)
+        g_string_append_printf (text, "%s\n", line->rest);
+    }
+  g_string_replace (text, "FILE", path, 0);
+  return g_string_free (text, FALSE);
+}
+
+static char *
+found_findings (const struct findings *findings)
+{
+  GString *text = g_string_new (NULL);
+  const struct finding *finding;
+
+  CK_STAILQ_FOREACH (finding, &findings->list, link)
+    {
+      g_string_append_printf (text, "%s: %s\n", finding->place, finding->text);
+    }
+  return g_string_free (text, FALSE);
+}
+
+static void
+check_boot (const GArray *block, const char *path)
+{
+  char *wanted = wanted_findings (block, path);
+  struct findings findings;
+  struct boot boot;
+  char *found;
+
+  g_assert_true (
+      g_file_set_contents (path, rest_of (block, "file"), -1, NULL));
+  findings_init (&findings);
+  boot_read (path, &boot, &findings);
+  found = found_findings (&findings);
+  g_assert_cmpstr (found, ==, wanted);
+  findings_clear (&findings);
+  boot_clear (&boot);
+  g_free (found);
+  g_free (wanted);
+}
+
+static void
+test_boot (void)
+{
+  GPtrArray *blocks = cases_read ("tests/cases/boot.txt");
+  char *path = NULL;
+  int fd = g_file_open_tmp ("boot-XXXXXX", &path, NULL);
+
+  g_assert_cmpint (fd, >=, 0);
+  close (fd);
+  for (guint i = 0; i < blocks->len; i++)
+    check_boot (g_ptr_array_index (blocks, i), path);
+  g_unlink (path);
+  g_free (path);
+  g_ptr_array_unref (blocks);
+}
+
+static void
+test_no_file (void)
+{
+  struct findings findings;
+  struct boot boot;
+
+  findings_init (&findings);
+  g_assert_cmpint (boot_read (NULL, &boot, &findings), <, 0);
+  boot_clear (&boot);
+  g_assert_cmpint (boot_read ("/nonexistent/x", &boot, &findings), <, 0);
+  boot_clear (&boot);
+  g_assert_cmpuint (findings.count, ==, 2);
+  findings_clear (&findings);
+}
+
+static void
+check_row (const GArray *block)
+{
+  const struct catalog *catalog = document_catalog ();
+  const char *wanted = rest_of (block, "why");
+  struct server_entry entry = { 0 };
+  const char *why = NULL;
+  int err = catalog->ops->server (catalog, "i", rest_of (block, "row"), &entry,
+                                  &why);
+
+  g_assert_cmpstr (why, ==, wanted);
+  g_assert_cmpint (err < 0, ==, wanted != NULL);
+  server_entry_clear (&entry);
+}
+
+static void
+test_rows (void)
+{
+  GPtrArray *blocks = cases_read ("tests/cases/rows.txt");
+
+  for (guint i = 0; i < blocks->len; i++)
+    check_row (g_ptr_array_index (blocks, i));
+  g_ptr_array_unref (blocks);
+}
+
+static void
+test_holding (void)
+{
+  static const char row[]
+      = "{\"Service\":\"s\",\"Address\":\"1.2.3.4:5\",\"Slots\":8,"
+        "\"State\":\"ready\",\"born\":17,\"Sequence\":3,\"Models\":[{\"Name\":"
+        "\"m\",\"Adapters\":[\"a1\"]}],\"AtHand\":{\"OnDisk\":[\"n\"]}}";
+  const struct catalog *catalog = document_catalog ();
+  struct server_entry entry = { 0 };
+  const char *why;
+
+  g_assert_cmpint (catalog->ops->server (catalog, "i", row, &entry, &why), ==,
+                   0);
+  g_assert_true (holding_has (entry.holding, "m", "a1"));
+  g_assert_false (holding_has (entry.holding, "m", "a2"));
+  g_assert_true (holding_names (entry.holding->on_disk, "n"));
+  g_assert_cmpint (entry.holding->born, ==, 17);
+  g_assert_cmpuint (entry.holding->sequence, ==, 3);
+  server_entry_clear (&entry);
+}
+
+static void
+check_config (const char *text, int places)
+{
+  const struct catalog *catalog = document_catalog ();
+  struct findings findings;
+  struct site *site = NULL;
+
+  findings_init (&findings);
+  catalog->ops->site (catalog, text, &site, &findings);
+  g_assert_cmpuint (findings.count, ==, places);
+  g_assert_true ((site == NULL) == (places > 0));
+  site_unref (site);
+  findings_clear (&findings);
+}
+
+static void
+test_config (void)
+{
+  check_config ("{\"Version\":3,\"New\":1}", 0);
+  check_config ("{\"Version\":3,\"Routes\":[{}],\"Services\":[7]}", 2);
+  check_config ("{\"Version\":\"3\"}", 1);
+  check_config ("{\"Routes\":[{\"Hostname\":\"h\",\"Prefix\":\"/\","
+                "\"Kind\":\"odd\"}]}",
+                2);
+  check_config ("\xff", 1);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/documents/boot", test_boot);
+  g_test_add_func ("/documents/no-file", test_no_file);
+  g_test_add_func ("/documents/rows", test_rows);
+  g_test_add_func ("/documents/holding", test_holding);
+  g_test_add_func ("/documents/config", test_config);
+  return g_test_run ();
+}
--- /dev/null
+++ b/tests/test_servers.c
@@ -0,0 +1,275 @@
+/* Routes, backend servers and what is known of what they hold.  */
+
+#include <glib.h>
+#include "backend.h"
+#include "histo.h"
+#include "rates.h"
+#include "retry.h"
+#include "servers.h"
+#include "site.h"
+#include "ts.h"
+
+static void
+add_route (struct site *site, const char *host, const char *prefix)
+{
+  struct site_route route = { .name = g_strdup (prefix),
+                              .host = g_strdup (host),
+                              .prefix = g_strdup (prefix) };
+
+  g_array_append_val (site->routes, route);
+}
+
+static const char *
+route_name (struct site *site, const char *host, const char *path)
+{
+  const struct site_route *route = site_route (site, host, path);
+
+  return route != NULL ? route->name : NULL;
+}
+
+static void
+test_routes (void)
+{
+  struct site *site = site_new ();
+
+  add_route (site, "a.example", "/x/");
+  add_route (site, "a.example", "/x/y/");
+  add_route (site, "B.example", "/");
+  site_index (site);
+  g_assert_cmpstr (route_name (site, "a.example", "/x/1"), ==, "/x/");
+  g_assert_cmpstr (route_name (site, "a.example", "/x/y/1"), ==, "/x/y/");
+  g_assert_cmpstr (route_name (site, "A.example:80", "/x/yy"), ==, "/x/");
+  g_assert_cmpstr (route_name (site, "b.example", "/any"), ==, "/");
+  g_assert_null (route_name (site, "a.example", "/x"));
+  g_assert_null (route_name (site, "c.example", "/x/"));
+  site_unref (site);
+}
+
+static void
+test_split (void)
+{
+  struct site_split splits[] = { { (char *)"a", 90 }, { (char *)"b", 10 } };
+  struct site_route route = { .splits = splits, .split_count = 2 };
+  unsigned b = 0;
+
+  for (uint64_t i = 0; i < 1000; i++)
+    b += *site_split (&route, i) == 'b';
+  g_assert_cmpuint (b, ==, 100);
+  splits[0].weight = splits[1].weight = 0;
+  g_assert_null (site_split (&route, 7));
+}
+
+struct fixture
+{
+  struct servers *servers;
+  GArray *replicas;
+  struct timespec ready_at;
+};
+
+static void
+set_up (struct fixture *f)
+{
+  f->servers = servers_new ();
+  f->replicas = g_array_new (FALSE, FALSE, sizeof (struct route_replica));
+}
+
+static void
+tear_down (struct fixture *f)
+{
+  servers_free (f->servers);
+  g_array_unref (f->replicas);
+}
+
+/* Lists engine ID, started at BORN, with MODEL and its adapter a1.  */
+static void
+put (struct fixture *f, const char *id, const char *model, int64_t born,
+     uint64_t sequence, bool leaving)
+{
+  struct server_entry entry = { .id = (char *)id,
+                                .address = (char *)"10.0.0.1:1",
+                                .zone = (char *)"z",
+                                .service = (char *)"s",
+                                .slots = 8,
+                                .leaving = leaving,
+                                .holding = holding_new () };
+
+  entry.holding->born = born;
+  entry.holding->sequence = sequence;
+  if (model != NULL)
+    holding_add_adapter (holding_add (entry.holding, model), "a1");
+  servers_put (f->servers, &entry, ts_from_ms (0));
+  holding_free (entry.holding);
+}
+
+static unsigned
+count (struct fixture *f, const char *model, const char *adapter, int64_t ms)
+{
+  g_array_set_size (f->replicas, 0);
+  servers_replicas (f->servers, "s", model, adapter, ts_from_ms (ms),
+                    f->replicas, &f->ready_at);
+  return f->replicas->len;
+}
+
+static void
+test_listed (void)
+{
+  struct fixture f;
+
+  set_up (&f);
+  put (&f, "e1", "m", 1, 5, false);
+  put (&f, "e2", "n", 1, 5, false);
+  g_assert_cmpuint (count (&f, "m", NULL, 0), ==, 1);
+  g_assert_cmpuint (count (&f, "m", "a1", 0), ==, 1);
+  g_assert_cmpuint (count (&f, "m", "a2", 0), ==, 0);
+  g_assert_cmpuint (count (&f, NULL, NULL, 0), ==, 2);
+  put (&f, "e1", NULL, 1, 4, false); /* older than what is known */
+  g_assert_cmpuint (count (&f, "m", NULL, 0), ==, 1);
+  put (&f, "e1", NULL, 2, 1, false); /* started again */
+  g_assert_cmpuint (count (&f, "m", NULL, 0), ==, 0);
+  put (&f, "e2", "n", 1, 6, true);
+  g_assert_cmpuint (count (&f, "n", NULL, 0), ==, 0);
+  tear_down (&f);
+}
+
+/* Entries that vanish after an outage are kept until they can have come
+   back.  */
+static void
+test_dropped (void)
+{
+  struct fixture f;
+
+  set_up (&f);
+  put (&f, "e1", "m", 1, 5, false);
+  servers_drop (f.servers, "e1", ts_from_ms (2000));
+  servers_drop (f.servers, "e1", ts_from_ms (9000)); /* the first counts */
+  g_assert_false (servers_expire (f.servers, ts_from_ms (1999)));
+  g_assert_cmpuint (count (&f, "m", NULL, 1999), ==, 1);
+  put (&f, "e1", "m", 1, 6, false);
+  g_assert_false (servers_expire (f.servers, ts_from_ms (2000)));
+  servers_drop (f.servers, "e1", ts_from_ms (2500));
+  g_assert_true (servers_expire (f.servers, ts_from_ms (2500)));
+  g_assert_cmpuint (count (&f, "m", NULL, 2500), ==, 0);
+  tear_down (&f);
+}
+
+static void
+tell (struct fixture *f, const char *engine, const char *model,
+      enum backend_copy_state state, uint64_t ready_ms)
+{
+  struct peer_replica replica = { .engine = (char *)engine,
+                                  .model = (char *)model,
+                                  .state = state,
+                                  .ready_ms = ready_ms };
+
+  servers_told (f->servers, &replica);
+}
+
+/* What the decider tells goes first while it is fresh.  */
+static void
+test_told (void)
+{
+  struct fixture f;
+
+  set_up (&f);
+  put (&f, "e1", "m", 1, 5, false);
+  servers_told_begin (f.servers, ts_from_ms (1000));
+  tell (&f, "e1", "n", BACKEND_COPY_LOADED, 0);
+  tell (&f, "e1", "o", BACKEND_COPY_LOADING, 700);
+  tell (&f, SERVERS_NOWHERE, "p", BACKEND_COPY_LOADING, 6000);
+  g_assert_cmpuint (count (&f, "m", NULL, 1500), ==, 0);
+  g_assert_cmpuint (count (&f, "n", NULL, 1500), ==, 1);
+  g_assert_cmpuint (count (&f, "o", NULL, 1500), ==, 0);
+  g_assert_cmpint (ts_to_ms (f.ready_at), ==, 1700);
+  g_assert_cmpuint (count (&f, "p", NULL, 1500), ==, 0);
+  g_assert_cmpint (ts_to_ms (f.ready_at), ==, 7000);
+  g_assert_cmpuint (count (&f, "m", NULL, 1000 + SERVERS_TOLD_MS), ==, 1);
+  tear_down (&f);
+}
+
+static void
+test_lacks (void)
+{
+  struct fixture f;
+
+  set_up (&f);
+  put (&f, "e1", "m", 1, 5, false);
+  servers_lacks (f.servers, "e1", "m/a1", ts_from_ms (100));
+  g_assert_cmpuint (count (&f, "m", "a1", 100), ==, 0);
+  g_assert_cmpuint (count (&f, "m", NULL, 100), ==, 1);
+  g_assert_cmpuint (count (&f, "m", "a1", 100 + SERVERS_LACKS_MS), ==, 1);
+  tear_down (&f);
+}
+
+static void
+test_rates (void)
+{
+  struct rates *rates = rates_new ();
+  double per_s;
+
+  g_assert_cmpfloat (rates_per_s (rates, "m", ts_from_ms (0)), ==, 0);
+  for (int64_t ms = 0; ms < 60000; ms += 500)
+    rates_add (rates, "m", 1, ts_from_ms (ms));
+  per_s = rates_per_s (rates, "m", ts_from_ms (60000));
+  g_assert_cmpfloat (per_s, >, 1.8);
+  g_assert_cmpfloat (per_s, <, 2.2);
+  g_assert_cmpfloat (rates_idle_s (rates, "m", ts_from_ms (61500)), ==, 2);
+  rates_free (rates);
+}
+
+/* Over all of a target's requests no more repeats than the share and what was
+   saved up, whatever other targets do.  */
+static void
+test_retry_budget (void)
+{
+  struct retry_options options = { .percent = 10, .burst = 3 };
+  struct retry *retry = retry_new_with (&options);
+  unsigned taken = 0;
+
+  for (int i = 0; i < 1000; i++)
+    {
+      retry_first (retry, "busy");
+      retry_first (retry, "other");
+      taken += retry_take (retry, "busy");
+    }
+  g_assert_cmpuint (taken, <=, 103);
+  g_assert_cmpuint (taken, >=, 100);
+  g_assert_true (retry_take (retry, "other"));
+  options.burst = 0;
+  retry_limit (retry, &options);
+  g_assert_false (retry_take (retry, "other"));
+  retry_free (retry);
+}
+
+static void
+test_histo (void)
+{
+  GString *text = g_string_new (NULL);
+
+  histo_add (HISTO_WAIT, ts_from_ms (0));
+  histo_add (HISTO_WAIT, ts_from_ms (5));
+  histo_add (HISTO_WAIT, ts_from_ms (200000));
+  histo_text (text);
+  g_assert_nonnull (
+      strstr (text->str, "parsley_wait_seconds_bucket{le=\"0.001\"} 1\n"));
+  g_assert_nonnull (
+      strstr (text->str, "parsley_wait_seconds_bucket{le=\"0.008\"} 2\n"));
+  g_assert_nonnull (
+      strstr (text->str, "parsley_wait_seconds_bucket{le=\"+Inf\"} 3\n"));
+  g_string_free (text, TRUE);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/site/routes", test_routes);
+  g_test_add_func ("/site/split", test_split);
+  g_test_add_func ("/servers/listed", test_listed);
+  g_test_add_func ("/servers/dropped", test_dropped);
+  g_test_add_func ("/servers/told", test_told);
+  g_test_add_func ("/servers/lacks", test_lacks);
+  g_test_add_func ("/rates", test_rates);
+  g_test_add_func ("/retry/budget", test_retry_budget);
+  g_test_add_func ("/histo", test_histo);
+  return g_test_run ();
+}
--- /dev/null
+++ b/tests/test_stock.c
@@ -0,0 +1,293 @@
+/* Patterns of load that placement answers, one a test.  */
+
+#include <glib.h>
+#include "stock.h"
+#include "ts.h"
+
+#define MODELS 6
+#define MEMORY_MB 200
+#define BIG_MB 90
+
+struct fixture
+{
+  struct stock *stock;
+  struct site_service service;
+  struct site_model models[MODELS];
+  char names[MODELS][4];
+  struct action_list list;
+  int64_t ms;
+};
+
+/* COUNT of the models are configured.  */
+static void
+set_up (struct fixture *f, size_t count)
+{
+  struct stock_options options = { .loads_at_once = 2, .now = ts_from_ms (0) };
+
+  memset (f, 0, sizeof *f);
+  for (int i = 0; i < MODELS; i++)
+    {
+      g_snprintf (f->names[i], sizeof f->names[i], "m%d", i);
+      f->models[i] = (struct site_model){ .name = f->names[i],
+                                          .memory_mb = BIG_MB,
+                                          .adapters = i == 0 ? 9 : 0,
+                                          .load_s = 6.0,
+                                          .disk_s = 1.2,
+                                          .memory_s = 0.4 };
+    }
+  f->service = (struct site_service){ .name = (char *)"s",
+                                      .engines = true,
+                                      .memory_mb = MEMORY_MB,
+                                      .adapter_slots = 2,
+                                      .loads_per_s = 2.0,
+                                      .models = f->models,
+                                      .model_count = count };
+  f->stock = stock_new (&options);
+  stock_service (f->stock, &f->service, ts_from_ms (0));
+  action_list_init (&f->list);
+  f->ms = 20000; /* long after the start */
+}
+
+static void
+tear_down (struct fixture *f)
+{
+  action_list_clear (&f->list);
+  stock_free (f->stock);
+}
+
+/* Engine ID reports that it holds HELD, and has ON_DISK, names parted by
+   blanks.  */
+static void
+report (struct fixture *f, const char *id, uint64_t sequence, bool busy,
+        const char *held, const char *on_disk)
+{
+  struct holding *holding = holding_new ();
+  struct server_entry entry = { .id = (char *)id,
+                                .address = (char *)"10.0.0.1:1",
+                                .zone = (char *)"z",
+                                .service = (char *)"s",
+                                .slots = 8,
+                                .holding = holding };
+  char **names = g_strsplit (held, " ", -1);
+  char **copies = g_strsplit (on_disk, " ", -1);
+
+  holding->born = 1;
+  holding->sequence = sequence;
+  holding->busy = busy;
+  for (char **name = names; *name != NULL; name++)
+    if (**name != '\0')
+      holding_add (holding, *name);
+  for (char **name = copies; *name != NULL; name++)
+    g_ptr_array_add (holding->on_disk, g_strdup (*name));
+  stock_engine (f->stock, &entry);
+  stock_report (f->stock, id, holding, ts_from_ms (f->ms), &f->list);
+  holding_free (holding);
+  g_strfreev (names);
+  g_strfreev (copies);
+}
+
+/* The next order, as "load ENGINE TARGET" or "unload ENGINE TARGET"; NULL:
+   none.  */
+static char *
+next_order (struct fixture *f)
+{
+  struct action *next;
+  char *text = NULL;
+
+  while (text == NULL && (next = action_pop (&f->list)) != NULL)
+    {
+      const struct stock_action *action = (struct stock_action *)next;
+      bool load = action->type == BACKEND_LOAD
+                  || action->type == BACKEND_ADAPTER_LOAD;
+
+      if (next->type == STOCK_ORDER)
+        text = g_strdup_printf (
+            "%s %s %s%s%s", load ? "load" : "unload", action->engine,
+            action->model, action->adapter != NULL ? "/" : "",
+            action->adapter != NULL ? action->adapter : "");
+      action_free (next);
+    }
+  return text;
+}
+
+static void
+check_order (struct fixture *f, const char *wanted)
+{
+  char *order = next_order (f);
+
+  g_assert_cmpstr (order, ==, wanted);
+  g_free (order);
+}
+
+static void
+tick (struct fixture *f, int64_t ms)
+{
+  f->ms += ms;
+  stock_tick (f->stock, ts_from_ms (f->ms), &f->list);
+}
+
+static void
+accept (struct fixture *f, const char *id)
+{
+  stock_answered (f->stock, id, BACKEND_ACCEPTED, ts_from_ms (f->ms),
+                  &f->list);
+}
+
+/* A rare model is asked for: the engine with its weights at hand takes it,
+   and the model that nobody calls makes way.  */
+static void
+test_rare (void)
+{
+  struct fixture f;
+
+  set_up (&f, MODELS);
+  report (&f, "e1", 3, false, "m0 m1", "m0 m1");
+  report (&f, "e2", 3, false, "m2 m3", "m2 m3 m4");
+  for (int i = 0; i < 40; i++)
+    {
+      stock_call (f.stock, "m0", 1, ts_from_ms (f.ms));
+      stock_call (f.stock, "m1", 1, ts_from_ms (f.ms));
+      stock_call (f.stock, "m3", 1, ts_from_ms (f.ms));
+      f.ms += 50;
+    }
+  stock_want (f.stock, "n", "m4", 1, 0);
+  tick (&f, 100);
+  check_order (&f, "unload e2 m2");
+  accept (&f, "e2");
+  f.ms += 300;
+  report (&f, "e2", 4, false, "m3", "m2 m3 m4");
+  tick (&f, 100);
+  check_order (&f, "load e2 m4");
+  tear_down (&f);
+}
+
+/* Its weights are on an engine that is busy: it is waited for, not fetched
+   elsewhere.  */
+static void
+test_busy_engine (void)
+{
+  struct fixture f;
+
+  set_up (&f, MODELS);
+  report (&f, "e1", 3, false, "m0 m1", "m0 m1 m5");
+  report (&f, "e2", 3, false, "m2", "m2 m3 m4");
+  stock_want (f.stock, "n", "m3", 1, 0);
+  tick (&f, 1000);
+  check_order (&f, "load e2 m3");
+  accept (&f, "e2");
+  stock_want (f.stock, "n", "m4", 1, 0);
+  tick (&f, 100);
+  check_order (&f, NULL);
+  tear_down (&f);
+}
+
+/* Idle models do not take each other's places.  */
+static void
+test_no_churn (void)
+{
+  struct fixture f;
+
+  set_up (&f, MODELS);
+  report (&f, "e1", 3, false, "m0 m1", "m0 m1 m2 m3 m4 m5");
+  report (&f, "e2", 3, false, "m2 m3", "m0 m1 m2 m3 m4 m5");
+  for (int i = 0; i < 100; i++)
+    tick (&f, 100);
+  check_order (&f, NULL);
+  tear_down (&f);
+}
+
+/* An adapter is wanted and both places are taken: the one that is called
+   least goes, but not while it is on its way.  */
+static void
+test_adapters (void)
+{
+  struct fixture f;
+
+  set_up (&f, 1);
+  report (&f, "e1", 3, false, "m0", "m0");
+  stock_want (f.stock, "n", "m0/a1", 1, 0);
+  tick (&f, 0);
+  check_order (&f, "load e1 m0/a1");
+  accept (&f, "e1");
+  stock_want (f.stock, "n", "m0/a2", 1, 0);
+  tick (&f, 20);
+  check_order (&f, "load e1 m0/a2");
+  accept (&f, "e1");
+  stock_want (f.stock, "n", "m0/a1", 0, 0);
+  stock_want (f.stock, "n", "m0/a2", 0, 0);
+  stock_call (f.stock, "m0/a2", 1, ts_from_ms (f.ms));
+  stock_want (f.stock, "n", "m0/a3", 1, 0);
+  tick (&f, 20);
+  check_order (&f, NULL);
+  tick (&f, 500);
+  check_order (&f, "unload e1 m0/a1");
+  stock_answered (f.stock, "e1", BACKEND_HOLDS, ts_from_ms (f.ms), &f.list);
+  tick (&f, 0);
+  check_order (&f, "load e1 m0/a3");
+  tear_down (&f);
+}
+
+/* Requests wait for a model that an engine is thought to hold, and nobody is
+   at its address: it is loaded elsewhere.  */
+static void
+test_engine_down (void)
+{
+  struct fixture f;
+  struct action *action;
+  bool asked = false;
+
+  set_up (&f, 2);
+  report (&f, "e1", 3, false, "m0", "m0");
+  report (&f, "e2", 3, false, "m1", "m0 m1");
+  stock_want (f.stock, "n", "m0", 1, 0);
+  tick (&f, 1000);
+  while ((action = action_pop (&f.list)) != NULL)
+    {
+      asked = asked || action->type == STOCK_ASK;
+      g_assert_cmpint (action->type, !=, STOCK_ORDER);
+      action_free (action);
+    }
+  g_assert_true (asked);
+  stock_engine_down (f.stock, "e1");
+  tick (&f, 100);
+  check_order (&f, "load e2 m0");
+  tear_down (&f);
+}
+
+/* An answer is lost: the same order is sent again, under the same count, until
+   a report shows that it was carried out.  */
+static void
+test_lost_answer (void)
+{
+  struct fixture f;
+
+  set_up (&f, 1);
+  report (&f, "e1", 3, false, "", "m0");
+  stock_want (f.stock, "n", "m0", 1, 0);
+  tick (&f, 1000);
+  check_order (&f, "load e1 m0");
+  stock_answered (f.stock, "e1", BACKEND_UNKNOWN, ts_from_ms (f.ms), &f.list);
+  tick (&f, 1000);
+  check_order (&f, "load e1 m0");
+  stock_answered (f.stock, "e1", BACKEND_BUSY, ts_from_ms (f.ms), &f.list);
+  f.ms += 200;
+  report (&f, "e1", 4, true, "", "m0");
+  g_assert_cmpuint (stock_open (f.stock), ==, 1);
+  f.ms += 1500;
+  report (&f, "e1", 4, false, "m0", "m0");
+  g_assert_cmpuint (stock_open (f.stock), ==, 0);
+  tear_down (&f);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/stock/rare-model", test_rare);
+  g_test_add_func ("/stock/weights-on-busy-engine", test_busy_engine);
+  g_test_add_func ("/stock/idle-models-stay", test_no_churn);
+  g_test_add_func ("/stock/adapters", test_adapters);
+  g_test_add_func ("/stock/engine-down", test_engine_down);
+  g_test_add_func ("/stock/lost-answer", test_lost_answer);
+  return g_test_run ();
+}
