--- a/Makefile
+++ b/Makefile
@@ -105,7 +105,11 @@
 format:
 	clang-format -i $(C_FILES) $(filter %.h,$(H_FILES)) $(CC_FILES)
 
+# Words of the platform's protocol, which only platform/ and its tests know.
+PLATFORM_WORDS = Parsleyrill-|rows-(tx|get|feed|parts)|blob-(put|get|drop|list)|/v1/(order|report|resolve|ready|hold-|kv-)|FencingToken|WeightsMb|TargetLatencyMs|TrafficSplit|"PARSLEYRILL_SETTINGS
+
 lint:
+	! grep -rnE '$(PLATFORM_WORDS)' src daemons standins bench
 	clang-format --dry-run --Werror $(C_FILES) $(filter %.h,$(H_FILES)) $(CC_FILES)
 	printf '%s\n' $(filter src/% platform/% daemons/% standins/% bench/%,$(C_FILES)) | xargs -P 8 -I{} clang-tidy --quiet {} -- $(CPPFLAGS) -std=c17 2>$(or $(TMPDIR),/tmp)/parsleyrill-tidy.err
 	cppcheck --quiet --error-exitcode=1 --std=c11 --enable=warning,performance,portability --inline-suppr --suppress=missingIncludeSystem --suppress=uninitvar -D_GNU_SOURCE -Isrc -Iplatform -j 8 src platform daemons standins bench
--- a/src/forward.c
+++ b/src/forward.c
@@ -99,7 +99,10 @@
   if (forward_not_run (forward))
     forward_refuse (forward, 503, "no server was free in time", 0);
   else
-    forward_refuse (forward, 504, "no answer in time", 0);
+    forward_refuse (forward, 504,
+                    forward->begun ? "the stream did not end in time"
+                                   : "no answer in time",
+                    0);
 }
 
 void
--- /dev/null
+++ b/src/stock_adapter.c
@@ -0,0 +1,157 @@
+#include <limits.h>
+#include <math.h>
+#include <string.h>
+#include "stock_plan.h"
+#include "ts.h"
+
+/* An adapter that may go from ENGINE: the least called, none that requests
+   wait for; *MODEL is its model.  */
+static const char *
+adapter_victim (const struct plan *plan, const struct stock_engine *engine,
+                const char **model)
+{
+  const char *victim = NULL;
+  double least = INFINITY;
+
+  for (guint i = 0; i < engine->held->models->len; i++)
+    {
+      const struct holding_model *held
+          = g_ptr_array_index (engine->held->models, i);
+
+      for (guint j = 0; j < held->adapters->len; j++)
+        {
+          const char *adapter = g_ptr_array_index (held->adapters, j);
+          char *target = servers_target (held->name, adapter);
+          double per_s = rates_per_s (plan->stock->demand, target, plan->now);
+
+          g_free (target);
+          if (per_s >= least)
+            continue;
+          least = per_s;
+          victim = adapter;
+          *model = held->name;
+        }
+    }
+  return victim;
+}
+
+static unsigned
+adapter_replicas (const struct plan *plan, const char *model,
+                  const char *adapter)
+{
+  const struct stock_engine *engine;
+  GHashTableIter iter;
+  unsigned n = 0;
+
+  g_hash_table_iter_init (&iter, plan->stock->engines);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&engine))
+    {
+      const struct stock_order *order = &engine->order;
+
+      if (engine->leaving)
+        continue;
+      n += holding_has (engine->held, model, adapter);
+      n += order->stage != STAGE_NONE && order->type == BACKEND_ADAPTER_LOAD
+           && strcmp (order->model, model) == 0
+           && strcmp (order->adapter, adapter) == 0;
+    }
+  return n;
+}
+
+/* The engine with MODEL that has most room for an adapter.  */
+static struct stock_engine *
+adapter_engine (const struct plan *plan, const char *model,
+                const char *adapter)
+{
+  struct stock_engine *best = NULL;
+  struct stock_engine *engine;
+  unsigned least = UINT_MAX;
+  GHashTableIter iter;
+
+  g_hash_table_iter_init (&iter, plan->stock->engines);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&engine))
+    {
+      unsigned n = holding_adapters (engine->held);
+
+      if (!stock_can_order (engine, plan->now) || n >= least
+          || !holding_has (engine->held, model, NULL)
+          || holding_has (engine->held, model, adapter))
+        continue;
+      best = engine;
+      least = n;
+    }
+  return best;
+}
+
+static void
+place_adapter (struct plan *plan, const char *model, const char *adapter,
+               const char *cause, bool evict)
+{
+  struct stock_engine *engine = adapter_engine (plan, model, adapter);
+  const char *victim;
+  const char *of = NULL;
+
+  if (engine == NULL)
+    return;
+  if (holding_adapters (engine->held) < plan->stock->service->adapter_slots)
+    {
+      stock_give (plan->stock, engine, BACKEND_ADAPTER_LOAD, model, adapter,
+                  g_strdup_printf ("cause=%s", cause), plan->now, plan->out);
+      return;
+    }
+  if (ts_before (plan->now, engine->settled_at) || engine->held->coming > 0)
+    return;
+  victim = evict ? adapter_victim (plan, engine, &of) : NULL;
+  if (victim != NULL)
+    stock_give (plan->stock, engine, BACKEND_ADAPTER_UNLOAD, of, victim,
+                g_strdup_printf ("cause=room for=%s/%s", model, adapter),
+                plan->now, plan->out);
+}
+
+void
+stock_adapters_wanted (struct plan *plan)
+{
+  const struct stock_want *want;
+  GHashTableIter iter;
+
+  g_hash_table_iter_init (&iter, plan->stock->wants);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&want))
+    {
+      const char *slash = strchr (want->target, '/');
+      char *model;
+
+      if (slash == NULL)
+        continue;
+      model = g_strndup (want->target, (gsize)(slash - want->target));
+      if (plan_model (plan, model) != NULL
+          && adapter_replicas (plan, model, slash + 1) == 0)
+        place_adapter (plan, model, slash + 1, "waiting", true);
+      g_free (model);
+    }
+}
+
+/* An adapter that is called more often than one engine should serve gets
+   another place where one is free.  */
+static void
+add_adapter (void *user, const char *target, double count)
+{
+  struct plan *plan = user;
+  const char *slash = strchr (target, '/');
+  unsigned need
+      = (unsigned)ceil (count / RATES_S * STOCK_CALL_S / STOCK_BUSY_SHARE);
+  char *model;
+
+  if (slash == NULL || need < 2)
+    return;
+  model = g_strndup (target, (gsize)(slash - target));
+  if (plan_model (plan, model) != NULL
+      && adapter_replicas (plan, model, slash + 1) < need)
+    place_adapter (plan, model, slash + 1, "calls", false);
+  g_free (model);
+}
+
+void
+stock_adapters_busy (struct plan *plan)
+{
+  rates_each (plan->stock->demand, plan->now, add_adapter, plan);
+}
--- a/src/stock_plan.c
+++ b/src/stock_plan.c
@@ -1,14 +1,8 @@
 #include <math.h>
 #include <string.h>
-#include "stock_state.h"
+#include "stock_plan.h"
 #include "ts.h"
 
-/* Engine seconds that a call takes, in the mean over prompt and answer, and
-   the share of an engine's time that calls of one model may fill: from
-   engines that read 38,700 prompt tokens a second.  */
-#define CALL_S 0.12
-#define BUSY_SHARE 0.4
-
 #define HORIZON_S 10.0   /* of calls that a reload would hold up */
 #define PRIOR_PER_S 0.03 /* calls of a model never called, for its value */
 /* Of any model loaded, whatever its calls: a reload is an order and may hold
@@ -30,27 +24,6 @@
 #define RUNNING_VALUE 3.0
 #define WANTED_VALUE 1e6 /* never evicted */
 
-/* A model in this round.  */
-struct plan_model
-{
-  const struct site_model *site;
-  double per_s;
-  unsigned replicas; /* loaded or being loaded, on engines that stay */
-  unsigned loaded;
-  unsigned waiting;  /* requests, adapters' included */
-  unsigned priority; /* of the most urgent */
-  bool at_hand;      /* some engine has its weights in memory or on disk */
-  bool planned;      /* room is being made for it */
-};
-
-struct plan
-{
-  struct stock *stock;
-  struct timespec now;
-  struct action_list *out;
-  GHashTable *models; /* name to struct plan_model */
-};
-
 /* One way to get a model onto an engine.  */
 struct plan_place
 {
@@ -61,12 +34,6 @@
   bool fetches;
 };
 
-static struct plan_model *
-plan_model (const struct plan *plan, const char *name)
-{
-  return g_hash_table_lookup (plan->models, name);
-}
-
 static void
 count_engine (struct plan *plan, const struct stock_engine *engine)
 {
@@ -165,7 +132,7 @@
 needed (const struct plan *plan, const struct plan_model *model)
 {
   double known_s = ts_to_s (ts_sub (plan->now, plan->stock->started_at));
-  unsigned n = (unsigned)ceil (model->per_s * CALL_S / BUSY_SHARE);
+  unsigned n = (unsigned)ceil (model->per_s * STOCK_CALL_S / STOCK_BUSY_SHARE);
 
   if (known_s < LEARN_S)
     n = MAX (n, MIN (model->loaded, START_REPLICAS));
@@ -483,7 +450,7 @@
       unsigned need = needed (plan, model);
 
       if (!model->planned && model->replicas > 0 && model->replicas < need)
-        try_place (plan, model, model->per_s * CALL_S * HORIZON_S, true);
+        try_place (plan, model, model->per_s * STOCK_CALL_S * HORIZON_S, true);
     }
 }
 
@@ -513,153 +480,6 @@
     }
 }
 
-/* Adapters.  */
-
-/* An adapter that may go from ENGINE: the least called, none that requests
-   wait for; *MODEL is its model.  */
-static const char *
-adapter_victim (const struct plan *plan, const struct stock_engine *engine,
-                const char **model)
-{
-  const char *victim = NULL;
-  double least = INFINITY;
-
-  for (guint i = 0; i < engine->held->models->len; i++)
-    {
-      const struct holding_model *held
-          = g_ptr_array_index (engine->held->models, i);
-
-      for (guint j = 0; j < held->adapters->len; j++)
-        {
-          const char *adapter = g_ptr_array_index (held->adapters, j);
-          char *target = servers_target (held->name, adapter);
-          double per_s = rates_per_s (plan->stock->demand, target, plan->now);
-
-          g_free (target);
-          if (per_s >= least)
-            continue;
-          least = per_s;
-          victim = adapter;
-          *model = held->name;
-        }
-    }
-  return victim;
-}
-
-static unsigned
-adapter_replicas (const struct plan *plan, const char *model,
-                  const char *adapter)
-{
-  const struct stock_engine *engine;
-  GHashTableIter iter;
-  unsigned n = 0;
-
-  g_hash_table_iter_init (&iter, plan->stock->engines);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&engine))
-    {
-      const struct stock_order *order = &engine->order;
-
-      if (engine->leaving)
-        continue;
-      n += holding_has (engine->held, model, adapter);
-      n += order->stage != STAGE_NONE && order->type == BACKEND_ADAPTER_LOAD
-           && strcmp (order->model, model) == 0
-           && strcmp (order->adapter, adapter) == 0;
-    }
-  return n;
-}
-
-/* The engine with MODEL that has most room for an adapter.  */
-static struct stock_engine *
-adapter_engine (const struct plan *plan, const char *model,
-                const char *adapter)
-{
-  struct stock_engine *best = NULL;
-  struct stock_engine *engine;
-  unsigned least = UINT_MAX;
-  GHashTableIter iter;
-
-  g_hash_table_iter_init (&iter, plan->stock->engines);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&engine))
-    {
-      unsigned n = holding_adapters (engine->held);
-
-      if (!stock_can_order (engine, plan->now) || n >= least
-          || !holding_has (engine->held, model, NULL)
-          || holding_has (engine->held, model, adapter))
-        continue;
-      best = engine;
-      least = n;
-    }
-  return best;
-}
-
-static void
-place_adapter (struct plan *plan, const char *model, const char *adapter,
-               const char *cause, bool evict)
-{
-  struct stock_engine *engine = adapter_engine (plan, model, adapter);
-  const char *victim;
-  const char *of = NULL;
-
-  if (engine == NULL)
-    return;
-  if (holding_adapters (engine->held) < plan->stock->service->adapter_slots)
-    {
-      stock_give (plan->stock, engine, BACKEND_ADAPTER_LOAD, model, adapter,
-                  g_strdup_printf ("cause=%s", cause), plan->now, plan->out);
-      return;
-    }
-  if (ts_before (plan->now, engine->settled_at) || engine->held->coming > 0)
-    return;
-  victim = evict ? adapter_victim (plan, engine, &of) : NULL;
-  if (victim != NULL)
-    stock_give (plan->stock, engine, BACKEND_ADAPTER_UNLOAD, of, victim,
-                g_strdup_printf ("cause=room for=%s/%s", model, adapter),
-                plan->now, plan->out);
-}
-
-static void
-serve_adapters (struct plan *plan)
-{
-  const struct stock_want *want;
-  GHashTableIter iter;
-
-  g_hash_table_iter_init (&iter, plan->stock->wants);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&want))
-    {
-      const char *slash = strchr (want->target, '/');
-      char *model;
-
-      if (slash == NULL)
-        continue;
-      model = g_strndup (want->target, (gsize)(slash - want->target));
-      if (plan_model (plan, model) != NULL
-          && adapter_replicas (plan, model, slash + 1) == 0)
-        place_adapter (plan, model, slash + 1, "waiting", true);
-      g_free (model);
-    }
-}
-
-/* An adapter that is called more often than one engine should serve gets
-   another place where one is free.  */
-static void
-add_adapter (void *user, const char *target, double count)
-{
-  struct plan *plan = user;
-  const char *slash = strchr (target, '/');
-  unsigned need = (unsigned)ceil (count / RATES_S * CALL_S / BUSY_SHARE);
-  char *model;
-
-  if (slash == NULL || need < 2)
-    return;
-  model = g_strndup (target, (gsize)(slash - target));
-  if (plan_model (plan, model) != NULL
-      && adapter_replicas (plan, model, slash + 1) < need)
-    place_adapter (plan, model, slash + 1, "calls", false);
-  g_free (model);
-}
-
 /* When the models may be had that requests wait for and no engine loads: the
    weight store serves the most urgent first, some at a time.  */
 static void
@@ -702,12 +522,12 @@
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&engine))
     if (engine->goal != NULL)
       pursue (&plan, engine);
-  serve_adapters (&plan);
+  stock_adapters_wanted (&plan);
   models = sorted_models (&plan);
   check_waiting (&plan, models);
   serve_waiting (&plan, models);
   add_replicas (&plan, models);
-  rates_each (stock->demand, now, add_adapter, &plan);
+  stock_adapters_busy (&plan);
   preload (&plan, models);
   estimate (&plan, models);
   g_ptr_array_unref (models);
--- /dev/null
+++ b/src/stock_plan.h
@@ -0,0 +1,50 @@
+/* stock_plan - one round of planning, as the modules stock_plan and
+   stock_adapter share it.  Private to them.  */
+
+#ifndef PARSLEYRILL_STOCK_PLAN_H
+#define PARSLEYRILL_STOCK_PLAN_H
+
+#include <string.h>
+#include "stock_state.h"
+
+/* Engine seconds that a call takes, in the mean over prompt and answer, and
+   the share of an engine's time that calls of one model may fill: from
+   engines that read 38,700 prompt tokens a second.  */
+#define STOCK_CALL_S 0.12
+#define STOCK_BUSY_SHARE 0.4
+
+/* A model in this round.  */
+struct plan_model
+{
+  const struct site_model *site;
+  double per_s;
+  unsigned replicas; /* loaded or being loaded, on engines that stay */
+  unsigned loaded;
+  unsigned waiting;  /* requests, adapters' included */
+  unsigned priority; /* of the most urgent */
+  bool at_hand;      /* some engine has its weights in memory or on disk */
+  bool planned;      /* room is being made for it */
+};
+
+struct plan
+{
+  struct stock *stock;
+  struct timespec now;
+  struct action_list *out;
+  GHashTable *models; /* name to struct plan_model */
+};
+
+static inline struct plan_model *
+plan_model (const struct plan *plan, const char *name)
+{
+  return g_hash_table_lookup (plan->models, name);
+}
+
+/* stock_adapter.c */
+
+/* Adapters that requests wait for; afterwards those that are called more often
+   than one engine should serve.  */
+void stock_adapters_wanted (struct plan *plan);
+void stock_adapters_busy (struct plan *plan);
+
+#endif
