listing: the decider lists for all nodes

Ruled out: longer gaps, which a server that leaves does not allow.

Change: with what engines hold the decider tells every server that it lists, how old its list is, and the version of its configuration; while that is under 1.2 s old the others ask nothing, and only the newer configuration. The decider itself asks more often than before. tests/test_listing.c.

--- a/src/listing.c
+++ b/src/listing.c
@@ -11,13 +11,14 @@
 #include "ts.h"
 
 /* A watch of a table that changes all the time.  */
-#define SERVERS_WAIT_MS 1500
+#define SERVERS_WAIT_MS 600
 /* Between two of them: each is a call, and a server that leaves must be known
    within 2 s.  */
-#define SERVERS_GAP_MS 700
+#define SERVERS_GAP_MS 400
 /* A silent connection is noticed after it.  */
 #define CONFIG_WAIT_MS 2500
 #define CONFIG_GAP_MS 100
+#define PARK_MS 150 /* between looks whether another node's word is fresh */
 /* Servers that live are listed again this soon after an outage.  */
 #define RETURN_MS 2500
 #define EXPIRE_MS 250  /* between looks at servers to be dropped */
@@ -34,6 +35,7 @@
   void (*take) (struct listing *listing, const struct platform_changes *got,
                 bool whole);
   bool listed;
+  bool asking; /* an answer is awaited */
   uint64_t version;
   unsigned failures;
   struct loop_timer timer;
@@ -52,6 +54,10 @@
   struct loop_timer expire;
   struct loop_timer nodes;
   bool registered;            /* this node's own row is written */
+  struct timespec listed_at;  /* the store's last word on servers */
+  struct timespec told_at;    /* the decider's, by the store's word to it */
+  uint64_t told_version;      /* of the configuration there */
+  GHashTable *told;           /* ids of servers in the present message */
   struct timespec outage_end; /* last failure of the store seen */
 };
 
@@ -286,6 +292,7 @@
   struct listing *listing = feed->listing;
   bool whole = !feed->listed;
 
+  feed->asking = false;
   if (status != PLATFORM_OK)
     {
       feed_failed (feed, status);
@@ -294,19 +301,51 @@
   feed->failures = 0;
   feed->listed = true;
   feed->version = got->version;
+  if (feed == &listing->backends)
+    listing->listed_at = now_of (listing);
   feed->take (listing, got, whole);
   loop_timer_set (listing->core->loop, &feed->timer,
                   ts_add_ms (now_of (listing), feed->gap_ms));
 }
 
+/* Whether another node's word makes asking the store needless.  */
+static bool
+relies (const struct listing *listing)
+{
+  return !ts_is_zero (listing->told_at)
+         && ts_before (now_of (listing),
+                       ts_add_ms (listing->told_at, LISTING_FRESH_MS));
+}
+
+static bool
+parked (const struct feed *feed)
+{
+  const struct listing *listing = feed->listing;
+
+  if (!relies (listing))
+    return false;
+  return feed != &listing->config
+         || (listing->site != NULL
+             && listing->site->version >= listing->told_version);
+}
+
 static void
 feed_fire (struct loop_timer *timer)
 {
   struct feed *feed
       = (struct feed *)((char *)timer - offsetof (struct feed, timer));
+  struct loop *loop = feed->listing->core->loop;
   struct platform *platform = feed->listing->core->platform;
   struct platform_changes_cb cb = { .done = on_feed, .user = feed };
 
+  if (parked (feed))
+    {
+      feed->listed = false;
+      feed->failures = 0;
+      loop_timer_set (loop, timer, ts_add_ms (loop_now (loop), PARK_MS));
+      return;
+    }
+  feed->asking = true;
   if (feed->listed)
     platform->ops->watch (platform, feed->table, feed->version, feed->wait_ms,
                           cb);
@@ -323,6 +362,86 @@
   loop_timer_set (loop, &feed->timer, loop_now (loop));
 }
 
+/* The decider's word.  */
+
+int64_t
+listing_age_ms (const struct listing *listing)
+{
+  struct timespec at = ts_max (listing->listed_at, listing->told_at);
+
+  return ts_to_ms (ts_sub (now_of (listing), at));
+}
+
+static void
+wake (struct feed *feed)
+{
+  struct loop *loop = feed->listing->core->loop;
+
+  if (!feed->asking)
+    loop_timer_set (loop, &feed->timer, loop_now (loop));
+}
+
+void
+listing_ask_store (struct listing *listing)
+{
+  listing->told_at = (struct timespec){ 0 };
+  wake (&listing->config);
+  wake (&listing->backends);
+}
+
+void
+listing_told_begin (struct listing *listing, int64_t age_ms, uint64_t version)
+{
+  listing->told_at = ts_add_ms (now_of (listing), -age_ms);
+  listing->told_version = version;
+  g_hash_table_remove_all (listing->told);
+}
+
+/* What this node was told by the store itself is not overruled.  */
+static bool
+takes_word (const struct listing *listing)
+{
+  return relies (listing) && !listing->backends.asking
+         && ts_before (listing->listed_at, listing->told_at);
+}
+
+void
+listing_told (struct listing *listing, const struct peer_replica *server)
+{
+  struct server_entry entry = { .id = server->engine,
+                                .address = server->address,
+                                .zone = server->zone,
+                                .service = server->pool,
+                                .slots = (unsigned)server->slots,
+                                .leaving = server->leaving };
+
+  g_hash_table_add (listing->told, g_strdup (server->engine));
+  if (!takes_word (listing) || entry.address == NULL || entry.service == NULL)
+    return;
+  if (entry.zone == NULL)
+    entry.zone = (char *)"";
+  if (servers_put (listing->servers, &entry, now_of (listing)))
+    log_listed (&entry);
+}
+
+void
+listing_told_end (struct listing *listing)
+{
+  GHashTableIter iter;
+  const char *id;
+
+  if (takes_word (listing))
+    {
+      g_hash_table_iter_init (&iter, servers_all (listing->servers));
+      while (g_hash_table_iter_next (&iter, (gpointer *)&id, NULL))
+        if (!g_hash_table_contains (listing->told, id))
+          servers_drop (listing->servers, id, now_of (listing));
+      expire_servers (listing);
+    }
+  if (listing->site == NULL || listing->told_version > listing->site->version)
+    wake (&listing->config);
+}
+
 /* Nodes of this system: each writes where its peers find it.  */
 
 static void
@@ -467,6 +586,8 @@
   listing->service.name = LISTING_NAME;
   listing->catalog = options->catalog;
   listing->servers = servers_new ();
+  listing->told
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   listing->config = (struct feed){ .listing = listing,
                                    .table = options->catalog->config_table,
                                    .wait_ms = CONFIG_WAIT_MS,
@@ -489,6 +610,7 @@
     return;
   site_unref (listing->site);
   servers_free (listing->servers);
+  g_hash_table_unref (listing->told);
   g_free (listing);
 }
 
--- a/src/listing.h
+++ b/src/listing.h
@@ -6,6 +6,9 @@
    reached all that was known stays; servers that vanish from the list soon
    after an outage are kept until they have had time to be listed again.
 
+   While the decider of the engines tells what it lists, and has asked the
+   store lately, the other nodes do not ask the store themselves.
+
    Posts KERNEL_SITE (struct site) and KERNEL_SERVERS (NULL), and for the
    decider KERNEL_ENTRY (struct server_entry) and KERNEL_DROPPED (id).  One
    thread.  */
@@ -13,6 +16,7 @@
 #ifndef PARSLEYRILL_LISTING_H
 #define PARSLEYRILL_LISTING_H
 
+#include <stdint.h>
 #include "catalog.h"
 #include "kernel.h"
 #include "servers.h"
@@ -20,6 +24,9 @@
 
 #define LISTING_NAME "listing"
 
+/* What another node listed is relied on until it is so old.  */
+#define LISTING_FRESH_MS 1200
+
 struct listing;
 
 struct listing_options
@@ -35,4 +42,17 @@
 struct site *listing_site (const struct listing *listing);
 struct servers *listing_servers (const struct listing *listing);
 
+/* Milliseconds since the servers were listed as they are known here.  */
+int64_t listing_age_ms (const struct listing *listing);
+
+/* The decider's word of what it lists: begin, each server, end.  AGE_MS is the
+   age of its list, VERSION that of its configuration.  */
+void listing_told_begin (struct listing *listing, int64_t age_ms,
+                         uint64_t version);
+void listing_told (struct listing *listing, const struct peer_replica *server);
+void listing_told_end (struct listing *listing);
+
+/* This node asks the store itself from now on.  */
+void listing_ask_store (struct listing *listing);
+
 #endif
--- a/src/servers.h
+++ b/src/servers.h
@@ -89,6 +89,9 @@
 /* The engine of a replica that no engine loads yet.  */
 #define SERVERS_NOWHERE "-"
 
+/* The model of a replica that stands for the server itself.  */
+#define SERVERS_ITSELF "*"
+
 /* The decider's view: begin, each replica, and it replaces the one before.
    AT is when it was told.  */
 void servers_told_begin (struct servers *servers, struct timespec at);
--- a/src/stocker.c
+++ b/src/stocker.c
@@ -249,6 +249,12 @@
     case KERNEL_SITE:
       if (stocker->deciding)
         stocker_configure (stocker, (struct site *)event->data);
+      stocker->tick_at = stocker_now (stocker);
+      stocker_set_timer (stocker);
+      break;
+    case KERNEL_SERVERS:
+      stocker->tick_at = stocker_now (stocker);
+      stocker_set_timer (stocker);
       break;
     case KERNEL_ENTRY:
       stocker_take_entry (stocker, event->data);
--- a/src/stocker_lease.c
+++ b/src/stocker_lease.c
@@ -23,6 +23,7 @@
   spread_out_free (stocker->out);
   stocker->out = spread_out_new (STOCKER_CELL, fence);
   stocker->tick_at = stocker_now (stocker);
+  listing_ask_store (stocker->listing);
   if (listing_site (stocker->listing) != NULL)
     stocker_configure (stocker, listing_site (stocker->listing));
 }
--- a/src/stocker_state.h
+++ b/src/stocker_state.h
@@ -38,6 +38,7 @@
   struct timespec tick_at;
   struct timespec repeat_at;
   struct timespec told_at;
+  uint64_t told_version; /* of the configuration, to the other nodes */
 };
 
 /* A call under way; what comes back after the tenure is dropped.  */
--- a/src/stocker_want.c
+++ b/src/stocker_want.c
@@ -23,6 +23,39 @@
     servers_told (servers, &g_array_index (replicas, struct peer_replica, i));
 }
 
+/* How old the list is, and which configuration is in force here.  */
+static void
+add_listing (const struct stocker *stocker, struct peer_msg *msg)
+{
+  const struct site *site = listing_site (stocker->listing);
+
+  msg->since = (uint64_t)MAX (listing_age_ms (stocker->listing), 1);
+  msg->version = site != NULL ? site->version : 0;
+}
+
+/* Every server that is listed.  */
+static void
+add_servers (struct stocker *stocker, GArray *replicas)
+{
+  const struct server *server;
+  GHashTableIter iter;
+
+  g_hash_table_iter_init (&iter,
+                          servers_all (listing_servers (stocker->listing)));
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&server))
+    {
+      struct peer_replica replica = { .engine = server->route->id,
+                                      .address = server->route->address,
+                                      .zone = server->route->zone,
+                                      .pool = server->route->pool,
+                                      .model = (char *)SERVERS_ITSELF,
+                                      .slots = server->slots,
+                                      .leaving = server->leaving };
+
+      g_array_append_val (replicas, replica);
+    }
+}
+
 void
 stocker_tell_holdings (struct stocker *stocker)
 {
@@ -36,15 +69,18 @@
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&stock))
     stock_each (stock, now, collect, replicas);
   tell_own_servers (stocker, replicas);
+  add_servers (stocker, replicas);
   spread_out_make (stocker->out, (struct peer_replica *)replicas->data,
                    replicas->len, now, &msg);
+  add_listing (stocker, &msg);
   if (msg.replica_count > 0)
     kernel_post (stocker->core->kernel, KERNEL_SERVERS, NULL);
-  if (msg.replica_count > 0
+  if (msg.replica_count > 0 || msg.version != stocker->told_version
       || !ts_before (now, ts_add_ms (stocker->told_at, STOCKER_REPEAT_MS)))
     {
       links_broadcast (stocker->links, &msg);
       stocker->told_at = now;
+      stocker->told_version = msg.version;
     }
   peer_msg_clear (&msg);
   g_array_unref (replicas);
@@ -53,7 +89,12 @@
 static void
 told (void *user, const struct peer_replica *replica)
 {
-  servers_told (user, replica);
+  struct stocker *stocker = user;
+
+  if (strcmp (replica->model, SERVERS_ITSELF) != 0)
+    servers_told (listing_servers (stocker->listing), replica);
+  else
+    listing_told (stocker->listing, replica);
 }
 
 /* Another node decides with a higher token: this one's lease is over.  */
@@ -85,7 +126,9 @@
       break;
     case SPREAD_TAKEN:
       servers_told_begin (servers, spread_in_at (stocker->in));
-      spread_in_each (stocker->in, told, servers);
+      listing_told_begin (stocker->listing, (int64_t)msg->since, msg->version);
+      spread_in_each (stocker->in, told, stocker);
+      listing_told_end (stocker->listing);
       if (msg->replica_count > 0)
         kernel_post (stocker->core->kernel, KERNEL_SERVERS, NULL);
       break;
@@ -102,6 +145,7 @@
   if (!stocker->deciding)
     return;
   spread_out_full (stocker->out, &msg);
+  add_listing (stocker, &msg);
   links_send (stocker->links, to, &msg);
   peer_msg_clear (&msg);
 }
--- /dev/null
+++ b/tests/test_listing.c
@@ -0,0 +1,299 @@
+/* What a node asks the store itself, and what it takes from the decider. */
+
+#include <glib.h>
+#include "core.h"
+#include "document.h"
+#include "links.h"
+#include "listing.h"
+#include "ts.h"
+
+#define STEP_MS 50
+
+struct pending
+{
+  struct platform_changes_cb cb;
+  char *table;
+};
+
+struct fixture
+{
+  struct platform platform; /* first */
+  struct clk_manual clk;
+  struct core core;
+  struct settings settings;
+  struct service *links;
+  struct service *service;
+  struct listing *listing;
+  GPtrArray *watches; /* struct pending */
+  unsigned asked;     /* lists and watches of servers */
+  unsigned configs;   /* lists and watches of the configuration */
+  bool away;          /* the store answers nothing */
+};
+
+static void
+pending_free (gpointer data)
+{
+  struct pending *pending = data;
+
+  g_free (pending->table);
+  g_free (pending);
+}
+
+static void
+count (struct fixture *f, const char *table)
+{
+  f->asked += strcmp (table, "servers") == 0;
+  f->configs += strcmp (table, "op") == 0;
+}
+
+static void
+fake_list (struct platform *platform, const char *table,
+           struct platform_changes_cb cb)
+{
+  struct fixture *f = (struct fixture *)platform;
+  struct platform_row config = { .key = (char *)"config",
+                                 .version = 1,
+                                 .value = (char *)"{\"Version\":7}",
+                                 .token = (char *)"" };
+  struct platform_row server
+      = { .key = (char *)"i1",
+          .version = 2,
+          .value = (char *)"{\"Service\":\"s\",\"Address\":\"1.2.3.4:5\","
+                           "\"Slots\":8,\"State\":\"ready\"}",
+          .token = (char *)"" };
+  struct platform_changes changes = { .version = 9 };
+
+  count (f, table);
+  if (f->away)
+    {
+      cb.done (cb.user, PLATFORM_REFUSED, &changes);
+      return;
+    }
+  if (strcmp (table, "nodes") != 0)
+    {
+      changes.rows = strcmp (table, "op") == 0 ? &config : &server;
+      changes.count = 1;
+    }
+  cb.done (cb.user, PLATFORM_OK, &changes);
+}
+
+static void
+fake_watch (struct platform *platform, const char *table, uint64_t after,
+            int64_t wait_ms, struct platform_changes_cb cb)
+{
+  struct fixture *f = (struct fixture *)platform;
+  struct pending *pending = g_new0 (struct pending, 1);
+
+  (void)after;
+  (void)wait_ms;
+  count (f, table);
+  pending->cb = cb;
+  pending->table = g_strdup (table);
+  g_ptr_array_add (f->watches, pending);
+}
+
+static void
+fake_txn (struct platform *platform, const struct platform_txn *txn,
+          struct platform_txn_cb cb)
+{
+  struct platform_rows rows = { 0 };
+
+  (void)platform;
+  (void)txn;
+  cb.done (cb.user, PLATFORM_OK, &rows);
+}
+
+static const struct platform_ops ops
+    = { .txn = fake_txn, .list = fake_list, .watch = fake_watch };
+
+/* Nothing has changed.  */
+static void
+end_watches (struct fixture *f)
+{
+  struct platform_changes nothing = { .version = 9 };
+
+  while (f->watches->len > 0)
+    {
+      struct pending *pending = g_ptr_array_index (f->watches, 0);
+      struct platform_changes_cb cb = pending->cb;
+
+      g_ptr_array_remove_index (f->watches, 0);
+      cb.done (cb.user, PLATFORM_OK, &nothing);
+    }
+}
+
+static void
+advance (struct fixture *f, int64_t ms)
+{
+  for (int64_t i = 0; i < ms; i += STEP_MS)
+    {
+      f->clk.at = ts_add_ms (f->clk.at, STEP_MS);
+      loop_turn (f->core.loop, 0);
+      end_watches (f);
+    }
+}
+
+static int
+core_start (struct service *service, struct kernel *kernel)
+{
+  (void)service;
+  (void)kernel;
+  return 0;
+}
+
+static void
+core_stop (struct service *service)
+{
+  (void)service;
+}
+
+static const struct service_ops core_ops = { core_start, core_stop, NULL };
+
+static void
+set_up (struct fixture *f)
+{
+  struct listing_options options = { .catalog = document_catalog () };
+
+  memset (f, 0, sizeof *f);
+  f->platform.ops = &ops;
+  f->watches = g_ptr_array_new_with_free_func (pending_free);
+  clk_manual_init (&f->clk, ts_from_ms (100000));
+  f->settings.peer_address = (char *)"127.0.0.1";
+  f->settings.peer_token = (char *)"secret-of-nodes";
+  f->settings.seeds = (char *)"";
+  f->settings.zone = (char *)"z";
+  f->settings.region = (char *)"r";
+  f->core.service.ops = &core_ops;
+  f->core.service.name = CORE_NAME;
+  f->core.settings = &f->settings;
+  f->core.clk = &f->clk.clk;
+  f->core.loop = loop_new (&f->clk.clk);
+  f->core.platform = &f->platform;
+  f->core.node = (char *)"n";
+  f->core.address = (char *)"127.0.0.1:1";
+  f->core.rand = g_rand_new_with_seed (1);
+  f->core.kernel = kernel_new ();
+  kernel_register (f->core.kernel, &f->core.service);
+  kernel_register (f->core.kernel, f->links = links_new ());
+  kernel_register (f->core.kernel, f->service = listing_new (&options));
+  g_assert_cmpint (kernel_start (f->core.kernel), ==, 0);
+  f->listing = listing_find (f->core.kernel);
+  advance (f, 1000);
+  g_assert_nonnull (listing_site (f->listing));
+}
+
+static void
+tear_down (struct fixture *f)
+{
+  kernel_stop (f->core.kernel);
+  listing_free (f->service);
+  links_free (f->links);
+  kernel_free (f->core.kernel);
+  loop_free (f->core.loop);
+  g_rand_free (f->core.rand);
+  g_ptr_array_unref (f->watches);
+}
+
+static void
+tell (struct fixture *f, const char *id, bool leaving, int64_t age_ms,
+      uint64_t version)
+{
+  struct peer_replica server = { .engine = (char *)id,
+                                 .address = (char *)"1.2.3.4:5",
+                                 .zone = (char *)"z",
+                                 .pool = (char *)"s",
+                                 .slots = 8,
+                                 .leaving = leaving };
+
+  listing_told_begin (f->listing, age_ms, version);
+  listing_told (f->listing, &server);
+  listing_told_end (f->listing);
+}
+
+static const struct server *
+server (struct fixture *f, const char *id)
+{
+  return servers_find (listing_servers (f->listing), id);
+}
+
+/* Many nodes, one of which lists for all: the others leave the store alone
+   while it tells, and ask again soon after it does not.  */
+static void
+test_relies (void)
+{
+  struct fixture f;
+  unsigned before;
+
+  set_up (&f);
+  for (int i = 0; i < 4; i++)
+    {
+      tell (&f, "i1", false, 300, 7);
+      advance (&f, 500);
+    }
+  before = f.asked + f.configs;
+  for (int i = 0; i < 40; i++)
+    {
+      tell (&f, "i1", false, 300, 7);
+      advance (&f, 500);
+    }
+  g_assert_cmpuint (f.asked + f.configs, ==, before);
+  advance (&f, LISTING_FRESH_MS + 400);
+  g_assert_cmpuint (f.asked, >, 0);
+  g_assert_cmpuint (f.asked + f.configs, >, before);
+  tear_down (&f);
+}
+
+/* A decider that has not heard of the store lately is no help.  */
+static void
+test_old_word (void)
+{
+  struct fixture f;
+  unsigned before;
+
+  set_up (&f);
+  before = f.asked;
+  for (int i = 0; i < 20; i++)
+    {
+      tell (&f, "i1", true, 3000, 7);
+      advance (&f, 500);
+    }
+  g_assert_cmpuint (f.asked, >, before + 10);
+  g_assert_false (server (&f, "i1")->leaving);
+  tear_down (&f);
+}
+
+/* What it tells is taken: a server that leaves, comes, or is gone, and that
+   there is a newer configuration.  */
+static void
+test_word (void)
+{
+  struct fixture f;
+  unsigned before;
+
+  set_up (&f);
+  for (int i = 0; i < 4; i++)
+    {
+      tell (&f, "i1", false, 100, 7);
+      advance (&f, 500);
+    }
+  tell (&f, "i1", true, 100, 7);
+  g_assert_true (server (&f, "i1")->leaving);
+  tell (&f, "i2", false, 100, 7);
+  g_assert_null (server (&f, "i1"));
+  g_assert_nonnull (server (&f, "i2"));
+  before = f.configs;
+  tell (&f, "i2", false, 100, 8);
+  advance (&f, STEP_MS);
+  g_assert_cmpuint (f.configs, >, before);
+  tear_down (&f);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/listing/relies", test_relies);
+  g_test_add_func ("/listing/old-word", test_old_word);
+  g_test_add_func ("/listing/word", test_word);
+  return g_test_run ();
+}
