stock: a round of planning costs little on many engines

Ruled out: the store, memory.

Change: values are kept for a round, models are found by a table, and 16 absent models a round are tried.

--- a/src/stock.c
+++ b/src/stock.c
@@ -38,6 +38,7 @@
   stock->started_at = options->now;
   stock->engines
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, engine_free);
+  stock->models = g_hash_table_new (g_str_hash, g_str_equal);
   stock->demand = rates_new ();
   stock->expected
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -54,6 +55,7 @@
   if (stock == NULL)
     return;
   g_hash_table_unref (stock->engines);
+  g_hash_table_unref (stock->models);
   rates_free (stock->demand);
   g_hash_table_unref (stock->expected);
   g_hash_table_unref (stock->wants);
@@ -64,7 +66,17 @@
 stock_service (struct stock *stock, const struct site_service *service,
                struct timespec now)
 {
+  uint64_t adapter_mb = 0;
+
   stock->service = service;
+  g_hash_table_remove_all (stock->models);
+  for (size_t i = 0; i < service->model_count; i++)
+    {
+      adapter_mb = MAX (adapter_mb, service->models[i].adapter_mb);
+      g_hash_table_insert (stock->models, service->models[i].name,
+                           &service->models[i]);
+    }
+  stock->reserved_mb = adapter_mb * service->adapter_slots;
   budget_share (&stock->budget, service->loads_per_s, stock->loads_at_once,
                 now);
 }
--- a/src/stock_order.c
+++ b/src/stock_order.c
@@ -66,22 +66,18 @@
   return model->load_s;
 }
 
-static uint64_t
-adapter_reserve_mb (const struct stock *stock)
+const struct site_model *
+stock_model (const struct stock *stock, const char *name)
 {
-  uint64_t largest = 0;
-
-  for (size_t i = 0; i < stock->service->model_count; i++)
-    largest = MAX (largest, stock->service->models[i].adapter_mb);
-  return largest * stock->service->adapter_slots;
+  return g_hash_table_lookup (stock->models, name);
 }
 
 int64_t
 stock_free_mb (const struct stock *stock, const struct stock_engine *engine)
 {
   const struct stock_order *order = &engine->order;
-  int64_t left = (int64_t)stock->service->memory_mb
-                 - (int64_t)adapter_reserve_mb (stock);
+  int64_t left
+      = (int64_t)stock->service->memory_mb - (int64_t)stock->reserved_mb;
   const struct site_model *model;
 
   for (guint i = 0; i < engine->held->models->len; i++)
@@ -89,14 +85,14 @@
       const struct holding_model *held
           = g_ptr_array_index (engine->held->models, i);
 
-      model = site_model (stock->service, held->name);
+      model = stock_model (stock, held->name);
       left -= model != NULL ? (int64_t)model->memory_mb
                             : (int64_t)stock->service->memory_mb;
     }
   if (order->stage == STAGE_NONE || order->type != BACKEND_LOAD
       || holding_model (engine->held, order->model) != NULL)
     return left;
-  model = site_model (stock->service, order->model);
+  model = stock_model (stock, order->model);
   return left - (model != NULL ? (int64_t)model->memory_mb : 0);
 }
 
@@ -137,7 +133,7 @@
   order->expected = engine->held->sequence;
   order->sent_at = now;
   if (type == BACKEND_LOAD)
-    stock_load_s (engine, site_model (stock->service, model), &order->fetches);
+    stock_load_s (engine, stock_model (stock, model), &order->fetches);
   if (order->fetches)
     budget_take (&stock->budget, now);
   push (engine, STOCK_ORDER, out);
@@ -177,7 +173,7 @@
           struct timespec now, struct action_list *out)
 {
   struct stock_order *order = &engine->order;
-  const struct site_model *model = site_model (stock->service, order->model);
+  const struct site_model *model = stock_model (stock, order->model);
   bool fetches;
 
   engine->held->sequence = order->expected + 1;
--- a/src/stock_plan.c
+++ b/src/stock_plan.c
@@ -8,6 +8,7 @@
 /* Of any model loaded, whatever its calls: a reload is an order and may hold
    others up.  */
 #define HELD_VALUE 0.3
+#define PRELOAD_TRIES 16   /* models a round: each looks at every engine */
 #define FREE_VALUE 0.01    /* of a model in memory that nobody needs */
 #define SURPLUS_VALUE 0.05 /* of a replica more than are needed */
 #define START_REPLICAS 3   /* kept of a model before its calls are known */
@@ -139,26 +140,39 @@
   return n;
 }
 
-/* What is lost when MODEL leaves ENGINE.  */
 static double
-value_of (const struct plan *plan, const struct stock_engine *engine,
-          const char *name)
+value_with (const struct plan *plan, const struct plan_model *model,
+            double reload_s)
 {
-  const struct plan_model *model = plan_model (plan, name);
-  double reload_s;
+  double calls_value = model->per_s * HORIZON_S * reload_s;
 
-  if (model == NULL)
-    return 0;
   if (model->waiting > 0)
     return WANTED_VALUE;
   if (model->replicas > 1 && model->replicas > needed (plan, model))
     return SURPLUS_VALUE * (1.0 + model->per_s);
-  reload_s = holding_names (engine->held->in_memory, name)
-                 ? model->site->memory_s
-                 : model->site->disk_s;
-  if (rates_idle_s (plan->stock->demand, name, plan->now) < RUNNING_S)
-    return RUNNING_VALUE + model->per_s * HORIZON_S * reload_s;
-  return HELD_VALUE + model->per_s * HORIZON_S * reload_s;
+  if (rates_idle_s (plan->stock->demand, model->site->name, plan->now)
+      < RUNNING_S)
+    return RUNNING_VALUE + calls_value;
+  return HELD_VALUE + calls_value;
+}
+
+/* What is lost when the model NAME leaves ENGINE.  */
+static double
+value_of (const struct plan *plan, const struct stock_engine *engine,
+          const char *name)
+{
+  struct plan_model *model = plan_model (plan, name);
+
+  if (model == NULL)
+    return 0;
+  if (!model->valued)
+    {
+      model->value_memory = value_with (plan, model, model->site->memory_s);
+      model->value_disk = value_with (plan, model, model->site->disk_s);
+      model->valued = true;
+    }
+  return holding_names (engine->held->in_memory, name) ? model->value_memory
+                                                       : model->value_disk;
 }
 
 /* The least valuable model that ENGINE holds; NULL when there is none that
@@ -191,9 +205,12 @@
          const struct site_model *model)
 {
   int64_t left = stock_free_mb (plan->stock, engine);
-  GPtrArray *gone = g_ptr_array_new ();
+  GPtrArray *gone;
   double loss = 0;
 
+  if (left >= (int64_t)model->memory_mb)
+    return 0;
+  gone = g_ptr_array_new ();
   while (left < (int64_t)model->memory_mb)
     {
       double value;
@@ -305,7 +322,10 @@
   struct plan_model *model = plan_model (plan, victim);
 
   if (model != NULL)
-    model->replicas--;
+    {
+      model->replicas--;
+      model->valued = false;
+    }
   stock_give (
       plan->stock, engine, BACKEND_UNLOAD, victim, NULL,
       g_strdup_printf ("cause=room for=%s value=%.2f", engine->goal, value),
@@ -457,16 +477,20 @@
 /* Models on no engine.  One whose weights are at hand is loaded for the calls
    that it gets; one whose weights are nowhere also for those that may come,
    since it would hold them up for longest.  One fetch is left for requests
-   that wait.  */
+   that wait.  A round goes on where the one before ended, and begins anew with
+   the most called after a success.  */
 static void
 preload (struct plan *plan, const GPtrArray *models)
 {
   const struct budget *budget = &plan->stock->budget;
   bool fetch = budget->flying + 1 < budget->at_once;
+  unsigned tries = 0;
+  guint next = 0;
 
-  for (guint i = 0; i < models->len; i++)
+  for (guint i = 0; i < models->len && tries < PRELOAD_TRIES; i++)
     {
-      struct plan_model *model = g_ptr_array_index (models, i);
+      guint at = (i + plan->stock->preload_from) % models->len;
+      struct plan_model *model = g_ptr_array_index (models, at);
       double value
           = FREE_VALUE + model->per_s * HORIZON_S * model->site->disk_s;
 
@@ -475,9 +499,14 @@
                 * model->site->load_s;
       if (model->replicas > 0 || model->planned)
         continue;
-      if (try_place (plan, model, value, fetch && !model->at_hand))
-        fetch = budget->flying + 1 < budget->at_once;
+      tries++;
+      next = at + 1;
+      if (!try_place (plan, model, value, fetch && !model->at_hand))
+        continue;
+      fetch = budget->flying + 1 < budget->at_once;
+      next = 0;
     }
+  plan->stock->preload_from = next;
 }
 
 /* When the models may be had that requests wait for and no engine loads: the
--- a/src/stock_plan.h
+++ b/src/stock_plan.h
@@ -20,10 +20,13 @@
   double per_s;
   unsigned replicas; /* loaded or being loaded, on engines that stay */
   unsigned loaded;
-  unsigned waiting;  /* requests, adapters' included */
-  unsigned priority; /* of the most urgent */
-  bool at_hand;      /* some engine has its weights in memory or on disk */
-  bool planned;      /* room is being made for it */
+  unsigned waiting;    /* requests, adapters' included */
+  unsigned priority;   /* of the most urgent */
+  bool at_hand;        /* some engine has its weights in memory or on disk */
+  bool planned;        /* room is being made for it */
+  bool valued;         /* the next two are known in this round */
+  double value_memory; /* lost when it leaves an engine whose host has it */
+  double value_disk;   /* or has it on disk */
 };
 
 struct plan
--- a/src/stock_state.h
+++ b/src/stock_state.h
@@ -59,6 +59,8 @@
 struct stock
 {
   const struct site_service *service;
+  GHashTable *models;   /* name to struct site_model, of SERVICE */
+  uint64_t reserved_mb; /* of an engine, for adapters */
   GHashTable *engines;  /* id to struct stock_engine */
   struct rates *demand; /* of targets */
   GHashTable *wants;    /* "NODE TARGET" to struct stock_want */
@@ -66,6 +68,7 @@
   GHashTable *expected; /* model that requests wait for and no engine loads
                            yet, to struct timespec: when it may be had */
   unsigned loads_at_once;
+  unsigned preload_from; /* place in the order of need */
   struct timespec started_at;
 };
 
@@ -93,6 +96,10 @@
 double stock_load_s (const struct stock_engine *engine,
                      const struct site_model *model, bool *fetches);
 
+/* NULL when the service has no such model.  */
+const struct site_model *stock_model (const struct stock *stock,
+                                      const char *name);
+
 /* Memory left on ENGINE when the open order is carried out; never counts an
    unload before it is seen.  */
 int64_t stock_free_mb (const struct stock *stock,
