--- a/src/core.c
+++ b/src/core.c
@@ -1,5 +1,29 @@
 #include "core.h"
 
+static int
+core_start (struct service *service, struct kernel *kernel)
+{
+  (void)service;
+  (void)kernel;
+  return 0;
+}
+
+static void
+core_stop (struct service *service)
+{
+  (void)service;
+}
+
+static const struct service_ops core_ops = { core_start, core_stop, NULL };
+
+void
+core_register (struct core *core)
+{
+  core->service.ops = &core_ops;
+  core->service.name = CORE_NAME;
+  kernel_register (core->kernel, &core->service);
+}
+
 struct core *
 core_find (struct kernel *kernel)
 {
--- a/src/core.h
+++ b/src/core.h
@@ -40,6 +40,9 @@
   uint64_t serial;                   /* of tokens given out */
 };
 
+/* Registers CORE with its kernel, before any other service.  */
+void core_register (struct core *core);
+
 /* The core registered with KERNEL; never NULL after registration.  */
 struct core *core_find (struct kernel *kernel);
 
--- a/src/gate.c
+++ b/src/gate.c
@@ -24,30 +24,12 @@
   struct timespec drain_from;
 };
 
-static int
-core_start (struct service *service, struct kernel *kernel)
-{
-  (void)service;
-  (void)kernel;
-  return 0;
-}
-
-static void
-core_stop (struct service *service)
-{
-  (void)service;
-}
-
-static const struct service_ops core_ops = { core_start, core_stop, NULL };
-
 static void
 make_core (struct gate *gate)
 {
   const struct gate_options *options = &gate->options;
   struct core *core = &gate->core;
 
-  core->service.ops = &core_ops;
-  core->service.name = CORE_NAME;
   core->settings = options->settings;
   core->clk = options->clk;
   core->loop = options->loop;
@@ -67,7 +49,7 @@
   struct kernel *kernel = gate->core.kernel;
   struct listing_options listing = { .catalog = gate->options.catalog };
 
-  kernel_register (kernel, &gate->core.service);
+  core_register (&gate->core);
   kernel_register (kernel, gate->links = links_new ());
   kernel_register (kernel, gate->listing = listing_new (&listing));
   kernel_register (kernel,
--- a/src/node.c
+++ b/src/node.c
@@ -44,22 +44,6 @@
   struct timespec drain_until;
 };
 
-static int
-core_start (struct service *service, struct kernel *kernel)
-{
-  (void)service;
-  (void)kernel;
-  return 0;
-}
-
-static void
-core_stop (struct service *service)
-{
-  (void)service;
-}
-
-static const struct service_ops core_ops = { core_start, core_stop, NULL };
-
 static int
 make_traffic (struct node *node)
 {
@@ -127,8 +111,6 @@
       = { .slots = FROM_TRAFFIC_SLOTS, .release = msg_free };
   struct core *core = &node->core;
 
-  core->service.ops = &core_ops;
-  core->service.name = CORE_NAME;
   core->settings = settings;
   core->clk = clk_real ();
   core->incarnation = (uint64_t)ts_ns (clk_wall (core->clk));
@@ -169,7 +151,7 @@
 {
   struct kernel *kernel = node->core.kernel;
 
-  kernel_register (kernel, &node->core.service);
+  core_register (&node->core);
   kernel_register (kernel, node->fleet = fleet_new ());
   kernel_register (kernel, node->links = links_new ());
   kernel_register (kernel, node->config = config_new ());
--- a/tests/cases.h
+++ b/tests/cases.h
@@ -6,6 +6,7 @@
 
 #include <string.h>
 #include <glib.h>
+#include "finding.h"
 
 struct cases_line
 {
@@ -76,4 +77,34 @@
   return blocks;
 }
 
+/* The findings that BLOCK expects, one a line; freed with g_free.  */
+static inline char *
+cases_findings (const GArray *block)
+{
+  GString *text = g_string_new (NULL);
+
+  for (guint i = 0; i < block->len; i++)
+    {
+      struct cases_line *line = &g_array_index (block, struct cases_line, i);
+
+      if (strcmp (line->word, "find") == 0)
+        g_string_append_printf (text, "%s\n", line->rest);
+    }
+  return g_string_free (text, FALSE);
+}
+
+/* The same of those found.  */
+static inline char *
+cases_found (const struct findings *findings)
+{
+  GString *text = g_string_new (NULL);
+  const struct finding *finding;
+
+  CK_STAILQ_FOREACH (finding, &findings->list, link)
+    {
+      g_string_append_printf (text, "%s: %s\n", finding->place, finding->text);
+    }
+  return g_string_free (text, FALSE);
+}
+
 #endif
--- a/tests/test_documents.c
+++ b/tests/test_documents.c
@@ -21,54 +21,28 @@
   return NULL;
 }
 
-static char *
-wanted_findings (const GArray *block, const char *path)
-{
-  GString *text = g_string_new (NULL);
-
-  for (guint i = 0; i < block->len; i++)
-    {
-      const struct cases_line *line
-          = &g_array_index (block, struct cases_line, i);
-
-      if (strcmp (line->word, "find") == 0)
-        g_string_append_printf (text, "%s\n", line->rest);
-    }
-  g_string_replace (text, "FILE", path, 0);
-  return g_string_free (text, FALSE);
-}
-
-static char *
-found_findings (const struct findings *findings)
-{
-  GString *text = g_string_new (NULL);
-  const struct finding *finding;
-
-  CK_STAILQ_FOREACH (finding, &findings->list, link)
-    {
-      g_string_append_printf (text, "%s: %s\n", finding->place, finding->text);
-    }
-  return g_string_free (text, FALSE);
-}
-
 static void
 check_boot (const GArray *block, const char *path)
 {
-  char *wanted = wanted_findings (block, path);
+  GString *wanted = g_string_new (NULL);
+  char *text = cases_findings (block);
   struct findings findings;
   struct boot boot;
   char *found;
 
+  g_string_assign (wanted, text);
+  g_string_replace (wanted, "FILE", path, 0);
   g_assert_true (
       g_file_set_contents (path, rest_of (block, "file"), -1, NULL));
   findings_init (&findings);
   boot_read (path, &boot, &findings);
-  found = found_findings (&findings);
-  g_assert_cmpstr (found, ==, wanted);
+  found = cases_found (&findings);
+  g_assert_cmpstr (found, ==, wanted->str);
   findings_clear (&findings);
   boot_clear (&boot);
   g_free (found);
-  g_free (wanted);
+  g_string_free (wanted, TRUE);
+  g_free (text);
 }
 
 static void
--- a/tests/test_listing.c
+++ b/tests/test_listing.c
@@ -133,22 +133,6 @@
     }
 }
 
-static int
-core_start (struct service *service, struct kernel *kernel)
-{
-  (void)service;
-  (void)kernel;
-  return 0;
-}
-
-static void
-core_stop (struct service *service)
-{
-  (void)service;
-}
-
-static const struct service_ops core_ops = { core_start, core_stop, NULL };
-
 static void
 set_up (struct fixture *f)
 {
@@ -163,8 +147,6 @@
   f->settings.seeds = (char *)"";
   f->settings.zone = (char *)"z";
   f->settings.region = (char *)"r";
-  f->core.service.ops = &core_ops;
-  f->core.service.name = CORE_NAME;
   f->core.settings = &f->settings;
   f->core.clk = &f->clk.clk;
   f->core.loop = loop_new (&f->clk.clk);
@@ -173,7 +155,7 @@
   f->core.address = (char *)"127.0.0.1:1";
   f->core.rand = g_rand_new_with_seed (1);
   f->core.kernel = kernel_new ();
-  kernel_register (f->core.kernel, &f->core.service);
+  core_register (&f->core);
   kernel_register (f->core.kernel, f->links = links_new ());
   kernel_register (f->core.kernel, f->service = listing_new (&options));
   g_assert_cmpint (kernel_start (f->core.kernel), ==, 0);
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -39,40 +39,12 @@
     }
 }
 
-static char *
-expected_findings (const GArray *block)
-{
-  GString *text = g_string_new (NULL);
-
-  for (guint i = 0; i < block->len; i++)
-    {
-      struct cases_line *line = &g_array_index (block, struct cases_line, i);
-
-      if (strcmp (line->word, "find") == 0)
-        g_string_append_printf (text, "%s\n", line->rest);
-    }
-  return g_string_free (text, FALSE);
-}
-
-static char *
-found_findings (const struct findings *findings)
-{
-  GString *text = g_string_new (NULL);
-  const struct finding *finding;
-
-  CK_STAILQ_FOREACH (finding, &findings->list, link)
-    {
-      g_string_append_printf (text, "%s: %s\n", finding->place, finding->text);
-    }
-  return g_string_free (text, FALSE);
-}
-
 static void
 run_case (const GArray *block)
 {
   struct cases_line *first = &g_array_index (block, struct cases_line, 0);
   char **argv = arguments (first->rest);
-  char *expected = expected_findings (block);
+  char *expected = cases_findings (block);
   struct settings settings;
   struct findings findings;
   char *found;
@@ -82,7 +54,7 @@
   findings_init (&findings);
   set_variables (block, TRUE);
   err = settings_read ((int)g_strv_length (argv), argv, &settings, &findings);
-  found = found_findings (&findings);
+  found = cases_found (&findings);
   g_assert_cmpstr (found, ==, expected);
   g_assert_true ((err == 0) == (*expected == '\0'));
   set_variables (block, FALSE);
