gate: the configured limit on bodies is kept; fields that nobody read are gone

Cause: limits of the configuration were decoded and never used, so a body of up to 64 MiB was taken and sent on. Found by looking for fields without a reader.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -11,7 +11,7 @@
 #include "ts.h"
 
 #define IDLE_S 120           /* longer than any limit that callers are given */
-#define BODY_MAX (64u << 20) /* bytes; the configured limit is lower */
+#define BODY_MAX (64u << 20) /* bytes; until a limit is configured */
 #define HEAD_MEMORY (96u << 10) /* bytes of a connection, for the head */
 #define PUMP_MS 40 /* between chances given to requests that wait */
 #define CLEAN_MS 5000
@@ -364,6 +364,13 @@
   return err;
 }
 
+static void
+take_limits (struct gateway *gateway, const struct site *site)
+{
+  httpd_set_body_max (gateway->front,
+                      site->body_bytes > 0 ? site->body_bytes : BODY_MAX);
+}
+
 static void
 gateway_event (struct service *service, const struct kernel_event *event)
 {
@@ -372,6 +379,8 @@
 
   if (event->type == KERNEL_DRAIN)
     gateway->drain_from = clk_now (gateway->core->clk);
+  if (event->type == KERNEL_SITE)
+    take_limits (gateway, event->data);
   if (event->type == KERNEL_SERVERS || event->type == KERNEL_SITE)
     gateway_pump_soon (gateway);
   if (event->type != KERNEL_MEMBERS || gateway->retry == NULL)
--- a/src/httpd.c
+++ b/src/httpd.c
@@ -442,6 +442,12 @@
   return httpd->port;
 }
 
+void
+httpd_set_body_max (struct httpd *httpd, size_t bytes)
+{
+  httpd->options.body_max = bytes;
+}
+
 void
 httpd_quiesce (struct httpd *httpd)
 {
--- a/src/httpd.h
+++ b/src/httpd.h
@@ -61,6 +61,9 @@
 /* The port listened on, host order.  */
 uint16_t httpd_port (const struct httpd *httpd);
 
+/* The longest body taken, in bytes, of requests that are not read yet.  */
+void httpd_set_body_max (struct httpd *httpd, size_t bytes);
+
 /* Stops accepting connections; open ones go on.  */
 void httpd_quiesce (struct httpd *httpd);
 
--- a/src/listing.c
+++ b/src/listing.c
@@ -164,7 +164,7 @@
       log_bad_row (catalog->servers_table, row->key, why);
       return false;
     }
-  changed = servers_put (listing->servers, &entry, now_of (listing));
+  changed = servers_put (listing->servers, &entry);
   if (changed)
     log_listed (&entry);
   kernel_post (listing->core->kernel, KERNEL_ENTRY, &entry);
@@ -420,7 +420,7 @@
     return;
   if (entry.zone == NULL)
     entry.zone = (char *)"";
-  if (servers_put (listing->servers, &entry, now_of (listing)))
+  if (servers_put (listing->servers, &entry))
     log_listed (&entry);
 }
 
--- a/src/servers.c
+++ b/src/servers.c
@@ -112,8 +112,7 @@
 }
 
 bool
-servers_put (struct servers *servers, const struct server_entry *entry,
-             struct timespec now)
+servers_put (struct servers *servers, const struct server_entry *entry)
 {
   struct server *server = servers_find (servers, entry->id);
   bool changed = false;
@@ -133,7 +132,6 @@
             || !ts_is_zero (server->drop_at);
   server->slots = entry->slots;
   server->leaving = entry->leaving;
-  server->slow_until = ts_add_ms (now, entry->slow_for_ms);
   server->drop_at = (struct timespec){ 0 };
   return take_holding (server, entry->holding) || changed;
 }
--- a/src/servers.h
+++ b/src/servers.h
@@ -34,8 +34,6 @@
   char *service;
   unsigned slots;
   bool leaving;            /* gets no new work */
-  int64_t leaves_in_ms;    /* gone then, whatever it runs; 0: not told */
-  int64_t slow_for_ms;     /* just started; 0: at full speed */
   struct holding *holding; /* NULL for a plain service */
 };
 
@@ -46,7 +44,6 @@
   struct route_engine *route; /* id, address, zone, service as pool */
   unsigned slots;
   bool leaving;
-  struct timespec slow_until;
   struct timespec drop_at; /* not listed any more; zero: listed */
   struct holding *holding; /* NULL for a plain service */
   unsigned running;        /* as last heard, requests of all nodes */
@@ -62,8 +59,7 @@
 void servers_free (struct servers *servers);
 
 /* True when other requests than before can be sent.  */
-bool servers_put (struct servers *servers, const struct server_entry *entry,
-                  struct timespec now);
+bool servers_put (struct servers *servers, const struct server_entry *entry);
 
 /* The platform lists ID no more; it goes at AT unless it is listed again.  */
 void servers_drop (struct servers *servers, const char *id,
--- a/src/site.h
+++ b/src/site.h
@@ -1,5 +1,5 @@
 /* site - the configuration of routed traffic: routes, the services behind
-   them, the models of their engines, and limits on callers.
+   them, the models of their engines, and the limit on callers.
 
    A struct site is filled by the platform adapter, closed with site_index and
    not changed afterwards.  It is shared by reference count, one thread.
@@ -36,13 +36,11 @@
 struct site_service
 {
   char *name;
-  bool engines;             /* model engines, not a plain service */
-  unsigned slots;           /* requests that an engine runs at once */
-  unsigned adapter_slots;   /* adapters that an engine holds at once */
-  uint64_t memory_mb;       /* of an engine, for weights and adapters */
-  uint64_t cache_tokens;    /* of an engine, for prompts and answers */
-  double loads_per_s;       /* that the weight store allows, all engines */
-  unsigned max_connections; /* of a backend server, from all its callers */
+  bool engines;           /* model engines, not a plain service */
+  unsigned slots;         /* requests that an engine runs at once */
+  unsigned adapter_slots; /* adapters that an engine holds at once */
+  uint64_t memory_mb;     /* of an engine, for weights and adapters */
+  double loads_per_s;     /* that the weight store allows, all engines */
   struct site_model *models;
   size_t model_count;
 };
@@ -70,21 +68,13 @@
   size_t split_count;
 };
 
-struct site_limits
-{
-  size_t head_bytes;
-  size_t body_bytes;
-  int64_t head_ms; /* a request may take to come */
-  int64_t idle_ms; /* a connection may be idle */
-};
-
 struct site
 {
   uint64_t version; /* grows with each change, in uneven steps */
   unsigned refs;
-  GArray *routes;   /* struct site_route */
-  GArray *services; /* struct site_service */
-  struct site_limits limits;
+  GArray *routes;    /* struct site_route */
+  GArray *services;  /* struct site_service */
+  size_t body_bytes; /* of a request at most; 0: not limited here */
   GHashTable *hosts; /* name to GPtrArray of routes, longest prefix first */
 };
 
--- a/tests/gate_fixture.h
+++ b/tests/gate_fixture.h
@@ -49,6 +49,7 @@
   long status;
   GString *got;
   char *retry_after;
+  const char *body; /* sent with the next; NULL: none; borrowed */
 };
 
 /* Defined by the test program: what the backend server does.  */
@@ -305,7 +306,12 @@
       = g_strdup_printf ("http://127.0.0.1:%u%s", gate_port (f->gate), path);
   GPtrArray *all = g_ptr_array_new ();
   struct httpc_request request
-      = { .method = method, .url = url, .done = on_done, .user = f };
+      = { .method = method,
+          .url = url,
+          .body = f->body,
+          .length = f->body != NULL ? strlen (f->body) : 0,
+          .done = on_done,
+          .user = f };
 
   for (; headers != NULL && *headers != NULL; headers++)
     g_ptr_array_add (all, (gpointer)*headers);
@@ -343,7 +349,8 @@
       "{\"Name\":\"cut\",\"Hostname\":\"h.example\",\"Prefix\":\"/cut/\","
       "\"Kind\":\"streaming\",\"TimeoutMs\":20000,\"Service\":\"app\","
       "\"MaxAttempts\":2,\"Resumable\":false}"
-      "],\"Services\":[{\"Name\":\"app\"}],\"Limits\":{}}";
+      "],\"Services\":[{\"Name\":\"app\"}],\"Limits\":{\"MaxBodyBytes\":4096}"
+      "}";
 
 static void
 put_config (struct fixture *f, int version)
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -135,6 +135,26 @@
   tear_down (&f);
 }
 
+/* A body over the configured limit reaches no server.  */
+static void
+test_large (void)
+{
+  g_autofree char *body = g_strnfill (4097, 'x');
+  struct fixture f;
+
+  set_up (&f);
+  serve (&f);
+  f.at_server = 0;
+  f.body = body;
+  call (&f, "POST", "/safe/x", NULL);
+  g_assert_cmpint (f.status, ==, 413);
+  g_assert_cmpuint (f.at_server, ==, 0);
+  body[4096] = '\0';
+  call (&f, "POST", "/safe/x", NULL);
+  g_assert_cmpint (f.status, ==, 200);
+  tear_down (&f);
+}
+
 static void
 test_not_run (void)
 {
@@ -312,6 +332,7 @@
   g_test_add_func ("/gate/starting", test_starting);
   g_test_add_func ("/gate/head", test_head);
   g_test_add_func ("/gate/retries", test_retries);
+  g_test_add_func ("/gate/large", test_large);
   g_test_add_func ("/gate/not-run", test_not_run);
   g_test_add_func ("/gate/resume", test_resume);
   g_test_add_func ("/gate/gone", test_gone);
--- a/tests/test_servers.c
+++ b/tests/test_servers.c
@@ -97,7 +97,7 @@
   entry.holding->sequence = sequence;
   if (model != NULL)
     holding_add_adapter (holding_add (entry.holding, model), "a1");
-  servers_put (f->servers, &entry, ts_from_ms (0));
+  servers_put (f->servers, &entry);
   holding_free (entry.holding);
 }
 
