links: nodes that are linked are members to each other; planning rests

Cause: the gate has no instance list, and nothing else brought a peer into the list of members: no node ever probed another. Callers were told this node alone, all nodes were candidates of the first rank and read the lease's row each second (2,021 of 3,662 calls to the store at 36 machines, 214 of 534 at 5), nobody was held dead, repeats were shared out by an assumed number of nodes. Found by counting the store's calls by path.

Change: a new link exchanges gossip at once. The holder of the lease does not count in the ranks of those who follow it. Nodes list each other every 60 s, every 5 s while one is held dead, so that halves that were cut off meet again. Callers are told the nodes of their zone, and two at least.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -19,7 +19,10 @@
 #define SIDE_CONNECTIONS 256u
 #define SIDE_IDLE_S 30
 #define ADDRESSES_MAX 64 /* that callers look at */
-#define ADDRESSES 4
+/* A caller that has a second address goes on at once when the first fails;
+   it takes any of them, so that one outside its zone takes calls there.  */
+#define ADDRESSES_LEAST 2
+#define ADDRESSES_MOST 4
 /* Of what all nodes together may repeat: each counts on its own, and restarts
    with a full budget.  */
 #define RETRY_SAFETY 0.7
@@ -102,7 +105,8 @@
   size_t count;
 
   nodes = links_nodes (gateway->links, &count);
-  count = lookup_nodes (&query, nodes, count, picked, ADDRESSES);
+  count = lookup_nodes (&query, nodes, count, picked, ADDRESSES_MOST);
+  count = lookup_near (picked, count, lookup->zone, ADDRESSES_LEAST);
   for (size_t i = 0; i < count; i++)
     addresses[i] = picked[i]->address;
   if (count > 0)
--- a/src/links.c
+++ b/src/links.c
@@ -176,8 +176,12 @@
   struct links *links = user;
   struct peer_msg msg
       = { .type = PEER_CONFIG_VERSION, .version = links->doc_version };
+  struct action_list list;
 
   links_send (links, node, &msg);
+  action_list_init (&list);
+  member_link_up (links->member, node, &list);
+  run_actions (links, &list);
   kernel_post (links->core->kernel, KERNEL_LINKED, node);
 }
 
@@ -216,6 +220,12 @@
   return member_list (links->member, count);
 }
 
+bool
+links_whole (struct links *links)
+{
+  return member_whole (links->member);
+}
+
 const char *
 links_address (struct links *links)
 {
--- a/src/links.h
+++ b/src/links.h
@@ -39,6 +39,9 @@
 const struct member_info *const *links_members (struct links *links,
                                                 size_t *count);
 
+/* There are others, and none that is known is held dead.  */
+bool links_whole (struct links *links);
+
 /* The address that peers connect to; borrowed.  */
 const char *links_address (struct links *links);
 
--- a/src/listing.c
+++ b/src/listing.c
@@ -21,8 +21,9 @@
 #define PARK_MS 150 /* between looks whether another node's word is fresh */
 /* Servers that live are listed again this soon after an outage.  */
 #define RETURN_MS 2500
-#define EXPIRE_MS 250  /* between looks at servers to be dropped */
-#define NODES_MS 10000 /* between looks at the other nodes */
+#define EXPIRE_MS 250       /* between looks at servers to be dropped */
+#define NODES_MS 60000      /* between looks at the other nodes */
+#define NODES_APART_MS 5000 /* while some of them are held dead */
 #define NODES_TABLE "nodes"
 
 /* One watched table.  */
@@ -500,7 +501,16 @@
       take_node (listing, &got->rows[i]);
 }
 
-/* A newcomer finds the others here; those who are known tell of it.  */
+static int64_t
+nodes_gap_ms (const struct listing *listing)
+{
+  if (!listing->registered)
+    return TS_MS_PER_S;
+  return links_whole (listing->links) ? NODES_MS : NODES_APART_MS;
+}
+
+/* A newcomer finds the others here, who are told of it by those it finds.
+   Nodes that were cut off from each other for long find each other again.  */
 static void
 nodes_fire (struct loop_timer *timer)
 {
@@ -508,16 +518,12 @@
       = (struct listing *)((char *)timer - offsetof (struct listing, nodes));
   struct platform *platform = listing->core->platform;
   struct platform_changes_cb cb = { .done = on_nodes, .user = listing };
-  size_t members;
 
-  links_members (listing->links, &members);
   if (!listing->registered)
     register_node (listing);
-  if (!listing->registered || members < 2)
-    platform->ops->list (platform, NODES_TABLE, cb);
+  platform->ops->list (platform, NODES_TABLE, cb);
   loop_timer_set (listing->core->loop, timer,
-                  ts_add_ms (now_of (listing),
-                             listing->registered ? NODES_MS : TS_MS_PER_S));
+                  ts_add_ms (now_of (listing), nodes_gap_ms (listing)));
 }
 
 static void
--- a/src/lookup.c
+++ b/src/lookup.c
@@ -145,3 +145,14 @@
   g_free (all);
   return n;
 }
+
+size_t
+lookup_near (const struct route_node *const *picked, size_t count,
+             const char *zone, size_t least)
+{
+  size_t near = 0;
+
+  while (near < count && g_strcmp0 (picked[near]->zone, zone) == 0)
+    near++;
+  return MIN (count, MAX (near, least));
+}
--- a/src/lookup.h
+++ b/src/lookup.h
@@ -38,6 +38,11 @@
                      const struct route_node *nodes, size_t count,
                      const struct route_node **picked, size_t max);
 
+/* How many of the COUNT nodes PICKED, best first, a caller in ZONE needs to
+   know: those in its zone, and LEAST at least while there are so many.  */
+size_t lookup_near (const struct route_node *const *picked, size_t count,
+                    const char *zone, size_t least);
+
 /* Weight of NODE for KEY; the highest is the first choice.  SEED separates
    uses.  */
 uint64_t lookup_weight (const char *key, const char *node, uint64_t seed);
--- a/src/member.c
+++ b/src/member.c
@@ -157,6 +157,18 @@
   return !ts_before (now, ts_add_ms (member->heard_at, SILENT_MS));
 }
 
+bool
+member_whole (const struct member *member)
+{
+  size_t count;
+  const struct member_info *const *infos = member_list (member, &count);
+
+  for (size_t i = 0; i < count; i++)
+    if (infos[i]->state == MEMBER_DEAD)
+      return false;
+  return count > 1;
+}
+
 bool
 member_isolated (const struct member *member)
 {
@@ -473,6 +485,12 @@
   answer_relays (member, number, out);
 }
 
+void
+member_link_up (struct member *member, const char *id, struct action_list *out)
+{
+  push_to (member, MEMBER_PROBE, id, ++member->numbers, out);
+}
+
 void
 member_link_down (struct member *member, const char *id, struct timespec now,
                   struct action_list *out)
--- a/src/member.h
+++ b/src/member.h
@@ -95,6 +95,10 @@
                       const struct member_info *gossip, size_t count,
                       struct timespec now, struct action_list *out);
 
+/* A link to peer ID is up: both tell each other whom they know.  */
+void member_link_up (struct member *member, const char *id,
+                     struct action_list *out);
+
 /* The link to peer ID broke: it is probed through others at once.  */
 void member_link_down (struct member *member, const char *id,
                        struct timespec now, struct action_list *out);
@@ -120,6 +124,9 @@
 /* May callers be sent there?  */
 bool member_usable (const struct member_info *info);
 
+/* There are others, and none that is known is held dead.  */
+bool member_whole (const struct member *member);
+
 /* Nobody answers this node: its view is not to be acted on.  */
 bool member_isolated (const struct member *member);
 
--- a/src/stocker.c
+++ b/src/stocker.c
@@ -8,6 +8,9 @@
 #define LEASE_MS 3000
 /* An order may take so long to its engine.  */
 #define MARGIN_MS 700
+/* Rest after a tick for each server: a tick takes some microseconds of each,
+   and asks for the next by what it changes.  */
+#define REST_US 100L
 
 void
 stocker_set_timer (struct stocker *stocker)
@@ -59,9 +62,17 @@
   stocker->tick_at = ts_min (stocker->tick_at, stock_next (stock, now));
 }
 
+static size_t
+server_count (const struct stocker *stocker)
+{
+  return g_hash_table_size (servers_all (listing_servers (stocker->listing)));
+}
+
 void
 stocker_tick (struct stocker *stocker)
 {
+  pace_done (&stocker->pace, server_count (stocker), REST_US,
+             stocker_now (stocker));
   stocker->tick_at = ts_add_ms (stocker_now (stocker), STOCK_TICK_MS);
   if (stocker_sure (stocker))
     stocker_each_stock (stocker, tick_stock, NULL);
@@ -69,6 +80,15 @@
     stocker_tell_holdings (stocker);
 }
 
+void
+stocker_tick_soon (struct stocker *stocker)
+{
+  struct timespec at = pace_next (&stocker->pace, stocker_now (stocker));
+
+  stocker->tick_at = ts_min (stocker->tick_at, at);
+  stocker_set_timer (stocker);
+}
+
 void
 stocker_take_entry (struct stocker *stocker, const struct server_entry *entry)
 {
@@ -161,7 +181,28 @@
   stocker_set_timer (stocker);
 }
 
-/* Candidates are the live nodes by id; who holds the lease stays first.  */
+/* Candidates are the live nodes by id.  Who holds the lease stays first, and
+   does not count for the others: they are to follow it.  */
+void
+stocker_rank (struct stocker *stocker)
+{
+  size_t count;
+  const struct member_info *const *members
+      = links_members (stocker->links, &count);
+  const char *holder = lease_holder (stocker->lease);
+  unsigned before = 0;
+
+  for (size_t i = 0; i < count; i++)
+    if (member_usable (members[i])
+        && strcmp (members[i]->id, stocker->core->node) < 0
+        && g_strcmp0 (members[i]->id, holder) != 0)
+      before++;
+  if (stocker->core->draining)
+    before = UINT_MAX;
+  lease_set_rank (stocker->lease, stocker->deciding ? 0 : before,
+                  stocker_now (stocker));
+}
+
 static void
 take_members (struct stocker *stocker)
 {
@@ -169,7 +210,6 @@
   const struct member_info *const *members
       = links_members (stocker->links, &count);
   struct timespec now = stocker_now (stocker);
-  unsigned before = 0;
 
   for (size_t i = 0; i < count; i++)
     {
@@ -177,9 +217,6 @@
 
       if (info->state == MEMBER_DEAD)
         lease_holder_dead (stocker->lease, info->id, now);
-      else if (info->state != MEMBER_LEAVING
-               && strcmp (info->id, stocker->core->node) < 0)
-        before++;
       if (info->state == MEMBER_DEAD && stocker->deciding)
         {
           struct stock *stock;
@@ -190,9 +227,7 @@
             stock_node_gone (stock, info->id);
         }
     }
-  if (stocker->core->draining)
-    before = UINT_MAX;
-  lease_set_rank (stocker->lease, stocker->deciding ? 0 : before, now);
+  stocker_rank (stocker);
   stocker_set_timer (stocker);
 }
 
@@ -249,12 +284,10 @@
     case KERNEL_SITE:
       if (stocker->deciding)
         stocker_configure (stocker, (struct site *)event->data);
-      stocker->tick_at = stocker_now (stocker);
-      stocker_set_timer (stocker);
+      stocker_tick_soon (stocker);
       break;
     case KERNEL_SERVERS:
-      stocker->tick_at = stocker_now (stocker);
-      stocker_set_timer (stocker);
+      stocker_tick_soon (stocker);
       break;
     case KERNEL_ENTRY:
       stocker_take_entry (stocker, event->data);
--- a/src/stocker_lease.c
+++ b/src/stocker_lease.c
@@ -22,7 +22,7 @@
   stocker->tenure++;
   spread_out_free (stocker->out);
   stocker->out = spread_out_new (STOCKER_CELL, fence);
-  stocker->tick_at = stocker_now (stocker);
+  stocker_tick_soon (stocker);
   listing_ask_store (stocker->listing);
   if (listing_site (stocker->listing) != NULL)
     stocker_configure (stocker, listing_site (stocker->listing));
@@ -58,6 +58,7 @@
   lease_row (stocker->lease, status, own_row (rows), stocker_now (stocker),
              &list);
   stocker_run_lease (stocker, &list);
+  stocker_rank (stocker);
   stocker_set_timer (stocker);
 }
 
--- a/src/stocker_order.c
+++ b/src/stocker_order.c
@@ -98,8 +98,7 @@
       stock_answered (stock, errand->engine, status, stocker_now (stocker),
                       &list);
       stocker_run_stock (stocker, errand->service, &list);
-      stocker->tick_at = stocker_now (stocker);
-      stocker_set_timer (stocker);
+      stocker_tick_soon (stocker);
     }
   if (stock != NULL && status == BACKEND_FENCED)
     fenced (stocker);
@@ -190,8 +189,7 @@
       stock_report (stock, errand->engine, holding, stocker_now (stocker),
                     &list);
       stocker_run_stock (stocker, errand->service, &list);
-      stocker->tick_at = stocker_now (stocker);
-      stocker_set_timer (stocker);
+      stocker_tick_soon (stocker);
     }
   holding_free (holding);
   stocker_errand_free (errand);
--- a/src/stocker_state.h
+++ b/src/stocker_state.h
@@ -9,6 +9,7 @@
 #include "lease.h"
 #include "links.h"
 #include "listing.h"
+#include "pace.h"
 #include "spread.h"
 #include "stock.h"
 #include "stocker.h"
@@ -36,6 +37,7 @@
   struct loop_timer timer; /* of the lease and the stocks */
   struct loop_timer flush;
   struct timespec tick_at;
+  struct pace pace; /* of ticks */
   struct timespec repeat_at;
   struct timespec told_at;
   uint64_t told_version; /* of the configuration, to the other nodes */
@@ -80,7 +82,11 @@
                                 struct action_list *out, const void *data),
                     const void *data);
 /* Lets the stocks decide, and tells what changed.  */
+/* Finds this node's place among the candidates for the lease.  */
+void stocker_rank (struct stocker *stocker);
 void stocker_tick (struct stocker *stocker);
+/* At once, unless the last one was a moment ago.  */
+void stocker_tick_soon (struct stocker *stocker);
 
 /* stocker_order.c */
 
--- a/src/stocker_want.c
+++ b/src/stocker_want.c
@@ -241,7 +241,7 @@
   g_array_unref (flush.wants);
   wants_prune (stocker->wants);
   if (stocker->deciding)
-    stocker_tick (stocker);
+    stocker_tick_soon (stocker);
 }
 
 void
@@ -298,6 +298,5 @@
   for (size_t i = 0; i < msg->want_count; i++)
     if (msg->wants[i].target != NULL)
       want_here (stocker, from, &msg->wants[i]);
-  stocker->tick_at = stocker_now (stocker);
-  stocker_set_timer (stocker);
+  stocker_tick_soon (stocker);
 }
--- a/tests/test_lookup.c
+++ b/tests/test_lookup.c
@@ -185,6 +185,36 @@
   g_assert_cmpuint (rank, ==, G_MAXUINT);
 }
 
+struct near_case
+{
+  size_t nodes;
+  const char *zone;
+  size_t told;
+};
+
+/* A caller is told the nodes of its zone, and a second one in any case.  */
+static void
+test_near (void)
+{
+  static const struct near_case cases[] = {
+    { 0, "zone-0", 0 }, { 1, "zone-0", 1 },   { 4, "zone-0", 2 },
+    { 8, "zone-1", 2 }, { 12, "zone-1", 3 },  { 40, "zone-1", 3 },
+    { 8, "none", 2 },   { 400, "zone-3", 3 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const struct near_case *c = &cases[i];
+      const struct route_node *picked[4];
+      struct lookup_query query
+          = { .target = "t", .zone = c->zone, .region = "region" };
+      size_t count = lookup_nodes (&query, nodes, c->nodes, picked, 4);
+
+      g_test_message ("%zu nodes, %s", c->nodes, c->zone);
+      g_assert_cmpuint (lookup_near (picked, count, c->zone, 2), ==, c->told);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -194,6 +224,7 @@
   make_nodes ();
   g_test_add_func ("/lookup/moves", test_moves);
   g_test_add_func ("/lookup/zones", test_zones);
+  g_test_add_func ("/lookup/near", test_near);
   g_test_add_func ("/lookup/cell-ranks", test_ranks);
   result = g_test_run ();
   free_nodes ();
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -192,7 +192,7 @@
 }
 
 static struct world *
-world_new (unsigned count)
+world_apart (unsigned count)
 {
   struct world *world = g_new0 (struct world, 1);
 
@@ -202,6 +202,14 @@
   world->wires = g_ptr_array_new_with_free_func (wire_free);
   for (unsigned i = 0; i < count; i++)
     start_node (world, i, 1);
+  return world;
+}
+
+static struct world *
+world_new (unsigned count)
+{
+  struct world *world = world_apart (count);
+
   tell_instances (world);
   if (getenv ("RC_LONG") != NULL)
     run (world, 300000);
@@ -261,6 +269,59 @@
     g_assert_cmpuint (agree (world, i, MEMBER_LIVE), ==, world->count - 1);
 }
 
+/* Without an instance list, links alone make nodes know each other; whom a
+   neighbour knows is heard of too.  */
+static void
+link_up (struct world *world, unsigned i, const char *to)
+{
+  struct action_list list;
+
+  action_list_init (&list);
+  member_link_up (world->nodes[i], to, &list);
+  act (world, i, &list);
+}
+
+static void
+test_links (void)
+{
+  struct world *world = world_apart (3);
+
+  run (world, 3000);
+  g_assert_null (member_find (world->nodes[0], "n001"));
+  link_up (world, 0, "n001");
+  link_up (world, 1, "n002");
+  run (world, 3000);
+  assert_all_live (world);
+  world_free (world);
+}
+
+static bool
+across (unsigned from, unsigned to)
+{
+  return from / 2 != to / 2;
+}
+
+/* Two halves that held each other dead are one again when links are up.  */
+static void
+test_halves (void)
+{
+  struct world *world = world_new (4);
+
+  g_assert_true (member_whole (world->nodes[0]));
+  world->cut = across;
+  run (world, 10000);
+  g_assert_cmpint (state_at (world, 0, 3), ==, MEMBER_DEAD);
+  g_assert_cmpint (state_at (world, 2, 1), ==, MEMBER_DEAD);
+  g_assert_false (member_whole (world->nodes[0]));
+  world->cut = NULL;
+  link_up (world, 0, "n002");
+  link_up (world, 2, "n000");
+  run (world, 5000);
+  assert_all_live (world);
+  g_assert_true (member_whole (world->nodes[0]));
+  world_free (world);
+}
+
 static void
 test_death (void)
 {
@@ -422,6 +483,8 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/member/links", test_links);
+  g_test_add_func ("/member/halves", test_halves);
   g_test_add_func ("/member/death", test_death);
   g_test_add_func ("/member/loss", test_loss);
   g_test_add_func ("/member/pause", test_pause);
