--- a/src/gateway.c
+++ b/src/gateway.c
@@ -6,8 +6,8 @@
 #include "forward.h"
 #include "gateway_state.h"
 #include "histo.h"
-#include "log.h"
 #include "lookup.h"
+#include "reject.h"
 #include "ts.h"
 
 #define IDLE_S 120           /* longer than any limit that callers are given */
@@ -69,20 +69,6 @@
     forward_writable (forward);
 }
 
-static void
-on_rejected (void *user, enum httpd_reject why)
-{
-  struct log_line line;
-
-  (void)user;
-  counter_add (COUNTER_BAD_INPUT, 1);
-  log_begin (&line, EVENT_BAD_REQUEST);
-  log_str (&line, "why",
-           why == HTTPD_REJECT_BODY_TOO_LARGE ? "body too large"
-                                              : "malformed");
-  log_end (&line);
-}
-
 /* Where to connect.  */
 
 static bool
@@ -259,7 +245,7 @@
                                    .request = on_front,
                                    .gone = on_front_gone,
                                    .writable = on_front_writable,
-                                   .rejected = on_rejected,
+                                   .rejected = reject_log,
                                    .user = gateway };
 
   return httpd_new (&options, &gateway->front);
--- /dev/null
+++ b/src/reject.c
@@ -0,0 +1,18 @@
+#include "reject.h"
+
+#include "counter.h"
+#include "log.h"
+
+void
+reject_log (void *user, enum httpd_reject why)
+{
+  struct log_line line;
+
+  (void)user;
+  counter_add (COUNTER_BAD_INPUT, 1);
+  log_begin (&line, EVENT_BAD_REQUEST);
+  log_str (&line, "why",
+           why == HTTPD_REJECT_BODY_TOO_LARGE ? "body too large"
+                                              : "malformed");
+  log_end (&line);
+}
--- a/src/worker.c
+++ b/src/worker.c
@@ -12,6 +12,7 @@
 #include "log.h"
 #include "pick.h"
 #include "reach.h"
+#include "reject.h"
 #include "reply.h"
 #include "retry.h"
 #include "ts.h"
@@ -219,20 +220,6 @@
     call_writable (call);
 }
 
-static void
-on_rejected (void *user, enum httpd_reject why)
-{
-  struct log_line line;
-
-  (void)user;
-  counter_add (COUNTER_BAD_INPUT, 1);
-  log_begin (&line, EVENT_BAD_REQUEST);
-  log_str (&line, "why",
-           why == HTTPD_REJECT_BODY_TOO_LARGE ? "body too large"
-                                              : "malformed");
-  log_end (&line);
-}
-
 static void
 on_tick (struct loop_timer *timer)
 {
@@ -347,7 +334,7 @@
                                    .request = on_request,
                                    .gone = on_gone,
                                    .writable = on_writable,
-                                   .rejected = on_rejected,
+                                   .rejected = reject_log,
                                    .user = worker };
 
   return httpd_new (&options, &worker->httpd);
