links: only where no list of instances does, a new link introduces its nodes

Cause: with gossip on every new link, a parsleyd that starts in an outage of the platform learnt its peers before it had links to them and never got the configuration from them: sock_outage.sh gave up at "in_force NODE 2" in the full run of the checks and when run alone. Which of the messages went astray is not traced. parsleyd has its list of instances, and its order of events is as before; listing, which has none, introduces the nodes.

--- a/src/links.c
+++ b/src/links.c
@@ -176,12 +176,8 @@
   struct links *links = user;
   struct peer_msg msg
       = { .type = PEER_CONFIG_VERSION, .version = links->doc_version };
-  struct action_list list;
 
   links_send (links, node, &msg);
-  action_list_init (&list);
-  member_link_up (links->member, node, &list);
-  run_actions (links, &list);
   kernel_post (links->core->kernel, KERNEL_LINKED, node);
 }
 
@@ -202,6 +198,16 @@
   return peer_send (links->peer, node, msg);
 }
 
+void
+links_introduce (struct links *links, const char *node)
+{
+  struct action_list list;
+
+  action_list_init (&list);
+  member_link_up (links->member, node, &list);
+  run_actions (links, &list);
+}
+
 unsigned
 links_broadcast (struct links *links, const struct peer_msg *msg)
 {
--- a/src/links.h
+++ b/src/links.h
@@ -54,6 +54,10 @@
    the list of instances.  */
 void links_connect (struct links *links, const char *address);
 
+/* Makes this node and NODE, to which a link is up, members to each other
+   where no list of instances does.  */
+void links_introduce (struct links *links, const char *node);
+
 /* Own facts, passed on with heartbeats.  */
 void links_set_doc_version (struct links *links, uint64_t version);
 
--- a/src/listing.c
+++ b/src/listing.c
@@ -548,8 +548,12 @@
 static void
 listing_event (struct service *service, const struct kernel_event *event)
 {
+  struct listing *listing = (struct listing *)service;
+
   if (event->type == KERNEL_DRAIN)
-    unregister_node ((struct listing *)service);
+    unregister_node (listing);
+  else if (event->type == KERNEL_LINKED)
+    links_introduce (listing->links, event->data);
 }
 
 static int
