gate: calls outside end before the services stop

Cause, traced: the close at a stop cancels the watches of the store; on_feed takes that for a failure and feed_failed sets the timer of the feed, of both tables, after listing_stop had cleared it; the listing was then freed. The same holds for stocker's lease callbacks, which set their timer. Mended at the cause: calls end while their services still run, and the stop clears what they set. The clearing in listing_free and stocker_free is gone.

--- a/src/gate.c
+++ b/src/gate.c
@@ -166,8 +166,9 @@
   log_int (&line, "open", gateway_open (gate->gateway));
   log_end (&line);
   loop_timer_clear (gate->core.loop, &gate->drain_timer);
-  kernel_stop (gate->core.kernel);
+  /* First, so that services which set timers at a failure then clear them.  */
   gate->options.close (gate->options.user);
+  kernel_stop (gate->core.kernel);
   gateway_free (gate->gateway);
   stocker_free (gate->stocker);
   listing_free (gate->listing);
--- a/src/gate.h
+++ b/src/gate.h
@@ -29,8 +29,9 @@
   struct gateway_options gateway;
   struct stocker_options stocker;
   int64_t drain_ms; /* a planned stop takes no longer, whatever is open */
-  /* Ends the calls under way at the platform and at engines; called once,
-     after the services have stopped and before they are freed.  */
+  /* Ends the calls under way at the platform and at engines, each with its
+     callback; called once, before the services stop.  What a callback begins
+     is ended too.  */
   void (*close) (void *user);
   void *user;
 };
--- a/src/listing.c
+++ b/src/listing.c
@@ -618,8 +618,6 @@
 
   if (listing == NULL)
     return;
-  if (listing->core != NULL)
-    listing_stop (service); /* answers that came since may have set timers */
   site_unref (listing->site);
   servers_free (listing->servers);
   g_hash_table_unref (listing->told);
--- a/src/stocker.c
+++ b/src/stocker.c
@@ -379,12 +379,6 @@
   spread_out_free (stocker->out);
   spread_in_free (stocker->in);
   wants_free (stocker->wants);
-  /* Answers that came after the stop may have set them.  */
-  if (stocker->core != NULL)
-    {
-      loop_timer_clear (stocker->core->loop, &stocker->timer);
-      loop_timer_clear (stocker->core->loop, &stocker->flush);
-    }
   lease_free (stocker->lease);
   site_unref (stocker->site);
   g_free (stocker);
