confsync: a lost ask for the configuration is sent again

Cause: a node that was told of a version asked once; when the ask went to a node that no link led to, or it or its answer was lost with a link, a word from another peer within 500 ms was dropped as already asked, and nothing asked again while the table was away. Ruled out: the answer (a peer sends it at each ask). Now the last peer to tell of a newer version is asked every 500 ms until the highest told is in force. Tests that failed first: /confsync/ask-lost. /confsync/teller-gone is new too.

--- a/src/confsync.c
+++ b/src/confsync.c
@@ -9,7 +9,7 @@
 
 #define POLL_MS 1000
 #define RARE_POLL_MS 10000 /* of a node that is no poller */
-#define ASK_MS 500         /* until another peer is asked */
+#define ASK_MS 500         /* until the last peer to tell is asked again */
 #define START_MS 3000      /* table and peers have so long at start */
 #define DOUBT_MS 10000     /* an edit in doubt is given up after it */
 #define ANSWER_MS 1000     /* tick while an answer is awaited */
@@ -46,7 +46,8 @@
   struct timespec started;
   struct timespec next;
   struct timespec asked_at;
-  uint64_t asked_version;
+  char *told_by;         /* last peer with a newer version; NULL: none yet */
+  uint64_t told_version; /* highest told */
 };
 
 struct confsync *
@@ -78,6 +79,7 @@
       confedit_free (edit);
     }
   confset_free (confsync->set);
+  g_free (confsync->told_by);
   g_free (confsync->node);
   g_free (confsync);
 }
@@ -316,12 +318,40 @@
   push (CONFSYNC_SNAPSHOT_GET, out);
 }
 
+static void
+ask (struct confsync *confsync, const char *node, uint64_t since,
+     struct timespec now, struct action_list *out)
+{
+  struct confsync_action *action = push (CONFSYNC_ASK, out);
+
+  action->node = g_strdup (node);
+  action->version = since;
+  confsync->asked_at = now;
+}
+
+static bool
+awaits_peer (const struct confsync *confsync)
+{
+  return confsync->told_version > confsync->set->version;
+}
+
+/* The ask or its answer may be lost with a link.  */
+static void
+ask_again (struct confsync *confsync, struct timespec now,
+           struct action_list *out)
+{
+  if (awaits_peer (confsync)
+      && !ts_before (now, ts_add_ms (confsync->asked_at, ASK_MS)))
+    ask (confsync, confsync->told_by, confsync->set->version, now, out);
+}
+
 void
 confsync_tick (struct confsync *confsync, struct timespec now,
                struct action_list *out)
 {
   if (ts_is_zero (confsync->started))
     confsync->started = now;
+  ask_again (confsync, now, out);
   if (ts_before (now, confsync->next))
     return;
   if (confsync->failures > 0)
@@ -336,6 +366,8 @@
 struct timespec
 confsync_next (const struct confsync *confsync)
 {
+  if (awaits_peer (confsync))
+    return ts_min (confsync->next, ts_add_ms (confsync->asked_at, ASK_MS));
   return confsync->next;
 }
 
@@ -496,29 +528,21 @@
     apply (confsync, set, out);
 }
 
-static void
-ask (struct confsync *confsync, const char *node, uint64_t since,
-     struct timespec now, struct action_list *out)
-{
-  struct confsync_action *action = push (CONFSYNC_ASK, out);
-
-  action->node = g_strdup (node);
-  action->version = since;
-  confsync->asked_at = now;
-}
-
 void
 confsync_peer_version (struct confsync *confsync, const char *node,
                        uint64_t version, struct timespec now,
                        struct action_list *out)
 {
   bool asking = ts_before (now, ts_add_ms (confsync->asked_at, ASK_MS));
+  bool newer = version > confsync->told_version;
 
-  if (version <= confsync->set->version
-      || (asking && confsync->asked_version >= version))
+  if (version <= confsync->set->version)
     return;
-  confsync->asked_version = version;
-  ask (confsync, node, confsync->set->version, now, out);
+  g_free (confsync->told_by);
+  confsync->told_by = g_strdup (node);
+  confsync->told_version = MAX (confsync->told_version, version);
+  if (newer || !asking)
+    ask (confsync, node, confsync->set->version, now, out);
 }
 
 void
--- a/tests/test_confsync.c
+++ b/tests/test_confsync.c
@@ -384,6 +384,64 @@
   world_free (world);
 }
 
+/* The table is away, and the only ask goes to a node that no link leads to
+   yet; a word from another one comes while that ask is open, then none.  */
+static void
+test_ask_lost (void)
+{
+  struct world *world = world_new ();
+  struct confsync *late = world->nodes[4];
+  struct action_list list;
+  int64_t from;
+
+  action_list_init (&list);
+  world->cut_off[4] = true;
+  world->paused[4] = true;
+  edit (world, 0, "a", 1);
+  for (int64_t i = 0; i < 2000; i++)
+    step (world);
+  g_ptr_array_set_size (world->wires, 0);
+  world->paused[4] = false;
+  from = world->ms;
+  confsync_peer_version (late, "0", 1, now (world), &list);
+  action_list_clear (&list);
+  world->ms += 100;
+  confsync_peer_version (late, "1", 1, now (world), &list);
+  act (world, 4, &list);
+  while (confsync_version (late) < 1 && world->ms < from + 2000)
+    step (world);
+  g_assert_cmpuint (confsync_version (late), ==, 1);
+  world_free (world);
+}
+
+/* Who had the highest version is gone; another one has at least a newer.  */
+static void
+test_teller_gone (void)
+{
+  struct world *world = world_new ();
+  struct confsync *late = world->nodes[4];
+  struct action_list list;
+  int64_t from;
+
+  action_list_init (&list);
+  world->cut_off[4] = true;
+  world->paused[4] = true;
+  edit (world, 0, "a", 1);
+  for (int64_t i = 0; i < 2000; i++)
+    step (world);
+  g_ptr_array_set_size (world->wires, 0);
+  world->paused[4] = false;
+  from = world->ms;
+  confsync_peer_version (late, "0", 2, now (world), &list);
+  action_list_clear (&list);
+  confsync_peer_version (late, "1", 1, now (world), &list);
+  act (world, 4, &list);
+  while (confsync_version (late) < 1 && world->ms < from + 2000)
+    step (world);
+  g_assert_cmpuint (confsync_version (late), ==, 1);
+  world_free (world);
+}
+
 static void
 test_snapshot_asked (void)
 {
@@ -422,6 +480,8 @@
   g_test_add_func ("/confsync/pause", test_pause);
   g_test_add_func ("/confsync/no-mixture", test_no_mixture);
   g_test_add_func ("/confsync/start-without-table", test_start_without_table);
+  g_test_add_func ("/confsync/ask-lost", test_ask_lost);
+  g_test_add_func ("/confsync/teller-gone", test_teller_gone);
   g_test_add_func ("/confsync/snapshot-asked", test_snapshot_asked);
   return g_test_run ();
 }
