stock: a model that came for requests stays until these have reached it

Cause: a call is noted when it comes; after a wait of more than 1.5 s, or at a decider that did not see the call come, nothing kept the model once its requests had been sent. Now a model whose requests waited is not unloaded for 1.5 s after they were sent. Calls count as known 10 s after the first one, not after the decider's start. Test that failed first: /stock/waited. Pattern: many rare models, a burst on them, a new decider.

Ruled out: the engine refuses by itself; each refusal follows the unload.

--- a/src/stock.c
+++ b/src/stock.c
@@ -35,11 +35,11 @@
   struct stock *stock = g_new0 (struct stock, 1);
 
   stock->loads_at_once = options->loads_at_once;
-  stock->started_at = options->now;
   stock->engines
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, engine_free);
   stock->models = g_hash_table_new (g_str_hash, g_str_equal);
   stock->demand = rates_new ();
+  stock->sent = rates_new ();
   stock->expected
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   stock->wants
@@ -57,6 +57,7 @@
   g_hash_table_unref (stock->engines);
   g_hash_table_unref (stock->models);
   rates_free (stock->demand);
+  rates_free (stock->sent);
   g_hash_table_unref (stock->expected);
   g_hash_table_unref (stock->wants);
   g_free (stock);
@@ -176,28 +177,42 @@
   stock_compare (stock, engine, now, out);
 }
 
-void
-stock_call (struct stock *stock, const char *target, double count,
+/* Notes COUNT calls of TARGET, and of its model.  */
+static void
+note_calls (struct rates *rates, const char *target, double count,
             struct timespec now)
 {
   const char *slash = strchr (target, '/');
   char *model;
 
-  rates_add (stock->demand, target, count, now);
+  rates_add (rates, target, count, now);
   if (slash == NULL)
     return;
   model = g_strndup (target, (gsize)(slash - target));
-  rates_add (stock->demand, model, count, now);
+  rates_add (rates, model, count, now);
   g_free (model);
 }
 
+void
+stock_call (struct stock *stock, const char *target, double count,
+            struct timespec now)
+{
+  if (ts_is_zero (stock->called_at))
+    stock->called_at = now;
+  note_calls (stock->demand, target, count, now);
+}
+
 void
 stock_want (struct stock *stock, const char *node, const char *target,
-            unsigned waiting, unsigned priority)
+            unsigned waiting, unsigned priority, struct timespec now)
 {
   char *key = g_strdup_printf ("%s %s", node, target);
-  struct stock_want *want;
+  struct stock_want *want = g_hash_table_lookup (stock->wants, key);
 
+  /* Who waits no longer has just been sent to an engine: its call was counted
+     when it came.  */
+  if (want != NULL && waiting < want->waiting)
+    note_calls (stock->sent, target, 0, now);
   if (waiting == 0)
     {
       g_hash_table_remove (stock->wants, key);
--- a/src/stock.h
+++ b/src/stock.h
@@ -85,9 +85,10 @@
                  struct timespec now);
 
 /* At NODE, WAITING requests wait for TARGET.  Replaces what NODE said before
-   about TARGET.  PRIORITY 0 is the highest.  */
+   about TARGET; those no longer among them are taken to be on their way to an
+   engine.  PRIORITY 0 is the highest.  */
 void stock_want (struct stock *stock, const char *node, const char *target,
-                 unsigned waiting, unsigned priority);
+                 unsigned waiting, unsigned priority, struct timespec now);
 void stock_node_gone (struct stock *stock, const char *node);
 
 void stock_tick (struct stock *stock, struct timespec now,
--- a/src/stock_plan.c
+++ b/src/stock_plan.c
@@ -12,7 +12,7 @@
 #define FREE_VALUE 0.01    /* of a model in memory that nobody needs */
 #define SURPLUS_VALUE 0.05 /* of a replica more than are needed */
 #define START_REPLICAS 3   /* kept of a model before its calls are known */
-#define LEARN_S 10.0       /* until calls are known */
+#define LEARN_S 10.0       /* from the first call until calls are known */
 /* An engine that makes room for another model is not free for so long; one
    that ends a single order takes the next soon after.  */
 #define GOAL_S 1.5
@@ -128,14 +128,23 @@
     count_want (plan, want);
 }
 
+/* Whether calls are not known yet.  */
+static bool
+learning (const struct plan *plan)
+{
+  const struct stock *stock = plan->stock;
+
+  return ts_is_zero (stock->called_at)
+         || ts_to_s (ts_sub (plan->now, stock->called_at)) < LEARN_S;
+}
+
 /* Replicas that the calls of MODEL need.  */
 static unsigned
 needed (const struct plan *plan, const struct plan_model *model)
 {
-  double known_s = ts_to_s (ts_sub (plan->now, plan->stock->started_at));
   unsigned n = (unsigned)ceil (model->per_s * STOCK_CALL_S / STOCK_BUSY_SHARE);
 
-  if (known_s < LEARN_S)
+  if (learning (plan))
     n = MAX (n, MIN (model->loaded, START_REPLICAS));
   return n;
 }
@@ -146,7 +155,9 @@
 {
   double calls_value = model->per_s * HORIZON_S * reload_s;
 
-  if (model->waiting > 0)
+  if (model->waiting > 0
+      || rates_idle_s (plan->stock->sent, model->site->name, plan->now)
+             < RUNNING_S)
     return WANTED_VALUE;
   if (model->replicas > 1 && model->replicas > needed (plan, model))
     return SURPLUS_VALUE * (1.0 + model->per_s);
--- a/src/stock_state.h
+++ b/src/stock_state.h
@@ -63,13 +63,14 @@
   uint64_t reserved_mb; /* of an engine, for adapters */
   GHashTable *engines;  /* id to struct stock_engine */
   struct rates *demand; /* of targets */
-  GHashTable *wants;    /* "NODE TARGET" to struct stock_want */
+  struct rates *sent; /* targets whose requests waited, when these were sent */
+  GHashTable *wants;  /* "NODE TARGET" to struct stock_want */
   struct budget budget;
   GHashTable *expected; /* model that requests wait for and no engine loads
                            yet, to struct timespec: when it may be had */
   unsigned loads_at_once;
-  unsigned preload_from; /* place in the order of need */
-  struct timespec started_at;
+  unsigned preload_from;     /* place in the order of need */
+  struct timespec called_at; /* first call; zero: none */
 };
 
 /* stock_order.c */
--- a/src/stocker_want.c
+++ b/src/stocker_want.c
@@ -188,7 +188,7 @@
   if (want->calls > 0)
     stock_call (stock, target, (double)want->calls, stocker_now (stocker));
   stock_want (stock, node, target, (unsigned)want->count,
-              (unsigned)want->priority);
+              (unsigned)want->priority, stocker_now (stocker));
 }
 
 static void
--- a/tests/prop_stock.cc
+++ b/tests/prop_stock.cc
@@ -467,12 +467,13 @@
       wanted.push_back (target);
       stock_call (w.stock, target.c_str (), 1, ts (w.now_ms));
       for (const auto &one : wanted)
-        stock_want (w.stock, "n", one.c_str (), 1, 0);
+        stock_want (w.stock, "n", one.c_str (), 1, 0, ts (w.now_ms));
       for (int i = 0; i < turns_a_day; i++)
         turn (w);
       if (wanted.size () == wanted_at_once)
         {
-          stock_want (w.stock, "n", wanted.front ().c_str (), 0, 0);
+          stock_want (w.stock, "n", wanted.front ().c_str (), 0, 0,
+                      ts (w.now_ms));
           wanted.pop_front ();
         }
       if (faults && day % 17 == 0)
@@ -482,7 +483,7 @@
       check (w);
     }
   for (const auto &one : wanted)
-    stock_want (w.stock, "n", one.c_str (), 0, 0);
+    stock_want (w.stock, "n", one.c_str (), 0, 0, ts (w.now_ms));
 }
 
 void
@@ -524,7 +525,7 @@
     std::string model = target.substr (0, target.find ('/'));
     bool there = false;
 
-    stock_want (w.stock, "n", target.c_str (), 1, 0);
+    stock_want (w.stock, "n", target.c_str (), 1, 0, ts (w.now_ms));
     for (int i = 0; i < 400 && !there; i++)
       {
         turn (w);
--- a/tests/test_stock.c
+++ b/tests/test_stock.c
@@ -150,7 +150,7 @@
       stock_call (f.stock, "m3", 1, ts_from_ms (f.ms));
       f.ms += 50;
     }
-  stock_want (f.stock, "n", "m4", 1, 0);
+  stock_want (f.stock, "n", "m4", 1, 0, ts_from_ms (f.ms));
   tick (&f, 100);
   check_order (&f, "unload e2 m2");
   accept (&f, "e2");
@@ -161,6 +161,34 @@
   tear_down (&f);
 }
 
+/* A decider that did not see the call of a request that has waited long: the
+   model that came for it stays until the request has reached its engine.  */
+static void
+test_waited (void)
+{
+  struct fixture f;
+
+  set_up (&f, MODELS);
+  report (&f, "e1", 3, false, "m0 m1", "m0 m1 m2 m3");
+  stock_call (f.stock, "m0", 1, ts_from_ms (f.ms));
+  stock_want (f.stock, "n", "m2", 1, 0, ts_from_ms (f.ms));
+  tick (&f, 100);
+  check_order (&f, "unload e1 m1");
+  accept (&f, "e1");
+  f.ms += 300;
+  report (&f, "e1", 4, false, "m0", "m0 m1 m2 m3");
+  tick (&f, 100);
+  check_order (&f, "load e1 m2");
+  accept (&f, "e1");
+  f.ms += 2000;
+  report (&f, "e1", 5, false, "m0 m2", "m0 m1 m2 m3");
+  stock_want (f.stock, "n", "m2", 0, 0, ts_from_ms (f.ms));
+  stock_want (f.stock, "n", "m3", 1, 0, ts_from_ms (f.ms));
+  tick (&f, 10);
+  check_order (&f, "unload e1 m0");
+  tear_down (&f);
+}
+
 /* Its weights are on an engine that is busy: it is waited for, not fetched
    elsewhere.  */
 static void
@@ -171,11 +199,11 @@
   set_up (&f, MODELS);
   report (&f, "e1", 3, false, "m0 m1", "m0 m1 m5");
   report (&f, "e2", 3, false, "m2", "m2 m3 m4");
-  stock_want (f.stock, "n", "m3", 1, 0);
+  stock_want (f.stock, "n", "m3", 1, 0, ts_from_ms (f.ms));
   tick (&f, 1000);
   check_order (&f, "load e2 m3");
   accept (&f, "e2");
-  stock_want (f.stock, "n", "m4", 1, 0);
+  stock_want (f.stock, "n", "m4", 1, 0, ts_from_ms (f.ms));
   tick (&f, 100);
   check_order (&f, NULL);
   tear_down (&f);
@@ -205,18 +233,18 @@
 
   set_up (&f, 1);
   report (&f, "e1", 3, false, "m0", "m0");
-  stock_want (f.stock, "n", "m0/a1", 1, 0);
+  stock_want (f.stock, "n", "m0/a1", 1, 0, ts_from_ms (f.ms));
   tick (&f, 0);
   check_order (&f, "load e1 m0/a1");
   accept (&f, "e1");
-  stock_want (f.stock, "n", "m0/a2", 1, 0);
+  stock_want (f.stock, "n", "m0/a2", 1, 0, ts_from_ms (f.ms));
   tick (&f, 20);
   check_order (&f, "load e1 m0/a2");
   accept (&f, "e1");
-  stock_want (f.stock, "n", "m0/a1", 0, 0);
-  stock_want (f.stock, "n", "m0/a2", 0, 0);
+  stock_want (f.stock, "n", "m0/a1", 0, 0, ts_from_ms (f.ms));
+  stock_want (f.stock, "n", "m0/a2", 0, 0, ts_from_ms (f.ms));
   stock_call (f.stock, "m0/a2", 1, ts_from_ms (f.ms));
-  stock_want (f.stock, "n", "m0/a3", 1, 0);
+  stock_want (f.stock, "n", "m0/a3", 1, 0, ts_from_ms (f.ms));
   tick (&f, 20);
   check_order (&f, NULL);
   tick (&f, 500);
@@ -239,7 +267,7 @@
   set_up (&f, 2);
   report (&f, "e1", 3, false, "m0", "m0");
   report (&f, "e2", 3, false, "m1", "m0 m1");
-  stock_want (f.stock, "n", "m0", 1, 0);
+  stock_want (f.stock, "n", "m0", 1, 0, ts_from_ms (f.ms));
   tick (&f, 1000);
   while ((action = action_pop (&f.list)) != NULL)
     {
@@ -263,7 +291,7 @@
 
   set_up (&f, 1);
   report (&f, "e1", 3, false, "", "m0");
-  stock_want (f.stock, "n", "m0", 1, 0);
+  stock_want (f.stock, "n", "m0", 1, 0, ts_from_ms (f.ms));
   tick (&f, 1000);
   check_order (&f, "load e1 m0");
   stock_answered (f.stock, "e1", BACKEND_UNKNOWN, ts_from_ms (f.ms), &f.list);
@@ -284,6 +312,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/stock/rare-model", test_rare);
+  g_test_add_func ("/stock/waited", test_waited);
   g_test_add_func ("/stock/weights-on-busy-engine", test_busy_engine);
   g_test_add_func ("/stock/idle-models-stay", test_no_churn);
   g_test_add_func ("/stock/adapters", test_adapters);
