--- a/src/stock_plan.c
+++ b/src/stock_plan.c
@@ -159,7 +159,7 @@
       || rates_idle_s (plan->stock->sent, model->site->name, plan->now)
              < RUNNING_S)
     return WANTED_VALUE;
-  if (model->replicas > 1 && model->replicas > needed (plan, model))
+  if (model->loaded > 1 && model->loaded > needed (plan, model))
     return SURPLUS_VALUE * (1.0 + model->per_s);
   if (rates_idle_s (plan->stock->demand, model->site->name, plan->now)
       < RUNNING_S)
@@ -335,6 +335,7 @@
   if (model != NULL)
     {
       model->replicas--;
+      model->loaded--;
       model->valued = false;
     }
   stock_give (
--- a/tests/test_stock.c
+++ b/tests/test_stock.c
@@ -189,6 +189,27 @@
   tear_down (&f);
 }
 
+/* Calls of a model fell while a second replica of it is fetched: the one that
+   serves is not the one too many.  */
+static void
+test_surplus (void)
+{
+  struct fixture f;
+
+  set_up (&f, MODELS);
+  report (&f, "e1", 3, false, "m0 m1", "m0 m1 m4");
+  report (&f, "e2", 3, false, "m2", "m2");
+  stock_call (f.stock, "m0", 32, ts_from_ms (f.ms));
+  tick (&f, 100);
+  check_order (&f, "load e2 m0");
+  accept (&f, "e2");
+  f.ms += 4000;
+  stock_want (f.stock, "n", "m4", 1, 0, ts_from_ms (f.ms));
+  tick (&f, 100);
+  check_order (&f, "unload e1 m1");
+  tear_down (&f);
+}
+
 /* Its weights are on an engine that is busy: it is waited for, not fetched
    elsewhere.  */
 static void
@@ -313,6 +334,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/stock/rare-model", test_rare);
   g_test_add_func ("/stock/waited", test_waited);
+  g_test_add_func ("/stock/surplus", test_surplus);
   g_test_add_func ("/stock/weights-on-busy-engine", test_busy_engine);
   g_test_add_func ("/stock/idle-models-stay", test_no_churn);
   g_test_add_func ("/stock/adapters", test_adapters);
