stock: the adapter longest unused makes way, none that requests wait for

Test that failed first: /stock/adapter-in-use. Pattern: one hot model with four times as many adapters as places.

--- a/src/stock_adapter.c
+++ b/src/stock_adapter.c
@@ -4,14 +4,40 @@
 #include "stock_plan.h"
 #include "ts.h"
 
-/* An adapter that may go from ENGINE: the least called, none that requests
-   wait for; *MODEL is its model.  */
+#define USED_S 0.5 /* a request for an adapter runs at least so long */
+
+static bool
+waited_for (const struct plan *plan, const char *target)
+{
+  const struct stock_want *want;
+  GHashTableIter iter;
+
+  g_hash_table_iter_init (&iter, plan->stock->wants);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&want))
+    if (strcmp (want->target, target) == 0)
+      return true;
+  return false;
+}
+
+/* Seconds since a request for TARGET came or was sent.  */
+static double
+idle_s (const struct plan *plan, const char *target)
+{
+  const struct stock *stock = plan->stock;
+
+  return MIN (rates_idle_s (stock->demand, target, plan->now),
+              rates_idle_s (stock->sent, target, plan->now));
+}
+
+/* An adapter that may go from ENGINE: the longest not called, which no request
+   is likely to use; an engine takes no order while it waits for those that do.
+   None that requests wait for.  *MODEL is its model.  */
 static const char *
 adapter_victim (const struct plan *plan, const struct stock_engine *engine,
                 const char **model)
 {
   const char *victim = NULL;
-  double least = INFINITY;
+  double longest = USED_S;
 
   for (guint i = 0; i < engine->held->models->len; i++)
     {
@@ -22,12 +48,12 @@
         {
           const char *adapter = g_ptr_array_index (held->adapters, j);
           char *target = servers_target (held->name, adapter);
-          double per_s = rates_per_s (plan->stock->demand, target, plan->now);
+          double idle = waited_for (plan, target) ? 0 : idle_s (plan, target);
 
           g_free (target);
-          if (per_s >= least)
+          if (idle <= longest)
             continue;
-          least = per_s;
+          longest = idle;
           victim = adapter;
           *model = held->name;
         }
--- a/tests/test_stock.c
+++ b/tests/test_stock.c
@@ -276,6 +276,35 @@
   tear_down (&f);
 }
 
+/* All places are taken: an adapter that a request has just gone to is in use,
+   and the engine would take no order until that ends.  */
+static void
+test_adapter_in_use (void)
+{
+  struct fixture f;
+
+  set_up (&f, 1);
+  report (&f, "e1", 3, false, "m0", "m0");
+  stock_want (f.stock, "n", "m0/a1", 1, 0, ts_from_ms (f.ms));
+  tick (&f, 0);
+  check_order (&f, "load e1 m0/a1");
+  accept (&f, "e1");
+  stock_want (f.stock, "n", "m0/a1", 0, 0, ts_from_ms (f.ms));
+  stock_call (f.stock, "m0/a1", 5, ts_from_ms (f.ms));
+  stock_want (f.stock, "n", "m0/a2", 1, 0, ts_from_ms (f.ms));
+  tick (&f, 20);
+  check_order (&f, "load e1 m0/a2");
+  accept (&f, "e1");
+  f.ms += 3000;
+  tick (&f, 0);
+  stock_want (f.stock, "n", "m0/a2", 0, 0, ts_from_ms (f.ms));
+  stock_call (f.stock, "m0/a2", 1, ts_from_ms (f.ms));
+  stock_want (f.stock, "n", "m0/a3", 1, 0, ts_from_ms (f.ms));
+  tick (&f, 10);
+  check_order (&f, "unload e1 m0/a1");
+  tear_down (&f);
+}
+
 /* Requests wait for a model that an engine is thought to hold, and nobody is
    at its address: it is loaded elsewhere.  */
 static void
@@ -338,6 +367,7 @@
   g_test_add_func ("/stock/weights-on-busy-engine", test_busy_engine);
   g_test_add_func ("/stock/idle-models-stay", test_no_churn);
   g_test_add_func ("/stock/adapters", test_adapters);
+  g_test_add_func ("/stock/adapter-in-use", test_adapter_in_use);
   g_test_add_func ("/stock/engine-down", test_engine_down);
   g_test_add_func ("/stock/lost-answer", test_lost_answer);
   return g_test_run ();
