confpeer: a node gets the configuration from peers when the store does not give it

Ruled out: the links; they were up within 10 ms. Now nodes tell each other the version in force; one that is behind for 0.5 s asks the last to tell, and takes the row as the store gave it, if its version is higher. Which peer to ask and when is one module for parsleyd and parsley-gate (confask). A node without a configuration is not named in lookups. Test: /gate/config-from-peer; without the service it never ends (first state).

--- /dev/null
+++ b/src/confask.h
@@ -0,0 +1,44 @@
+/* confask - which peer to ask for a newer configuration, and when.
+
+   Peers tell which version they have.  The last to tell of a newer one than
+   this node's is asked, again and again until the highest told is in force:
+   an ask or its answer may be lost with a link, and who told may be gone.
+
+   Pure; one thread.  */
+
+#ifndef PARSLEYRILL_CONFASK_H
+#define PARSLEYRILL_CONFASK_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <time.h>
+
+#define CONFASK_MS 500 /* between two asks */
+
+struct confask
+{
+  char *told_by;         /* owned; NULL: nobody told of a newer version */
+  uint64_t told_version; /* highest told */
+  struct timespec asked_at;
+};
+
+/* All zero at first.  */
+void confask_clear (struct confask *ask);
+
+/* NODE has VERSION; this node OWN.  True when NODE is to be asked at once:
+   no ask is open for a version as high.  */
+bool confask_told (struct confask *ask, const char *node, uint64_t version,
+                   uint64_t own, struct timespec now);
+
+/* The peer to ask now, borrowed until the next call; NULL: none.  */
+const char *confask_due (const struct confask *ask, uint64_t own,
+                         struct timespec now);
+
+/* Somebody is asked, or will be after CONFASK_MS.  */
+void confask_asked (struct confask *ask, struct timespec now);
+
+/* When to ask next; false: not at all.  */
+bool confask_next (const struct confask *ask, uint64_t own,
+                   struct timespec *at);
+
+#endif
--- /dev/null
+++ b/src/confpeer.c
@@ -0,0 +1,175 @@
+#include "confpeer.h"
+
+#include <glib.h>
+#include "confask.h"
+#include "core.h"
+#include "links.h"
+#include "listing.h"
+#include "log.h"
+
+#define CONFPEER_NAME "confpeer"
+
+struct confpeer
+{
+  struct service service; /* first */
+  struct core *core;
+  struct links *links;
+  struct listing *listing;
+  struct confask ask;
+  struct loop_timer timer;
+};
+
+static uint64_t
+own_version (const struct confpeer *confpeer)
+{
+  const struct site *site = listing_site (confpeer->listing);
+
+  return site != NULL ? site->version : 0;
+}
+
+static void
+set_timer (struct confpeer *confpeer)
+{
+  struct timespec at;
+
+  if (confask_next (&confpeer->ask, own_version (confpeer), &at))
+    loop_timer_set (confpeer->core->loop, &confpeer->timer, at);
+  else
+    loop_timer_clear (confpeer->core->loop, &confpeer->timer);
+}
+
+static void
+timer_fire (struct loop_timer *timer)
+{
+  struct confpeer *confpeer
+      = (struct confpeer *)((char *)timer - offsetof (struct confpeer, timer));
+  struct timespec now = loop_now (confpeer->core->loop);
+  struct peer_msg msg
+      = { .type = PEER_CONFIG_ASK, .version = own_version (confpeer) };
+  const char *node = confask_due (&confpeer->ask, msg.version, now);
+
+  if (node != NULL)
+    {
+      links_send (confpeer->links, node, &msg);
+      confask_asked (&confpeer->ask, now);
+    }
+  set_timer (confpeer);
+}
+
+/* The platform mostly gives it within that time.  */
+static void
+take_version (struct confpeer *confpeer, const char *from, uint64_t version)
+{
+  struct timespec now = loop_now (confpeer->core->loop);
+
+  if (confask_told (&confpeer->ask, from, version, own_version (confpeer),
+                    now))
+    confask_asked (&confpeer->ask, now);
+  set_timer (confpeer);
+}
+
+static void
+hand_on (struct confpeer *confpeer, const char *to, uint64_t since)
+{
+  struct peer_section section
+      = { .team = (char *)"",
+          .text = (char *)listing_config (confpeer->listing),
+          .version = own_version (confpeer) };
+  struct peer_msg msg = { .type = PEER_CONFIG,
+                          .version = section.version,
+                          .sections = &section,
+                          .section_count = 1 };
+
+  if (section.version > since)
+    links_send (confpeer->links, to, &msg);
+}
+
+static void
+take_config (struct confpeer *confpeer, const char *from,
+             const struct peer_msg *msg)
+{
+  struct log_line line;
+
+  if (msg->section_count != 1 || msg->sections[0].text == NULL
+      || msg->version <= own_version (confpeer))
+    return;
+  log_begin (&line, EVENT_CONFIG_FROM_PEER);
+  log_str (&line, "peer", from);
+  log_int (&line, "version", (int64_t)msg->version);
+  log_end (&line);
+  listing_take_config (confpeer->listing, msg->sections[0].text);
+  set_timer (confpeer);
+}
+
+static void
+take_peer (struct confpeer *confpeer, const struct links_msg *peer)
+{
+  const struct peer_msg *msg = peer->msg;
+
+  if (msg->type == PEER_CONFIG_VERSION)
+    take_version (confpeer, peer->from, msg->version);
+  else if (msg->type == PEER_CONFIG_ASK)
+    hand_on (confpeer, peer->from, msg->version);
+  else if (msg->type == PEER_CONFIG)
+    take_config (confpeer, peer->from, msg);
+}
+
+static void
+confpeer_event (struct service *service, const struct kernel_event *event)
+{
+  struct confpeer *confpeer = (struct confpeer *)service;
+  struct peer_msg msg = { .type = PEER_CONFIG_VERSION };
+
+  if (event->type == KERNEL_PEER)
+    take_peer (confpeer, event->data);
+  else if (event->type == KERNEL_SITE)
+    {
+      msg.version = own_version (confpeer);
+      links_broadcast (confpeer->links, &msg);
+      set_timer (confpeer);
+    }
+}
+
+static int
+confpeer_start (struct service *service, struct kernel *kernel)
+{
+  struct confpeer *confpeer = (struct confpeer *)service;
+
+  confpeer->core = core_find (kernel);
+  confpeer->links = links_find (kernel);
+  confpeer->listing = listing_find (kernel);
+  confpeer->timer.fire = timer_fire;
+  return 0;
+}
+
+static void
+confpeer_stop (struct service *service)
+{
+  struct confpeer *confpeer = (struct confpeer *)service;
+
+  loop_timer_clear (confpeer->core->loop, &confpeer->timer);
+}
+
+static const struct service_ops ops
+    = { confpeer_start, confpeer_stop, confpeer_event };
+
+struct service *
+confpeer_new (void)
+{
+  struct confpeer *confpeer = g_new0 (struct confpeer, 1);
+
+  confpeer->service.ops = &ops;
+  confpeer->service.name = CONFPEER_NAME;
+  return &confpeer->service;
+}
+
+void
+confpeer_free (struct service *service)
+{
+  struct confpeer *confpeer = (struct confpeer *)service;
+
+  if (confpeer == NULL)
+    return;
+  confask_clear (&confpeer->ask);
+  g_free (confpeer);
+}
--- a/src/confsync.c
+++ b/src/confsync.c
@@ -3,13 +3,13 @@
 #include <inttypes.h>
 #include <string.h>
 #include "backoff.h"
+#include "confask.h"
 #include "confedit.h"
 #include "rows.h"
 #include "ts.h"
 
 #define POLL_MS 1000
 #define RARE_POLL_MS 10000 /* of a node that is no poller */
-#define ASK_MS 500         /* until the last peer to tell is asked again */
 #define START_MS 3000      /* table and peers have so long at start */
 #define DOUBT_MS 10000     /* an edit in doubt is given up after it */
 #define ANSWER_MS 1000     /* tick while an answer is awaited */
@@ -45,9 +45,7 @@
   uint64_t attempts;
   struct timespec started;
   struct timespec next;
-  struct timespec asked_at;
-  char *told_by;         /* last peer with a newer version; NULL: none yet */
-  uint64_t told_version; /* highest told */
+  struct confask ask;
 };
 
 struct confsync *
@@ -79,7 +77,7 @@
       confedit_free (edit);
     }
   confset_free (confsync->set);
-  g_free (confsync->told_by);
+  confask_clear (&confsync->ask);
   g_free (confsync->node);
   g_free (confsync);
 }
@@ -326,23 +324,17 @@
 
   action->node = g_strdup (node);
   action->version = since;
-  confsync->asked_at = now;
+  confask_asked (&confsync->ask, now);
 }
 
-static bool
-awaits_peer (const struct confsync *confsync)
-{
-  return confsync->told_version > confsync->set->version;
-}
-
-/* The ask or its answer may be lost with a link.  */
 static void
 ask_again (struct confsync *confsync, struct timespec now,
            struct action_list *out)
 {
-  if (awaits_peer (confsync)
-      && !ts_before (now, ts_add_ms (confsync->asked_at, ASK_MS)))
-    ask (confsync, confsync->told_by, confsync->set->version, now, out);
+  const char *node = confask_due (&confsync->ask, confsync->set->version, now);
+
+  if (node != NULL)
+    ask (confsync, node, confsync->set->version, now, out);
 }
 
 void
@@ -366,8 +358,10 @@
 struct timespec
 confsync_next (const struct confsync *confsync)
 {
-  if (awaits_peer (confsync))
-    return ts_min (confsync->next, ts_add_ms (confsync->asked_at, ASK_MS));
+  struct timespec ask_at;
+
+  if (confask_next (&confsync->ask, confsync->set->version, &ask_at))
+    return ts_min (confsync->next, ask_at);
   return confsync->next;
 }
 
@@ -533,15 +527,8 @@
                        uint64_t version, struct timespec now,
                        struct action_list *out)
 {
-  bool asking = ts_before (now, ts_add_ms (confsync->asked_at, ASK_MS));
-  bool newer = version > confsync->told_version;
-
-  if (version <= confsync->set->version)
-    return;
-  g_free (confsync->told_by);
-  confsync->told_by = g_strdup (node);
-  confsync->told_version = MAX (confsync->told_version, version);
-  if (newer || !asking)
+  if (confask_told (&confsync->ask, node, version, confsync->set->version,
+                    now))
     ask (confsync, node, confsync->set->version, now, out);
 }
 
--- a/src/gate.c
+++ b/src/gate.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <glib.h>
+#include "confpeer.h"
 #include "core.h"
 #include "links.h"
 #include "listing.h"
@@ -18,6 +19,7 @@
   struct gate_options options;
   struct service *links;
   struct service *listing;
+  struct service *confpeer;
   struct service *stocker;
   struct service *gateway;
   struct loop_timer drain_timer;
@@ -52,6 +54,7 @@
   core_register (&gate->core);
   kernel_register (kernel, gate->links = links_new ());
   kernel_register (kernel, gate->listing = listing_new (&listing));
+  kernel_register (kernel, gate->confpeer = confpeer_new ());
   kernel_register (kernel,
                    gate->stocker = stocker_new (&gate->options.stocker));
   kernel_register (kernel,
@@ -171,6 +174,7 @@
   kernel_stop (gate->core.kernel);
   gateway_free (gate->gateway);
   stocker_free (gate->stocker);
+  confpeer_free (gate->confpeer);
   listing_free (gate->listing);
   links_free (gate->links);
   kernel_free (gate->core.kernel);
--- a/src/links.c
+++ b/src/links.c
@@ -250,7 +250,9 @@
       const struct member_info *info = members[i];
       struct route_node node;
 
-      if (!member_usable (info))
+      /* Without a configuration a node turns all requests away.  */
+      if (!member_usable (info)
+          || (info->doc_version == 0 && links->doc_version > 0))
         continue;
       node = (struct route_node){ .id = g_strdup (info->id),
                                   .address = g_strdup (info->call_address),
--- a/src/listing.c
+++ b/src/listing.c
@@ -49,8 +49,9 @@
   struct core *core;
   struct links *links;
   struct site *site;
+  char *config; /* row of the platform that SITE was made from */
   struct servers *servers;
-  struct feed config;
+  struct feed configs;
   struct feed backends;
   struct loop_timer expire;
   struct loop_timer nodes;
@@ -83,12 +84,14 @@
 /* The configuration.  */
 
 static void
-put_in_force (struct listing *listing, struct site *site)
+put_in_force (struct listing *listing, struct site *site, const char *config)
 {
   struct log_line line;
 
   site_unref (listing->site);
+  g_free (listing->config);
   listing->site = site;
+  listing->config = g_strdup (config);
   log_begin (&line, EVENT_CONFIG_IN_FORCE);
   log_int (&line, "version", (int64_t)site->version);
   log_int (&line, "routes", site->routes->len);
@@ -98,25 +101,25 @@
   kernel_post (listing->core->kernel, KERNEL_SITE, site);
 }
 
-static void
-take_config (struct listing *listing, const struct platform_row *row)
+void
+listing_take_config (struct listing *listing, const char *config)
 {
   const struct catalog *catalog = listing->catalog;
   struct findings findings;
   struct site *site = NULL;
 
   findings_init (&findings);
-  if (catalog->ops->site (catalog, row->value, &site, &findings) < 0)
+  if (catalog->ops->site (catalog, config, &site, &findings) < 0)
     {
       const struct finding *first = CK_STAILQ_FIRST (&findings.list);
 
-      log_bad_row (catalog->config_table, row->key,
+      log_bad_row (catalog->config_table, catalog->config_key,
                    first != NULL ? first->text : "unreadable");
     }
   else if (listing->site != NULL && site->version <= listing->site->version)
     site_unref (site);
   else
-    put_in_force (listing, site);
+    put_in_force (listing, site, config);
   findings_clear (&findings);
 }
 
@@ -128,7 +131,7 @@
   for (size_t i = 0; i < got->count; i++)
     if (got->rows[i].value != NULL
         && strcmp (got->rows[i].key, listing->catalog->config_key) == 0)
-      take_config (listing, &got->rows[i]);
+      listing_take_config (listing, got->rows[i].value);
 }
 
 /* Backend servers.  */
@@ -325,7 +328,7 @@
 
   if (!relies (listing))
     return false;
-  return feed != &listing->config
+  return feed != &listing->configs
          || (listing->site != NULL
              && listing->site->version >= listing->told_version);
 }
@@ -386,7 +389,7 @@
 listing_ask_store (struct listing *listing)
 {
   listing->told_at = (struct timespec){ 0 };
-  wake (&listing->config);
+  wake (&listing->configs);
   wake (&listing->backends);
 }
 
@@ -440,7 +443,7 @@
       expire_servers (listing);
     }
   if (listing->site == NULL || listing->told_version > listing->site->version)
-    wake (&listing->config);
+    wake (&listing->configs);
 }
 
 /* Nodes of this system: each writes where its peers find it.  */
@@ -563,7 +566,7 @@
 
   listing->core = core_find (kernel);
   listing->links = links_find (kernel);
-  feed_start (&listing->config);
+  feed_start (&listing->configs);
   feed_start (&listing->backends);
   listing->expire.fire = on_expire;
   listing->nodes.fire = nodes_fire;
@@ -578,7 +581,7 @@
   struct listing *listing = (struct listing *)service;
   struct loop *loop = listing->core->loop;
 
-  loop_timer_clear (loop, &listing->config.timer);
+  loop_timer_clear (loop, &listing->configs.timer);
   loop_timer_clear (loop, &listing->backends.timer);
   loop_timer_clear (loop, &listing->expire);
   loop_timer_clear (loop, &listing->nodes);
@@ -598,11 +601,11 @@
   listing->servers = servers_new ();
   listing->told
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  listing->config = (struct feed){ .listing = listing,
-                                   .table = options->catalog->config_table,
-                                   .wait_ms = CONFIG_WAIT_MS,
-                                   .gap_ms = CONFIG_GAP_MS,
-                                   .take = take_configs };
+  listing->configs = (struct feed){ .listing = listing,
+                                    .table = options->catalog->config_table,
+                                    .wait_ms = CONFIG_WAIT_MS,
+                                    .gap_ms = CONFIG_GAP_MS,
+                                    .take = take_configs };
   listing->backends = (struct feed){ .listing = listing,
                                      .table = options->catalog->servers_table,
                                      .wait_ms = SERVERS_WAIT_MS,
@@ -619,6 +622,7 @@
   if (listing == NULL)
     return;
   site_unref (listing->site);
+  g_free (listing->config);
   servers_free (listing->servers);
   g_hash_table_unref (listing->told);
   g_free (listing);
@@ -636,6 +640,12 @@
   return listing->site;
 }
 
+const char *
+listing_config (const struct listing *listing)
+{
+  return listing->config;
+}
+
 struct servers *
 listing_servers (const struct listing *listing)
 {
--- a/src/listing.h
+++ b/src/listing.h
@@ -40,6 +40,10 @@
 
 /* NULL until one is known; borrowed until the next KERNEL_SITE.  */
 struct site *listing_site (const struct listing *listing);
+/* What it was made from; NULL until then.  */
+const char *listing_config (const struct listing *listing);
+/* CONFIG as another node got it from the platform: put in force if newer.  */
+void listing_take_config (struct listing *listing, const char *config);
 struct servers *listing_servers (const struct listing *listing);
 
 /* Milliseconds since the servers were listed as they are known here.  */
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -64,6 +64,122 @@
   tear_down (&f);
 }
 
+/* A second node of the system, for which nobody is at the store's address.  */
+struct second
+{
+  struct settings settings;
+  struct httpc *outside;
+  struct platform *platform;
+  struct backend *backend;
+  struct gate *gate;
+};
+
+static void
+close_second (void *user)
+{
+  struct second *second = user;
+
+  httpc_free (second->outside);
+}
+
+/* Where the fixture's gate listens for peers, from its row in the store.  */
+static char *
+peer_address_of (struct fixture *f)
+{
+  const struct row *row;
+  json_t *json;
+  guchar *bytes;
+  gsize n;
+  char *peer;
+
+  UNTIL (f, g_hash_table_contains (f->rows, "nodes/n1"));
+  row = g_hash_table_lookup (f->rows, "nodes/n1");
+  bytes = g_base64_decode (row->value, &n);
+  json = json_loadb ((const char *)bytes, n, 0, NULL);
+  peer = g_strdup (json_string_value (
+      json_object_get (json_object_get (json, "value"), "peer")));
+  json_decref (json);
+  g_free (bytes);
+  return peer;
+}
+
+static void
+start_second (struct fixture *f, struct second *second)
+{
+  struct httpc_options http = { .loop = f->loop };
+  struct store_options store = { .address = "127.0.0.1:1" };
+  struct gate_options options = { .clk = clk_real (),
+                                  .loop = f->loop,
+                                  .settings = &second->settings,
+                                  .catalog = document_catalog (),
+                                  .drain_ms = 5000,
+                                  .close = close_second,
+                                  .user = second };
+
+  memset (second, 0, sizeof *second);
+  second->outside = httpc_new (&http);
+  store.httpc = second->outside;
+  second->platform = store_new (&store);
+  second->backend = engine_new (second->outside);
+  second->settings.node = g_strdup ("n2");
+  second->settings.zone = g_strdup ("z");
+  second->settings.region = g_strdup ("r");
+  second->settings.seeds = peer_address_of (f);
+  second->settings.peer_address = g_strdup ("127.0.0.1");
+  second->settings.peer_token = g_strdup (f->settings.peer_token);
+  second->settings.entry_ttl_s = 1;
+  second->settings.loads_at_once = 4;
+  options.platform = second->platform;
+  options.backend = second->backend;
+  options.gateway.caller = callers ();
+  options.gateway.front.address = "127.0.0.1";
+  options.gateway.zone = "z";
+  options.gateway.max_connections = 100;
+  options.gateway.retry_share = 1.0;
+  options.gateway.retry_burst = 100;
+  g_assert_cmpint (gate_new (&options, &second->gate), ==, 0);
+}
+
+static void
+stop_second (struct second *second)
+{
+  gate_free (second->gate);
+  store_free (second->platform);
+  engine_free (second->backend);
+  settings_clear (&second->settings);
+}
+
+/* A node starts while the store is away from it: the others give it the
+   configuration, also a newer one.  */
+static void
+test_config_from_peer (void)
+{
+  struct fixture f;
+  struct second second;
+  struct gate *first;
+
+  set_up (&f);
+  serve (&f);
+  start_second (&f, &second);
+  first = f.gate;
+  f.gate = second.gate;
+  do
+    call (&f, "GET", "/nowhere/x", NULL);
+  while (f.status == 503);
+  g_assert_cmpint (f.status, ==, 404);
+  put_row (&f, "op/config",
+           "{\"Version\":2,\"Routes\":[{\"Name\":\"x\",\"Hostname\":"
+           "\"h.example\",\"Prefix\":\"/nowhere/\",\"Kind\":\"safe\","
+           "\"TimeoutMs\":100,\"Service\":\"none\",\"MaxAttempts\":1}],"
+           "\"Services\":[{\"Name\":\"none\"}]}");
+  do
+    call (&f, "GET", "/nowhere/x", NULL);
+  while (f.status == 404);
+  f.gate = first;
+  stop_second (&second);
+  tear_down (&f);
+}
+
 /* Head and target are passed on as they came, but for what this system
    sets.  */
 static void
@@ -330,6 +446,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/gate/starting", test_starting);
+  g_test_add_func ("/gate/config-from-peer", test_config_from_peer);
   g_test_add_func ("/gate/head", test_head);
   g_test_add_func ("/gate/retries", test_retries);
   g_test_add_func ("/gate/large", test_large);
