pick: engines of models take three times their slots before requests wait at a node

An engine queues more than that and orders its queue by urgency over all nodes. Test: /pick/queue, failed first. Pattern: shift of calls to a model with few replicas.

--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -9,7 +9,6 @@
 #define URGENCY_STEP 2 /* between two priorities of routes */
 #define URGENCY_FIRST 2
 #define FLOW_GAPS 4 /* objective gaps without an event: the stream is dead */
-#define QUEUE_SHARE 1.5 /* of a plain server's slots: it queues a few */
 
 /* Counts one more or less that wait for the target, and tells the decider.  */
 static void
@@ -132,7 +131,7 @@
   g_ptr_array_unref (ids);
   if (at < 0)
     return NULL;
-  if (!forward->why.free_slot && forward->why.load > QUEUE_SHARE)
+  if (!pick_takes (&forward->why, forward->target != NULL))
     return NULL;
   return route_engine_ref (request.replicas[at].engine);
 }
--- a/src/pick.c
+++ b/src/pick.c
@@ -6,6 +6,11 @@
 #include "suspect_pair.h"
 #include "ts.h"
 
+/* Requests per slot that a server is given: a plain one queues a few.  One of
+   models queues three times its slots, and orders them by urgency over all
+   nodes, which a queue at each node cannot.  */
+#define QUEUE_PLAIN 1.5
+#define QUEUE_MODELS 3.0
 #define HINT_SETS 1024 /* power of two */
 #define HINT_WAYS 4
 #define HINT_HALF_LIFE_S 60.0 /* age at which trust is halved */
@@ -372,6 +377,12 @@
   return at;
 }
 
+bool
+pick_takes (const struct pick_why *why, bool models)
+{
+  return why->free_slot || why->load <= (models ? QUEUE_MODELS : QUEUE_PLAIN);
+}
+
 const char *
 pick_reason_name (enum pick_reason reason)
 {
--- a/src/pick.h
+++ b/src/pick.h
@@ -84,6 +84,10 @@
 ptrdiff_t pick_replica (struct pick *pick, const struct pick_request *request,
                         struct timespec now, struct pick_why *why);
 
+/* Whether the chosen replica is sent the request though it may have no slot
+   free.  MODELS: it serves models.  */
+bool pick_takes (const struct pick_why *why, bool models);
+
 /* Load of REPLICA in requests, lag-corrected.  */
 unsigned pick_load (const struct route_replica *replica);
 
--- a/tests/test_pick.c
+++ b/tests/test_pick.c
@@ -139,6 +139,41 @@
   g_ptr_array_unref (blocks);
 }
 
+/* More requests than slots, as when calls shift to a model with few replicas:
+   engines of models take them in their own queue, which is in order of
+   urgency over all nodes; plain servers hardly.  */
+static void
+test_queue (void)
+{
+  static const struct
+  {
+    unsigned queued;
+    bool models;
+    bool takes;
+  } cases[] = { { 0, false, true },
+                { 7, false, false },
+                { 7, true, true },
+                { 15, true, true },
+                { 17, true, false } };
+  struct pick_options options = { .zone = "a", .seed = 1 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct route_replica replica = { .slots = 8, .running = 8 };
+      struct pick_request request = { .replicas = &replica, .count = 1 };
+      struct pick *pick = pick_new (&options);
+      struct pick_why why;
+
+      replica.queued = cases[i].queued;
+      replica.engine = route_engine_new ("e1", "127.0.0.1:1", "a", "p");
+      g_assert_cmpint (pick_replica (pick, &request, ts_from_s (NOW_S), &why),
+                       ==, 0);
+      g_assert_cmpint (pick_takes (&why, cases[i].models), ==, cases[i].takes);
+      route_engine_unref (replica.engine);
+      pick_free (pick);
+    }
+}
+
 static void
 test_eject_backoff (void)
 {
@@ -246,6 +281,7 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/pick/queue", test_queue);
   g_test_add_func ("/pick/cases", test_cases);
   g_test_add_func ("/eject/backoff", test_eject_backoff);
   g_test_add_func ("/pick/pair_cost", test_pair_cost);
