stock: the weight store's speed is learned, and fetches of the decider before count

On the grown sites full speed ends at two, and four were begun even in calm. Now a fetch that others slowed down shows how many run at full speed, one more is tried after four that kept to it, and engines that carry out an order of another decider count as fetches. Tests that failed first: /stock/fetches-before, /stock/slow-store, /budget/learns.

--- a/src/budget.c
+++ b/src/budget.c
@@ -1,9 +1,16 @@
 #include "budget.h"
+
+#include <math.h>
+#include <sys/param.h>
 #include "ts.h"
 
 #define BUDGET_BURST 1.0       /* loads that may start together */
 #define BUDGET_SLOW_WEIGHT 0.3 /* of the newest measurement */
 #define BUDGET_SLOW_MAX 16.0
+/* A fetch that takes so much longer was slowed down by others: reports of its
+   end come late by less.  */
+#define SLOWED 1.25
+#define KEPT_MANY 4 /* fetches at full speed until one more is tried */
 
 static void
 refill (struct budget *budget, struct timespec now)
@@ -24,6 +31,8 @@
 {
   budget->per_s = per_s;
   budget->at_once = at_once;
+  budget->full_speed = at_once;
+  budget->kept = 0;
   budget->flying = 0;
   budget->tokens = BUDGET_BURST;
   budget->filled_at = now;
@@ -43,7 +52,7 @@
 budget_allows (struct budget *budget, struct timespec now)
 {
   refill (budget, now);
-  return budget->flying < budget->at_once && budget->tokens >= 1.0 - 1e-6;
+  return budget->flying < budget_most (budget) && budget->tokens >= 1.0 - 1e-6;
 }
 
 void
@@ -69,6 +78,30 @@
   budget->slow += BUDGET_SLOW_WEIGHT * (slow - budget->slow);
 }
 
+void
+budget_learn (struct budget *budget, unsigned abreast, double measured_s,
+              double nominal_s)
+{
+  double slow = measured_s / nominal_s;
+
+  if (slow > SLOWED)
+    {
+      budget->full_speed = MAX (1, (unsigned)lround (abreast / slow));
+      budget->kept = 0;
+    }
+  else if (abreast >= budget->full_speed && ++budget->kept >= KEPT_MANY)
+    {
+      budget->full_speed++;
+      budget->kept = 0;
+    }
+}
+
+unsigned
+budget_most (const struct budget *budget)
+{
+  return MIN (budget->at_once, budget->full_speed);
+}
+
 struct timespec
 budget_next (const struct budget *budget, struct timespec now)
 {
--- a/src/budget.h
+++ b/src/budget.h
@@ -16,6 +16,9 @@
 {
   double per_s;     /* loads a second */
   unsigned at_once; /* fetches in flight at full speed */
+  /* As measured: as many ran at full speed, AT_ONCE at first.  */
+  unsigned full_speed;
+  unsigned kept; /* fetches that kept to it since */
   unsigned flying;
   double tokens;
   struct timespec filled_at;
@@ -34,6 +37,15 @@
 /* A fetch ended.  MEASURED_S and NOMINAL_S of a whole one; 0: not known.  */
 void budget_done (struct budget *budget, double measured_s, double nominal_s);
 
+/* A fetch that began as the ABREASTth took MEASURED_S: one that others slow
+   down shows how many are served at full speed; some that are not let one more
+   be tried.  */
+void budget_learn (struct budget *budget, unsigned abreast, double measured_s,
+                   double nominal_s);
+
+/* Fetches that may be in flight.  */
+unsigned budget_most (const struct budget *budget);
+
 /* When the next fetch may start, as far as the rate goes.  */
 struct timespec budget_next (const struct budget *budget, struct timespec now);
 
--- a/src/stock_order.c
+++ b/src/stock_order.c
@@ -117,6 +117,19 @@
   stock_order_clear (stock, engine);
 }
 
+unsigned
+stock_foreign (const struct stock *stock)
+{
+  const struct stock_engine *engine;
+  GHashTableIter iter;
+  unsigned n = 0;
+
+  g_hash_table_iter_init (&iter, stock->engines);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&engine))
+    n += engine->held->busy && engine->order.stage == STAGE_NONE;
+  return n;
+}
+
 void
 stock_give (struct stock *stock, struct stock_engine *engine,
             enum backend_order_type type, const char *model,
@@ -135,7 +148,10 @@
   if (type == BACKEND_LOAD)
     stock_load_s (engine, stock_model (stock, model), &order->fetches);
   if (order->fetches)
-    budget_take (&stock->budget, now);
+    {
+      budget_take (&stock->budget, now);
+      order->abreast = stock->budget.flying + stock_foreign (stock);
+    }
   push (engine, STOCK_ORDER, out);
 }
 
@@ -176,6 +192,7 @@
   const struct site_model *model = stock_model (stock, order->model);
   bool fetches;
 
+  order->accepted_at = now;
   engine->held->sequence = order->expected + 1;
   if (order->type == BACKEND_ADAPTER_LOAD)
     {
@@ -292,6 +309,17 @@
     settle (stock, engine, is_done (engine), out);
 }
 
+static void
+learn_speed (struct stock *stock, const struct stock_order *order,
+             struct timespec now)
+{
+  const struct site_model *model = stock_model (stock, order->model);
+
+  if (model != NULL && !ts_is_zero (order->accepted_at))
+    budget_learn (&stock->budget, order->abreast,
+                  ts_to_s (ts_sub (now, order->accepted_at)), model->load_s);
+}
+
 void
 stock_compare (struct stock *stock, struct stock_engine *engine,
                struct timespec now, struct action_list *out)
@@ -302,7 +330,11 @@
   if (order->stage == STAGE_UNSURE)
     compare_unsure (stock, engine, now, out);
   else if (order->stage == STAGE_RUNNING && is_done (engine))
-    settle (stock, engine, true, out);
+    {
+      if (order->fetches)
+        learn_speed (stock, order, now);
+      settle (stock, engine, true, out);
+    }
   else if (order->stage == STAGE_RUNNING && !engine->held->busy
            && !ts_before (now, overdue))
     settle (stock, engine, false, out);
--- a/src/stock_plan.c
+++ b/src/stock_plan.c
@@ -107,6 +107,7 @@
   const struct stock_want *want;
   GHashTableIter iter;
 
+  plan->foreign = stock_foreign (stock);
   plan->models = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   for (size_t i = 0; i < stock->service->model_count; i++)
     {
@@ -344,6 +345,16 @@
       plan->now, plan->out);
 }
 
+/* Whether the weight store may serve one more, and SPARE beside it.  */
+static bool
+may_fetch (const struct plan *plan, unsigned spare)
+{
+  struct budget *budget = &plan->stock->budget;
+
+  return budget_allows (budget, plan->now)
+         && budget->flying + plan->foreign + spare < budget_most (budget);
+}
+
 /* Goes on making room for the goal of ENGINE, or loads it.  */
 static void
 pursue (struct plan *plan, struct stock_engine *engine)
@@ -363,7 +374,7 @@
   stock_load_s (engine, model->site, &fetches);
   if (stock_free_mb (plan->stock, engine) >= (int64_t)model->site->memory_mb)
     {
-      if (fetches && !budget_allows (&plan->stock->budget, plan->now))
+      if (fetches && !may_fetch (plan, 0))
         return;
       load (plan, engine, engine->goal, "goal");
       g_clear_pointer (&engine->goal, g_free);
@@ -393,7 +404,7 @@
   struct plan_place place;
 
   if (fetch)
-    fetch = budget_allows (&plan->stock->budget, plan->now);
+    fetch = may_fetch (plan, 0);
   place = best_place (plan, model->site, fetch);
   if (place.engine == NULL || place.loss >= benefit || place.busy_s > 0)
     return false;
@@ -494,8 +505,7 @@
 static void
 preload (struct plan *plan, const GPtrArray *models)
 {
-  const struct budget *budget = &plan->stock->budget;
-  bool fetch = budget->flying + 1 < budget->at_once;
+  bool fetch = may_fetch (plan, 1);
   unsigned tries = 0;
   guint next = 0;
 
@@ -515,7 +525,7 @@
       next = at + 1;
       if (!try_place (plan, model, value, fetch && !model->at_hand))
         continue;
-      fetch = budget->flying + 1 < budget->at_once;
+      fetch = may_fetch (plan, 1);
       next = 0;
     }
   plan->stock->preload_from = next;
@@ -527,7 +537,7 @@
 estimate (struct plan *plan, const GPtrArray *models)
 {
   const struct budget *budget = &plan->stock->budget;
-  unsigned ahead = budget->flying;
+  unsigned ahead = budget->flying + plan->foreign;
 
   g_hash_table_remove_all (plan->stock->expected);
   for (guint i = 0; i < models->len; i++)
@@ -541,7 +551,7 @@
         continue;
       if (!model->at_hand)
         {
-          ready_s = site->load_s + site->load_s * ahead / budget->at_once;
+          ready_s = site->load_s + site->load_s * ahead / budget_most (budget);
           ahead++;
         }
       at = g_new (struct timespec, 1);
--- a/src/stock_plan.h
+++ b/src/stock_plan.h
@@ -35,6 +35,7 @@
   struct timespec now;
   struct action_list *out;
   GHashTable *models; /* name to struct plan_model */
+  unsigned foreign;   /* stock_foreign */
 };
 
 static inline struct plan_model *
--- a/src/stock_state.h
+++ b/src/stock_state.h
@@ -26,9 +26,11 @@
   char *adapter;
   char *reason;
   uint64_t expected;
-  bool fetches;  /* from the weight store: counted in the budget */
-  bool doubtful; /* an earlier sending may have been carried out */
+  bool fetches;     /* from the weight store: counted in the budget */
+  unsigned abreast; /* FETCHES: those in flight when it began, itself too */
+  bool doubtful;    /* an earlier sending may have been carried out */
   struct timespec sent_at;
+  struct timespec accepted_at;
   struct timespec next_at;  /* STAGE_UNSURE: send again; STAGE_RUNNING: ask */
   struct timespec ready_at; /* STAGE_RUNNING: estimate */
 };
@@ -81,6 +83,9 @@
                  enum backend_order_type type, const char *model,
                  const char *adapter, char *reason, struct timespec now,
                  struct action_list *out);
+/* Engines that carry out an order of the decider before, which may fetch from
+   the weight store.  */
+unsigned stock_foreign (const struct stock *stock);
 /* Sends again, or asks for reports, what is due.  */
 void stock_follow (struct stock *stock, struct stock_engine *engine,
                    struct timespec now, struct action_list *out);
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -439,6 +439,25 @@
   g_assert_cmpfloat (budget.slow, >, 1.5);
 }
 
+/* Four at once are allowed, two run at full speed.  */
+static void
+test_budget_learns (void)
+{
+  struct budget budget;
+
+  budget_init (&budget, 10.0, 4, ts_from_s (0));
+  g_assert_cmpuint (budget_most (&budget), ==, 4);
+  budget_learn (&budget, 1, 10.4, 10.0);
+  g_assert_cmpuint (budget_most (&budget), ==, 4);
+  budget_learn (&budget, 4, 20.1, 10.0);
+  g_assert_cmpuint (budget_most (&budget), ==, 2);
+  for (int i = 0; i < 4; i++)
+    budget_learn (&budget, 2, 10.2, 10.0);
+  g_assert_cmpuint (budget_most (&budget), ==, 3);
+  budget_learn (&budget, 3, 15.2, 10.0);
+  g_assert_cmpuint (budget_most (&budget), ==, 2);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -452,6 +471,7 @@
   g_test_add_func ("/gaps/hour", test_gaps_hour);
   g_test_add_func ("/gaps/class", test_gaps_class);
   g_test_add_func ("/budget", test_budget);
+  g_test_add_func ("/budget/learns", test_budget_learns);
   dir = g_dir_open (CASES, 0, NULL);
   g_assert_nonnull (dir);
   while ((name = g_dir_read_name (dir)) != NULL)
--- a/tests/test_stock.c
+++ b/tests/test_stock.c
@@ -210,6 +210,80 @@
   tear_down (&f);
 }
 
+/* A new decider: two engines carry out orders of the one before, which may be
+   fetches, and the weight store serves two at full speed.  */
+static void
+test_fetches_before (void)
+{
+  struct fixture f;
+
+  set_up (&f, MODELS);
+  report (&f, "e1", 3, true, "m0", "m0");
+  report (&f, "e2", 3, true, "m1", "m1");
+  report (&f, "e3", 3, false, "m2", "m2");
+  stock_want (f.stock, "n", "m5", 1, 0, ts_from_ms (f.ms));
+  tick (&f, 1000);
+  check_order (&f, NULL);
+  report (&f, "e1", 3, false, "m0 m3", "m0 m3");
+  tick (&f, 100);
+  check_order (&f, "load e3 m5");
+  tear_down (&f);
+}
+
+/* Has the model NAME fetched for a request; returns the engine, which the
+   caller frees.  */
+static char *
+begin_fetch (struct fixture *f, const char *name)
+{
+  char *order;
+  char *engine;
+
+  stock_want (f->stock, "n", name, 1, 0, ts_from_ms (f->ms));
+  tick (f, 1000);
+  order = next_order (f);
+  g_assert_nonnull (order);
+  g_assert_true (g_str_has_prefix (order, "load "));
+  g_assert_true (g_str_has_suffix (order, name));
+  engine = g_strndup (order + strlen ("load "), 2);
+  accept (f, engine);
+  g_free (order);
+  return engine;
+}
+
+static void
+end_fetch (struct fixture *f, char *engine, const char *name)
+{
+  report (f, engine, 4, false, name, name);
+  stock_want (f->stock, "n", name, 0, 0, ts_from_ms (f->ms));
+  g_free (engine);
+}
+
+/* The weight store serves one at full speed, not two as was thought: the
+   second of two took twice as long.  */
+static void
+test_slow_store (void)
+{
+  struct fixture f;
+  char *first;
+  char *second;
+
+  set_up (&f, MODELS);
+  report (&f, "e1", 3, false, "", "");
+  report (&f, "e2", 3, false, "", "");
+  report (&f, "e3", 3, false, "", "");
+  first = begin_fetch (&f, "m1");
+  second = begin_fetch (&f, "m2");
+  f.ms += 5000;
+  end_fetch (&f, first, "m1");
+  f.ms += 7000;
+  end_fetch (&f, second, "m2");
+  g_free (begin_fetch (&f, "m3"));
+  stock_want (f.stock, "n", "m4", 1, 0, ts_from_ms (f.ms));
+  tick (&f, 1000);
+  check_order (&f, NULL);
+  tear_down (&f);
+}
+
 /* Its weights are on an engine that is busy: it is waited for, not fetched
    elsewhere.  */
 static void
@@ -364,6 +438,8 @@
   g_test_add_func ("/stock/rare-model", test_rare);
   g_test_add_func ("/stock/waited", test_waited);
   g_test_add_func ("/stock/surplus", test_surplus);
+  g_test_add_func ("/stock/fetches-before", test_fetches_before);
+  g_test_add_func ("/stock/slow-store", test_slow_store);
   g_test_add_func ("/stock/weights-on-busy-engine", test_busy_engine);
   g_test_add_func ("/stock/idle-models-stay", test_no_churn);
   g_test_add_func ("/stock/adapters", test_adapters);
