--- a/src/confpeer.c
+++ b/src/confpeer.c
@@ -6,8 +6,12 @@
 #include "links.h"
 #include "listing.h"
 #include "log.h"
+#include "ts.h"
 
 #define CONFPEER_NAME "confpeer"
+/* A node that has none asks a peer so soon after it heard of one; the
+   platform's answer takes some milliseconds.  */
+#define FIRST_MS 50
 
 struct confpeer
 {
@@ -56,15 +60,16 @@
   set_timer (confpeer);
 }
 
-/* The platform mostly gives it within that time.  */
+/* The platform mostly gives it before a peer is asked.  */
 static void
 take_version (struct confpeer *confpeer, const char *from, uint64_t version)
 {
   struct timespec now = loop_now (confpeer->core->loop);
+  uint64_t own = own_version (confpeer);
+  int64_t wait_ms = own == 0 ? FIRST_MS : CONFASK_MS;
 
-  if (confask_told (&confpeer->ask, from, version, own_version (confpeer),
-                    now))
-    confask_asked (&confpeer->ask, now);
+  if (confask_told (&confpeer->ask, from, version, own, now))
+    confask_asked (&confpeer->ask, ts_add_ms (now, wait_ms - CONFASK_MS));
   set_timer (confpeer);
 }
 
