budget: nothing is learned from a fetch whose nominal time is not known

Cause: a model configured without LoadS has the nominal time 0; the first fetch of it divided by it, and one fetch at a time was allowed from then on. Found by reading. /budget/learns failed first (1 for 4).

--- a/src/budget.c
+++ b/src/budget.c
@@ -82,8 +82,11 @@
 budget_learn (struct budget *budget, unsigned abreast, double measured_s,
               double nominal_s)
 {
-  double slow = measured_s / nominal_s;
+  double slow;
 
+  if (nominal_s <= 0.0)
+    return;
+  slow = measured_s / nominal_s;
   if (slow > SLOWED)
     {
       budget->full_speed = MAX (1, (unsigned)lround (abreast / slow));
--- a/src/budget.h
+++ b/src/budget.h
@@ -39,7 +39,7 @@
 
 /* A fetch that began as the ABREASTth took MEASURED_S: one that others slow
    down shows how many are served at full speed; some that are not let one more
-   be tried.  */
+   be tried.  NOMINAL_S 0: not known, nothing is learned.  */
 void budget_learn (struct budget *budget, unsigned abreast, double measured_s,
                    double nominal_s);
 
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -448,6 +448,7 @@
   budget_init (&budget, 10.0, 4, ts_from_s (0));
   g_assert_cmpuint (budget_most (&budget), ==, 4);
   budget_learn (&budget, 1, 10.4, 10.0);
+  budget_learn (&budget, 4, 10.4, 0);
   g_assert_cmpuint (budget_most (&budget), ==, 4);
   budget_learn (&budget, 4, 20.1, 10.0);
   g_assert_cmpuint (budget_most (&budget), ==, 2);
