--- a/src/confask.c
+++ b/src/confask.c
@@ -21,19 +21,19 @@
   g_free (ask->told_by);
   ask->told_by = g_strdup (node);
   ask->told_version = MAX (ask->told_version, version);
-  return newer || !ts_before (now, ts_add_ms (ask->asked_at, CONFASK_MS));
+  return newer || !ts_before (now, ask->ask_at);
 }
 
 void
-confask_asked (struct confask *ask, struct timespec now)
+confask_wait (struct confask *ask, struct timespec at)
 {
-  ask->asked_at = now;
+  ask->ask_at = at;
 }
 
 bool
 confask_next (const struct confask *ask, uint64_t own, struct timespec *at)
 {
-  *at = ts_add_ms (ask->asked_at, CONFASK_MS);
+  *at = ask->ask_at;
   return ask->told_version > own;
 }
 
--- a/src/confask.h
+++ b/src/confask.h
@@ -17,9 +17,9 @@
 
 struct confask
 {
-  char *told_by;         /* owned; NULL: nobody told of a newer version */
-  uint64_t told_version; /* highest told */
-  struct timespec asked_at;
+  char *told_by;          /* owned; NULL: nobody told of a newer version */
+  uint64_t told_version;  /* highest told */
+  struct timespec ask_at; /* no ask before */
 };
 
 /* All zero at first.  */
@@ -34,8 +34,8 @@
 const char *confask_due (const struct confask *ask, uint64_t own,
                          struct timespec now);
 
-/* Somebody is asked, or will be after CONFASK_MS.  */
-void confask_asked (struct confask *ask, struct timespec now);
+/* No ask, or none more, before AT.  */
+void confask_wait (struct confask *ask, struct timespec at);
 
 /* When to ask next; false: not at all.  */
 bool confask_next (const struct confask *ask, uint64_t own,
--- a/src/confpeer.c
+++ b/src/confpeer.c
@@ -55,7 +55,7 @@
   if (node != NULL)
     {
       links_send (confpeer->links, node, &msg);
-      confask_asked (&confpeer->ask, now);
+      confask_wait (&confpeer->ask, ts_add_ms (now, CONFASK_MS));
     }
   set_timer (confpeer);
 }
@@ -69,7 +69,7 @@
   int64_t wait_ms = own == 0 ? FIRST_MS : CONFASK_MS;
 
   if (confask_told (&confpeer->ask, from, version, own, now))
-    confask_asked (&confpeer->ask, ts_add_ms (now, wait_ms - CONFASK_MS));
+    confask_wait (&confpeer->ask, ts_add_ms (now, wait_ms));
   set_timer (confpeer);
 }
 
--- a/src/confsync.c
+++ b/src/confsync.c
@@ -324,7 +324,7 @@
 
   action->node = g_strdup (node);
   action->version = since;
-  confask_asked (&confsync->ask, now);
+  confask_wait (&confsync->ask, ts_add_ms (now, CONFASK_MS));
 }
 
 static void
