--- a/src/confpeer.c
+++ b/src/confpeer.c
@@ -6,6 +6,7 @@
 #include "links.h"
 #include "listing.h"
 #include "log.h"
+#include "planners.h"
 #include "ts.h"
 
 #define CONFPEER_NAME "confpeer"
@@ -75,13 +76,20 @@
   set_timer (confpeer);
 }
 
+/* The whole configuration, borrowed from the listing.  */
+static struct peer_section
+own_section (const struct confpeer *confpeer)
+{
+  return (struct peer_section){ .team = (char *)"",
+                                .text
+                                = (char *)listing_config (confpeer->listing),
+                                .version = own_version (confpeer) };
+}
+
 static void
 send_config (struct confpeer *confpeer, const char *to, uint64_t since)
 {
-  struct peer_section section
-      = { .team = (char *)"",
-          .text = (char *)listing_config (confpeer->listing),
-          .version = own_version (confpeer) };
+  struct peer_section section = own_section (confpeer);
   struct peer_msg msg = { .type = PEER_CONFIG,
                           .version = section.version,
                           .sections = &section,
@@ -91,12 +99,38 @@
     links_send (confpeer->links, to, &msg);
 }
 
+/* Announces a new version.  In a large fleet the decider sends the
+   configuration itself, so that the other nodes need not all query the store,
+   and a node that received it does not announce it.  */
+static void
+announce (struct confpeer *confpeer)
+{
+  struct peer_section section = own_section (confpeer);
+  struct peer_msg msg
+      = { .type = PEER_CONFIG_VERSION, .version = section.version };
+  const struct planners *planners = planners_find (confpeer->core->kernel);
+
+  if (!links_has_relays (confpeer->links))
+    links_broadcast (confpeer->links, &msg);
+  else if (planners != NULL && planners_deciding (planners))
+    {
+      msg.type = PEER_CONFIG;
+      msg.sections = &section;
+      msg.section_count = 1;
+      links_fan_out (confpeer->links, &msg);
+    }
+  else if (!listing_config_from_peer (confpeer->listing))
+    links_fan_out (confpeer->links, &msg);
+}
+
 static void
 receive_config (struct confpeer *confpeer, const char *from,
                 const struct peer_msg *msg)
 {
   struct log_line line;
 
+  if (msg->relay)
+    links_relay (confpeer->links, from, msg);
   if (msg->section_count != 1 || msg->sections[0].text == NULL
       || msg->version <= own_version (confpeer))
     return;
@@ -126,14 +160,12 @@
 confpeer_event (struct service *service, const struct kernel_event *event)
 {
   struct confpeer *confpeer = (struct confpeer *)service;
-  struct peer_msg msg = { .type = PEER_CONFIG_VERSION };
 
   if (event->type == KERNEL_PEER_MESSAGE)
     handle_peer_message (confpeer, event->data);
   else if (event->type == KERNEL_SITE_CHANGED)
     {
-      msg.version = own_version (confpeer);
-      links_broadcast (confpeer->links, &msg);
+      announce (confpeer);
       set_timer (confpeer);
     }
 }
--- a/src/demand.c
+++ b/src/demand.c
@@ -122,6 +122,14 @@
   update_totals (entry);
 }
 
+unsigned
+demand_waiting (const struct demand_table *table, const char *target)
+{
+  const struct entry *entry = g_hash_table_lookup (table->targets, target);
+
+  return entry != NULL ? entry->demand.waiting : 0;
+}
+
 void
 demand_each (struct demand_table *table,
              void (*fn) (void *user, struct demand *), void *user)
--- a/src/demand.h
+++ b/src/demand.h
@@ -33,6 +33,9 @@
                  const char *target, unsigned waiting,
                  struct timespec deadline, unsigned priority);
 
+/* Number of requests that wait for TARGET.  */
+unsigned demand_waiting (const struct demand_table *table, const char *target);
+
 /* Calls FN for each target; FN may modify CALLS and CHANGED.  */
 void demand_each (struct demand_table *table,
                   void (*fn) (void *user, struct demand *), void *user);
--- a/src/frame.c
+++ b/src/frame.c
@@ -129,7 +129,8 @@
         ARRAY (22, struct peer_msg, wants, want_count, want_schema),
         ARRAY (23, struct peer_msg, replicas, replica_count, replica_schema),
         ARRAY (24, struct peer_msg, sections, section_count, section_schema),
-        ARRAY (25, struct peer_msg, strikes, strike_count, strike_schema) };
+        ARRAY (25, struct peer_msg, strikes, strike_count, strike_schema),
+        SCALAR (26, FLAG, struct peer_msg, relay) };
 static const struct schema msg_schema = SCHEMA (struct peer_msg, msg_fields);
 
 static const void *
--- a/src/frame.h
+++ b/src/frame.h
@@ -107,7 +107,7 @@
 {
   enum peer_msg_type type;
   uint64_t id;           /* PEER_REQUEST, PEER_RESPONSE; of probes: number */
-  char *node;            /* PEER_HELLO */
+  char *node;            /* PEER_HELLO; of relayed messages: the origin */
   char *address;         /* PEER_HELLO: the sender listens here */
   char *zone;            /* PEER_HELLO */
   char *region;          /* PEER_HELLO */
@@ -121,8 +121,9 @@
   uint64_t fence;   /* fencing token of the sender's lease of CELL */
   uint64_t seq;     /* PEER_REPLICAS: consecutive; a gap means a loss */
   bool full;        /* PEER_REPLICAS: replaces the whole state */
+  bool relay;       /* pass it on, see fanout.h */
   uint64_t version; /* PEER_CONFIG_*: of the document */
-  uint64_t since;   /* PEER_CONFIG */
+  uint64_t since;   /* PEER_CONFIG; PEER_KEEPALIVE: interval, ms */
   char *name;
   char *text;
   uint64_t status;
--- a/src/inventory.c
+++ b/src/inventory.c
@@ -155,6 +155,34 @@
   return n;
 }
 
+static bool
+same_adapters (const struct inventory_model *a,
+               const struct inventory_model *b)
+{
+  if (a->adapters->len != b->adapters->len)
+    return false;
+  for (guint i = 0; i < a->adapters->len; i++)
+    if (!inventory_model_has_adapter (b, g_ptr_array_index (a->adapters, i)))
+      return false;
+  return true;
+}
+
+bool
+inventory_same_models (const struct inventory *a, const struct inventory *b)
+{
+  if (a->models->len != b->models->len)
+    return false;
+  for (guint i = 0; i < a->models->len; i++)
+    {
+      const struct inventory_model *model = g_ptr_array_index (a->models, i);
+      const struct inventory_model *other = inventory_model (b, model->name);
+
+      if (other == NULL || !same_adapters (model, other))
+        return false;
+    }
+  return true;
+}
+
 bool
 inventory_newer (const struct inventory *a, const struct inventory *b)
 {
--- a/src/inventory.h
+++ b/src/inventory.h
@@ -61,6 +61,10 @@
 /* Whether NAME is among NAMES.  */
 bool inventory_name_listed (const GPtrArray *names, const char *name);
 
+/* Whether A and B have the same models and adapters, in any order.  */
+bool inventory_same_models (const struct inventory *a,
+                            const struct inventory *b);
+
 /* Whether A describes a later state than B.  */
 bool inventory_newer (const struct inventory *a, const struct inventory *b);
 
--- a/src/links.c
+++ b/src/links.c
@@ -7,6 +7,7 @@
 #include <jansson.h>
 #include "core.h"
 #include "counter.h"
+#include "fanout.h"
 #include "fleet.h"
 #include "httpc.h"
 #include "log.h"
@@ -200,6 +201,84 @@
   return peer_send (links->peer, node, msg);
 }
 
+static bool
+is_linked (void *user, const char *node)
+{
+  const struct links *links = user;
+
+  return peer_connected (links->peer, node);
+}
+
+static struct fanout_query
+fanout_query (struct links *links)
+{
+  struct fanout_query query = { .self = links->core->node,
+                                .zone = links->core->settings->zone,
+                                .linked = is_linked,
+                                .user = links };
+
+  query.members = member_list (links->member, &query.count);
+  return query;
+}
+
+/* Sends MSG to TARGETS, to relays with the flag set.  */
+static void
+send_to_targets (struct links *links, const GArray *targets,
+                 const struct peer_msg *msg)
+{
+  GPtrArray *nodes[2] = { g_ptr_array_new (), g_ptr_array_new () };
+  struct peer_msg copy = *msg; /* borrows */
+
+  for (guint i = 0; i < targets->len; i++)
+    {
+      const struct fanout_target *target
+          = &g_array_index (targets, struct fanout_target, i);
+
+      g_ptr_array_add (nodes[target->relay], (gpointer)target->node);
+    }
+  for (int relay = 0; relay < 2; relay++)
+    {
+      copy.relay = relay != 0;
+      peer_send_each (links->peer, (const char *const *)nodes[relay]->pdata,
+                      nodes[relay]->len, &copy);
+      g_ptr_array_unref (nodes[relay]);
+    }
+}
+
+void
+links_fan_out (struct links *links, const struct peer_msg *msg)
+{
+  struct fanout_query query = fanout_query (links);
+  GArray *targets = g_array_new (FALSE, FALSE, sizeof (struct fanout_target));
+
+  fanout_origin (&query, targets);
+  send_to_targets (links, targets, msg);
+  g_array_unref (targets);
+}
+
+void
+links_relay (struct links *links, const char *from, const struct peer_msg *msg)
+{
+  struct fanout_query query = fanout_query (links);
+  GArray *targets = g_array_new (FALSE, FALSE, sizeof (struct fanout_target));
+  struct peer_msg copy = *msg; /* borrows */
+
+  if (copy.node == NULL)
+    copy.node = (char *)from;
+  fanout_relay (&query, from, targets);
+  send_to_targets (links, targets, &copy);
+  g_array_unref (targets);
+}
+
+bool
+links_has_relays (struct links *links)
+{
+  size_t count;
+
+  member_list (links->member, &count);
+  return count > FANOUT_DIRECT_MAX;
+}
+
 void
 links_add_member (struct links *links, const char *node)
 {
--- a/src/links.h
+++ b/src/links.h
@@ -50,6 +50,14 @@
 /* -ENOTCONN if there is no link to NODE.  */
 int links_send (struct links *links, const char *node,
                 const struct peer_msg *msg);
+/* Sends MSG to all nodes, in a large fleet through relays, see fanout.h.  A
+   node that receives it with MSG->relay set passes it on with links_relay.  */
+void links_fan_out (struct links *links, const struct peer_msg *msg);
+void links_relay (struct links *links, const char *from,
+                  const struct peer_msg *msg);
+/* Whether links_fan_out uses relays.  */
+bool links_has_relays (struct links *links);
+
 unsigned links_broadcast (struct links *links, const struct peer_msg *msg);
 
 /* Keeps a link to the peer at ADDRESS, IP:port, for a peer that is not found
--- a/src/listing.c
+++ b/src/listing.c
@@ -19,6 +19,12 @@
    stalled connection is noticed.  */
 #define CONFIG_WATCH_MS 2500
 #define CONFIG_PAUSE_MS 100
+/* Time for a configuration from the decider to arrive, before the store is
+   queried for it.  */
+#define CONFIG_PUSH_WAIT_MS 500
+/* Added per node to the range of the random pause before a failed query is
+   repeated.  */
+#define RETRY_SPREAD_MS_PER_NODE 10
 /* Between checks of whether the decider's list is still fresh.  */
 #define SUSPENDED_CHECK_MS 150
 /* After an outage of the store, live servers register again within this
@@ -53,16 +59,20 @@
   struct links *links;
   struct site *site;
   char *config; /* text that SITE was parsed from */
+  bool config_from_peer;
   struct servers *servers;
   struct watched_table config_table;
   struct watched_table servers_table;
   struct loop_timer expire;
   struct loop_timer nodes;
-  bool registered;                /* this node's own row is written */
-  struct timespec listed_at;      /* last list or watch of the servers */
-  struct timespec peer_listed_at; /* the same at the decider, as published */
-  uint64_t peer_version;          /* of the decider's configuration */
-  GHashTable *peer_servers;       /* ids in the list that is being received */
+  bool registered;                 /* this node's own row is written */
+  struct timespec listed_at;       /* last list or watch of the servers */
+  struct timespec peer_listed_at;  /* the same at the decider, as published */
+  uint64_t peer_version;           /* of the decider's configuration */
+  struct timespec peer_version_at; /* when that was first announced */
+  GHashTable *peer_servers;        /* ids in the list that is being received */
+  /* SERVERS is the decider's list, as of its last message.  */
+  bool peer_list_applied;
   struct timespec last_outage_at; /* last failed call; zero: none */
 };
 
@@ -104,8 +114,9 @@
   kernel_post (listing->core->kernel, KERNEL_SITE_CHANGED, site);
 }
 
-void
-listing_apply_config (struct listing *listing, const char *config)
+static void
+apply_newer_config (struct listing *listing, const char *config,
+                    bool from_peer)
 {
   const struct catalog *catalog = listing->catalog;
   struct findings findings;
@@ -122,10 +133,25 @@
   else if (listing->site != NULL && site->version <= listing->site->version)
     site_unref (site);
   else
-    apply_config (listing, site, config);
+    {
+      listing->config_from_peer = from_peer;
+      apply_config (listing, site, config);
+    }
   findings_clear (&findings);
 }
 
+void
+listing_apply_config (struct listing *listing, const char *config)
+{
+  apply_newer_config (listing, config, true);
+}
+
+bool
+listing_config_from_peer (const struct listing *listing)
+{
+  return listing->config_from_peer;
+}
+
 static void
 receive_config (struct listing *listing,
                 const struct platform_changes *changes, bool complete)
@@ -134,7 +160,7 @@
   for (size_t i = 0; i < changes->count; i++)
     if (changes->rows[i].value != NULL
         && strcmp (changes->rows[i].key, listing->catalog->config_key) == 0)
-      listing_apply_config (listing, changes->rows[i].value);
+      apply_newer_config (listing, changes->rows[i].value, false);
 }
 
 /* Backend servers.  */
@@ -247,6 +273,7 @@
 {
   bool changed = false;
 
+  listing->peer_list_applied = false;
   for (size_t i = 0; i < changes->count; i++)
     if (changes->rows[i].value == NULL)
       drop_server (listing, changes->rows[i].key);
@@ -272,6 +299,21 @@
 
 /* Watched tables.  */
 
+/* The whole fleet retries at a bounded rate.  */
+static struct timespec
+retry_at (const struct watched_table *watched, struct timespec now)
+{
+  struct listing *listing = watched->listing;
+  struct timespec at = backoff_retry_at (MIN (watched->failures, 1),
+                                         listing->core->rand, now);
+  size_t nodes;
+
+  links_members (listing->links, &nodes);
+  return ts_add_ms (
+      at, g_rand_int_range (listing->core->rand, 0,
+                            (gint32)nodes * RETRY_SPREAD_MS_PER_NODE + 1));
+}
+
 static void
 on_query_failed (struct watched_table *watched, enum platform_status status)
 {
@@ -285,9 +327,8 @@
       return;
     }
   listing->last_outage_at = now;
-  loop_timer_set (
-      listing->core->loop, &watched->timer,
-      backoff_retry_at (MIN (watched->failures, 1), listing->core->rand, now));
+  loop_timer_set (listing->core->loop, &watched->timer,
+                  retry_at (watched, now));
   watched->failures++;
 }
 
@@ -336,9 +377,15 @@
 
   if (!peer_list_is_fresh (listing))
     return false;
-  return watched != &listing->config_table
-         || (listing->site != NULL
-             && listing->site->version >= listing->peer_version);
+  if (watched != &listing->config_table
+      || (listing->site != NULL
+          && listing->site->version >= listing->peer_version))
+    return true;
+  /* In a large fleet the decider sends the configuration.  */
+  return links_has_relays (listing->links)
+         && ts_before (
+             listing_now (listing),
+             ts_add_ms (listing->peer_version_at, CONFIG_PUSH_WAIT_MS));
 }
 
 static void
@@ -403,12 +450,25 @@
   query_now (&listing->servers_table);
 }
 
+/* Queries the store once for a newly announced version.  The timer of the
+   table repeats that at its own pace.  */
+static void
+set_peer_version (struct listing *listing, uint64_t version)
+{
+  if (version == listing->peer_version)
+    return;
+  listing->peer_version = version;
+  listing->peer_version_at = listing_now (listing);
+  if (!is_suspended (&listing->config_table))
+    query_now (&listing->config_table);
+}
+
 void
 listing_peer_list_begin (struct listing *listing, int64_t age_ms,
                          uint64_t version)
 {
   listing->peer_listed_at = ts_add_ms (listing_now (listing), -age_ms);
-  listing->peer_version = version;
+  set_peer_version (listing, version);
   g_hash_table_remove_all (listing->peer_servers);
 }
 
@@ -442,13 +502,30 @@
     log_server (&entry);
 }
 
+bool
+listing_peer_list_update (struct listing *listing, int64_t age_ms,
+                          uint64_t version)
+{
+  listing->peer_listed_at = ts_add_ms (listing_now (listing), -age_ms);
+  set_peer_version (listing, version);
+  return listing->peer_list_applied && peer_list_applies (listing);
+}
+
+void
+listing_peer_list_remove (struct listing *listing, const char *id)
+{
+  servers_drop (listing->servers, id, listing_now (listing));
+  expire_servers (listing);
+}
+
 void
 listing_peer_list_end (struct listing *listing)
 {
   GHashTableIter iter;
   const char *id;
 
-  if (peer_list_applies (listing))
+  listing->peer_list_applied = peer_list_applies (listing);
+  if (listing->peer_list_applied)
     {
       g_hash_table_iter_init (&iter, servers_all (listing->servers));
       while (g_hash_table_iter_next (&iter, (gpointer *)&id, NULL))
@@ -456,8 +533,6 @@
           servers_drop (listing->servers, id, listing_now (listing));
       expire_servers (listing);
     }
-  if (listing->site == NULL || listing->peer_version > listing->site->version)
-    query_now (&listing->config_table);
 }
 
 /* Nodes of this system: each registers its peer address in NODES_TABLE.  */
--- a/src/listing.h
+++ b/src/listing.h
@@ -26,8 +26,9 @@
 
 #define LISTING_NAME "listing"
 
-/* Maximum age of a list published by the decider.  */
-#define LISTING_PEER_LIST_TTL_MS 1200
+/* Maximum age of a list published by the decider.  It publishes one after each
+   watch of the table, which takes 1 s while nothing changes.  */
+#define LISTING_PEER_LIST_TTL_MS 1400
 
 struct listing;
 
@@ -48,6 +49,8 @@
 /* Applies the configuration CONFIG, received from another node, if it is
    newer.  */
 void listing_apply_config (struct listing *listing, const char *config);
+/* Whether the configuration in force came from another node.  */
+bool listing_config_from_peer (const struct listing *listing);
 struct servers *listing_servers (const struct listing *listing);
 
 /* Age of the list of servers: the store's or the decider's, whichever is
@@ -63,6 +66,12 @@
                             const struct peer_replica *server);
 void listing_peer_list_end (struct listing *listing);
 
+/* Changes of that list: update, then add or remove for each server that
+   changed.  Returns false if the whole list is needed first.  */
+bool listing_peer_list_update (struct listing *listing, int64_t age_ms,
+                               uint64_t version);
+void listing_peer_list_remove (struct listing *listing, const char *id);
+
 /* Ignores the decider's list and queries the store now.  */
 void listing_query_store (struct listing *listing);
 
--- a/src/peer.c
+++ b/src/peer.c
@@ -17,6 +17,12 @@
 #include "ts.h"
 
 #define IDLE_TIMEOUT_MS 3000
+#define KEEPALIVES_PER_TIMEOUT 3
+/* With more links than this the interval of keepalives grows with their
+   number, so that a node sends a bounded number a second.  A broken link that
+   carries data is still noticed early, by TCP_USER_TIMEOUT.  */
+#define KEEPALIVE_LINKS 16
+#define KEEPALIVE_INTERVAL_MAX_MS 30000
 /* Connections are refused while this many links are not authenticated.  */
 #define UNAUTHENTICATED_MAX 64
 #define NONCE_BYTES 16
@@ -48,6 +54,7 @@
   struct loop_timer check_timer;
   struct loop_prepare link_cleanup;
   struct link_list links;
+  GHashTable *by_node; /* node id to its authenticated struct peerlink */
   struct dial_list dials;
   unsigned unauthenticated;
 };
@@ -55,15 +62,18 @@
 static struct peerlink *
 find_link (const struct peer *peer, const char *node)
 {
-  struct peerlink *link;
+  struct peerlink *link = g_hash_table_lookup (peer->by_node, node);
 
-  CK_LIST_FOREACH (link, &peer->links, link)
-    {
-      if (!link->closed && link->authenticated
-          && strcmp (link->node, node) == 0)
-        return link;
-    }
-  return NULL;
+  return link != NULL && !link->closed ? link : NULL;
+}
+
+/* Removes LINK from the index unless another link has replaced it there.  */
+static void
+unindex_link (struct peer *peer, const struct peerlink *link)
+{
+  if (link->node != NULL
+      && g_hash_table_lookup (peer->by_node, link->node) == link)
+    g_hash_table_remove (peer->by_node, link->node);
 }
 
 static void
@@ -228,6 +238,7 @@
       return;
     }
   link->authenticated = true;
+  g_hash_table_replace (peer->by_node, g_strdup (link->node), link);
   peer->unauthenticated--;
   if (old != NULL)
     {
@@ -268,6 +279,9 @@
 
   if (link->authenticated)
     {
+      if (msg->type == PEER_KEEPALIVE)
+        link->peer_interval = ts_from_ms (
+            (int64_t)MIN (msg->since, (uint64_t)KEEPALIVE_INTERVAL_MAX_MS));
       if (msg->type > PEER_PROOF && msg->type < PEER_KEEPALIVE)
         options->message (options->user, link->node, msg);
     }
@@ -306,6 +320,7 @@
   if (!was_authenticated)
     peer->unauthenticated--;
   link->authenticated = false;
+  unindex_link (peer, link);
   schedule_reconnect (link);
   if (!was_authenticated || find_link (peer, link->node) != NULL)
     return;
@@ -325,6 +340,8 @@
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
   setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
               sizeof timeout_ms);
+  link->interval
+      = ts_from_ns (ts_to_ns (peer->idle_timeout) / KEEPALIVES_PER_TIMEOUT);
   link->address = g_strdup (address);
   link->nonce = random_nonce ();
   link->frame = handle_message;
@@ -375,25 +392,53 @@
         backoff_retry_at (dial->failures++, peer->options.rand, now));
 }
 
+static int64_t
+keepalive_interval_ms (const struct peer *peer)
+{
+  guint links = MAX (g_hash_table_size (peer->by_node), KEEPALIVE_LINKS);
+  int64_t base_ms = ts_to_ms (peer->idle_timeout) / KEEPALIVES_PER_TIMEOUT;
+
+  return MIN (base_ms * links / KEEPALIVE_LINKS, KEEPALIVE_INTERVAL_MAX_MS);
+}
+
+/* A keepalive names the interval until the next one, which the receiver
+   allows for.  */
+static void
+send_keepalive (struct peerlink *link, int64_t interval_ms)
+{
+  struct peer_msg msg
+      = { .type = PEER_KEEPALIVE, .since = (uint64_t)interval_ms };
+
+  link->interval = ts_from_ms (interval_ms);
+  peerlink_send (link, &msg);
+}
+
 static void
-check_link (struct peer *peer, struct peerlink *link, struct timespec now)
+check_link (struct peer *peer, struct peerlink *link, int64_t interval_ms,
+            struct timespec now)
 {
-  struct peer_msg keepalive = { .type = PEER_KEEPALIVE };
-  struct timespec keepalive_after
-      = ts_from_ns (ts_to_ns (peer->idle_timeout) / 3);
-  struct timespec from
-      = link->authenticated ? link->received_at : link->created_at;
+  struct timespec allowed
+      = ts_max (peer->idle_timeout, ts_from_ns (ts_to_ns (link->peer_interval)
+                                                * KEEPALIVES_PER_TIMEOUT));
+  struct timespec from = link->received_at;
+  struct timespec due;
 
   if (link->closed)
     return;
-  if (!ts_before (now, ts_add (from, peer->idle_timeout)))
+  if (!link->authenticated)
+    {
+      allowed = peer->idle_timeout;
+      from = link->created_at;
+    }
+  due = ts_add (link->queued_at,
+                ts_min (link->interval, ts_from_ms (interval_ms)));
+  if (!ts_before (now, ts_add (from, allowed)))
     {
       peerlink_close (link);
       link_end (link, NULL);
     }
-  else if (link->authenticated
-           && !ts_before (now, ts_add (link->queued_at, keepalive_after)))
-    peerlink_send (link, &keepalive);
+  else if (link->authenticated && !ts_before (now, due))
+    send_keepalive (link, interval_ms);
 }
 
 static void
@@ -402,11 +447,12 @@
   struct peer *peer
       = (struct peer *)((char *)timer - offsetof (struct peer, check_timer));
   struct timespec now = loop_now (peer->options.loop);
+  int64_t interval_ms = keepalive_interval_ms (peer);
   struct peerlink *link;
 
   CK_LIST_FOREACH (link, &peer->links, link)
     {
-      check_link (peer, link, now);
+      check_link (peer, link, interval_ms, now);
     }
   loop_timer_set (
       peer->options.loop, timer,
@@ -449,6 +495,8 @@
   peer->region = g_strdup (options->region);
   peer->address = peeraddr_bound (fd);
   peer->idle_timeout = ts_or_ms (options->idle_timeout, IDLE_TIMEOUT_MS);
+  peer->by_node
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   CK_LIST_INIT (&peer->links);
   CK_LIST_INIT (&peer->dials);
   peer->listener.fd = fd;
@@ -486,6 +534,7 @@
       CK_LIST_REMOVE (link, link);
       peerlink_free (link);
     }
+  g_hash_table_unref (peer->by_node);
   loop_timer_clear (peer->options.loop, &peer->check_timer);
   loop_prepare_remove (&peer->link_cleanup);
   loop_unwatch (peer->options.loop, &peer->listener);
@@ -551,18 +600,51 @@
   return link == NULL ? -ENOTCONN : peerlink_send (link, msg);
 }
 
+/* Encodes MSG for all links that it goes to.  */
+static GBytes *
+encode (const struct peer_msg *msg)
+{
+  char *bytes;
+  size_t length;
+
+  if (frame_encode (msg, &bytes, &length) < 0)
+    return NULL;
+  return g_bytes_new_take (bytes, length);
+}
+
+void
+peer_send_each (struct peer *peer, const char *const *nodes, size_t count,
+                const struct peer_msg *msg)
+{
+  GBytes *frame = count > 0 ? encode (msg) : NULL;
+
+  for (size_t i = 0; frame != NULL && i < count; i++)
+    {
+      struct peerlink *link = find_link (peer, nodes[i]);
+
+      if (link != NULL)
+        peerlink_send_frame (link, frame);
+    }
+  if (frame != NULL)
+    g_bytes_unref (frame);
+}
+
 unsigned
 peer_broadcast (struct peer *peer, const struct peer_msg *msg)
 {
+  GBytes *frame = encode (msg);
   struct peerlink *link;
   unsigned count = 0;
 
+  if (frame == NULL)
+    return 0;
   CK_LIST_FOREACH (link, &peer->links, link)
     {
       if (!link->closed && link->authenticated
-          && peerlink_send (link, msg) == 0)
+          && peerlink_send_frame (link, frame) == 0)
         count++;
     }
+  g_bytes_unref (frame);
   return count;
 }
 
--- a/src/peer.h
+++ b/src/peer.h
@@ -4,7 +4,8 @@
    sides authenticate with an HMAC-SHA256 over both nonces under a shared
    token; no message is delivered before that.  A link without incoming data
    for some time is closed and dialled again with jitter; a malformed frame
-   closes its link.
+   closes its link.  Idle links exchange keepalives, at an interval that grows
+   with the number of links and that each keepalive names.
 
    Control thread only, on its loop.  */
 
@@ -32,7 +33,8 @@
   uint64_t incarnation;
   const char *region;
   const char *zone;
-  struct timespec idle_timeout; /* without incoming data; zero: 3 s */
+  struct timespec idle_timeout; /* least time without incoming data after
+                                   which a link is closed; zero: 3 s */
   /* FROM and MSG are valid only during the call.  */
   void (*message) (void *user, const char *from, const struct peer_msg *msg);
   void (*up) (void *user, const char *node);   /* may be NULL */
@@ -59,6 +61,9 @@
    buffer is full, -EMSGSIZE if MSG is too long.  */
 int peer_send (struct peer *peer, const char *node,
                const struct peer_msg *msg);
+/* Sends MSG to each of the COUNT NODES that there is a link to.  */
+void peer_send_each (struct peer *peer, const char *const *nodes, size_t count,
+                     const struct peer_msg *msg);
 /* Sends MSG on all authenticated links; returns their number.  */
 unsigned peer_broadcast (struct peer *peer, const struct peer_msg *msg);
 bool peer_connected (const struct peer *peer, const char *node);
--- a/src/peerlink.c
+++ b/src/peerlink.c
@@ -195,6 +195,28 @@
   g_free (link);
 }
 
+static int
+queue_bytes (struct peerlink *link, const void *bytes, size_t length)
+{
+  if (link->closed)
+    return 0;
+  if (link->out->len + length > PEERLINK_OUT_MAX_BYTES)
+    return -ENOBUFS;
+  g_byte_array_append (link->out, bytes, (guint)length);
+  link->queued_at = loop_now (link->loop);
+  update_events (link);
+  return 0;
+}
+
+int
+peerlink_send_frame (struct peerlink *link, GBytes *frame)
+{
+  size_t length;
+  const void *bytes = g_bytes_get_data (frame, &length);
+
+  return queue_bytes (link, bytes, length);
+}
+
 int
 peerlink_send (struct peerlink *link, const struct peer_msg *msg)
 {
@@ -207,14 +229,7 @@
   error = frame_encode (msg, &bytes, &length);
   if (error < 0)
     return error;
-  if (link->out->len + length > PEERLINK_OUT_MAX_BYTES)
-    {
-      g_free (bytes);
-      return -ENOBUFS;
-    }
-  g_byte_array_append (link->out, (const guint8 *)bytes, (guint)length);
+  error = queue_bytes (link, bytes, length);
   g_free (bytes);
-  link->queued_at = loop_now (link->loop);
-  update_events (link);
-  return 0;
+  return error;
 }
--- a/src/peerlink.h
+++ b/src/peerlink.h
@@ -35,8 +35,10 @@
   GByteArray *in;
   GByteArray *out;
   struct timespec created_at;
-  struct timespec received_at; /* last data */
-  struct timespec queued_at;   /* last frame queued */
+  struct timespec received_at;   /* last data */
+  struct timespec queued_at;     /* last frame queued */
+  struct timespec interval;      /* of keepalives, as last sent to the peer */
+  struct timespec peer_interval; /* the same of the peer; zero: unknown */
   /* Called with each message received.  */
   void (*frame) (struct peerlink *link, const struct peer_msg *msg);
   bool malformed; /* closed because of malformed data */
@@ -52,6 +54,9 @@
 /* Queues MSG.  0, -ENOBUFS or -EMSGSIZE; 0 also if the link is closed.  */
 int peerlink_send (struct peerlink *link, const struct peer_msg *msg);
 
+/* The same for an encoded message.  */
+int peerlink_send_frame (struct peerlink *link, GBytes *frame);
+
 /* Closes the socket; the link stays allocated.  */
 void peerlink_close (struct peerlink *link);
 
--- a/src/planners.c
+++ b/src/planners.c
@@ -310,7 +310,8 @@
       receive_peer_message (planners, event->data);
       break;
     case KERNEL_PEER_CONNECTED:
-      planners_send_all_replicas (planners, event->data);
+      if (planners->deciding)
+        planners_send_all_replicas (planners, event->data);
       break;
     case KERNEL_DRAIN_STARTED:
       release_lease (planners);
@@ -393,6 +394,12 @@
   g_free (planners);
 }
 
+bool
+planners_deciding (const struct planners *planners)
+{
+  return planners->deciding;
+}
+
 struct planners *
 planners_find (struct kernel *kernel)
 {
--- a/src/planners.h
+++ b/src/planners.h
@@ -27,6 +27,9 @@
 void planners_free (struct service *service);
 struct planners *planners_find (struct kernel *kernel);
 
+/* Whether this node is the decider, as far as it knows.  */
+bool planners_deciding (const struct planners *planners);
+
 /* A request for TARGET, "MODEL" or "MODEL/ADAPTER", of SERVICE arrived.  */
 void planners_request_arrived (struct planners *planners, const char *service,
                                const char *target);
--- a/src/planners_demand.c
+++ b/src/planners_demand.c
@@ -1,161 +1,14 @@
 #include <string.h>
 #include "planners_state.h"
 
-#define FLUSH_DELAY_MS 5         /* batches the changes of a burst */
-#define ARRIVALS_MAX_DELAY_MS 50 /* maximum delay of arrival counts */
-#define DEMAND_THREAD 0          /* the only source of demand at this node */
-
-/* Replicas on the engines, published to this node's table of servers and to
-   all other nodes.  */
-
-static void
-append_replica (void *user, const struct peer_replica *replica)
-{
-  g_array_append_vals (user, replica, 1);
-}
-
-static void
-update_own_servers (struct planners *planners, const GArray *replicas)
-{
-  struct servers *servers = listing_servers (planners->listing);
-
-  servers_replicas_begin (servers, planners_now (planners));
-  for (guint i = 0; i < replicas->len; i++)
-    servers_replicas_add (servers,
-                          &g_array_index (replicas, struct peer_replica, i));
-}
-
-/* Adds the age of the server list and the version of the configuration in
-   force.  */
-static void
-add_list_age (const struct planners *planners, struct peer_msg *msg)
-{
-  const struct site *site = listing_site (planners->listing);
-
-  msg->since = (uint64_t)MAX (listing_age_ms (planners->listing), 1);
-  msg->version = site != NULL ? site->version : 0;
-}
-
-/* Appends each listed server, as a replica of SERVERS_WHOLE_SERVER.  */
-static void
-add_servers (struct planners *planners, GArray *replicas)
-{
-  const struct server *server;
-  GHashTableIter iter;
-
-  g_hash_table_iter_init (&iter,
-                          servers_all (listing_servers (planners->listing)));
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&server))
-    {
-      struct peer_replica replica = { .engine = server->route->id,
-                                      .address = server->route->address,
-                                      .zone = server->route->zone,
-                                      .pool = server->route->pool,
-                                      .model = (char *)SERVERS_WHOLE_SERVER,
-                                      .slots = server->slots,
-                                      .leaving = server->leaving };
-
-      g_array_append_val (replicas, replica);
-    }
-}
-
-void
-planners_publish_replicas (struct planners *planners)
-{
-  GArray *replicas = g_array_new (FALSE, FALSE, sizeof (struct peer_replica));
-  struct timespec now = planners_now (planners);
-  struct peer_msg msg;
-  struct planner *planner;
-  GHashTableIter iter;
-
-  g_hash_table_iter_init (&iter, planners->by_service);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&planner))
-    planner_each_replica (planner, now, append_replica, replicas);
-  update_own_servers (planners, replicas);
-  add_servers (planners, replicas);
-  replica_sender_changes (planners->out, (struct peer_replica *)replicas->data,
-                          replicas->len, now, &msg);
-  add_list_age (planners, &msg);
-  if (msg.replica_count > 0)
-    kernel_post (planners->core->kernel, KERNEL_SERVERS_CHANGED, NULL);
-  if (msg.replica_count > 0 || msg.version != planners->published_version
-      || !ts_before (now,
-                     ts_add_ms (planners->published_at, PLANNERS_REPEAT_MS)))
-    {
-      links_broadcast (planners->links, &msg);
-      planners->published_at = now;
-      planners->published_version = msg.version;
-    }
-  peer_msg_clear (&msg);
-  g_array_unref (replicas);
-}
-
-static void
-apply_replica (void *user, const struct peer_replica *replica)
-{
-  struct planners *planners = user;
-
-  if (strcmp (replica->model, SERVERS_WHOLE_SERVER) != 0)
-    servers_replicas_add (listing_servers (planners->listing), replica);
-  else
-    listing_peer_list_add (planners->listing, replica);
-}
-
-/* Gives up the lease if another node decides with a higher fencing token.  */
-static void
-step_down_if_fenced (struct planners *planners, uint64_t fence)
-{
-  struct action_list list;
-
-  if (!planners->deciding || fence <= lease_fence (planners->lease))
-    return;
-  action_list_init (&list);
-  lease_fenced (planners->lease, fence, planners_now (planners), &list);
-  planners_run_lease (planners, &list);
-}
-
-void
-planners_receive_replicas (struct planners *planners, const char *from,
-                           const struct peer_msg *msg)
-{
-  struct servers *servers = listing_servers (planners->listing);
-  struct peer_msg request
-      = { .type = PEER_REPLICAS_REQUEST, .cell = (char *)PLANNERS_CELL };
-
-  step_down_if_fenced (planners, msg->fence);
-  switch (replica_receiver_apply (planners->in, from, msg,
-                                  planners_now (planners)))
-    {
-    case REPLICA_SYNC_GAP:
-      links_send (planners->links, from, &request);
-      break;
-    case REPLICA_SYNC_APPLIED:
-      servers_replicas_begin (servers,
-                              replica_receiver_updated_at (planners->in));
-      listing_peer_list_begin (planners->listing, (int64_t)msg->since,
-                               msg->version);
-      replica_receiver_each (planners->in, apply_replica, planners);
-      listing_peer_list_end (planners->listing);
-      if (msg->replica_count > 0)
-        kernel_post (planners->core->kernel, KERNEL_SERVERS_CHANGED, NULL);
-      break;
-    case REPLICA_SYNC_STALE:
-      break;
-    }
-}
-
-void
-planners_send_all_replicas (struct planners *planners, const char *to)
-{
-  struct peer_msg msg;
-
-  if (!planners->deciding)
-    return;
-  replica_sender_full (planners->out, &msg);
-  add_list_age (planners, &msg);
-  links_send (planners->links, to, &msg);
-  peer_msg_clear (&msg);
-}
+#define FLUSH_DELAY_MS 5     /* batches the changes of a burst */
+#define ARRIVALS_DELAY_MS 50 /* maximum delay of arrival counts */
+/* Added per node of the fleet to the delay of reports that start no load, so
+   that the decider receives a bounded number of messages a second.  */
+#define UPDATE_DELAY_US_PER_NODE 1000
+#define ARRIVALS_DELAY_US_PER_NODE 3000
+#define REPEAT_US_PER_NODE 5000
+#define DEMAND_THREAD 0 /* the only source of demand at this node */
 
 /* Demand of this node: waiting requests and arrivals by target.  */
 
@@ -253,6 +106,17 @@
     planners_tick_soon (planners);
 }
 
+/* BASE_MS, and PER_NODE_US for each node of the fleet.  */
+static int64_t
+scaled_delay_ms (const struct planners *planners, int64_t base_ms,
+                 int64_t per_node_us)
+{
+  size_t nodes;
+
+  links_members (planners->links, &nodes);
+  return base_ms + (int64_t)nodes * per_node_us / TS_US_PER_MS;
+}
+
 void
 planners_flush_demand (struct loop_timer *timer)
 {
@@ -262,7 +126,9 @@
   bool all = !ts_before (now, planners->repeat_at);
 
   if (all)
-    planners->repeat_at = ts_add_ms (now, PLANNERS_REPEAT_MS);
+    planners->repeat_at
+        = ts_add_ms (now, scaled_delay_ms (planners, PLANNERS_REPEAT_MS,
+                                           REPEAT_US_PER_NODE));
   flush_demand (planners, all);
   loop_timer_set (planners->core->loop, timer, planners->repeat_at);
   planners_set_timer (planners);
@@ -284,7 +150,8 @@
   char *key = g_strdup_printf ("%s %s", service, target);
 
   demand_request_arrived (planners->demand, key);
-  flush_within (planners, ARRIVALS_MAX_DELAY_MS);
+  flush_within (planners, scaled_delay_ms (planners, ARRIVALS_DELAY_MS,
+                                           ARRIVALS_DELAY_US_PER_NODE));
   g_free (key);
 }
 
@@ -294,11 +161,26 @@
                       struct timespec deadline, unsigned priority)
 {
   char *key = g_strdup_printf ("%s %s", service, target);
+  unsigned before = demand_waiting (planners->demand, key);
 
   demand_set (planners->demand, DEMAND_THREAD, key, waiting, deadline,
               priority);
   g_free (key);
-  flush_within (planners, FLUSH_DELAY_MS);
+  flush_within (planners, before == 0 && waiting > 0
+                              ? FLUSH_DELAY_MS
+                              : scaled_delay_ms (planners, FLUSH_DELAY_MS,
+                                                 UPDATE_DELAY_US_PER_NODE));
+}
+
+void
+planners_resend_demand (struct planners *planners)
+{
+  int64_t spread_ms
+      = scaled_delay_ms (planners, FLUSH_DELAY_MS, UPDATE_DELAY_US_PER_NODE);
+
+  planners->repeat_at = planners_now (planners);
+  flush_within (planners,
+                g_rand_int_range (planners->core->rand, 0, (gint32)spread_ms));
 }
 
 void
--- a/src/planners_lease.c
+++ b/src/planners_lease.c
@@ -23,6 +23,7 @@
   planners->term++;
   replica_sender_free (planners->out);
   planners->out = replica_sender_new (PLANNERS_CELL, fence);
+  planners->compared_at = (struct timespec){ 0 };
   planners_tick_soon (planners);
   listing_query_store (planners->listing);
   if (listing_site (planners->listing) != NULL)
--- a/src/planners_state.h
+++ b/src/planners_state.h
@@ -39,8 +39,12 @@
   struct timespec tick_at;     /* next tick of the planners */
   struct throttle throttle;    /* of ticks */
   struct timespec repeat_at;   /* when all demand is sent again */
+  struct timespec compared_at; /* last search for changes to publish */
   struct timespec published_at;
-  uint64_t published_version; /* of the configuration */
+  uint64_t published_version;   /* of the configuration */
+  int64_t published_age_ms;     /* of the list of servers, at PUBLISHED_AT */
+  uint64_t in_version;          /* the same in the last message applied */
+  struct timespec requested_at; /* last request for the complete list */
 };
 
 /* An asynchronous call.  Its result is dropped if the term in which it was
@@ -108,12 +112,19 @@
 /* Carries out the actions in LIST of the lease.  */
 void planners_run_lease (struct planners *planners, struct action_list *list);
 
-/* planners_demand.c */
+/* planners_replicas.c: the replicas on the engines, published by the decider
+   to its own table of servers and to all other nodes.  */
 
 void planners_publish_replicas (struct planners *planners);
 void planners_receive_replicas (struct planners *planners, const char *from,
                                 const struct peer_msg *msg);
 void planners_send_all_replicas (struct planners *planners, const char *to);
+
+/* planners_demand.c: waiting requests and arrivals at this node, reported to
+   the decider.  */
+
+/* Reports all demand soon, to a new decider.  */
+void planners_resend_demand (struct planners *planners);
 void planners_flush_demand (struct loop_timer *timer);
 void planners_receive_demand (struct planners *planners, const char *from,
                               const struct peer_msg *msg);
--- a/src/replica_sync.c
+++ b/src/replica_sync.c
@@ -119,11 +119,26 @@
          && g_strcmp0 (a->address, b->address) == 0;
 }
 
+/* READY_MS of ENTRY's replica, counted from NOW.  */
+static uint64_t
+ready_ms_at (const struct entry *entry, struct timespec now)
+{
+  int64_t passed_ms = ts_to_ms (ts_sub (now, entry->at));
+  int64_t left_ms = (int64_t)entry->replica.ready_ms - MAX (passed_ms, 0);
+
+  return (uint64_t)MAX (left_ms, 0);
+}
+
 static bool
-same_load (const struct peer_replica *a, const struct peer_replica *b)
+same_load (const struct entry *entry, const struct peer_replica *replica,
+           struct timespec now)
 {
-  return a->running == b->running && a->queued == b->queued
-         && a->ready_ms == b->ready_ms;
+  int64_t shift_ms
+      = (int64_t)replica->ready_ms - (int64_t)ready_ms_at (entry, now);
+
+  return entry->replica.running == replica->running
+         && entry->replica.queued == replica->queued
+         && ABS (shift_ms) <= REPLICA_SYNC_READY_MS;
 }
 
 static bool
@@ -132,7 +147,7 @@
 {
   if (entry == NULL || !same_placement (&entry->replica, replica))
     return true;
-  if (same_load (&entry->replica, replica))
+  if (same_load (entry, replica, now))
     return false;
   return !ts_before (now, ts_add_ms (entry->at, REPLICA_SYNC_LOAD_MS));
 }
@@ -184,6 +199,22 @@
     }
 }
 
+static void
+append_entries (GHashTable *entries, struct timespec now, GArray *list)
+{
+  const struct entry *entry;
+  GHashTableIter iter;
+
+  g_hash_table_iter_init (&iter, entries);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&entry))
+    {
+      struct peer_replica replica = entry->replica;
+
+      replica.ready_ms = ready_ms_at (entry, now);
+      append_replica (list, &replica);
+    }
+}
+
 static void
 fill_msg (const struct replica_sender *sender, bool full, GArray *replicas,
           struct peer_msg *msg)
@@ -204,25 +235,23 @@
                         struct timespec now, struct peer_msg *msg)
 {
   GArray *changes = g_array_new (FALSE, TRUE, sizeof (struct peer_replica));
+  bool first = sender->seq == 0;
 
   for (size_t i = 0; i < count; i++)
     append_if_changed (sender, &replicas[i], now, changes);
   append_removed (sender, changes);
   if (changes->len > 0)
     sender->seq++;
-  fill_msg (sender, false, changes, msg);
+  fill_msg (sender, first && changes->len > 0, changes, msg);
 }
 
 void
-replica_sender_full (const struct replica_sender *sender, struct peer_msg *msg)
+replica_sender_full (const struct replica_sender *sender, struct timespec now,
+                     struct peer_msg *msg)
 {
   GArray *all = g_array_new (FALSE, TRUE, sizeof (struct peer_replica));
-  const struct entry *entry;
-  GHashTableIter iter;
 
-  g_hash_table_iter_init (&iter, sender->entries);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&entry))
-    append_replica (all, &entry->replica);
+  append_entries (sender->entries, now, all);
   fill_msg (sender, true, all, msg);
 }
 
@@ -289,6 +318,15 @@
   return receiver->in_sync && msg->seq == expected;
 }
 
+/* Whether all of MSG has been applied before: relays deliver copies.  */
+static bool
+is_repeated (const struct replica_receiver *receiver,
+             const struct peer_msg *msg)
+{
+  return msg->seq < receiver->seq
+         || (msg->seq == receiver->seq && msg->replica_count > 0);
+}
+
 enum replica_sync_result
 replica_receiver_apply (struct replica_receiver *receiver, const char *from,
                         const struct peer_msg *msg, struct timespec now)
@@ -297,7 +335,7 @@
     return REPLICA_SYNC_STALE;
   set_source (receiver, from, msg->fence);
   receiver->at = now;
-  if (!msg->full && receiver->in_sync && msg->seq < receiver->seq)
+  if (receiver->in_sync && is_repeated (receiver, msg))
     return REPLICA_SYNC_STALE;
   if (!msg->full && !is_next_message (receiver, msg))
     {
@@ -330,6 +368,29 @@
   return receiver->at;
 }
 
+bool
+replica_receiver_full (const struct replica_receiver *receiver,
+                       const char *cell, struct timespec now,
+                       struct peer_msg *msg)
+{
+  GArray *all;
+
+  if (!receiver->in_sync)
+    return false;
+  all = g_array_new (FALSE, TRUE, sizeof (struct peer_replica));
+  append_entries (receiver->replicas, now, all);
+  memset (msg, 0, sizeof *msg);
+  msg->type = PEER_REPLICAS;
+  msg->cell = g_strdup (cell);
+  msg->node = g_strdup (receiver->from);
+  msg->fence = receiver->fence;
+  msg->seq = receiver->seq;
+  msg->full = true;
+  msg->replica_count = all->len;
+  msg->replicas = (struct peer_replica *)g_array_free (all, FALSE);
+  return true;
+}
+
 void
 replica_receiver_each (const struct replica_receiver *receiver,
                        void (*fn) (void *user,
@@ -341,5 +402,9 @@
 
   g_hash_table_iter_init (&iter, receiver->replicas);
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&entry))
-    fn (user, &entry->replica);
+    {
+      entry->replica.ready_ms = ready_ms_at (entry, receiver->at);
+      entry->at = receiver->at;
+      fn (user, &entry->replica);
+    }
 }
--- a/src/replica_sync.h
+++ b/src/replica_sync.h
@@ -21,6 +21,8 @@
 /* Minimum interval between two updates of a replica that change only its
    load.  */
 #define REPLICA_SYNC_LOAD_MS 500
+/* A change of the estimated ready time by less than this is not sent.  */
+#define REPLICA_SYNC_READY_MS 100
 
 struct replica_sender;
 struct replica_receiver;
@@ -29,26 +31,29 @@
 void replica_sender_free (struct replica_sender *sender);
 
 /* REPLICAS is the complete current list; its strings are borrowed for the
-   call.  Fills MSG with the changes since the last call, for all nodes.  A
-   message without changes is a heartbeat and repeats the last sequence
-   number.  */
+   call.  Fills MSG with the changes since the last call, for all nodes; the
+   first message with a replica is a full list.  A message without changes is a
+   heartbeat and repeats the last sequence number.  */
 void replica_sender_changes (struct replica_sender *sender,
                              const struct peer_replica *replicas, size_t count,
                              struct timespec now, struct peer_msg *msg);
 
 /* Fills MSG with the full list as sent so far, for a node with a gap.  */
 void replica_sender_full (const struct replica_sender *sender,
-                          struct peer_msg *msg);
+                          struct timespec now, struct peer_msg *msg);
 
 enum replica_sync_result
 {
   REPLICA_SYNC_APPLIED,
   REPLICA_SYNC_STALE, /* from a former leaseholder, or received before */
-  REPLICA_SYNC_GAP    /* request the full list from FROM */
+  REPLICA_SYNC_GAP    /* request the full list */
 };
 
 struct replica_receiver *replica_receiver_new (void);
 void replica_receiver_free (struct replica_receiver *receiver);
+
+/* Applies MSG, which the leaseholder FROM sent, directly or through a relay.
+   Copies may arrive more than once.  */
 enum replica_sync_result
 replica_receiver_apply (struct replica_receiver *receiver, const char *from,
                         const struct peer_msg *msg, struct timespec now);
@@ -62,6 +67,13 @@
 struct timespec
 replica_receiver_updated_at (const struct replica_receiver *receiver);
 
+/* Fills MSG with the full list as received so far, for another node with a
+   gap, so that not all of them have to ask the leaseholder.  False if this
+   node has a gap itself.  */
+bool replica_receiver_full (const struct replica_receiver *receiver,
+                            const char *cell, struct timespec now,
+                            struct peer_msg *msg);
+
 /* Calls FN for each replica; ready_ms counts from
    replica_receiver_updated_at.  */
 void replica_receiver_each (const struct replica_receiver *receiver,
--- a/src/replica_sync_service.c
+++ b/src/replica_sync_service.c
@@ -204,7 +204,8 @@
 
   if (cell == NULL || !cell_runs_placement (cell) || cell_fence (cell) == 0)
     return;
-  replica_sender_full (get_sender (sync, cell)->replicas, &msg);
+  replica_sender_full (get_sender (sync, cell)->replicas, sync_now (sync),
+                       &msg);
   links_send (sync->links, peer->from, &msg);
   peer_msg_clear (&msg);
 }
--- a/src/servers.c
+++ b/src/servers.c
@@ -2,19 +2,19 @@
 
 #include <string.h>
 #include "backend.h"
+#include "holders.h"
 #include "ts.h"
 
 struct servers
 {
-  GHashTable *all;      /* id to struct server */
-  GHashTable *replicas; /* engine id to GHashTable: target to struct replica */
-  struct timespec replicas_at;
-};
-
-struct replica
-{
-  bool loaded;
-  struct timespec ready_at; /* estimate while it is being loaded, else zero */
+  GHashTable *all;        /* id to struct server */
+  GHashTable *by_service; /* name to GHashTable: set of struct server */
+  /* Models and adapters on engines: as published by the decider, and as the
+     platform lists them.  */
+  struct holders *published;
+  struct holders *listed;
+  struct timespec published_at;
+  bool published_partly; /* see servers_replicas_complete */
 };
 
 void
@@ -53,8 +53,10 @@
 
   servers->all
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, server_free);
-  servers->replicas
+  servers->by_service
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, unref_table);
+  servers->published = holders_new ();
+  servers->listed = holders_new ();
   return servers;
 }
 
@@ -63,8 +65,10 @@
 {
   if (servers == NULL)
     return;
+  g_hash_table_unref (servers->by_service);
   g_hash_table_unref (servers->all);
-  g_hash_table_unref (servers->replicas);
+  holders_free (servers->published);
+  holders_free (servers->listed);
   g_free (servers);
 }
 
@@ -100,16 +104,78 @@
          && strcmp (server->route->pool, entry->service) == 0;
 }
 
+/* Enters the contents of the engine ID into the index of listed ones.  */
+static void
+index_inventory (struct servers *servers, const char *id,
+                 const struct inventory *inventory)
+{
+  const struct holder loaded = { .loaded = true };
+
+  holders_remove_engine (servers->listed, id);
+  for (guint i = 0; i < inventory->models->len; i++)
+    {
+      const struct inventory_model *model
+          = g_ptr_array_index (inventory->models, i);
+
+      holders_put (servers->listed, id, model->name, &loaded);
+      for (guint j = 0; j < model->adapters->len; j++)
+        {
+          char *target = servers_target (
+              model->name, g_ptr_array_index (model->adapters, j));
+
+          holders_put (servers->listed, id, target, &loaded);
+          g_free (target);
+        }
+    }
+}
+
 static bool
-update_inventory (struct server *server, const struct inventory *inventory)
+update_inventory (struct servers *servers, struct server *server,
+                  const struct inventory *inventory)
 {
+  bool changed;
+
   if (inventory == NULL
       || (server->inventory != NULL
           && inventory_newer (server->inventory, inventory)))
     return false;
+  changed = server->inventory == NULL
+            || !inventory_same_models (server->inventory, inventory);
   inventory_free (server->inventory);
   server->inventory = inventory_copy (inventory);
-  return true;
+  if (changed)
+    index_inventory (servers, server->route->id, inventory);
+  return changed;
+}
+
+static struct server *
+add_server (struct servers *servers, const struct server_entry *entry)
+{
+  struct server *server = server_new (entry);
+  GHashTable *set = g_hash_table_lookup (servers->by_service, entry->service);
+
+  if (set == NULL)
+    {
+      set = g_hash_table_new (NULL, NULL);
+      g_hash_table_insert (servers->by_service, g_strdup (entry->service),
+                           set);
+    }
+  g_hash_table_add (set, server);
+  g_hash_table_insert (servers->all, g_strdup (entry->id), server);
+  return server;
+}
+
+/* Removes SERVER from the indexes, but not from the table of all servers.  */
+static void
+unindex_server (struct servers *servers, struct server *server)
+{
+  GHashTable *set
+      = g_hash_table_lookup (servers->by_service, server->route->pool);
+
+  holders_remove_engine (servers->listed, server->route->id);
+  g_hash_table_remove (set, server);
+  if (g_hash_table_size (set) == 0)
+    g_hash_table_remove (servers->by_service, server->route->pool);
 }
 
 bool
@@ -120,13 +186,15 @@
 
   if (server != NULL && !same_server (server, entry))
     {
-      g_hash_table_remove (servers->replicas, entry->id);
+      holders_remove_engine (servers->published, entry->id);
+      servers->published_partly = true;
+      unindex_server (servers, server);
+      g_hash_table_remove (servers->all, entry->id);
       server = NULL;
     }
   if (server == NULL)
     {
-      server = server_new (entry);
-      g_hash_table_replace (servers->all, g_strdup (entry->id), server);
+      server = add_server (servers, entry);
       changed = true;
     }
   changed = changed || server->leaving != entry->leaving
@@ -134,7 +202,7 @@
   server->slots = entry->slots;
   server->leaving = entry->leaving;
   server->drop_at = (struct timespec){ 0 };
-  return update_inventory (server, entry->inventory) || changed;
+  return update_inventory (servers, server, entry->inventory) || changed;
 }
 
 void
@@ -149,7 +217,7 @@
 bool
 servers_expire (struct servers *servers, struct timespec now)
 {
-  const struct server *server;
+  struct server *server;
   GHashTableIter iter;
   bool removed = false;
 
@@ -157,7 +225,7 @@
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&server))
     if (!ts_is_zero (server->drop_at) && !ts_before (now, server->drop_at))
       {
-        g_hash_table_remove (servers->replicas, server->route->id);
+        unindex_server (servers, server);
         g_hash_table_iter_remove (&iter);
         removed = true;
       }
@@ -207,31 +275,45 @@
 void
 servers_replicas_begin (struct servers *servers, struct timespec at)
 {
-  g_hash_table_remove_all (servers->replicas);
-  servers->replicas_at = at;
+  holders_clear (servers->published);
+  servers->published_at = at;
+  servers->published_partly = false;
+}
+
+void
+servers_replicas_update (struct servers *servers, struct timespec at)
+{
+  servers->published_at = at;
+}
+
+bool
+servers_replicas_complete (const struct servers *servers)
+{
+  return !servers->published_partly;
 }
 
 void
 servers_replicas_add (struct servers *servers,
                       const struct peer_replica *replica)
 {
-  GHashTable *targets
-      = g_hash_table_lookup (servers->replicas, replica->engine);
-  struct replica *added = g_new0 (struct replica, 1);
+  char *target = servers_target (replica->model, replica->adapter);
+  struct holder holder = { .loaded = replica->state == BACKEND_COPY_LOADED };
 
-  if (targets == NULL)
-    {
-      targets
-          = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-      g_hash_table_insert (servers->replicas, g_strdup (replica->engine),
-                           targets);
-    }
-  added->loaded = replica->state == BACKEND_COPY_LOADED;
   if (replica->state == BACKEND_COPY_LOADING)
-    added->ready_at
-        = ts_add_ms (servers->replicas_at, (int64_t)replica->ready_ms);
-  g_hash_table_replace (
-      targets, servers_target (replica->model, replica->adapter), added);
+    holder.ready_at
+        = ts_add_ms (servers->published_at, (int64_t)replica->ready_ms);
+  holders_put (servers->published, replica->engine, target, &holder);
+  g_free (target);
+}
+
+void
+servers_replicas_remove (struct servers *servers,
+                         const struct peer_replica *replica)
+{
+  char *target = servers_target (replica->model, replica->adapter);
+
+  holders_remove (servers->published, replica->engine, target);
+  g_free (target);
 }
 
 static bool
@@ -249,54 +331,12 @@
 }
 
 static void
-update_ready_at (const struct replica *replica, struct timespec *ready_at)
+update_ready_at (const struct holder *holder, struct timespec *ready_at)
 {
-  if (replica == NULL || ts_is_zero (replica->ready_at))
+  if (holder == NULL || ts_is_zero (holder->ready_at))
     return;
-  if (ts_is_zero (*ready_at) || ts_before (replica->ready_at, *ready_at))
-    *ready_at = replica->ready_at;
-}
-
-/* Whether MODEL, with ADAPTER unless that is NULL, is loaded on SERVER.  If
-   not, *READY_AT is updated as in servers_replicas.  */
-static bool
-is_loaded (const struct servers *servers, const struct server *server,
-           const char *model, const char *adapter, struct timespec now,
-           struct timespec *ready_at)
-{
-  struct timespec fresh_until
-      = ts_add_ms (servers->replicas_at, SERVERS_REPLICAS_TTL_MS);
-  GHashTable *targets = NULL;
-  const struct replica *replica;
-  char *target;
-
-  if (!ts_is_zero (servers->replicas_at) && ts_before (now, fresh_until))
-    targets = g_hash_table_lookup (servers->replicas, server->route->id);
-  if (targets == NULL)
-    return server->inventory != NULL
-           && inventory_has (server->inventory, model, adapter);
-  target = servers_target (model, adapter);
-  replica = g_hash_table_lookup (targets, target);
-  g_free (target);
-  if (replica != NULL && replica->loaded)
-    return true;
-  update_ready_at (replica, ready_at);
-  return false;
-}
-
-/* Updates *READY_AT for MODEL, which is on no engine and which none is loading
-   yet.  */
-static void
-update_expected_ready_at (const struct servers *servers, const char *model,
-                          struct timespec now, struct timespec *ready_at)
-{
-  struct timespec fresh_until
-      = ts_add_ms (servers->replicas_at, SERVERS_REPLICAS_TTL_MS);
-  GHashTable *expected
-      = g_hash_table_lookup (servers->replicas, SERVERS_NO_ENGINE);
-
-  if (expected != NULL && ts_before (now, fresh_until))
-    update_ready_at (g_hash_table_lookup (expected, model), ready_at);
+  if (ts_is_zero (*ready_at) || ts_before (holder->ready_at, *ready_at))
+    *ready_at = holder->ready_at;
 }
 
 static void
@@ -316,28 +356,108 @@
   g_array_append_val (replicas, replica);
 }
 
+static bool
+published_is_fresh (const struct servers *servers, struct timespec now)
+{
+  return !ts_is_zero (servers->published_at)
+         && ts_before (
+             now, ts_add_ms (servers->published_at, SERVERS_REPLICAS_TTL_MS));
+}
+
+struct replica_query
+{
+  const char *service;
+  const char *target;
+  const char *adapter;
+  struct timespec now;
+  GArray *replicas;
+  struct timespec *ready_at;
+};
+
+/* Appends the engines in HOLDERS that have the target of QUERY, without those
+   that are in EXCEPT.  */
+static void
+append_holders (const struct servers *servers, const struct holders *holders,
+                const struct holders *except,
+                const struct replica_query *query)
+{
+  GHashTable *engines = holders_of (holders, query->target);
+  const struct holder *holder;
+  GHashTableIter iter;
+  const char *id;
+
+  if (engines == NULL)
+    return;
+  g_hash_table_iter_init (&iter, engines);
+  while (g_hash_table_iter_next (&iter, (gpointer *)&id, (gpointer *)&holder))
+    {
+      const struct server *server = servers_find (servers, id);
+
+      if (server == NULL || server->leaving
+          || strcmp (server->route->pool, query->service) != 0
+          || (except != NULL && holders_has_engine (except, id)))
+        continue;
+      if (!holder->loaded)
+        update_ready_at (holder, query->ready_at);
+      else if (!is_missing (server, query->target, query->now))
+        append_replica (server, query->adapter, query->replicas);
+    }
+}
+
+/* Updates *READY_AT for MODEL, which is on no engine and which none is loading
+   yet.  */
+static void
+update_expected_ready_at (const struct servers *servers, const char *model,
+                          struct timespec *ready_at)
+{
+  GHashTable *expected = holders_of (servers->published, model);
+
+  if (expected != NULL)
+    update_ready_at (g_hash_table_lookup (expected, SERVERS_NO_ENGINE),
+                     ready_at);
+}
+
+static void
+append_servers_of (const struct servers *servers,
+                   const struct replica_query *query)
+{
+  GHashTable *set = g_hash_table_lookup (servers->by_service, query->service);
+  const struct server *server;
+  GHashTableIter iter;
+
+  if (set == NULL)
+    return;
+  g_hash_table_iter_init (&iter, set);
+  while (g_hash_table_iter_next (&iter, (gpointer *)&server, NULL))
+    if (!server->leaving)
+      append_replica (server, query->adapter, query->replicas);
+}
+
 void
 servers_replicas (struct servers *servers, const char *service,
                   const char *model, const char *adapter, struct timespec now,
                   GArray *replicas, struct timespec *ready_at)
 {
+  bool fresh = published_is_fresh (servers, now);
   char *target = model != NULL ? servers_target (model, adapter) : NULL;
-  const struct server *server;
-  GHashTableIter iter;
+  struct replica_query query = { .service = service,
+                                 .target = target,
+                                 .adapter = adapter,
+                                 .now = now,
+                                 .replicas = replicas,
+                                 .ready_at = ready_at };
 
   *ready_at = (struct timespec){ 0 };
-  g_hash_table_iter_init (&iter, servers->all);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&server))
+  if (model == NULL)
+    append_servers_of (servers, &query);
+  else
     {
-      if (strcmp (server->route->pool, service) != 0 || server->leaving)
-        continue;
-      if (model != NULL
-          && (!is_loaded (servers, server, model, adapter, now, ready_at)
-              || is_missing (server, target, now)))
-        continue;
-      append_replica (server, adapter, replicas);
+      if (fresh)
+        append_holders (servers, servers->published, NULL, &query);
+      append_holders (servers, servers->listed,
+                      fresh ? servers->published : NULL, &query);
+      if (fresh && replicas->len == 0 && ts_is_zero (*ready_at))
+        update_expected_ready_at (servers, model, ready_at);
     }
-  if (model != NULL && replicas->len == 0 && ts_is_zero (*ready_at))
-    update_expected_ready_at (servers, model, now, ready_at);
   g_free (target);
 }
--- a/src/servers.h
+++ b/src/servers.h
@@ -100,6 +100,17 @@
 void servers_replicas_add (struct servers *servers,
                            const struct peer_replica *replica);
 
+/* Changes the published replicas: call servers_replicas_update, then
+   servers_replicas_add or servers_replicas_remove for each that changed.  */
+void servers_replicas_update (struct servers *servers, struct timespec at);
+void servers_replicas_remove (struct servers *servers,
+                              const struct peer_replica *replica);
+
+/* Whether no published replica was discarded since servers_replicas_begin.
+   Otherwise all must be replaced, since changes omit the discarded ones: those
+   of a server that the platform lists as restarted.  */
+bool servers_replicas_complete (const struct servers *servers);
+
 /* Appends the replicas that may serve MODEL (NULL: any request of SERVICE)
    with ADAPTER (may be NULL) to REPLICAS, whose engines are borrowed.  If
    there is none, *READY_AT is the estimated time of the first one, zero if
--- a/src/ts.h
+++ b/src/ts.h
@@ -14,6 +14,7 @@
 #define TS_NS_PER_S INT64_C (1000000000)
 #define TS_NS_PER_MS INT64_C (1000000)
 #define TS_MS_PER_S INT64_C (1000)
+#define TS_US_PER_MS INT64_C (1000)
 
 /* Nanoseconds in T; overflows above 292 years.  */
 static inline int64_t
--- a/tests/prop_replica_sync.cc
+++ b/tests/prop_replica_sync.cc
@@ -57,7 +57,7 @@
     {
       struct peer_msg full;
 
-      replica_sender_full (sender, &full);
+      replica_sender_full (sender, now, &full);
       RC_ASSERT (replica_receiver_apply (receiver, "a", &full, now)
                  == REPLICA_SYNC_APPLIED);
       peer_msg_clear (&full);
--- a/tests/test_listing.c
+++ b/tests/test_listing.c
@@ -271,6 +271,59 @@
   tear_down (&f);
 }
 
+/* Changes of the published list are applied without the rest of it, unless the
+   store has been queried since.  */
+static void
+test_list_changes (void)
+{
+  struct fixture f;
+  struct peer_replica added = { .engine = (char *)"i2",
+                                .address = (char *)"1.2.3.4:6",
+                                .zone = (char *)"z",
+                                .pool = (char *)"s" };
+
+  set_up (&f);
+  for (int i = 0; i < 4; i++)
+    {
+      publish (&f, "i1", false, 100, 7);
+      advance (&f, 500);
+    }
+  publish (&f, "i1", false, 100, 7);
+  g_assert_true (listing_peer_list_update (f.listing, 100, 7));
+  listing_peer_list_add (f.listing, &added);
+  listing_peer_list_remove (f.listing, "i1");
+  g_assert_null (server (&f, "i1"));
+  g_assert_nonnull (server (&f, "i2"));
+  advance (&f, LISTING_PEER_LIST_TTL_MS + 400);
+  g_assert_false (listing_peer_list_update (f.listing, 100, 7));
+  tear_down (&f);
+}
+
+/* A version that the store does not deliver is queried for at the pace of the
+   table's retries, however often the decider announces it: in a fleet of 117
+   nodes, whose store refused a third of them, each had queried it 13 times a
+   second.  */
+static void
+test_announced_version (void)
+{
+  struct fixture f;
+  unsigned before;
+
+  set_up (&f);
+  publish (&f, "i1", false, 100, 7);
+  advance (&f, 500);
+  before = f.config_queries;
+  f.store_unavailable = true;
+  for (int i = 0; i < 60; i++)
+    {
+      publish (&f, "i1", false, 100, 8);
+      advance (&f, STEP_MS);
+    }
+  g_assert_cmpuint (f.config_queries, >, before);
+  g_assert_cmpuint (f.config_queries, <=, before + 60 * STEP_MS / 125);
+  tear_down (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -278,5 +331,7 @@
   g_test_add_func ("/listing/fresh-list", test_fresh_list);
   g_test_add_func ("/listing/old-list", test_old_list);
   g_test_add_func ("/listing/list-applied", test_list_applied);
+  g_test_add_func ("/listing/list-changes", test_list_changes);
+  g_test_add_func ("/listing/announced-version", test_announced_version);
   return g_test_run ();
 }
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -7,6 +7,7 @@
 #include <glib.h>
 #include "counter.h"
 #include "peer.h"
+#include "ts.h"
 
 #define TURNS 2000 /* of the loop, at most, until a condition holds */
 
@@ -49,7 +50,8 @@
 }
 
 static void
-side_start (struct side *side, const char *node, const char *token)
+side_start_with_timeout (struct side *side, const char *node,
+                         const char *token, struct timespec idle_timeout)
 {
   struct peer_options options = { .loop = loop,
                                   .clk = clk_monotonic (),
@@ -59,6 +61,7 @@
                                   .incarnation = 1,
                                   .region = "r",
                                   .zone = "z",
+                                  .idle_timeout = idle_timeout,
                                   .message = on_message,
                                   .up = on_up,
                                   .down = on_down,
@@ -70,6 +73,12 @@
   g_assert_nonnull (side->peer);
 }
 
+static void
+side_start (struct side *side, const char *node, const char *token)
+{
+  side_start_with_timeout (side, node, token, (struct timespec){ 0 });
+}
+
 static void
 run_until (const unsigned *count, unsigned wanted)
 {
@@ -126,6 +135,44 @@
   peer_free (b.peer);
 }
 
+/* A node with many links sends keepalives so rarely that each other node would
+   take its link for broken, did it not allow for the interval that they
+   name.  */
+static void
+test_many_links (void)
+{
+  enum
+  {
+    LEAVES = 48,
+    IDLE_TIMEOUT_MS = 1500
+  };
+  struct timespec timeout = ts_from_ms (IDLE_TIMEOUT_MS);
+  struct side hub;
+  struct side leaves[LEAVES];
+  struct timespec until;
+
+  side_start_with_timeout (&hub, "hub", "secret", timeout);
+  for (unsigned i = 0; i < LEAVES; i++)
+    {
+      char *name = g_strdup_printf ("leaf-%u", i);
+
+      side_start_with_timeout (&leaves[i], name, "secret", timeout);
+      peer_connect (leaves[i].peer, peer_address (hub.peer));
+      g_free (name);
+    }
+  run_until (&hub.ups, LEAVES);
+  until = ts_add_ms (loop_now (loop), 3 * IDLE_TIMEOUT_MS);
+  while (ts_before (loop_now (loop), until))
+    loop_run_once (loop, 10);
+  g_assert_cmpuint (hub.downs, ==, 0);
+  for (unsigned i = 0; i < LEAVES; i++)
+    {
+      g_assert_cmpuint (leaves[i].downs, ==, 0);
+      peer_free (leaves[i].peer);
+    }
+  peer_free (hub.peer);
+}
+
 static int
 connect_raw (const char *address)
 {
@@ -190,6 +237,7 @@
   generator = g_rand_new_with_seed (1);
   g_test_add_func ("/peer/both-ways", test_both_ways);
   g_test_add_func ("/peer/wrong-token", test_wrong_token);
+  g_test_add_func ("/peer/many-links", test_many_links);
   add_malformed ("http", "GET / HTTP/1.1\r\n\r\n", 18);
   add_malformed ("zero-length", "\0\0\0\0", 4);
   add_malformed ("not-a-map", "\0\0\0\1\xc0", 5);
--- a/tests/test_servers.c
+++ b/tests/test_servers.c
@@ -189,6 +189,38 @@
   tear_down (&f);
 }
 
+/* The decider's changes are applied one by one.  The replicas of a server that
+   restarts are discarded, which only a complete list makes good.  */
+static void
+test_published_changes (void)
+{
+  struct peer_replica gone = { .engine = (char *)"e1", .model = (char *)"n" };
+  struct fixture f;
+
+  set_up (&f);
+  put (&f, "e1", "m", 1, 5, false);
+  put (&f, "e2", "m", 1, 5, false);
+  servers_replicas_begin (f.servers, ts_from_ms (1000));
+  publish (&f, "e1", "m", BACKEND_COPY_LOADED, 0);
+  publish (&f, "e1", "n", BACKEND_COPY_LOADED, 0);
+  publish (&f, "e2", "n", BACKEND_COPY_LOADED, 0);
+  g_assert_cmpuint (count (&f, "n", NULL, 1000), ==, 2);
+  servers_replicas_update (f.servers, ts_from_ms (3000));
+  servers_replicas_remove (f.servers, &gone);
+  publish (&f, "e1", "o", BACKEND_COPY_LOADING, 500);
+  g_assert_cmpuint (count (&f, "n", NULL, 5999), ==, 1);
+  g_assert_cmpuint (count (&f, "m", NULL, 5999), ==, 1);
+  g_assert_cmpuint (count (&f, "o", NULL, 5999), ==, 0);
+  g_assert_cmpint (ts_to_ms (f.ready_at), ==, 3500);
+  g_assert_true (servers_replicas_complete (f.servers));
+  put (&f, "e2", NULL, 2, 1, false);
+  g_assert_cmpuint (count (&f, "n", NULL, 3000), ==, 0);
+  g_assert_false (servers_replicas_complete (f.servers));
+  servers_replicas_begin (f.servers, ts_from_ms (4000));
+  g_assert_true (servers_replicas_complete (f.servers));
+  tear_down (&f);
+}
+
 static void
 test_missing (void)
 {
@@ -271,6 +303,7 @@
   g_test_add_func ("/servers/listed", test_listed);
   g_test_add_func ("/servers/dropped", test_dropped);
   g_test_add_func ("/servers/published", test_published);
+  g_test_add_func ("/servers/published-changes", test_published_changes);
   g_test_add_func ("/servers/missing", test_missing);
   g_test_add_func ("/rates", test_rates);
   g_test_add_func ("/retry/budget", test_retry_budget);
