--- a/src/caller.h
+++ b/src/caller.h
@@ -35,7 +35,8 @@
   /* Hash of the prompt up to the end of each of its first parts.  */
   uint64_t parts[CALLER_PARTS_MAX];
   size_t part_count;
-  bool resumes; /* continues a stream after event RESUME_AFTER */
+  uint64_t shared_tokens; /* of all parts but the last */
+  bool resumes;           /* continues a stream after event RESUME_AFTER */
   uint64_t resume_after;
 };
 
--- /dev/null
+++ b/src/delay.h
@@ -0,0 +1,45 @@
+/* delay - estimated time until an engine begins to answer a request.
+
+   An engine reads the prompts that wait there one after another, in pieces
+   between the tokens of the requests that run, so that the waiting ones cost
+   most.  A prompt whose first parts are cached is read from there on only.
+
+   Pure functions, any thread.  */
+
+#ifndef PARSLEYRILL_DELAY_H
+#define PARSLEYRILL_DELAY_H
+
+#include <stdint.h>
+
+struct delay_load
+{
+  unsigned running; /* requests of all nodes, as last reported */
+  unsigned queued;
+  unsigned sent; /* by this node since that report */
+  double age_s;  /* of the report */
+};
+
+/* Tokens of a prompt that an engine reads at a time.  */
+#define DELAY_PIECE_TOKENS 2048
+
+/* The mean time to read the prompt of a request that waits at an engine.  */
+#define DELAY_QUEUED_S 0.1
+
+/* Seconds until the engine has read the prompts that are there already.  */
+double delay_backlog_s (const struct delay_load *load);
+
+/* Seconds that an engine takes to read TOKENS.  */
+double delay_read_s (uint64_t tokens);
+
+/* The longest delay for which a request is sent to an engine, in seconds: some
+   times its objective, so that a burst is absorbed, but not much longer, since
+   each request that waits at an overloaded engine makes all later ones late.
+   OBJECTIVE_S is that of the route, LEFT_S the time until its deadline.  */
+double delay_limit_s (double objective_s, double left_s);
+
+/* When a request that was rejected for a delay of DELAY_S above LIMIT_S should
+   come back, in seconds.  RANDOM, from 0 to 1, spreads the requests that are
+   rejected together.  */
+double delay_retry_s (double delay_s, double limit_s, double random);
+
+#endif
--- a/src/fanout.c
+++ b/src/fanout.c
@@ -49,8 +49,10 @@
 }
 
 static void
-append_relays (GArray *candidates, GArray *targets)
+append_relays (const struct fanout_query *query, GArray *candidates,
+               GArray *targets)
 {
+  unsigned limit = query->relays > 0 ? query->relays : FANOUT_RELAYS;
   const char *zone = NULL;
   unsigned relays = 0;
 
@@ -63,7 +65,7 @@
       if (i == 0 || !in_zone (info, zone))
         relays = 0;
       zone = info->zone;
-      if (relays++ < FANOUT_RELAYS)
+      if (relays++ < limit)
         append (targets, info->id, true);
     }
 }
@@ -85,10 +87,11 @@
           append (targets, candidate.info->id, false);
           continue;
         }
-      candidate.weight = lookup_weight (query->self, candidate.info->id, 0);
+      candidate.weight
+          = lookup_weight (query->self, candidate.info->id, query->seed);
       g_array_append_val (others, candidate);
     }
-  append_relays (others, targets);
+  append_relays (query, others, targets);
   g_array_unref (others);
 }
 
--- a/src/fanout.h
+++ b/src/fanout.h
@@ -1,8 +1,8 @@
 /* fanout - to which nodes a message to all nodes is sent.
 
    In a small fleet its origin sends it to every node.  In a larger one it
-   sends it to the nodes of its own availability zone and to FANOUT_RELAYS
-   nodes of each other zone, which pass it on within their zone.  So each zone
+   sends it to the nodes of its own availability zone and to a few relays
+   in each other zone, which pass it on within their zone.  So each zone
    is entered a fixed number of times, no node sends to more than its zone and
    the relays, and a copy arrives as long as one relay of the zone lives.
    Receivers drop repeated copies.
@@ -16,6 +16,7 @@
 
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 #include <glib.h>
 #include "member.h"
 
@@ -34,6 +35,8 @@
   size_t count;
   const char *self;
   const char *zone; /* of SELF */
+  unsigned relays;  /* per availability zone, at most; 0: FANOUT_RELAYS */
+  uint64_t seed;    /* another one chooses other relays */
   /* Whether there is a link to NODE.  */
   bool (*linked) (void *user, const char *node);
   void *user;
--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -1,10 +1,14 @@
 #include <string.h>
 #include "counter.h"
+#include "delay.h"
 #include "forward_state.h"
 #include "ts.h"
 
 #define ANSWER_MIN_MS 60           /* minimum duration of a useful response */
 #define DEFAULT_RETRY_AFTER_MS 300 /* when no better estimate is known */
+/* Share of an engine's queue that is at least as urgent as a request of a
+   route with the highest priority, of several.  */
+#define ADMITTED_FIRST_SHARE 0.4
 #define URGENCY_MAX 9
 #define URGENCY_PER_PRIORITY 2 /* step from one route priority to the next */
 #define URGENCY_BASE 2         /* of route priority 0 */
@@ -131,6 +135,11 @@
           .tried_count = ids->len,
           .eject = forward->gateway->eject,
           .prefix = affinity_prefix (forward),
+          .by_delay = forward->target != NULL,
+          .prefix_s = delay_read_s (forward->parsed.shared_tokens),
+          .target
+          = forward->target != NULL ? g_str_hash (forward->parsed.model) : 0,
+          .short_prompt = forward->parsed.prompt_tokens <= DELAY_PIECE_TOKENS,
           .adapter = forward->parsed.adapter != NULL };
   ptrdiff_t at = pick_replica (forward->gateway->pick, &request,
                                forward_now (forward), &forward->explanation);
@@ -288,6 +297,65 @@
          && ts_before (forward->deadline, ts_add_ms (ready_at, ANSWER_MIN_MS));
 }
 
+/* Whether some route of the service has a lower priority, so that engines
+   admit this request before most others.  */
+static bool
+is_admitted_first (const struct forward *forward)
+{
+  const GArray *routes = forward->site->routes;
+
+  for (guint i = 0; i < routes->len; i++)
+    {
+      const struct site_route *route
+          = &g_array_index (routes, struct site_route, i);
+      const char *service = site_split (route, 0);
+
+      if (route->priority > forward->route->priority && service != NULL
+          && strcmp (service, forward->service->name) == 0)
+        return true;
+    }
+  return false;
+}
+
+/* Sets *RETRY_MS and returns true if the chosen engine is so busy that the
+   request should not be sent there.  */
+static bool
+is_overloaded (const struct forward *forward, int64_t *retry_ms)
+{
+  double delay_s = forward->explanation.delay_s;
+  double limit_s = delay_limit_s (
+      (double)forward->route->objective_ms / (double)TS_MS_PER_S,
+      (double)left_ms (forward) / (double)TS_MS_PER_S);
+
+  if (forward->target == NULL || forward->dispatches > 0 || delay_s <= limit_s)
+    return false;
+  if (is_admitted_first (forward))
+    delay_s *= ADMITTED_FIRST_SHARE;
+  *retry_ms = ts_to_ms (ts_from_s (delay_retry_s (
+      delay_s, limit_s, g_rand_double (forward->gateway->core->rand))));
+  return delay_s > limit_s;
+}
+
+/* Dispatches the request to ENGINE, or rejects it if that is overloaded.  A
+   request that has been waiting goes on waiting while it may be answered in
+   time.  */
+static void
+dispatch_or_reject (struct forward *forward, struct route_engine *engine)
+{
+  int64_t delay_ms
+      = ts_to_ms (ts_from_s (forward->explanation.delay_s)) + ANSWER_MIN_MS;
+  int64_t retry_ms;
+
+  if (!is_overloaded (forward, &retry_ms))
+    {
+      dispatch (forward, engine);
+      return;
+    }
+  route_engine_unref (engine);
+  if (forward->state != FORWARD_WAITING || left_ms (forward) < delay_ms)
+    forward_fail (forward, "the servers are overloaded", retry_ms);
+}
+
 void
 forward_route (struct forward *forward)
 {
@@ -304,7 +372,7 @@
     engine = pick_engine (forward, replicas);
   g_array_unref (replicas);
   if (engine != NULL)
-    dispatch (forward, engine);
+    dispatch_or_reject (forward, engine);
   else if (!gateway_may_dispatch (gateway))
     forward_fail (forward, "stopping", DEFAULT_RETRY_AFTER_MS);
   else if (left_ms (forward) < ANSWER_MIN_MS)
--- a/src/frame.c
+++ b/src/frame.c
@@ -103,6 +103,13 @@
 static const struct schema strike_schema
     = SCHEMA (struct peer_strike, strike_fields);
 
+static const struct field load_fields[]
+    = { SCALAR (1, TEXT, struct peer_load, server),
+        SCALAR (2, NUMBER, struct peer_load, running),
+        SCALAR (3, NUMBER, struct peer_load, queued) };
+static const struct schema load_schema
+    = SCHEMA (struct peer_load, load_fields);
+
 /* Key 0 is the type.  */
 static const struct field msg_fields[]
     = { SCALAR (1, NUMBER, struct peer_msg, id),
@@ -130,7 +137,9 @@
         ARRAY (23, struct peer_msg, replicas, replica_count, replica_schema),
         ARRAY (24, struct peer_msg, sections, section_count, section_schema),
         ARRAY (25, struct peer_msg, strikes, strike_count, strike_schema),
-        SCALAR (26, FLAG, struct peer_msg, relay) };
+        SCALAR (26, FLAG, struct peer_msg, relay),
+        ARRAY (27, struct peer_msg, loads, load_count, load_schema),
+        SCALAR (28, NUMBER, struct peer_msg, list_version) };
 static const struct schema msg_schema = SCHEMA (struct peer_msg, msg_fields);
 
 static const void *
--- a/src/frame.h
+++ b/src/frame.h
@@ -40,7 +40,9 @@
   PEER_HANDOVER,         /* the lease of CELL was released and may be taken */
   PEER_REQUEST,          /* request ID: NAME and TEXT */
   PEER_RESPONSE,         /* its response: STATUS and TEXT */
-  PEER_KEEPALIVE         /* shows that the link is alive */
+  PEER_KEEPALIVE,        /* shows that the link is alive */
+  PEER_LOADS             /* loads of servers: observed by the sender, or from
+                            the leaseholder those observed by all nodes */
 };
 
 struct peer_member
@@ -85,6 +87,13 @@
   bool gone; /* in a delta: the replica was removed */
 };
 
+struct peer_load
+{
+  char *server;
+  uint64_t running; /* requests of all nodes */
+  uint64_t queued;
+};
+
 struct peer_section
 {
   char *team;
@@ -118,12 +127,13 @@
   uint64_t protocol_min; /* PEER_HELLO: lowest supported */
   char *subject;         /* PEER_PROBE_REQUEST, PEER_PROBE_ACK */
   char *cell;
-  uint64_t fence;   /* fencing token of the sender's lease of CELL */
-  uint64_t seq;     /* PEER_REPLICAS: consecutive; a gap means a loss */
-  bool full;        /* PEER_REPLICAS: replaces the whole state */
-  bool relay;       /* pass it on, see fanout.h */
-  uint64_t version; /* PEER_CONFIG_*: of the document */
-  uint64_t since;   /* PEER_CONFIG; PEER_KEEPALIVE: interval, ms */
+  uint64_t fence;        /* fencing token of the sender's lease of CELL */
+  uint64_t seq;          /* PEER_REPLICAS: consecutive; a gap means a loss */
+  bool full;             /* PEER_REPLICAS: replaces the whole state */
+  bool relay;            /* pass it on, see fanout.h */
+  uint64_t list_version; /* PEER_REPLICAS: of the table of servers */
+  uint64_t version;      /* PEER_CONFIG_*: of the document */
+  uint64_t since;        /* PEER_CONFIG; PEER_KEEPALIVE: interval, ms */
   char *name;
   char *text;
   uint64_t status;
@@ -137,6 +147,8 @@
   size_t section_count;
   struct peer_strike *strikes;
   size_t strike_count;
+  struct peer_load *loads;
+  size_t load_count;
 };
 
 /* Frees what MSG owns, not MSG itself.  */
--- a/src/gate.c
+++ b/src/gate.c
@@ -116,7 +116,7 @@
 
   for (char **address = addresses; *address != NULL; address++)
     if (**address != '\0')
-      links_connect ((struct links *)gate->links, *address);
+      links_connect ((struct links *)gate->links, *address, NULL);
   g_strfreev (addresses);
 }
 
--- a/src/links.c
+++ b/src/links.c
@@ -30,6 +30,7 @@
   struct loop_timer timer;
   struct loop_timer discover_timer;
   uint64_t doc_version;
+  uint64_t lossy_count; /* of messages sent by links_fan_out_lossy */
 };
 
 static struct links *
@@ -91,7 +92,8 @@
       if (info->state == MEMBER_DEAD)
         peer_disconnect (links->peer, info->address);
       else
-        peer_connect (links->peer, info->address);
+        peer_connect_node (links->peer, info->address,
+                           links_has_relays (links) ? info->id : NULL);
     }
   kernel_post (links->core->kernel, KERNEL_MEMBERS_CHANGED, NULL);
 }
@@ -245,17 +247,35 @@
     }
 }
 
-void
-links_fan_out (struct links *links, const struct peer_msg *msg)
+static void
+fan_out (struct links *links, const struct fanout_query *query,
+         const struct peer_msg *msg)
 {
-  struct fanout_query query = fanout_query (links);
   GArray *targets = g_array_new (FALSE, FALSE, sizeof (struct fanout_target));
 
-  fanout_origin (&query, targets);
+  fanout_origin (query, targets);
   send_to_targets (links, targets, msg);
   g_array_unref (targets);
 }
 
+void
+links_fan_out (struct links *links, const struct peer_msg *msg)
+{
+  struct fanout_query query = fanout_query (links);
+
+  fan_out (links, &query, msg);
+}
+
+void
+links_fan_out_lossy (struct links *links, const struct peer_msg *msg)
+{
+  struct fanout_query query = fanout_query (links);
+
+  query.relays = 1;
+  query.seed = ++links->lossy_count;
+  fan_out (links, &query, msg);
+}
+
 void
 links_relay (struct links *links, const char *from, const struct peer_msg *msg)
 {
@@ -474,9 +494,9 @@
 }
 
 void
-links_connect (struct links *links, const char *address)
+links_connect (struct links *links, const char *address, const char *node)
 {
-  if (peer_connect (links->peer, address) < 0)
+  if (peer_connect_node (links->peer, address, node) < 0)
     log_invalid_address (address);
 }
 
@@ -487,7 +507,7 @@
 
   for (char **seed = seeds; *seed != NULL; seed++)
     if (**seed != '\0')
-      links_connect (links, *seed);
+      links_connect (links, *seed, NULL);
   g_strfreev (seeds);
 }
 
--- a/src/links.h
+++ b/src/links.h
@@ -53,6 +53,9 @@
 /* Sends MSG to all nodes, in a large fleet through relays, see fanout.h.  A
    node that receives it with MSG->relay set passes it on with links_relay.  */
 void links_fan_out (struct links *links, const struct peer_msg *msg);
+/* The same with one relay in each zone, another one each time, for messages
+   that may be lost.  */
+void links_fan_out_lossy (struct links *links, const struct peer_msg *msg);
 void links_relay (struct links *links, const char *from,
                   const struct peer_msg *msg);
 /* Whether links_fan_out uses relays.  */
@@ -61,8 +64,9 @@
 unsigned links_broadcast (struct links *links, const struct peer_msg *msg);
 
 /* Keeps a link to the peer at ADDRESS, IP:port, for a peer that is not found
-   through the instance list.  */
-void links_connect (struct links *links, const char *address);
+   through the instance list.  NODE is its id, NULL if unknown.  */
+void links_connect (struct links *links, const char *address,
+                    const char *node);
 
 /* Exchanges member lists with NODE, to which a link is up.  Needed where there
    is no instance list, from which nodes otherwise learn of each other.  */
--- a/src/listing.c
+++ b/src/listing.c
@@ -6,6 +6,7 @@
 #include <jansson.h>
 #include "backoff.h"
 #include "core.h"
+#include "fanout.h"
 #include "links.h"
 #include "log.h"
 #include "ts.h"
@@ -25,6 +26,13 @@
 /* Added per node to the range of the random pause before a failed query is
    repeated.  */
 #define RETRY_SPREAD_MS_PER_NODE 10
+/* A node that starts in a fleet of more nodes than this waits for the
+   decider's list, since all of them listing a table of thousands of servers
+   would delay the store.  */
+#define START_LIST_NODES_MAX 150
+#define START_WAIT_MS 2000
+/* Time for the number of nodes to be known, before the servers are listed.  */
+#define START_DELAY_MS 30
 /* Between checks of whether the decider's list is still fresh.  */
 #define SUSPENDED_CHECK_MS 150
 /* After an outage of the store, live servers register again within this
@@ -46,6 +54,7 @@
                    const struct platform_changes *changes, bool complete);
   bool listed;  /* VERSION is valid: it may be watched */
   bool pending; /* a list or watch is in progress */
+  bool relist;  /* list it next, do not continue the watch */
   uint64_t version;
   unsigned failures;
   struct loop_timer timer;
@@ -61,6 +70,7 @@
   char *config; /* text that SITE was parsed from */
   bool config_from_peer;
   struct servers *servers;
+  bool first_list; /* no server was known before the list being applied */
   struct watched_table config_table;
   struct watched_table servers_table;
   struct loop_timer expire;
@@ -70,9 +80,12 @@
   struct timespec peer_listed_at;  /* the same at the decider, as published */
   uint64_t peer_version;           /* of the decider's configuration */
   struct timespec peer_version_at; /* when that was first announced */
+  uint64_t peer_list_version;      /* of the decider's list; 0: unknown */
   GHashTable *peer_servers;        /* ids in the list that is being received */
   /* SERVERS is the decider's list, as of its last message.  */
   bool peer_list_applied;
+  size_t node_count; /* rows of NODES_TABLE when last listed */
+  struct timespec start_wait_until;
   struct timespec last_outage_at; /* last failed call; zero: none */
 };
 
@@ -166,10 +179,12 @@
 /* Backend servers.  */
 
 static void
-log_server (const struct server_entry *entry)
+log_server (const struct listing *listing, const struct server_entry *entry)
 {
   struct log_line line;
 
+  if (listing->first_list)
+    return;
   log_begin (&line, EVENT_SERVER_LISTED);
   log_str (&line, "engine", entry->id);
   log_str (&line, "service", entry->service);
@@ -184,6 +199,28 @@
   log_end (&line);
 }
 
+/* The first list is logged as a whole.  */
+static void
+begin_list (struct listing *listing)
+{
+  listing->first_list
+      = g_hash_table_size (servers_all (listing->servers)) == 0;
+}
+
+static void
+end_list (struct listing *listing)
+{
+  guint count = g_hash_table_size (servers_all (listing->servers));
+  struct log_line line;
+
+  if (!listing->first_list || count == 0)
+    return;
+  listing->first_list = false;
+  log_begin (&line, EVENT_SERVERS_LISTED);
+  log_int (&line, "count", count);
+  log_end (&line);
+}
+
 static bool
 update_server (struct listing *listing, const struct platform_row *row)
 {
@@ -199,7 +236,7 @@
     }
   changed = servers_put (listing->servers, &entry);
   if (changed)
-    log_server (&entry);
+    log_server (listing, &entry);
   kernel_post (listing->core->kernel, KERNEL_SERVER_LISTED, &entry);
   server_entry_clear (&entry);
   return changed;
@@ -274,6 +311,7 @@
   bool changed = false;
 
   listing->peer_list_applied = false;
+  begin_list (listing);
   for (size_t i = 0; i < changes->count; i++)
     if (changes->rows[i].value == NULL)
       drop_server (listing, changes->rows[i].key);
@@ -281,6 +319,7 @@
       changed = update_server (listing, &changes->rows[i]) || changed;
   if (complete)
     drop_unlisted (listing, changes);
+  end_list (listing);
   expire_servers (listing);
   if (changed)
     kernel_post (listing->core->kernel, KERNEL_SERVERS_CHANGED, NULL);
@@ -323,6 +362,7 @@
   if (status == PLATFORM_COMPACTED)
     {
       watched->listed = false;
+      listing->peer_list_version = 0;
       loop_timer_set (listing->core->loop, &watched->timer, now);
       return;
     }
@@ -353,7 +393,8 @@
     listing->listed_at = listing_now (listing);
   watched->receive (listing, changes, complete);
   loop_timer_set (listing->core->loop, &watched->timer,
-                  ts_add_ms (listing_now (listing), watched->pause_ms));
+                  ts_add_ms (listing_now (listing),
+                             watched->relist ? 0 : watched->pause_ms));
 }
 
 /* Whether the list published by the decider is fresh, so that the store need
@@ -388,6 +429,32 @@
              ts_add_ms (listing->peer_version_at, CONFIG_PUSH_WAIT_MS));
 }
 
+/* Whether this node of a large fleet has just started and leaves it to the
+   decider to read the list of servers.  */
+static bool
+is_start_wait (const struct watched_table *watched)
+{
+  const struct listing *listing = watched->listing;
+
+  return watched == &listing->servers_table && !watched->listed
+         && ts_is_zero (listing->listed_at)
+         && listing->node_count > START_LIST_NODES_MAX
+         && ts_before (listing_now (listing), listing->start_wait_until);
+}
+
+/* Lets the watch of the servers go on where the decider's list ended.  */
+static void
+continue_peer_list (struct watched_table *watched)
+{
+  struct listing *listing = watched->listing;
+
+  if (watched != &listing->servers_table || watched->listed || watched->relist
+      || !listing->peer_list_applied || listing->peer_list_version == 0)
+    return;
+  watched->listed = true;
+  watched->version = listing->peer_list_version;
+}
+
 static void
 query_table (struct loop_timer *timer)
 {
@@ -406,6 +473,16 @@
                       ts_add_ms (loop_now (loop), SUSPENDED_CHECK_MS));
       return;
     }
+  if (is_start_wait (watched))
+    {
+      loop_timer_set (loop, timer,
+                      ts_add_ms (loop_now (loop), SUSPENDED_CHECK_MS));
+      return;
+    }
+  continue_peer_list (watched);
+  if (watched->relist)
+    watched->listed = false;
+  watched->relist = false;
   watched->pending = true;
   if (watched->listed)
     platform->ops->watch (platform, watched->table, watched->version,
@@ -415,12 +492,13 @@
 }
 
 static void
-start_watching (struct watched_table *watched)
+start_watching (struct watched_table *watched, int64_t delay_ms)
 {
   struct loop *loop = watched->listing->core->loop;
 
   watched->timer.fire = query_table;
-  loop_timer_set (loop, &watched->timer, loop_now (loop));
+  loop_timer_set (loop, &watched->timer,
+                  ts_add_ms (loop_now (loop), delay_ms));
 }
 
 /* The list published by the decider.  */
@@ -446,6 +524,8 @@
 listing_query_store (struct listing *listing)
 {
   listing->peer_listed_at = (struct timespec){ 0 };
+  listing->start_wait_until = (struct timespec){ 0 };
+  listing->servers_table.relist = true;
   query_now (&listing->config_table);
   query_now (&listing->servers_table);
 }
@@ -463,12 +543,20 @@
     query_now (&listing->config_table);
 }
 
+static void
+set_peer_info (struct listing *listing, const struct listing_peer_info *info)
+{
+  listing->peer_listed_at = ts_add_ms (listing_now (listing), -info->age_ms);
+  listing->peer_list_version = info->list_version;
+  set_peer_version (listing, info->config_version);
+}
+
 void
-listing_peer_list_begin (struct listing *listing, int64_t age_ms,
-                         uint64_t version)
+listing_peer_list_begin (struct listing *listing,
+                         const struct listing_peer_info *info)
 {
-  listing->peer_listed_at = ts_add_ms (listing_now (listing), -age_ms);
-  set_peer_version (listing, version);
+  set_peer_info (listing, info);
+  begin_list (listing);
   g_hash_table_remove_all (listing->peer_servers);
 }
 
@@ -499,15 +587,14 @@
   if (entry.zone == NULL)
     entry.zone = (char *)"";
   if (servers_put (listing->servers, &entry))
-    log_server (&entry);
+    log_server (listing, &entry);
 }
 
 bool
-listing_peer_list_update (struct listing *listing, int64_t age_ms,
-                          uint64_t version)
+listing_peer_list_update (struct listing *listing,
+                          const struct listing_peer_info *info)
 {
-  listing->peer_listed_at = ts_add_ms (listing_now (listing), -age_ms);
-  set_peer_version (listing, version);
+  set_peer_info (listing, info);
   return listing->peer_list_applied && peer_list_applies (listing);
 }
 
@@ -524,6 +611,7 @@
   GHashTableIter iter;
   const char *id;
 
+  end_list (listing);
   listing->peer_list_applied = peer_list_applies (listing);
   if (listing->peer_list_applied)
     {
@@ -577,7 +665,8 @@
     log_bad_row (NODES_TABLE, row->key,
                  "expected an object with a string member peer");
   else if (strcmp (peer, links_address (listing->links)) != 0)
-    links_connect (listing->links, peer);
+    links_connect (listing->links, peer,
+                   listing->node_count > FANOUT_DIRECT_MAX ? row->key : NULL);
   json_decref (json);
 }
 
@@ -589,6 +678,7 @@
 
   if (status != PLATFORM_OK)
     return;
+  listing->node_count = changes->count;
   for (size_t i = 0; i < changes->count; i++)
     if (changes->rows[i].value != NULL)
       connect_node (listing, &changes->rows[i]);
@@ -660,8 +750,9 @@
 
   listing->core = core_find (kernel);
   listing->links = links_find (kernel);
-  start_watching (&listing->config_table);
-  start_watching (&listing->servers_table);
+  start_watching (&listing->config_table, 0);
+  start_watching (&listing->servers_table, START_DELAY_MS);
+  listing->start_wait_until = ts_add_ms (listing_now (listing), START_WAIT_MS);
   listing->expire.fire = on_expire;
   listing->nodes.fire = list_nodes;
   loop_timer_set (listing->core->loop, &listing->expire,
@@ -743,6 +834,12 @@
   return listing->config;
 }
 
+uint64_t
+listing_version (const struct listing *listing)
+{
+  return listing->servers_table.listed ? listing->servers_table.version : 0;
+}
+
 struct servers *
 listing_servers (const struct listing *listing)
 {
--- a/src/listing.h
+++ b/src/listing.h
@@ -57,22 +57,34 @@
    newer.  */
 int64_t listing_age_ms (const struct listing *listing);
 
-/* The list of servers published by the decider: begin, each server, end.
-   AGE_MS is the age of the list, VERSION that of the decider's
-   configuration.  */
-void listing_peer_list_begin (struct listing *listing, int64_t age_ms,
-                              uint64_t version);
+/* Version of the list of servers in the store; 0: unknown.  */
+uint64_t listing_version (const struct listing *listing);
+
+/* Describes a list of servers published by the decider.  */
+struct listing_peer_info
+{
+  int64_t age_ms;
+  uint64_t config_version; /* of the decider's configuration */
+  /* Of the list in the store, where this node continues the watch when the
+     decider falls silent; 0: unknown.  */
+  uint64_t list_version;
+};
+
+/* The list of servers published by the decider: begin, each server, end.  */
+void listing_peer_list_begin (struct listing *listing,
+                              const struct listing_peer_info *info);
 void listing_peer_list_add (struct listing *listing,
                             const struct peer_replica *server);
 void listing_peer_list_end (struct listing *listing);
 
 /* Changes of that list: update, then add or remove for each server that
    changed.  Returns false if the whole list is needed first.  */
-bool listing_peer_list_update (struct listing *listing, int64_t age_ms,
-                               uint64_t version);
+bool listing_peer_list_update (struct listing *listing,
+                               const struct listing_peer_info *info);
 void listing_peer_list_remove (struct listing *listing, const char *id);
 
-/* Ignores the decider's list and queries the store now.  */
+/* Ignores the decider's list and lists the servers in the store, with what
+   they hold.  For a node that becomes the decider.  */
 void listing_query_store (struct listing *listing);
 
 #endif
--- a/src/log.c
+++ b/src/log.c
@@ -171,6 +171,8 @@
   log_str (line, "time", text);
 }
 
+#define RESERVED_PART 4 /* of the limit: one in four lines */
+
 /* Lines written in the current second, and lines dropped since the last
    EVENT_LOG_DROPPED.  */
 static int64_t current_second;
@@ -183,19 +185,23 @@
   __atomic_add_fetch (&dropped_lines, 1, __ATOMIC_RELAXED);
 }
 
-/* Whether another line may be written in the current second.  */
+/* Whether another line of LEVEL may be written in the current second.  A part
+   of the limit is kept for lines that matter more than routine ones.  */
 static bool
-within_limit (void)
+within_limit (enum log_level level)
 {
   int64_t now = clk_now (log_opts.clk).tv_sec;
+  unsigned limit = log_opts.lines_per_s;
 
-  if (log_opts.lines_per_s == 0)
+  if (limit == 0)
     return true;
+  if (level < LOG_LEVEL_NOTICE)
+    limit -= limit / RESERVED_PART;
   if (__atomic_exchange_n (&current_second, now, __ATOMIC_RELAXED) != now)
     __atomic_store_n (&lines_this_second, 0, __ATOMIC_RELAXED);
-  if (__atomic_add_fetch (&lines_this_second, 1, __ATOMIC_RELAXED)
-      <= log_opts.lines_per_s)
+  if (__atomic_add_fetch (&lines_this_second, 1, __ATOMIC_RELAXED) <= limit)
     return true;
+  __atomic_sub_fetch (&lines_this_second, 1, __ATOMIC_RELAXED);
   count_dropped ();
   return false;
 }
@@ -224,7 +230,7 @@
   if (log_opts.fd < 0 || info->number == 0)
     return;
   log_level_parse (info->level, &level);
-  if (level < log_opts.level || !within_limit ())
+  if (level < log_opts.level || !within_limit (level))
     return;
   line->enabled = true;
   if (log_opts.format == LOG_FORMAT_JSON)
--- a/src/log.h
+++ b/src/log.h
@@ -42,7 +42,9 @@
   enum log_format format;
   const char *node; /* name of this process, borrowed; NULL: omitted */
   const struct clk *clk;
-  unsigned lines_per_s; /* more are dropped and counted; 0: no limit */
+  /* More lines are dropped and counted, those below the level notice earlier
+     than others; 0: no limit.  */
+  unsigned lines_per_s;
 };
 
 #define LOG_LINE_MAX 2048 /* bytes */
--- a/src/peer.c
+++ b/src/peer.c
@@ -24,8 +24,10 @@
 #define KEEPALIVE_LINKS 16
 #define KEEPALIVE_INTERVAL_MAX_MS 30000
 /* Connections are refused while this many links are not authenticated.  */
-#define UNAUTHENTICATED_MAX 64
+#define UNAUTHENTICATED_MAX 256
 #define NONCE_BYTES 16
+/* Time for a node with a lower id to dial this one, before this one does.  */
+#define OTHER_DIALS_MS 1500
 
 /* An address to which a link is kept up.  */
 struct dial
@@ -282,7 +284,7 @@
       if (msg->type == PEER_KEEPALIVE)
         link->peer_interval = ts_from_ms (
             (int64_t)MIN (msg->since, (uint64_t)KEEPALIVE_INTERVAL_MAX_MS));
-      if (msg->type > PEER_PROOF && msg->type < PEER_KEEPALIVE)
+      else if (msg->type > PEER_PROOF)
         options->message (options->user, link->node, msg);
     }
   else if (msg->type == PEER_HELLO)
@@ -556,6 +558,13 @@
 int
 peer_connect (struct peer *peer, const char *address)
 {
+  return peer_connect_node (peer, address, NULL);
+}
+
+int
+peer_connect_node (struct peer *peer, const char *address, const char *node)
+{
+  struct timespec at = loop_now (peer->options.loop);
   struct dial *dial;
 
   if (!peeraddr_valid (address))
@@ -566,10 +575,12 @@
   dial = g_new0 (struct dial, 1);
   dial->peer = peer;
   dial->address = g_strdup (address);
+  dial->node = g_strdup (node);
   dial->timer.fire = dial_fire;
   CK_LIST_INSERT_HEAD (&peer->dials, dial, link);
-  loop_timer_set (peer->options.loop, &dial->timer,
-                  loop_now (peer->options.loop));
+  if (node != NULL && strcmp (node, peer->node) < 0)
+    at = ts_add_ms (at, OTHER_DIALS_MS);
+  loop_timer_set (peer->options.loop, &dial->timer, at);
   return 0;
 }
 
--- a/src/peer.h
+++ b/src/peer.h
@@ -54,6 +54,10 @@
    is known already or is this node's.  -EINVAL if ADDRESS is not an IP:port.
  */
 int peer_connect (struct peer *peer, const char *address);
+/* The same for the address of NODE, whose id is known.  Of two nodes that know
+   each other the one with the lower id dials first.  */
+int peer_connect_node (struct peer *peer, const char *address,
+                       const char *node);
 /* Closes the link to ADDRESS and stops reconnecting.  */
 void peer_disconnect (struct peer *peer, const char *address);
 
--- a/src/pick.c
+++ b/src/pick.c
@@ -3,6 +3,7 @@
 #include <math.h>
 #include <string.h>
 #include <xxhash.h>
+#include "delay.h"
 #include "suspect_pair.h"
 #include "ts.h"
 
@@ -25,6 +26,16 @@
 #define BONUS_ZONE 0.05
 
 #define LOAD_EPSILON 1e-9 /* loads that differ by less are equal */
+/* Trust in a prefix at its home replica.  */
+#define HOME_TRUST 0.8
+/* Delay added to a replica in another zone, so that it is chosen only if the
+   others are busier.  */
+#define OTHER_ZONE_S 0.002
+/* One in this many replicas of a target is quiet.  */
+#define REPLICAS_PER_QUIET 4
+/* Delay added to a quiet replica for a long prompt, and to any other for a
+   short one.  */
+#define MIXED_S 0.03
 
 struct hint
 {
@@ -46,7 +57,10 @@
   double load; /* per slot */
   double prefix_trust;
   double bonus;
+  double delay_s; /* if the request is BY_DELAY */
   bool full;
+  bool home;  /* of the prefix */
+  bool quiet; /* preferred for short prompts */
 };
 
 struct pick *
@@ -261,6 +275,68 @@
   return n;
 }
 
+/* The replica with the highest weight for KEY among the usable ones that are
+   not quiet, -1 if there is none.  */
+static ptrdiff_t
+highest_weight (const struct pick_request *request, uint64_t key,
+                const bool *usable, const struct score *scores)
+{
+  ptrdiff_t highest = -1;
+  uint64_t highest_weight = 0;
+
+  for (size_t i = 0; i < request->count; i++)
+    {
+      uint64_t weight = hint_key (request->replicas[i].engine->id, key);
+
+      if (!usable[i] || scores[i].quiet
+          || (highest >= 0 && weight <= highest_weight))
+        continue;
+      highest = (ptrdiff_t)i;
+      highest_weight = weight;
+    }
+  return highest;
+}
+
+/* Marks the quiet replicas and the home of the prefix.  */
+static void
+mark_roles (const struct pick_request *request, const bool *usable,
+            unsigned usable_count, struct score *scores)
+{
+  unsigned quiet = usable_count / REPLICAS_PER_QUIET;
+  ptrdiff_t at;
+
+  for (unsigned i = 0; request->target != 0 && i < quiet; i++)
+    if ((at = highest_weight (request, request->target, usable, scores)) >= 0)
+      scores[at].quiet = true;
+  if (request->prefix != 0
+      && (at = highest_weight (request, request->prefix, usable, scores)) >= 0)
+    scores[at].home = true;
+}
+
+static double
+estimate_delay_s (const struct pick *pick, const struct pick_request *request,
+                  const struct route_replica *replica, struct timespec now,
+                  const struct score *score)
+{
+  unsigned own
+      = __atomic_load_n (&replica->engine->inflight, __ATOMIC_RELAXED);
+  struct delay_load load
+      = { .running = replica->running,
+          .queued = replica->queued,
+          .sent = own > replica->inflight_at_report
+                      ? own - replica->inflight_at_report
+                      : 0,
+          .age_s = ts_to_s (ts_sub (now, replica->reported_at)) };
+  double delay_s = delay_backlog_s (&load)
+                   + (1 - score->prefix_trust) * request->prefix_s;
+
+  if (g_strcmp0 (pick->zone, replica->engine->zone) != 0)
+    delay_s += OTHER_ZONE_S;
+  if (request->target != 0 && score->quiet != request->short_prompt)
+    delay_s += MIXED_S;
+  return delay_s;
+}
+
 static void
 score_replica (struct pick *pick, const struct pick_request *request,
                const struct route_replica *replica, struct timespec now,
@@ -272,6 +348,10 @@
   score->full = load >= replica->slots;
   score->prefix_trust
       = prefix_trust (pick, replica->engine->id, request->prefix, now);
+  if (score->home)
+    score->prefix_trust = MAX (score->prefix_trust, HOME_TRUST);
+  if (request->by_delay)
+    score->delay_s = estimate_delay_s (pick, request, replica, now, score);
   score->bonus = 0;
   if (score->full || request->suspect)
     return;
@@ -284,10 +364,10 @@
 
 /* Negative when A is better.  */
 static int
-compare_scores (const struct score *a, const struct score *b)
+compare_scores (const struct score *a, const struct score *b, bool by_delay)
 {
-  double x = a->load - a->bonus;
-  double y = b->load - b->bonus;
+  double x = by_delay ? a->delay_s : a->load - a->bonus;
+  double y = by_delay ? b->delay_s : b->load - b->bonus;
 
   if (a->full != b->full)
     return a->full ? 1 : -1;
@@ -297,19 +377,21 @@
 }
 
 static ptrdiff_t
-choose_best (struct pick *pick, const struct score *scores, const bool *usable,
-             size_t count)
+choose_best (struct pick *pick, const struct pick_request *request,
+             const struct score *scores, const bool *usable)
 {
   ptrdiff_t best = -1;
   int ties = 0;
 
-  for (size_t i = 0; i < count; i++)
+  for (size_t i = 0; i < request->count; i++)
     {
       int order;
 
       if (!usable[i])
         continue;
-      order = best < 0 ? -1 : compare_scores (&scores[i], &scores[best]);
+      order = best < 0 ? -1
+                       : compare_scores (&scores[i], &scores[best],
+                                         request->by_delay);
       ties = order < 0 ? 1 : ties + (order == 0);
       if (order < 0
           || (order == 0 && g_rand_int_range (pick->rand, 0, ties) == 0))
@@ -351,6 +433,7 @@
   for (size_t i = 0; i < request->count; i++)
     least_loaded += usable[i] && scores[i].load <= why->least + LOAD_EPSILON;
   why->load = scores[index].load;
+  why->delay_s = scores[index].delay_s;
   why->prefix_trust = scores[index].prefix_trust;
   why->same_zone = g_strcmp0 (pick->zone, replica->engine->zone) == 0;
   why->adapter_loaded = request->adapter && replica->adapter_loaded;
@@ -370,10 +453,12 @@
   why->reason = PICK_NONE;
   why->usable = mark_usable (request, usable, why);
   why->usable = exclude_ejected (request, now, usable, why->usable, why);
+  if (request->by_delay)
+    mark_roles (request, usable, why->usable, scores);
   for (size_t i = 0; i < request->count; i++)
     if (usable[i])
       score_replica (pick, request, &request->replicas[i], now, &scores[i]);
-  chosen = choose_best (pick, scores, usable, request->count);
+  chosen = choose_best (pick, request, scores, usable);
   if (chosen >= 0)
     explain (pick, request, scores, usable, chosen, why);
   g_free (usable);
--- a/src/pick.h
+++ b/src/pick.h
@@ -8,6 +8,17 @@
    without a free slot while another has one (bounded load, after Mirrokni,
    Thorup and Zadimoghaddam, "Consistent Hashing with Bounded Loads").
 
+   For requests to models (BY_DELAY) the replica with the least estimated delay
+   is chosen instead, see delay.h.  A prefix counts as cached at a replica that
+   it was dispatched to before, and at its home replica, which all nodes derive
+   from the hash of the prefix without exchanging messages: in a large fleet a
+   node sees too few requests to know where a prefix is.
+
+   Reading a long prompt delays the tokens of all requests that run beside it.
+   So a share of the replicas of a target, the quiet ones, is preferred for
+   requests with short prompts and avoided for the others; all nodes derive
+   them from the hash of the target.
+
    One struct pick per traffic thread.  Replicas are borrowed from the route
    table for the duration of a call.  */
 
@@ -40,6 +51,10 @@
   size_t tried_count;
   struct eject *eject; /* NULL: no replica is ejected */
   uint64_t prefix;     /* pick_prefix; 0: none */
+  bool by_delay;       /* choose the least delay, not the least load */
+  double prefix_s;     /* BY_DELAY: time that a cached prefix saves */
+  uint64_t target;     /* BY_DELAY: hash of the target */
+  bool short_prompt;   /* BY_DELAY: the engine reads it in one piece */
   /* suspect_fingerprint: only the two replicas that suspect_pair designates
      for it may be used; 0: all may.  */
   uint64_t fingerprint;
@@ -64,6 +79,7 @@
   enum pick_reason reason;
   double load;         /* of the chosen replica, requests per slot */
   double least;        /* of all usable replicas */
+  double delay_s;      /* BY_DELAY: of the chosen replica */
   double prefix_trust; /* 0 to 1 */
   bool same_zone;
   bool adapter_loaded;
--- a/src/planner.c
+++ b/src/planner.c
@@ -14,6 +14,7 @@
   g_free (engine->order.adapter);
   g_free (engine->order.reason);
   g_free (engine->next_model);
+  g_free (engine->last_loaded);
   g_free (engine->id);
   g_free (engine->address);
   g_free (engine);
--- a/src/planner_order.c
+++ b/src/planner_order.c
@@ -346,6 +346,12 @@
     {
       if (order->fetches)
         record_fetch (planner, order, now);
+      if (order->type == BACKEND_LOAD)
+        {
+          g_free (engine->last_loaded);
+          engine->last_loaded = g_strdup (order->model);
+          engine->loaded_at = now;
+        }
       close_order (planner, engine, true, out);
     }
   else if (order->stage == STAGE_RUNNING && !engine->inventory->busy
--- a/src/planner_round.c
+++ b/src/planner_round.c
@@ -28,6 +28,14 @@
 #define STARTING_S 1.5
 #define STARTING_VALUE 3.0
 #define PINNED_VALUE 1e6 /* never evicted */
+/* A model is not evicted soon after it has been loaded, unless for many
+   requests: a load takes longer than what it was for.  */
+#define RECENT_S 4.0
+#define RECENT_VALUE 30.0
+/* Delay that a request saves which waits for a model on no engine: it is
+   rejected otherwise.  So no model with many requests is evicted for a few
+   that wait.  */
+#define WAITING_VALUE 20.0
 
 /* A candidate engine for a load.  */
 struct candidate
@@ -162,7 +170,9 @@
 compute_value (const struct plan *plan, const struct plan_model *model,
                double reload_s)
 {
-  double delay_value = model->per_s * HORIZON_S * reload_s;
+  /* Other replicas take over a part of the requests.  */
+  double delay_value
+      = model->per_s * HORIZON_S * reload_s / MAX (model->loaded, 1);
 
   if (model->waiting > 0
       || rates_idle_s (plan->planner->dispatched, model->site->name, plan->now)
@@ -182,6 +192,7 @@
                const char *name)
 {
   struct plan_model *model = plan_model (plan, name);
+  double value;
 
   if (model == NULL)
     return 0;
@@ -193,9 +204,13 @@
           = compute_value (plan, model, model->site->disk_s);
       model->values_known = true;
     }
-  return inventory_name_listed (engine->inventory->in_memory, name)
-             ? model->value_if_in_memory
-             : model->value_if_on_disk;
+  value = inventory_name_listed (engine->inventory->in_memory, name)
+              ? model->value_if_in_memory
+              : model->value_if_on_disk;
+  if (g_strcmp0 (engine->last_loaded, name) == 0
+      && ts_to_s (ts_sub (plan->now, engine->loaded_at)) < RECENT_S)
+    value += RECENT_VALUE;
+  return value;
 }
 
 /* The least valuable model on ENGINE that is not in EXCLUDED; NULL when none
@@ -468,8 +483,7 @@
   return models;
 }
 
-/* Loads models that requests wait for.  Any other model may be evicted for
-   them, unless requests have just been dispatched to it.  */
+/* Loads models that requests wait for.  */
 static void
 load_waiting_models (struct plan *plan, const GPtrArray *models)
 {
@@ -478,7 +492,7 @@
       struct plan_model *model = g_ptr_array_index (models, i);
 
       if (model->waiting > 0 && model->replicas == 0 && !model->pending)
-        try_load (plan, model, PINNED_VALUE, true);
+        try_load (plan, model, WAITING_VALUE * model->waiting, true);
     }
 }
 
@@ -509,19 +523,50 @@
     }
 }
 
-/* Loads more replicas of models whose request rates need them.  */
+static double
+load_per_replica (const struct plan_model *model)
+{
+  return model->per_s / MAX (model->replicas, 1);
+}
+
+static gint
+compare_load (gconstpointer a, gconstpointer b)
+{
+  const struct plan_model *x = *(const struct plan_model *const *)a;
+  const struct plan_model *y = *(const struct plan_model *const *)b;
+  double x_load = load_per_replica (x);
+  double y_load = load_per_replica (y);
+
+  if (x_load != y_load)
+    return x_load > y_load ? -1 : 1;
+  return strcmp (x->site->name, y->site->name);
+}
+
+/* Loads more replicas of models whose request rates need them, those with the
+   busiest replicas first: the weight store serves few of these loads at a
+   time.  */
 static void
 add_replicas (struct plan *plan, const GPtrArray *models)
 {
+  GPtrArray *short_of = g_ptr_array_new ();
+
   for (guint i = 0; i < models->len; i++)
     {
       struct plan_model *model = g_ptr_array_index (models, i);
-      unsigned need = needed_replicas (plan, model);
 
-      if (!model->pending && model->replicas > 0 && model->replicas < need)
-        try_load (plan, model, model->per_s * PLANNER_REQUEST_S * HORIZON_S,
-                  true);
+      if (!model->pending && model->replicas > 0
+          && model->replicas < needed_replicas (plan, model))
+        g_ptr_array_add (short_of, model);
+    }
+  g_ptr_array_sort (short_of, compare_load);
+  for (guint i = 0; i < short_of->len; i++)
+    {
+      struct plan_model *model = g_ptr_array_index (short_of, i);
+
+      try_load (plan, model, model->per_s * PLANNER_REQUEST_S * HORIZON_S,
+                true);
     }
+  g_ptr_array_unref (short_of);
 }
 
 /* Loads models that are on no engine ahead of requests.  The benefit follows
--- a/src/planner_state.h
+++ b/src/planner_state.h
@@ -49,6 +49,8 @@
   struct timespec next_report_at;
   struct inventory *inventory; /* never NULL */
   struct planner_order order;
+  char *last_loaded;         /* model; NULL: none by this decider */
+  struct timespec loaded_at; /* when LAST_LOADED was found to be loaded */
   char *next_model; /* models are evicted to load this one; NULL: none */
   struct timespec no_order_before;
   struct timespec adapters_settled_at; /* no adapter is unloaded until then */
--- a/src/planners.c
+++ b/src/planners.c
@@ -248,6 +248,8 @@
     return;
   if (peer->msg->type == PEER_WANTS)
     planners_receive_demand (planners, peer->from, peer->msg);
+  else if (peer->msg->type == PEER_LOADS)
+    planners_receive_loads (planners, peer->from, peer->msg);
   else if (peer->msg->type == PEER_REPLICAS)
     planners_receive_replicas (planners, peer->from, peer->msg);
   else if (peer->msg->type == PEER_REPLICAS_REQUEST)
@@ -339,8 +341,11 @@
   planners->lease = lease_new (&options);
   planners->timer.fire = timer_fire;
   planners->flush.fire = planners_flush_demand;
+  planners->loads.fire = planners_share_loads;
   loop_timer_set (planners->core->loop, &planners->flush,
                   planners_now (planners));
+  loop_timer_set (planners->core->loop, &planners->loads,
+                  planners_now (planners));
   update_members (planners);
   return 0;
 }
@@ -352,6 +357,7 @@
 
   loop_timer_clear (planners->core->loop, &planners->timer);
   loop_timer_clear (planners->core->loop, &planners->flush);
+  loop_timer_clear (planners->core->loop, &planners->loads);
 }
 
 static const struct service_ops planners_ops
--- a/src/planners_demand.c
+++ b/src/planners_demand.c
@@ -72,9 +72,8 @@
     g_array_append_val (flush->wants, want);
 }
 
-/* The node that currently decides, as far as is known; NULL if unknown.  */
-static const char *
-current_decider (const struct planners *planners)
+const char *
+planners_current_decider (const struct planners *planners)
 {
   struct timespec at = replica_receiver_updated_at (planners->in);
   struct timespec fresh_until = ts_add_ms (at, SERVERS_REPLICAS_TTL_MS);
@@ -87,7 +86,7 @@
 static void
 flush_demand (struct planners *planners, bool all)
 {
-  const char *to = current_decider (planners);
+  const char *to = planners_current_decider (planners);
   struct flush flush = { .planners = planners, .all = all };
   struct peer_msg msg = { .type = PEER_WANTS, .cell = (char *)PLANNERS_CELL };
 
--- a/src/planners_replicas.c
+++ b/src/planners_replicas.c
@@ -16,8 +16,8 @@
   g_array_append_vals (user, replica, 1);
 }
 
-/* Adds the age of the server list and the version of the configuration in
-   force.  */
+/* Adds the age and version of the server list, and the version of the
+   configuration in force.  */
 static void
 add_list_age (const struct planners *planners, struct peer_msg *msg)
 {
@@ -25,6 +25,7 @@
 
   msg->since = (uint64_t)MAX (listing_age_ms (planners->listing), 1);
   msg->version = site != NULL ? site->version : 0;
+  msg->list_version = listing_version (planners->listing);
 }
 
 /* Appends each listed server, as a replica of SERVERS_WHOLE_SERVER.  */
@@ -151,6 +152,7 @@
     {
       msg.since = (uint64_t)MAX (listing_age_ms (planners->listing), 1);
       msg.version = planners->in_version;
+      msg.list_version = planners->in_list_version;
     }
   else
     return;
@@ -190,14 +192,23 @@
     servers_replicas_remove (listing_servers (planners->listing), replica);
 }
 
+static struct listing_peer_info
+peer_info (const struct peer_msg *msg)
+{
+  return (struct listing_peer_info){ .age_ms = (int64_t)msg->since,
+                                     .config_version = msg->version,
+                                     .list_version = msg->list_version };
+}
+
 /* Applies all replicas as received so far.  */
 static void
 apply_all (struct planners *planners, const struct peer_msg *msg)
 {
+  struct listing_peer_info info = peer_info (msg);
+
   servers_replicas_begin (listing_servers (planners->listing),
                           replica_receiver_updated_at (planners->in));
-  listing_peer_list_begin (planners->listing, (int64_t)msg->since,
-                           msg->version);
+  listing_peer_list_begin (planners->listing, &info);
   replica_receiver_each (planners->in, add_replica, planners);
   listing_peer_list_end (planners->listing);
 }
@@ -205,11 +216,10 @@
 static void
 apply_changes (struct planners *planners, const struct peer_msg *msg)
 {
+  struct listing_peer_info info = peer_info (msg);
   struct servers *servers = listing_servers (planners->listing);
 
-  if (msg->full
-      || !listing_peer_list_update (planners->listing, (int64_t)msg->since,
-                                    msg->version)
+  if (msg->full || !listing_peer_list_update (planners->listing, &info)
       || !servers_replicas_complete (servers))
     {
       apply_all (planners, msg);
@@ -269,6 +279,7 @@
   if (result == REPLICA_SYNC_APPLIED)
     {
       planners->in_version = msg->version;
+      planners->in_list_version = msg->list_version;
       apply_changes (planners, msg);
       if (msg->replica_count > 0)
         kernel_post (planners->core->kernel, KERNEL_SERVERS_CHANGED, NULL);
--- a/src/planners_state.h
+++ b/src/planners_state.h
@@ -36,14 +36,16 @@
   struct demand_table *demand; /* of this node */
   struct loop_timer timer;     /* of the lease and the planners */
   struct loop_timer flush;     /* of DEMAND */
+  struct loop_timer loads;     /* of the loads of servers */
   struct timespec tick_at;     /* next tick of the planners */
   struct throttle throttle;    /* of ticks */
   struct timespec repeat_at;   /* when all demand is sent again */
   struct timespec compared_at; /* last search for changes to publish */
   struct timespec published_at;
-  uint64_t published_version;   /* of the configuration */
-  int64_t published_age_ms;     /* of the list of servers, at PUBLISHED_AT */
-  uint64_t in_version;          /* the same in the last message applied */
+  uint64_t published_version; /* of the configuration */
+  int64_t published_age_ms;   /* of the list of servers, at PUBLISHED_AT */
+  uint64_t in_version;        /* the same in the last message applied */
+  uint64_t in_list_version;
   struct timespec requested_at; /* last request for the complete list */
 };
 
@@ -123,10 +125,20 @@
 /* planners_demand.c: waiting requests and arrivals at this node, reported to
    the decider.  */
 
+/* The node that currently decides, as far as is known; NULL if unknown.  */
+const char *planners_current_decider (const struct planners *planners);
+
 /* Reports all demand soon, to a new decider.  */
 void planners_resend_demand (struct planners *planners);
 void planners_flush_demand (struct loop_timer *timer);
 void planners_receive_demand (struct planners *planners, const char *from,
                               const struct peer_msg *msg);
 
+/* planners_loads.c: loads of the servers, as seen in responses, exchanged
+   between all nodes through the decider.  */
+
+void planners_share_loads (struct loop_timer *timer);
+void planners_receive_loads (struct planners *planners, const char *from,
+                             const struct peer_msg *msg);
+
 #endif
--- a/src/servers.c
+++ b/src/servers.c
@@ -244,6 +244,16 @@
   return servers->all;
 }
 
+static void
+set_load (struct server *server, unsigned running, unsigned queued,
+          struct timespec now)
+{
+  server->running = running;
+  server->queued = queued;
+  server->inflight_at_load = server->route->inflight;
+  server->load_at = now;
+}
+
 void
 servers_report_load (struct servers *servers, const char *id, unsigned running,
                      unsigned queued, struct timespec now)
@@ -252,10 +262,44 @@
 
   if (server == NULL)
     return;
-  server->running = running;
-  server->queued = queued;
-  server->inflight_at_load = server->route->inflight;
-  server->load_at = now;
+  set_load (server, running, queued, now);
+  server->load_observed = true;
+  server->observed_at = now;
+}
+
+void
+servers_apply_load (struct servers *servers, const char *id, unsigned running,
+                    unsigned queued, struct timespec now)
+{
+  struct server *server = servers_find (servers, id);
+
+  if (server == NULL
+      || (!ts_is_zero (server->observed_at)
+          && ts_before (now,
+                        ts_add_ms (server->observed_at, SERVERS_OWN_LOAD_MS))))
+    return;
+  set_load (server, running, queued, now);
+  server->load_applied = true;
+}
+
+void
+servers_take_loads (struct servers *servers, bool forwarded, GArray *loads)
+{
+  struct server *server;
+  GHashTableIter iter;
+
+  g_hash_table_iter_init (&iter, servers->all);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&server))
+    {
+      struct peer_load load = { .server = server->route->id,
+                                .running = server->running,
+                                .queued = server->queued };
+
+      if (server->load_observed || (forwarded && server->load_applied))
+        g_array_append_val (loads, load);
+      server->load_observed = false;
+      server->load_applied = false;
+    }
 }
 
 void
@@ -439,6 +483,8 @@
                   GArray *replicas, struct timespec *ready_at)
 {
   bool fresh = published_is_fresh (servers, now);
+  const struct holders *first = fresh ? servers->published : servers->listed;
+  const struct holders *second = fresh ? servers->listed : servers->published;
   char *target = model != NULL ? servers_target (model, adapter) : NULL;
   struct replica_query query = { .service = service,
                                  .target = target,
@@ -452,10 +498,8 @@
     append_servers_of (servers, &query);
   else
     {
-      if (fresh)
-        append_holders (servers, servers->published, NULL, &query);
-      append_holders (servers, servers->listed,
-                      fresh ? servers->published : NULL, &query);
+      append_holders (servers, first, NULL, &query);
+      append_holders (servers, second, first, &query);
       if (fresh && replicas->len == 0 && ts_is_zero (*ready_at))
         update_expected_ready_at (servers, model, ready_at);
     }
--- a/src/servers.h
+++ b/src/servers.h
@@ -1,11 +1,13 @@
 /* servers - table of the backend servers that requests may go to, and of the
    models and adapters on those that are engines.
 
-   Merges three sources: the platform's list (servers_put), the replicas
+   Merges four sources: the platform's list (servers_put), the replicas
    published by the decider, the node that holds the lease on the engines
-   (servers_replicas_add), and the responses of the servers themselves
-   (servers_report_load, servers_report_missing).  Published replicas take
-   precedence while they are fresh, because the platform's list lags.
+   (servers_replicas_add), the responses of the servers themselves
+   (servers_report_load, servers_report_missing), and those to other nodes
+   (servers_apply_load).  Published replicas take
+   precedence while they are fresh, because the platform's list lags, and
+   otherwise apply to engines whose contents are not listed.
 
    No I/O; one thread.  Ownership: entries are copied.  */
 
@@ -27,6 +29,9 @@
    target was not loaded: longer than an adapter takes to load.  */
 #define SERVERS_MISSING_TTL_MS 500
 
+/* How long a load that this node observed takes precedence over others.  */
+#define SERVERS_OWN_LOAD_MS 250
+
 /* A server as the platform lists it.  */
 struct server_entry
 {
@@ -52,7 +57,10 @@
   unsigned queued;
   unsigned inflight_at_load; /* this node's requests, when that was reported */
   struct timespec load_at;   /* time of that report */
-  GHashTable *missing;       /* target name to struct timespec: expiry */
+  struct timespec observed_at; /* last load in a response to this node */
+  bool load_observed;          /* by this node, since servers_take_loads */
+  bool load_applied;           /* the same by other nodes */
+  GHashTable *missing;         /* target name to struct timespec: expiry */
 };
 
 struct servers;
@@ -84,6 +92,19 @@
                           unsigned running, unsigned queued,
                           struct timespec now);
 
+/* Another node observed this load.  Ignored if this node has observed one
+   itself within SERVERS_OWN_LOAD_MS.  */
+void servers_apply_load (struct servers *servers, const char *id,
+                         unsigned running, unsigned queued,
+                         struct timespec now);
+
+/* Appends a struct peer_load for each server whose load this node has observed
+   since the last call, and with FORWARDED also for those that
+   servers_apply_load has set.  Strings are borrowed until the server is
+   removed.  */
+void servers_take_loads (struct servers *servers, bool forwarded,
+                         GArray *loads);
+
 /* Server ID refused a request because TARGET is not loaded there.  */
 void servers_report_missing (struct servers *servers, const char *id,
                              const char *target, struct timespec now);
--- a/tests/test_listing.c
+++ b/tests/test_listing.c
@@ -25,9 +25,11 @@
   struct service *links;
   struct service *service;
   struct listing *listing;
-  GPtrArray *watches;      /* struct pending */
-  unsigned server_queries; /* lists and watches of servers */
-  unsigned config_queries; /* lists and watches of the configuration */
+  GPtrArray *watches;             /* struct pending */
+  unsigned server_queries;        /* lists and watches of servers */
+  unsigned server_lists;          /* of these, lists */
+  uint64_t servers_watched_after; /* version, in the last watch */
+  unsigned config_queries;        /* lists and watches of the configuration */
   bool store_unavailable;
 };
 
@@ -65,6 +67,7 @@
   struct platform_changes changes = { .version = 9 };
 
   count (f, table);
+  f->server_lists += strcmp (table, "servers") == 0;
   if (f->store_unavailable)
     {
       cb.done (cb.user, PLATFORM_REFUSED, &changes);
@@ -85,9 +88,10 @@
   struct fixture *f = (struct fixture *)platform;
   struct pending *pending = g_new0 (struct pending, 1);
 
-  (void)after;
   (void)wait_ms;
   count (f, table);
+  if (strcmp (table, "servers") == 0)
+    f->servers_watched_after = after;
   pending->cb = cb;
   pending->table = g_strdup (table);
   g_ptr_array_add (f->watches, pending);
@@ -187,8 +191,10 @@
                                  .pool = (char *)"s",
                                  .slots = 8,
                                  .leaving = leaving };
+  struct listing_peer_info info
+      = { .age_ms = age_ms, .config_version = version };
 
-  listing_peer_list_begin (f->listing, age_ms, version);
+  listing_peer_list_begin (f->listing, &info);
   listing_peer_list_add (f->listing, &server);
   listing_peer_list_end (f->listing);
 }
@@ -281,6 +287,7 @@
                                 .address = (char *)"1.2.3.4:6",
                                 .zone = (char *)"z",
                                 .pool = (char *)"s" };
+  struct listing_peer_info info = { .age_ms = 100, .config_version = 7 };
 
   set_up (&f);
   for (int i = 0; i < 4; i++)
@@ -289,13 +296,45 @@
       advance (&f, 500);
     }
   publish (&f, "i1", false, 100, 7);
-  g_assert_true (listing_peer_list_update (f.listing, 100, 7));
+  g_assert_true (listing_peer_list_update (f.listing, &info));
   listing_peer_list_add (f.listing, &added);
   listing_peer_list_remove (f.listing, "i1");
   g_assert_null (server (&f, "i1"));
   g_assert_nonnull (server (&f, "i2"));
   advance (&f, LISTING_PEER_LIST_TTL_MS + 400);
-  g_assert_false (listing_peer_list_update (f.listing, 100, 7));
+  g_assert_false (listing_peer_list_update (f.listing, &info));
+  tear_down (&f);
+}
+
+/* When the decider falls silent a node watches the servers from the version of
+   the decider's list, instead of listing them all: at 300 nodes and 3,000
+   engines these lists took most of the bytes that the store sent.  */
+static void
+test_watch_continues (void)
+{
+  struct listing_peer_info info
+      = { .age_ms = 100, .config_version = 7, .list_version = 55 };
+  struct fixture f;
+  unsigned before;
+
+  set_up (&f);
+  for (int i = 0; i < 4; i++)
+    {
+      publish (&f, "i1", false, 100, 7);
+      g_assert_true (listing_peer_list_update (f.listing, &info) || i == 0);
+      advance (&f, 500);
+    }
+  before = f.server_lists;
+  f.servers_watched_after = 0;
+  advance (&f, LISTING_PEER_LIST_TTL_MS - 300);
+  g_assert_cmpuint (f.servers_watched_after, ==, 55);
+  g_assert_cmpuint (f.server_lists, ==, before);
+  g_assert_nonnull (server (&f, "i1"));
+  /* A node that becomes the decider needs what the engines hold, which the
+     watch tells only of those that change.  */
+  listing_query_store (f.listing);
+  advance (&f, 2 * STEP_MS);
+  g_assert_cmpuint (f.server_lists, ==, before + 1);
   tear_down (&f);
 }
 
@@ -332,6 +371,7 @@
   g_test_add_func ("/listing/old-list", test_old_list);
   g_test_add_func ("/listing/list-applied", test_list_applied);
   g_test_add_func ("/listing/list-changes", test_list_changes);
+  g_test_add_func ("/listing/watch-continues", test_watch_continues);
   g_test_add_func ("/listing/announced-version", test_announced_version);
   return g_test_run ();
 }
--- a/tests/test_planner.c
+++ b/tests/test_planner.c
@@ -437,6 +437,93 @@
   tear_down (&f);
 }
 
+/* Two requests wait for a rare model while the models on the only engine get
+   fourteen a second each: neither is evicted for these two.  It is once the
+   waiting requests are worth more than the delay of the others, which the
+   eviction causes.  */
+static void
+test_busy_models_stay (void)
+{
+  struct fixture f;
+
+  set_up (&f, MODELS);
+  report (&f, "e1", 3, false, "m0 m1", "m0 m1 m2");
+  for (int i = 0; i < 200; i++)
+    {
+      planner_request_arrived (f.planner, "m0", 1, ts_from_ms (f.ms));
+      planner_request_arrived (f.planner, "m1", 1, ts_from_ms (f.ms));
+      f.ms += 70;
+    }
+  planner_set_waiting (f.planner, "n", "m2", 2, 0, ts_from_ms (f.ms));
+  tick (&f, 2000);
+  check_order (&f, NULL);
+  planner_set_waiting (f.planner, "n", "m2", 40, 0, ts_from_ms (f.ms));
+  tick (&f, 2000);
+  check_order (&f, "unload e1 m0");
+  tear_down (&f);
+}
+
+/* Two models are short of replicas, and the weight store serves one fetch at a
+   time: the one whose replicas are busier comes first, although fewer requests
+   come for it and none of them waits.  */
+static void
+test_busiest_replicas_first (void)
+{
+  struct fixture f;
+
+  set_up (&f, MODELS);
+  f.service.loads_per_s = 0.1;
+  planner_set_service (f.planner, &f.service, ts_from_ms (f.ms));
+  report (&f, "e1", 3, false, "m0", "m0");
+  report (&f, "e2", 3, false, "m0", "m0");
+  report (&f, "e3", 3, false, "m0", "m0");
+  report (&f, "e4", 3, false, "m1", "m1");
+  report (&f, "e5", 3, false, "", "");
+  for (int i = 0; i < 200; i++)
+    {
+      planner_request_arrived (f.planner, "m0", 3, ts_from_ms (f.ms));
+      planner_request_arrived (f.planner, "m1", 2, ts_from_ms (f.ms));
+      f.ms += 70;
+    }
+  planner_set_waiting (f.planner, "n", "m0", 1, 0, ts_from_ms (f.ms));
+  tick (&f, 100);
+  check_order (&f, "load e5 m1");
+  tear_down (&f);
+}
+
+/* A model that has just been loaded is not evicted at once for another.  */
+static void
+test_recent_load_stays (void)
+{
+  struct fixture f;
+
+  set_up (&f, MODELS);
+  report (&f, "e1", 3, false, "m0 m1", "m0 m1 m2 m3");
+  for (int i = 0; i < 80; i++)
+    {
+      planner_request_arrived (f.planner, "m0", 2, ts_from_ms (f.ms));
+      f.ms += 100;
+    }
+  planner_set_waiting (f.planner, "n", "m2", 1, 0, ts_from_ms (f.ms));
+  tick (&f, 100);
+  check_order (&f, "unload e1 m1");
+  accept (&f, "e1");
+  f.ms += 300;
+  report (&f, "e1", 4, false, "m0", "m0 m1 m2 m3");
+  tick (&f, 100);
+  check_order (&f, "load e1 m2");
+  accept (&f, "e1");
+  f.ms += 1400;
+  report (&f, "e1", 5, false, "m0 m2", "m0 m1 m2 m3");
+  planner_set_waiting (f.planner, "n", "m2", 0, 0, ts_from_ms (f.ms));
+  planner_set_waiting (f.planner, "n", "m3", 1, 0, ts_from_ms (f.ms));
+  tick (&f, 2000);
+  check_order (&f, NULL);
+  tick (&f, 3000);
+  check_order (&f, "unload e1 m2");
+  tear_down (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -454,5 +541,9 @@
   g_test_add_func ("/planner/adapter-in-use", test_adapter_in_use);
   g_test_add_func ("/planner/engine-down", test_engine_down);
   g_test_add_func ("/planner/lost-answer", test_lost_answer);
+  g_test_add_func ("/planner/busy-models-stay", test_busy_models_stay);
+  g_test_add_func ("/planner/busiest-replicas-first",
+                   test_busiest_replicas_first);
+  g_test_add_func ("/planner/recent-load-stays", test_recent_load_stays);
   return g_test_run ();
 }
--- a/tests/test_servers.c
+++ b/tests/test_servers.c
@@ -221,6 +221,62 @@
   tear_down (&f);
 }
 
+/* What the decider published last applies, when it is no longer fresh, to
+   engines that the platform's list says nothing of.  */
+static void
+test_published_old (void)
+{
+  struct fixture f;
+  struct server_entry entry = { .id = (char *)"e2",
+                                .address = (char *)"10.0.0.2:1",
+                                .zone = (char *)"z",
+                                .service = (char *)"s" };
+  int64_t old_ms = 1000 + 2 * SERVERS_REPLICAS_TTL_MS;
+
+  set_up (&f);
+  put (&f, "e1", "m", 1, 5, false);
+  servers_put (f.servers, &entry);
+  servers_replicas_begin (f.servers, ts_from_ms (1000));
+  publish (&f, "e1", "n", BACKEND_COPY_LOADED, 0);
+  publish (&f, "e2", "n", BACKEND_COPY_LOADED, 0);
+  g_assert_cmpuint (count (&f, "n", NULL, old_ms), ==, 1);
+  g_assert_cmpuint (count (&f, "m", NULL, old_ms), ==, 1);
+  tear_down (&f);
+}
+
+/* Loads that this node observed are reported once, and take precedence over
+   those that others observed; the decider forwards the latter.  */
+static void
+test_loads (void)
+{
+  GArray *loads = g_array_new (FALSE, FALSE, sizeof (struct peer_load));
+  struct fixture f;
+
+  set_up (&f);
+  put (&f, "e1", "m", 1, 5, false);
+  put (&f, "e2", "m", 1, 5, false);
+  servers_report_load (f.servers, "e1", 3, 2, ts_from_ms (1000));
+  servers_apply_load (f.servers, "e1", 9, 9, ts_from_ms (1100));
+  servers_apply_load (f.servers, "e2", 7, 1, ts_from_ms (1100));
+  servers_apply_load (f.servers, "unknown", 1, 1, ts_from_ms (1100));
+  g_assert_cmpuint (servers_find (f.servers, "e1")->queued, ==, 2);
+  g_assert_cmpuint (servers_find (f.servers, "e2")->queued, ==, 1);
+  servers_take_loads (f.servers, false, loads);
+  g_assert_cmpuint (loads->len, ==, 1);
+  g_assert_cmpuint (g_array_index (loads, struct peer_load, 0).queued, ==, 2);
+  servers_apply_load (f.servers, "e1", 9, 9,
+                      ts_from_ms (1000 + SERVERS_OWN_LOAD_MS));
+  g_assert_cmpuint (servers_find (f.servers, "e1")->queued, ==, 9);
+  g_array_set_size (loads, 0);
+  servers_take_loads (f.servers, true, loads);
+  g_assert_cmpuint (loads->len, ==, 1);
+  g_array_set_size (loads, 0);
+  servers_take_loads (f.servers, true, loads);
+  g_assert_cmpuint (loads->len, ==, 0);
+  g_array_unref (loads);
+  tear_down (&f);
+}
+
 static void
 test_missing (void)
 {
@@ -304,6 +360,8 @@
   g_test_add_func ("/servers/dropped", test_dropped);
   g_test_add_func ("/servers/published", test_published);
   g_test_add_func ("/servers/published-changes", test_published_changes);
+  g_test_add_func ("/servers/published-old", test_published_old);
+  g_test_add_func ("/servers/loads", test_loads);
   g_test_add_func ("/servers/missing", test_missing);
   g_test_add_func ("/rates", test_rates);
   g_test_add_func ("/retry/budget", test_retry_budget);
