--- a/src/forward_log.c
+++ b/src/forward_log.c
@@ -27,6 +27,15 @@
   log_double (line, "age_ms", age_ms (forward));
 }
 
+/* The estimated delay at the engine that was chosen last.  */
+static void
+log_delay (const struct forward *forward, struct log_line *line)
+{
+  if (forward->explanation.delay_s > 0)
+    log_double (line, "delay_ms",
+                forward->explanation.delay_s * (double)TS_MS_PER_S);
+}
+
 void
 forward_log_waiting (struct forward *forward, struct timespec ready_at)
 {
@@ -54,6 +63,7 @@
   log_int (&line, "sending", forward->dispatches);
   log_str (&line, "reason", pick_reason_name (forward->explanation.reason));
   log_double (&line, "load", forward->explanation.load);
+  log_delay (forward, &line);
   log_int (&line, "usable", forward->explanation.usable);
   log_int (&line, "version", (int64_t)forward->site->version);
   log_end (&line);
@@ -86,6 +96,7 @@
   log_str (&line, "why", why);
   log_int (&line, "not_run", forward_not_run (forward));
   log_int (&line, "sendings", forward->dispatches);
+  log_delay (forward, &line);
   log_int (&line, "retry_after_ms", retry_ms);
   log_end (&line);
 }
--- a/src/listing.c
+++ b/src/listing.c
@@ -1,14 +1,13 @@
 #include "listing.h"
 
-#include <stdlib.h>
 #include <string.h>
 #include <glib.h>
-#include <jansson.h>
 #include "backoff.h"
+#include "badrow.h"
 #include "core.h"
-#include "fanout.h"
 #include "links.h"
 #include "log.h"
+#include "nodetable.h"
 #include "ts.h"
 
 /* Duration of a watch of the servers, and pause between two watches.  Rows
@@ -38,10 +37,7 @@
 /* After an outage of the store, live servers register again within this
    time.  */
 #define REREGISTRATION_MS 2500
-#define EXPIRE_INTERVAL_MS 250      /* between removals of expired servers */
-#define NODES_INTERVAL_MS 60000     /* between queries of the other nodes */
-#define NODES_DEAD_INTERVAL_MS 5000 /* while some seem dead */
-#define NODES_TABLE "nodes"
+#define EXPIRE_INTERVAL_MS 250 /* between removals of expired servers */
 
 /* One watched table.  */
 struct watched_table
@@ -74,8 +70,7 @@
   struct watched_table config_table;
   struct watched_table servers_table;
   struct loop_timer expire;
-  struct loop_timer nodes;
-  bool registered;                 /* this node's own row is written */
+  struct nodetable nodes;
   struct timespec listed_at;       /* last list or watch of the servers */
   struct timespec peer_listed_at;  /* the same at the decider, as published */
   uint64_t peer_version;           /* of the decider's configuration */
@@ -84,7 +79,6 @@
   GHashTable *peer_servers;        /* ids in the list that is being received */
   /* SERVERS is the decider's list, as of its last message.  */
   bool peer_list_applied;
-  size_t node_count; /* rows of NODES_TABLE when last listed */
   struct timespec start_wait_until;
   struct timespec last_outage_at; /* last failed call; zero: none */
 };
@@ -95,18 +89,6 @@
   return loop_now (listing->core->loop);
 }
 
-static void
-log_bad_row (const char *table, const char *key, const char *why)
-{
-  struct log_line line;
-
-  log_begin (&line, EVENT_BAD_ROW);
-  log_str (&line, "table", table);
-  log_str (&line, "key", key);
-  log_str (&line, "why", why);
-  log_end (&line);
-}
-
 /* The configuration.  */
 
 static void
@@ -140,8 +122,8 @@
     {
       const struct finding *first = CK_STAILQ_FIRST (&findings.list);
 
-      log_bad_row (catalog->config_table, catalog->config_key,
-                   first != NULL ? first->text : "unreadable");
+      badrow_log (catalog->config_table, catalog->config_key,
+                  first != NULL ? first->text : "unreadable");
     }
   else if (listing->site != NULL && site->version <= listing->site->version)
     site_unref (site);
@@ -231,7 +213,7 @@
 
   if (catalog->ops->server (catalog, row->key, row->value, &entry, &why) < 0)
     {
-      log_bad_row (catalog->servers_table, row->key, why);
+      badrow_log (catalog->servers_table, row->key, why);
       return false;
     }
   changed = servers_put (listing->servers, &entry);
@@ -438,7 +420,7 @@
 
   return watched == &listing->servers_table && !watched->listed
          && ts_is_zero (listing->listed_at)
-         && listing->node_count > START_LIST_NODES_MAX
+         && listing->nodes.count > START_LIST_NODES_MAX
          && ts_before (listing_now (listing), listing->start_wait_until);
 }
 
@@ -623,113 +605,6 @@
     }
 }
 
-/* Nodes of this system: each registers its peer address in NODES_TABLE.  */
-
-static void
-on_registered (void *user, enum platform_status status,
-               const struct platform_rows *rows)
-{
-  struct listing *listing = user;
-
-  (void)rows;
-  listing->registered = status == PLATFORM_OK;
-}
-
-static void
-register_node (struct listing *listing)
-{
-  struct platform *platform = listing->core->platform;
-  char *key = g_strdup_printf ("%s/%s", NODES_TABLE, listing->core->node);
-  json_t *json = json_pack ("{s:s}", "peer", links_address (listing->links));
-  char *value = json_dumps (json, JSON_COMPACT);
-  char *token = core_unique_id (listing->core);
-  struct platform_write write = { .key = key, .value = value };
-  struct platform_txn txn
-      = { .token = token, .writes = &write, .write_count = 1 };
-  struct platform_txn_cb cb = { .done = on_registered, .user = listing };
-
-  platform->ops->txn (platform, &txn, cb);
-  json_decref (json);
-  free (value);
-  g_free (token);
-  g_free (key);
-}
-
-static void
-connect_node (struct listing *listing, const struct platform_row *row)
-{
-  json_t *json = json_loads (row->value, 0, NULL);
-  const char *peer = json_string_value (json_object_get (json, "peer"));
-
-  if (peer == NULL)
-    log_bad_row (NODES_TABLE, row->key,
-                 "expected an object with a string member peer");
-  else if (strcmp (peer, links_address (listing->links)) != 0)
-    links_connect (listing->links, peer,
-                   listing->node_count > FANOUT_DIRECT_MAX ? row->key : NULL);
-  json_decref (json);
-}
-
-static void
-on_nodes (void *user, enum platform_status status,
-          const struct platform_changes *changes)
-{
-  struct listing *listing = user;
-
-  if (status != PLATFORM_OK)
-    return;
-  listing->node_count = changes->count;
-  for (size_t i = 0; i < changes->count; i++)
-    if (changes->rows[i].value != NULL)
-      connect_node (listing, &changes->rows[i]);
-}
-
-static int64_t
-nodes_interval_ms (const struct listing *listing)
-{
-  if (!listing->registered)
-    return TS_MS_PER_S;
-  return links_all_alive (listing->links) ? NODES_INTERVAL_MS
-                                          : NODES_DEAD_INTERVAL_MS;
-}
-
-/* Registers this node if necessary and connects to the nodes in NODES_TABLE.
-   A new node finds the others there, and the nodes that it connects to
-   announce it to the rest.  After a long partition nodes find each other the
-   same way.  */
-static void
-list_nodes (struct loop_timer *timer)
-{
-  struct listing *listing
-      = (struct listing *)((char *)timer - offsetof (struct listing, nodes));
-  struct platform *platform = listing->core->platform;
-  struct platform_changes_cb cb = { .done = on_nodes, .user = listing };
-
-  if (!listing->registered)
-    register_node (listing);
-  platform->ops->list (platform, NODES_TABLE, cb);
-  loop_timer_set (
-      listing->core->loop, timer,
-      ts_add_ms (listing_now (listing), nodes_interval_ms (listing)));
-}
-
-static void
-unregister_node (struct listing *listing)
-{
-  struct platform *platform = listing->core->platform;
-  char *key = g_strdup_printf ("%s/%s", NODES_TABLE, listing->core->node);
-  char *token = core_unique_id (listing->core);
-  struct platform_write write = { .key = key };
-  struct platform_txn txn
-      = { .token = token, .writes = &write, .write_count = 1 };
-  struct platform_txn_cb cb = { .done = on_registered, .user = listing };
-
-  loop_timer_clear (listing->core->loop, &listing->nodes);
-  platform->ops->txn (platform, &txn, cb);
-  g_free (token);
-  g_free (key);
-}
-
 /* The service.  */
 
 static void
@@ -738,7 +613,7 @@
   struct listing *listing = (struct listing *)service;
 
   if (event->type == KERNEL_DRAIN_STARTED)
-    unregister_node (listing);
+    nodetable_unregister (&listing->nodes);
   else if (event->type == KERNEL_PEER_CONNECTED)
     links_add_member (listing->links, event->data);
 }
@@ -754,10 +629,9 @@
   start_watching (&listing->servers_table, START_DELAY_MS);
   listing->start_wait_until = ts_add_ms (listing_now (listing), START_WAIT_MS);
   listing->expire.fire = on_expire;
-  listing->nodes.fire = list_nodes;
   loop_timer_set (listing->core->loop, &listing->expire,
                   listing_now (listing));
-  loop_timer_set (listing->core->loop, &listing->nodes, listing_now (listing));
+  nodetable_start (&listing->nodes, listing->core, listing->links);
   return 0;
 }
 
@@ -770,7 +644,7 @@
   loop_timer_clear (loop, &listing->config_table.timer);
   loop_timer_clear (loop, &listing->servers_table.timer);
   loop_timer_clear (loop, &listing->expire);
-  loop_timer_clear (loop, &listing->nodes);
+  nodetable_stop (&listing->nodes);
 }
 
 static const struct service_ops listing_ops
