Tests of the log's reserve and of listed adapters; an unused include

Found on reading the change again, by planting one fault for each new test: removing the log's reserve or the comparison of adapters failed no test. Now /log/limit and /servers/listed-adapters do.

--- a/src/planners_replicas.c
+++ b/src/planners_replicas.c
@@ -1,5 +1,4 @@
 #include <string.h>
-#include "log.h"
 #include "planners_state.h"
 
 /* Interval of published changes, per node of the fleet: the leaseholder's work
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -416,6 +416,52 @@
   close (fds[1]);
 }
 
+static unsigned
+count_text (const char *text, const char *word)
+{
+  unsigned n = 0;
+
+  for (; (text = strstr (text, word)) != NULL; text++)
+    n++;
+  return n;
+}
+
+/* Routine lines fill their part of the limit only, as when a node starts
+   beside hundreds of others: the line that says who decides is still written.
+ */
+static void
+test_log_limit (void)
+{
+  struct clk_manual clk;
+  struct log_options options = { .level = LOG_LEVEL_INFO,
+                                 .format = LOG_FORMAT_LOGFMT,
+                                 .clk = &clk.clk,
+                                 .lines_per_s = 8 };
+  char text[64 * 1024] = "";
+  struct log_line line;
+  int fds[2];
+
+  clk_manual_init (&clk, ts_from_ms (5000000));
+  g_assert_cmpint (pipe (fds), ==, 0);
+  options.fd = fds[1];
+  log_init (&options);
+  for (int i = 0; i < 20; i++)
+    {
+      log_begin (&line, EVENT_SERVER_LISTED);
+      log_end (&line);
+    }
+  log_begin (&line, EVENT_LEASE_WON);
+  log_end (&line);
+  g_assert_cmpint (read (fds[0], text, sizeof text - 1), >, 0);
+  g_assert_cmpuint (count_text (text, "SERVER_LISTED"), ==, 6);
+  g_assert_cmpuint (count_text (text, "LEASE_WON"), ==, 1);
+  g_assert_cmpuint (count_text (text, "\n"), <=, options.lines_per_s);
+  options.fd = -1;
+  log_init (&options);
+  close (fds[0]);
+  close (fds[1]);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -430,5 +476,6 @@
   g_test_add_func ("/ring/senders", test_ring);
   g_test_add_func ("/kernel/start", test_kernel);
   g_test_add_func ("/log/json", test_log_json);
+  g_test_add_func ("/log/limit", test_log_limit);
   return g_test_run ();
 }
--- a/tests/test_servers.c
+++ b/tests/test_servers.c
@@ -131,6 +131,33 @@
   tear_down (&f);
 }
 
+/* An entry that differs in its adapters only changes where requests may go,
+   one that differs in its sequence only does not.  */
+static void
+test_listed_adapters (void)
+{
+  struct server_entry entry = { .id = (char *)"e1",
+                                .address = (char *)"10.0.0.1:1",
+                                .zone = (char *)"z",
+                                .service = (char *)"s",
+                                .slots = 8,
+                                .inventory = inventory_new () };
+  struct fixture f;
+
+  set_up (&f);
+  put (&f, "e1", "m", 1, 5, false);
+  entry.inventory->born = 1;
+  entry.inventory->sequence = 6;
+  inventory_add_adapter (inventory_add (entry.inventory, "m"), "a2");
+  g_assert_true (servers_put (f.servers, &entry));
+  g_assert_cmpuint (count (&f, "m", "a1", 0), ==, 0);
+  g_assert_cmpuint (count (&f, "m", "a2", 0), ==, 1);
+  entry.inventory->sequence = 7;
+  g_assert_false (servers_put (f.servers, &entry));
+  inventory_free (entry.inventory);
+  tear_down (&f);
+}
+
 /* A server that disappears from the list is kept until its removal time, and
    stays if it is listed again before.  */
 static void
@@ -357,6 +384,7 @@
   g_test_add_func ("/site/routes", test_routes);
   g_test_add_func ("/site/split", test_split);
   g_test_add_func ("/servers/listed", test_listed);
+  g_test_add_func ("/servers/listed-adapters", test_listed_adapters);
   g_test_add_func ("/servers/dropped", test_dropped);
   g_test_add_func ("/servers/published", test_published);
   g_test_add_func ("/servers/published-changes", test_published_changes);
