Tests of responses without end; both programs fail

What was tried: a server that sends, after a valid beginning, one kind of bytes until the client closes the connection (tests/flood_server.h), against the HTTP client and against a whole gate with a second, sound server.

What is not: - trailers: read until the deadline; 96 MB of memory after 48 MiB, when the server of the test stopped sending; - a chunk extension and CRs behind a chunk: read until the deadline, without memory; - bodies of many calls together: 32 of 15 MiB took 538 MB; - bytes behind a complete response: the connection is used again, the request that is sent on it fails. And a head without end is reported as -ECONNRESET, as a broken connection is, after which platform_http reads again.

--- /dev/null
+++ b/tests/test_gate_flood.c
@@ -0,0 +1,171 @@
+/* Tests a complete gate beside a backend server that answers without end.  */
+
+#include "flood_server.h"
+#include "gate_fixture.h"
+
+#define EVENT(n) "id: " #n "\ndata: x" #n "\n\n"
+#define CHOSEN_TIMEOUT_MS 10000 /* until the flooding server is chosen */
+#define WARM_REQUESTS 4         /* fill the retry budget */
+#define ANSWER_TIMEOUT_MS 8000
+
+/* The other server answers at once.  */
+static void
+handle_at_server (struct fixture *f, struct httpd_request *request)
+{
+  const char *last_event_id = httpd_header (request, "Last-Event-Id");
+
+  (void)f;
+  if (!g_str_has_prefix (httpd_path (request), "/long/"))
+    {
+      answer (request, 200, "hello");
+      return;
+    }
+  if (last_event_id == NULL)
+    begin_event_stream (request, EVENT (1) EVENT (2) EVENT (3));
+  else if (strcmp (last_event_id, "2") == 0)
+    begin_event_stream (request, EVENT (3));
+  else
+    g_assert_not_reached ();
+  httpd_stream_end (request);
+}
+
+static void
+list_flood_server (struct fixture *f, const struct flood_server *server)
+{
+  char *text = g_strdup_printf (
+      "{\"Service\":\"app\",\"Address\":\"127.0.0.1:%u\",\"Zone\":\"z\","
+      "\"Slots\":8,\"State\":\"ready\",\"Sequence\":1}",
+      server->port);
+
+  put_row (f, "servers/i-2", text);
+  g_free (text);
+}
+
+static void
+send_request (struct fixture *f, const char *route, const char *name)
+{
+  static const char *const headers[]
+      = { "Parsleyrill-Deadline-Ms: " G_STRINGIFY (ANSWER_TIMEOUT_MS), NULL };
+  char *path = g_strdup_printf ("/%s/%s", route, name);
+
+  request_and_wait (f, strcmp (route, "once") == 0 ? "POST" : "GET", path,
+                    headers);
+  g_free (path);
+}
+
+static void
+set_up_servers (struct fixture *f, struct flood_server *server)
+{
+  set_up (f);
+  flood_server_start (server);
+  wait_until_serving (f);
+  for (unsigned i = 0; i < WARM_REQUESTS; i++)
+    send_request (f, "safe", "warm");
+  list_flood_server (f, server);
+}
+
+/* Sends requests until one has reached the flooding server, and checks what
+   the caller of that one received.  BODY is of a successful response.  */
+static void
+check_flood (const char *route, const char *name, long status,
+             const char *body)
+{
+  struct fixture f;
+  struct flood_server server;
+  struct timespec end;
+  unsigned before = 0;
+
+  g_test_message ("/%s/%s", route, name);
+  set_up_servers (&f, &server);
+  end = ts_add_ms (loop_now (f.loop), CHOSEN_TIMEOUT_MS);
+  while (ts_before (loop_now (f.loop), end))
+    {
+      before = f.at_server;
+      send_request (&f, route, name);
+      if (g_atomic_int_get (&server.requests) > 0)
+        break;
+      g_assert_cmpint (f.status, ==, 200);
+      g_assert_cmpstr (f.received->str, ==, body);
+    }
+  g_assert_cmpint (g_atomic_int_get (&server.requests), ==, 1);
+  g_assert_cmpint (g_atomic_int_get (&server.exhausted), ==, 0);
+  g_assert_cmpint (f.error, ==, 0);
+  g_assert_cmpint (f.status, ==, status);
+  g_assert_cmpuint (f.at_server - before, ==, status == 200 ? 1 : 0);
+  if (status == 200)
+    g_assert_cmpstr (f.received->str, ==, body);
+  else
+    g_assert_null (strstr (f.received->str, "xxxx"));
+  tear_down (&f);
+  flood_server_stop (&server);
+}
+
+static const char *const endless[]
+    = { "header-lines",  "header-line",     "status-line", "no-http",
+        "no-http-lines", "control",         "interim",     "body",
+        "chunks",        "chunk-extension", "chunk-end",   "trailers" };
+
+/* A request that may be repeated waited for the end of a response without end
+   until its deadline.  */
+static void
+test_safe (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (endless); i++)
+    check_flood ("safe", endless[i], 200, "hello");
+}
+
+/* A request that must not be repeated waited for the end of a response without
+   end until its deadline.  */
+static void
+test_unsafe (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (endless); i++)
+    check_flood ("once", endless[i], 502, "hello");
+}
+
+/* A stream whose next event or framing does not end did not go on at another
+   server.  */
+static void
+test_stream (void)
+{
+  static const char events[] = EVENT (1) EVENT (2) EVENT (3);
+
+  check_flood ("long", "event", 200, events);
+  check_flood ("long", "event-chunk-extension", 200, events);
+  check_flood ("long", "event-trailers", 200, events);
+  check_flood ("long", "chunks", 200, events);
+}
+
+/* An unsafe request was sent on a connection on which the server had sent
+   bytes behind its last response, and failed.  */
+static void
+test_after_answer (void)
+{
+  struct fixture f;
+  struct flood_server server;
+  struct timespec end;
+
+  set_up_servers (&f, &server);
+  end = ts_add_ms (loop_now (f.loop), CHOSEN_TIMEOUT_MS);
+  while (ts_before (loop_now (f.loop), end)
+         && g_atomic_int_get (&server.requests) < 5)
+    {
+      send_request (&f, "once", "after-answer");
+      g_assert_cmpint (f.status, ==, 200);
+      g_assert_cmpstr (f.received->str, ==, "hello");
+    }
+  g_assert_cmpint (g_atomic_int_get (&server.requests), ==, 5);
+  tear_down (&f);
+  flood_server_stop (&server);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/gate-flood/safe", test_safe);
+  g_test_add_func ("/gate-flood/unsafe", test_unsafe);
+  g_test_add_func ("/gate-flood/stream", test_stream);
+  g_test_add_func ("/gate-flood/after-answer", test_after_answer);
+  return g_test_run ();
+}
