httpc: limit on the bytes of head, interim responses and trailers

Callers saw a request go on until its deadline, and the process grew, while a server sent trailers without end: 96 MB after 48 MiB (/httpc-limits/trailers).

Cause: no limit of our own; libcurl keeps every header and trailer line.

The header callback, which gets all of these lines, counts them against httpc_request.head_max, 64 KiB when not set, and ends the call with -EMSGSIZE.

/httpc-limits/head, interim and trailers pass: 0.2 MB at most.

--- a/src/httpc.c
+++ b/src/httpc.c
@@ -17,6 +17,7 @@
 #define KEEPALIVE_IDLE_S 2 /* idle time before the first probe */
 #define KEEPALIVE_INTERVAL_S 1
 #define KEEPALIVE_PROBES 3
+#define HEAD_LINE_OVERHEAD 32 /* bytes, as in RFC 9113, section 6.5.2 */
 
 CK_LIST_HEAD (call_list, httpc_call);
 
@@ -40,7 +41,9 @@
   char *body;
   GString *collected;
   enum httpc_phase phase;
-  int body_error; /* negative errno from the body callback */
+  size_t head_bytes; /* received so far, see httpc_request.head_max */
+  int body_error;    /* negative errno from the body callback */
+  bool too_large;    /* the response is over a limit of the request */
   bool body_started;
   bool idle_timed_out;
   bool reused;
@@ -85,6 +88,8 @@
       return -ECONNRESET;
     case CURLE_PARTIAL_FILE:
       return -EPIPE;
+    case CURLE_OUT_OF_MEMORY: /* a line is over libcurl's own limit */
+      return -EMSGSIZE;
     default:
       return -EIO;
     }
@@ -106,6 +111,8 @@
 {
   if (code == CURLE_COULDNT_CONNECT)
     return connect_error (call->easy);
+  if (call->too_large)
+    return -EMSGSIZE;
   if (call->body_error != 0)
     return call->body_error;
   if (call->idle_timed_out)
@@ -355,6 +362,7 @@
   return CURL_PREREQFUNC_OK;
 }
 
+/* Called for the lines of the head, of interim responses and of trailers.  */
 static size_t
 on_header (char *bytes, size_t size, size_t n, void *user)
 {
@@ -363,7 +371,9 @@
   (void)bytes;
   call->phase = HTTPC_RESPONDING;
   restart_idle_timer (call);
-  return size * n;
+  call->head_bytes += size * n + HEAD_LINE_OVERHEAD;
+  call->too_large = call->head_bytes > call->request.head_max;
+  return call->too_large ? 0 : size * n;
 }
 
 static void
@@ -526,6 +536,8 @@
   call->request = *request;
   if (call->request.body_max == 0)
     call->request.body_max = HTTPC_BODY_MAX;
+  if (call->request.head_max == 0)
+    call->request.head_max = HTTPC_HEAD_MAX;
   call->collected = g_string_new (NULL);
   call->idle_timer.fire = on_idle_timer;
   curl_easy_setopt (easy, CURLOPT_URL, request->url);
--- a/src/httpc.h
+++ b/src/httpc.h
@@ -5,6 +5,10 @@
    httpc_cancel ends a call without one.  A call must not be cancelled from its
    own callbacks; return -ECANCELED from body_cb instead.
 
+   A response over a limit ends the call with -EMSGSIZE (for a single trailer
+   line: -ECONNRESET) and closes the connection.  The limits hold without being
+   set; a body that is passed to body_cb is not limited.
+
    A request is sent at most once.  When a reused connection turns out to be
    broken, the call ends with -ECONNRESET in phase HTTPC_SENT.
 
@@ -60,6 +64,9 @@
   int64_t connect_timeout_ms;     /* 0: HTTPC_CONNECT_TIMEOUT_MS */
   bool fresh_connection;          /* do not reuse a connection */
   size_t body_max;                /* max collected bytes; 0: HTTPC_BODY_MAX */
+  /* Max bytes of status and header lines, also those of interim responses and
+     of trailers; each line counts 32 bytes more.  0: HTTPC_HEAD_MAX.  */
+  size_t head_max;
   /* Called once, before the first body bytes; may be NULL.  */
   void (*head) (void *user, long status, const char *content_type);
   /* Receives N bytes of the body.  Returns 0, -EAGAIN to pause (the same bytes
@@ -72,6 +79,7 @@
 
 #define HTTPC_CONNECT_TIMEOUT_MS 1000
 #define HTTPC_BODY_MAX (16u << 20) /* bytes */
+#define HTTPC_HEAD_MAX (64u << 10) /* bytes */
 
 struct httpc_options
 {
