httpc: limit on bytes between two chunks

Cause: libcurl's chunk decoder skips these bytes without a callback, so neither a limit nor the idle timer of a call sees them.

After a read of the socket that made no callback the bytes that wait in the socket are counted (FIONREAD), until a callback comes; over head_max the call ends with -EMSGSIZE. A sound response seldom makes such a read: when a header line or a chunk's size comes in two packets.

A first try counted reads without a callback, at most 1024. It did not work, because libcurl reads up to 100 buffers of 16 KiB at a time: 48 MiB were gone within 50 such reads.

--- a/src/httpc.c
+++ b/src/httpc.c
@@ -6,6 +6,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <curl/curl.h>
 #include <glib.h>
@@ -21,12 +22,20 @@
 
 CK_LIST_HEAD (call_list, httpc_call);
 
+struct socket_watch
+{
+  struct loop_watch watch;
+  struct httpc *httpc;
+  struct httpc_call *call; /* that uses the socket */
+};
+
 struct httpc
 {
   struct loop *loop;
   CURLM *multi;
   struct loop_timer timer;
   struct call_list calls;
+  struct socket_watch *serving; /* in read_socket, unless removed */
   long max_age_s;
 };
 
@@ -41,21 +50,17 @@
   char *body;
   GString *collected;
   enum httpc_phase phase;
-  size_t head_bytes; /* received so far, see httpc_request.head_max */
-  int body_error;    /* negative errno from the body callback */
-  bool too_large;    /* the response is over a limit of the request */
+  size_t head_bytes;   /* received so far, see httpc_request.head_max */
+  int body_error;      /* negative errno from the body callback */
+  bool too_large;      /* the response is over a limit of the request */
+  size_t silent_bytes; /* read since the last callback, at least */
+  bool delivered;      /* the last read of the socket made a callback */
   bool body_started;
   bool idle_timed_out;
   bool reused;
   bool resend_attempted; /* curl tried to send the request again */
 };
 
-struct socket_watch
-{
-  struct loop_watch watch;
-  struct httpc *httpc;
-};
-
 static void
 call_free (struct httpc_call *call)
 {
@@ -173,11 +178,17 @@
     }
 }
 
+static size_t
+queued_bytes (int fd)
+{
+  int n = 0;
+
+  return ioctl (fd, FIONREAD, &n) == 0 && n > 0 ? (size_t)n : 1;
+}
+
 static void
-on_socket_ready (struct loop_watch *watch, uint32_t events)
+act_on_socket (struct httpc *httpc, int fd, uint32_t events)
 {
-  struct socket_watch *socket_watch = (struct socket_watch *)watch;
-  struct httpc *httpc = socket_watch->httpc;
   int flags = 0;
   int running;
 
@@ -187,7 +198,43 @@
     flags |= CURL_CSELECT_OUT;
   if (events & (EPOLLERR | EPOLLHUP))
     flags |= CURL_CSELECT_ERR;
-  curl_multi_socket_action (httpc->multi, watch->fd, flags, &running);
+  curl_multi_socket_action (httpc->multi, fd, flags, &running);
+}
+
+/* libcurl skips chunk extensions and surplus CRs between chunks without a
+   callback and without a limit.  The queued bytes are asked for only after a
+   read without a callback.  */
+static void
+read_socket (struct httpc *httpc, struct socket_watch *socket_watch,
+             uint32_t events)
+{
+  struct httpc_call *call = socket_watch->call;
+  int fd = socket_watch->watch.fd;
+  size_t n = call->delivered ? 0 : queued_bytes (fd);
+
+  call->delivered = false;
+  httpc->serving = socket_watch;
+  act_on_socket (httpc, fd, events);
+  if (httpc->serving == NULL)
+    return;
+  httpc->serving = NULL;
+  call->silent_bytes = call->delivered ? 0 : call->silent_bytes + n;
+  if (call->silent_bytes <= call->request.head_max)
+    return;
+  call->too_large = true;
+  finish (call, CURLE_RECV_ERROR);
+}
+
+static void
+on_socket_ready (struct loop_watch *watch, uint32_t events)
+{
+  struct socket_watch *socket_watch = (struct socket_watch *)watch;
+  struct httpc *httpc = socket_watch->httpc;
+
+  if (events & EPOLLIN)
+    read_socket (httpc, socket_watch, events);
+  else
+    act_on_socket (httpc, watch->fd, events);
   finish_completed (httpc);
 }
 
@@ -210,11 +257,12 @@
   struct httpc *httpc = user;
   struct socket_watch *socket_watch = socket_data;
 
-  (void)easy;
   if (what == CURL_POLL_REMOVE)
     {
       if (socket_watch != NULL)
         loop_unwatch (httpc->loop, &socket_watch->watch);
+      if (httpc->serving == socket_watch)
+        httpc->serving = NULL;
       g_free (socket_watch);
       return 0;
     }
@@ -226,6 +274,7 @@
       socket_watch->watch.ready = on_socket_ready;
       curl_multi_assign (httpc->multi, fd, socket_watch);
     }
+  curl_easy_getinfo (easy, CURLINFO_PRIVATE, &socket_watch->call);
   loop_watch (httpc->loop, &socket_watch->watch, epoll_events (what));
   return 0;
 }
@@ -370,6 +419,7 @@
 
   (void)bytes;
   call->phase = HTTPC_RESPONDING;
+  call->delivered = true;
   restart_idle_timer (call);
   call->head_bytes += size * n + HEAD_LINE_OVERHEAD;
   call->too_large = call->head_bytes > call->request.head_max;
@@ -428,6 +478,7 @@
 {
   struct httpc_call *call = user;
 
+  call->delivered = true;
   deliver_head (call);
   restart_idle_timer (call);
   if (call->request.body_cb == NULL)
@@ -539,6 +590,7 @@
   if (call->request.head_max == 0)
     call->request.head_max = HTTPC_HEAD_MAX;
   call->collected = g_string_new (NULL);
+  call->delivered = true;
   call->idle_timer.fire = on_idle_timer;
   curl_easy_setopt (easy, CURLOPT_URL, request->url);
   if (request->target != NULL)
--- a/src/httpc.h
+++ b/src/httpc.h
@@ -65,7 +65,8 @@
   bool fresh_connection;          /* do not reuse a connection */
   size_t body_max;                /* max collected bytes; 0: HTTPC_BODY_MAX */
   /* Max bytes of status and header lines, also those of interim responses and
-     of trailers; each line counts 32 bytes more.  0: HTTPC_HEAD_MAX.  */
+     of trailers; each line counts 32 bytes more.  Also max bytes between two
+     chunks.  0: HTTPC_HEAD_MAX.  */
   size_t head_max;
   /* Called once, before the first body bytes; may be NULL.  */
   void (*head) (void *user, long status, const char *content_type);
