httpc: limit on the bytes of all bodies that are being collected

32 responses of 15 MiB at once took 538 MB (/httpc-limits/bodies-at-once), more than a process may have where its memory is limited: a few servers that answer without end could have had a node killed.

Cause: each body had a limit, but nothing counted them together, and requests and exchanges collected in buffers of their own.

The head callback now says whether the body is passed on; every other body is collected by httpc, under the limits of httpc: body_max for one, collected_max (64 MiB) for all calls of a client. A call may collect as much as is free after it, so floods fail before they take the room of small bodies. The two copies of the limit of 16 MiB in forward_answer and exchange are gone.

A small body can still fail while several large ones grow within one iteration: lengths of 0.2 MB were seen to, when 66.9 of 67.1 MB were in use.

--- a/src/exchange.c
+++ b/src/exchange.c
@@ -18,7 +18,7 @@
   struct httpc_call *http;
   char *id;
   struct sse sse;
-  GString *buffer; /* body so far, or an incomplete event */
+  GString *buffer; /* an incomplete event */
   bool expects_done_event;
   bool is_head; /* the request is a HEAD: the response has no body */
   bool streaming;
@@ -89,7 +89,7 @@
   return (const char *const *)exchange->headers->pdata;
 }
 
-static void
+static bool
 on_head (void *user, long status, const char *content_type)
 {
   struct exchange *exchange = user;
@@ -98,12 +98,14 @@
 
   exchange->head_at = clk_now (exchange->worker->options->clk);
   exchange->wrong_id = !id_matches (exchange, status);
-  if (exchange->wrong_id || status != 200
-      || !g_str_has_prefix (content_type, EVENT_STREAM))
-    return;
+  if (exchange->wrong_id)
+    return true;
+  if (status != 200 || !g_str_has_prefix (content_type, EVENT_STREAM))
+    return false;
   exchange->streaming = true;
   result.headers = get_response_headers (exchange);
   exchange->ops->begin (exchange->user, &result);
+  return true;
 }
 
 static int
@@ -113,15 +115,10 @@
 
   if (exchange->wrong_id)
     return -ECANCELED;
-  if (exchange->streaming && exchange->expects_done_event)
+  if (exchange->expects_done_event)
     return sse_forward (&exchange->sse, exchange->buffer, bytes, n,
                         exchange->ops->bytes, exchange->user);
-  if (exchange->streaming)
-    return exchange->ops->bytes (exchange->user, bytes, n);
-  if (exchange->buffer->len + n > EXCHANGE_BODY_MAX)
-    return -EMSGSIZE;
-  g_string_append_len (exchange->buffer, bytes, (gssize)n);
-  return 0;
+  return exchange->ops->bytes (exchange->user, bytes, n);
 }
 
 /* Without a length or chunked encoding, the end of a response cannot be
@@ -157,11 +154,6 @@
   result->headers = get_response_headers (exchange);
   result->streamed = exchange->streaming;
   result->events = exchange->sse.events;
-  if (!exchange->streaming)
-    {
-      result->http.body = exchange->buffer->str;
-      result->http.length = exchange->buffer->len;
-    }
   if (!ts_is_zero (exchange->head_at))
     result->first_byte = ts_sub (exchange->head_at, exchange->started);
   result->duration
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -25,9 +25,6 @@
 
 struct exchange;
 
-#define EXCHANGE_BODY_MAX                                                     \
-  (16u << 20) /* bytes of a response that is not streamed */
-
 struct exchange_result
 {
   /* ERROR is 0 only for a complete response, -EPIPE for a truncated one, and
--- a/src/forward_answer.c
+++ b/src/forward_answer.c
@@ -5,8 +5,7 @@
 #include "ts.h"
 
 #define EVENT_STREAM "text/event-stream"
-#define ANSWER_BYTES_MAX (16u << 20) /* of a response that is not streamed */
-#define SERVER_ERROR 500             /* lowest status of a server error */
+#define SERVER_ERROR 500        /* lowest status of a server error */
 #define FULL_RETRY_AFTER_MS 200 /* time for a full server to free a slot */
 
 static void
@@ -85,7 +84,7 @@
   g_ptr_array_unref (headers);
 }
 
-void
+bool
 forward_on_head (void *user, long status, const char *content_type)
 {
   struct forward *forward = user;
@@ -94,6 +93,7 @@
   if (status == 200 && is_authentic (forward) && forward->request != NULL
       && g_str_has_prefix (content_type, EVENT_STREAM))
     begin_stream (forward, status, content_type);
+  return forward->streaming;
 }
 
 static int
@@ -112,21 +112,14 @@
   struct forward *forward = user;
   int err;
 
-  if (forward->streaming)
+  err = sse_forward (&forward->sse, forward->buffer, bytes, n, write_to_caller,
+                     forward);
+  if (forward->sse.has_id)
     {
-      err = sse_forward (&forward->sse, forward->buffer, bytes, n,
-                         write_to_caller, forward);
-      if (forward->sse.has_id)
-        {
-          forward->can_resume = true;
-          forward->last_event = forward->sse.last_id;
-        }
-      return err;
+      forward->can_resume = true;
+      forward->last_event = forward->sse.last_id;
     }
-  if (forward->buffer->len + n > ANSWER_BYTES_MAX)
-    return -EMSGSIZE;
-  g_string_append_len (forward->buffer, bytes, (gssize)n);
-  return 0;
+  return err;
 }
 
 /* Bytes after the last complete event are part of the response too.  The
@@ -158,7 +151,7 @@
   else if (forward->request != NULL)
     httpd_respond (forward->request, (unsigned)result->status,
                    result->content_type, (const char *const *)headers->pdata,
-                   forward->buffer->str, forward->buffer->len);
+                   result->body, result->length);
   forward_finish (forward);
 }
 
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -53,7 +53,7 @@
   bool streaming;  /* the current response is passed on as a stream */
   bool head_sent;  /* the response head was sent to the caller */
   struct sse sse;  /* parser of the current stream */
-  GString *buffer; /* body so far, or an incomplete event */
+  GString *buffer; /* an incomplete event */
   bool can_resume; /* LAST_EVENT is valid */
   uint64_t last_event;
 };
@@ -93,7 +93,7 @@
 void forward_mark_tried (struct forward *forward);
 
 /* forward_answer.c */
-void forward_on_head (void *user, long status, const char *content_type);
+bool forward_on_head (void *user, long status, const char *content_type);
 int forward_on_bytes (void *user, const char *bytes, size_t n);
 void forward_on_done (void *user, const struct httpc_result *result);
 
--- a/src/httpc.c
+++ b/src/httpc.c
@@ -37,6 +37,8 @@
   struct call_list calls;
   struct socket_watch *serving; /* in read_socket, unless removed */
   long max_age_s;
+  size_t collected_max; /* bytes */
+  size_t collected;     /* bytes of all calls */
 };
 
 struct httpc_call
@@ -56,6 +58,7 @@
   size_t silent_bytes; /* read since the last callback, at least */
   bool delivered;      /* the last read of the socket made a callback */
   bool body_started;
+  bool passed_on; /* the body goes to body_cb */
   bool idle_timed_out;
   bool reused;
   bool resend_attempted; /* curl tried to send the request again */
@@ -69,6 +72,7 @@
   curl_multi_remove_handle (call->httpc->multi, call->easy);
   curl_easy_cleanup (call->easy);
   curl_slist_free_all (call->headers);
+  call->httpc->collected -= call->collected->len;
   g_string_free (call->collected, TRUE);
   g_free (call->body);
   g_free (call);
@@ -145,7 +149,7 @@
   result->content_type = type != NULL ? type : "";
   result->phase = call->phase;
   result->reused = call->reused;
-  result->body = call->request.body_cb == NULL ? call->collected->str : NULL;
+  result->body = call->passed_on ? NULL : call->collected->str;
   result->length = call->collected->len;
 }
 
@@ -314,6 +318,9 @@
   httpc->max_age_s = options->max_connection_age_s;
   if (httpc->max_age_s == 0)
     httpc->max_age_s = DEFAULT_MAX_AGE_S;
+  httpc->collected_max = options->collected_max;
+  if (httpc->collected_max == 0)
+    httpc->collected_max = HTTPC_COLLECTED_MAX;
   httpc->timer.fire = on_multi_timer;
   CK_LIST_INIT (&httpc->calls);
   httpc->multi = curl_multi_init ();
@@ -438,17 +445,23 @@
   curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
   curl_easy_getinfo (call->easy, CURLINFO_CONTENT_TYPE, &type);
   if (call->request.head != NULL)
-    call->request.head (call->request.user, status, type != NULL ? type : "");
+    call->passed_on = call->request.head (call->request.user, status,
+                                          type != NULL ? type : "");
 }
 
+/* A call may collect as much as is free after it, so that many large bodies
+   leave room for small ones (dynamic thresholds, Choudhury and Hahne).  */
 static size_t
 collect (struct httpc_call *call, const char *bytes, size_t n)
 {
-  if (call->collected->len + n > call->request.body_max)
-    {
-      call->body_error = -EMSGSIZE;
-      return 0;
-    }
+  struct httpc *httpc = call->httpc;
+  size_t length = call->collected->len + n;
+
+  call->too_large = length > call->request.body_max
+                    || length > httpc->collected_max - httpc->collected;
+  if (call->too_large)
+    return 0;
+  httpc->collected += n;
   g_string_append_len (call->collected, bytes, (gssize)n);
   return n;
 }
@@ -481,7 +494,7 @@
   call->delivered = true;
   deliver_head (call);
   restart_idle_timer (call);
-  if (call->request.body_cb == NULL)
+  if (!call->passed_on)
     return collect (call, bytes, size * n);
   return deliver_body (call, bytes, size * n);
 }
@@ -591,6 +604,7 @@
     call->request.head_max = HTTPC_HEAD_MAX;
   call->collected = g_string_new (NULL);
   call->delivered = true;
+  call->passed_on = request->body_cb != NULL && request->head == NULL;
   call->idle_timer.fire = on_idle_timer;
   curl_easy_setopt (easy, CURLOPT_URL, request->url);
   if (request->target != NULL)
--- a/src/httpc.h
+++ b/src/httpc.h
@@ -38,8 +38,8 @@
   int error;   /* 0, or negative errno (-ETIMEDOUT, -EPIPE...) */
   long status; /* HTTP status; 0 when none was received */
   enum httpc_phase phase;
-  const char *body;         /* collected body, NUL-terminated; NULL when
-                               body_cb is set */
+  const char *body;         /* collected body, NUL-terminated; NULL when it
+                               was passed to body_cb */
   size_t length;            /* bytes */
   double connect_s;         /* time to connect, seconds; 0 when reused */
   const char *content_type; /* "" when none */
@@ -68,25 +68,30 @@
      of trailers; each line counts 32 bytes more.  Also max bytes between two
      chunks.  0: HTTPC_HEAD_MAX.  */
   size_t head_max;
-  /* Called once, before the first body bytes; may be NULL.  */
-  void (*head) (void *user, long status, const char *content_type);
+  /* Called once, before the first body bytes; may be NULL.  Returns whether
+     the body is to be passed to body_cb; otherwise it is collected.  */
+  bool (*head) (void *user, long status, const char *content_type);
   /* Receives N bytes of the body.  Returns 0, -EAGAIN to pause (the same bytes
      are passed again after httpc_unpause), or -ECANCELED to end the call.
-     NULL: the body is collected.  */
+     NULL: the body is collected; HEAD must then be NULL too.  */
   int (*body_cb) (void *user, const char *bytes, size_t n);
   void (*done) (void *user, const struct httpc_result *result);
   void *user;
 };
 
 #define HTTPC_CONNECT_TIMEOUT_MS 1000
-#define HTTPC_BODY_MAX (16u << 20) /* bytes */
-#define HTTPC_HEAD_MAX (64u << 10) /* bytes */
+#define HTTPC_BODY_MAX (16u << 20)      /* bytes */
+#define HTTPC_HEAD_MAX (64u << 10)      /* bytes */
+#define HTTPC_COLLECTED_MAX (64u << 20) /* bytes */
 
 struct httpc_options
 {
   struct loop *loop;
   long max_connections;      /* kept open at once; 0: 256 */
   long max_connection_age_s; /* max idle time of a reused connection; 0: 60 */
+  /* Max bytes of the bodies that all calls are collecting; one call may
+     collect at most half of it.  0: HTTPC_COLLECTED_MAX.  */
+  size_t collected_max;
 };
 
 /* NULL when curl cannot be initialized.  */
