httpc: a response that is not HTTP ends with -EPROTO

It was reported as -EINVAL ("Invalid argument"), the error of a bad URL, so the log did not tell an operator that the server had sent it (/httpc-limits/no-http failed: -22 instead of -71).

--- a/src/httpc.c
+++ b/src/httpc.c
@@ -89,8 +89,10 @@
       return -ETIMEDOUT;
     case CURLE_COULDNT_RESOLVE_HOST:
     case CURLE_URL_MALFORMAT:
-    case CURLE_UNSUPPORTED_PROTOCOL:
       return -EINVAL;
+    case CURLE_UNSUPPORTED_PROTOCOL: /* the response is not HTTP/1 */
+    case CURLE_WEIRD_SERVER_REPLY:
+      return -EPROTO;
     case CURLE_GOT_NOTHING:
     case CURLE_RECV_ERROR:
     case CURLE_SEND_ERROR:
