httpc: watch idle connections; use none that was reset or has unread bytes

Callers got 502 for an unsafe request, and safe ones used up a retry, when the server had sent bytes behind its last response on the connection that the request was sent on (/gate-flood/after-answer, /httpc-limits/after-answer), or had reset that connection (/httpc-limits/reset-after-answer: -ECONNRESET in phase HTTPC_SENT, although the server got nothing of the request).

Cause: libcurl 7.88 looks for the end of a connection before it uses it again, with recv of one byte; a byte, and an error too, count as alive (seen with strace: recvfrom MSG_PEEK = -1 ECONNRESET, then sendto = EPIPE). What follows is a request that may have run.

An idle connection is now watched by the loop. When it becomes readable it is shut down, which also bounds what the server can have queued there, and not used again: when libcurl chooses it, the call starts over on a new connection, before anything was sent. This costs one epoll_ctl a call.

--- a/src/httpc.c
+++ b/src/httpc.c
@@ -8,6 +8,7 @@
 #include <sys/epoll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <unistd.h>
 #include <curl/curl.h>
 #include <glib.h>
 #include "ts.h"
@@ -18,7 +19,8 @@
 #define KEEPALIVE_IDLE_S 2 /* idle time before the first probe */
 #define KEEPALIVE_INTERVAL_S 1
 #define KEEPALIVE_PROBES 3
-#define HEAD_LINE_OVERHEAD 32 /* bytes, as in RFC 9113, section 6.5.2 */
+#define DRAIN_BYTES (16u << 10) /* read at once */
+#define HEAD_LINE_OVERHEAD 32   /* bytes, as in RFC 9113, section 6.5.2 */
 
 CK_LIST_HEAD (call_list, httpc_call);
 
@@ -26,7 +28,9 @@
 {
   struct loop_watch watch;
   struct httpc *httpc;
-  struct httpc_call *call; /* that uses the socket */
+  struct httpc_call *call; /* that uses the socket; NULL: idle */
+  bool is_connection;      /* owned by httpc->connections */
+  char *path;              /* connection_path; NULL until the first request */
 };
 
 struct httpc
@@ -35,6 +39,8 @@
   CURLM *multi;
   struct loop_timer timer;
   struct call_list calls;
+  GHashTable *connections; /* descriptor to struct socket_watch */
+  GHashTable *broken; /* set of paths of connections that must not be used */
   struct socket_watch *serving; /* in read_socket, unless removed */
   long max_age_s;
   size_t collected_max; /* bytes */
@@ -46,6 +52,7 @@
   CK_LIST_ENTRY (httpc_call) link;
   struct httpc *httpc;
   CURL *easy;
+  struct socket_watch *connection; /* NULL: none */
   struct curl_slist *headers;
   struct httpc_request request;
   struct loop_timer idle_timer;
@@ -61,9 +68,23 @@
   bool passed_on; /* the body goes to body_cb */
   bool idle_timed_out;
   bool reused;
+  bool broken; /* the connection chosen for reuse is not to be used */
   bool resend_attempted; /* curl tried to send the request again */
 };
 
+/* A connection that a call leaves open is watched: its server has nothing to
+   send until the next request.  */
+static void
+release_connection (struct httpc_call *call)
+{
+  struct socket_watch *connection = call->connection;
+
+  if (connection == NULL)
+    return;
+  connection->call = NULL;
+  loop_watch (call->httpc->loop, &connection->watch, EPOLLIN);
+}
+
 static void
 call_free (struct httpc_call *call)
 {
@@ -71,6 +92,7 @@
   CK_LIST_REMOVE (call, link);
   curl_multi_remove_handle (call->httpc->multi, call->easy);
   curl_easy_cleanup (call->easy);
+  release_connection (call);
   curl_slist_free_all (call->headers);
   call->httpc->collected -= call->collected->len;
   g_string_free (call->collected, TRUE);
@@ -166,6 +188,18 @@
   call_free (call);
 }
 
+/* Nothing was sent on the connection that was chosen.  */
+static void
+restart_on_new_connection (struct httpc_call *call)
+{
+  CURLM *multi = call->httpc->multi;
+
+  call->broken = false;
+  curl_multi_remove_handle (multi, call->easy);
+  curl_easy_setopt (call->easy, CURLOPT_FRESH_CONNECT, 1L);
+  curl_multi_add_handle (multi, call->easy);
+}
+
 static void
 finish_completed (struct httpc *httpc)
 {
@@ -180,7 +214,10 @@
       if (msg->msg != CURLMSG_DONE)
         continue;
       curl_easy_getinfo (msg->easy_handle, CURLINFO_PRIVATE, &call);
-      finish (call, code);
+      if (call->broken)
+        restart_on_new_connection (call);
+      else
+        finish (call, code);
     }
 }
 
@@ -231,12 +268,35 @@
   finish (call, CURLE_RECV_ERROR);
 }
 
+/* The server has closed an idle connection, or sent bytes that belong to no
+   request and would be taken for the next response.  libcurl notices neither
+   such bytes nor a reset before it uses the connection.  */
+static void
+shut_down_idle (struct socket_watch *connection)
+{
+  struct httpc *httpc = connection->httpc;
+  char bytes[DRAIN_BYTES];
+  int fd = connection->watch.fd;
+
+  loop_unwatch (httpc->loop, &connection->watch);
+  shutdown (fd, SHUT_RDWR);
+  while (recv (fd, bytes, sizeof bytes, MSG_DONTWAIT) > 0)
+    ;
+  if (connection->path != NULL)
+    g_hash_table_add (httpc->broken, g_strdup (connection->path));
+}
+
 static void
 on_socket_ready (struct loop_watch *watch, uint32_t events)
 {
   struct socket_watch *socket_watch = (struct socket_watch *)watch;
   struct httpc *httpc = socket_watch->httpc;
 
+  if (socket_watch->call == NULL)
+    {
+      shut_down_idle (socket_watch);
+      return;
+    }
   if (events & EPOLLIN)
     read_socket (httpc, socket_watch, events);
   else
@@ -256,6 +316,43 @@
   return events;
 }
 
+static struct socket_watch *
+socket_watch_new (struct httpc *httpc, int fd)
+{
+  struct socket_watch *socket_watch = g_new0 (struct socket_watch, 1);
+
+  socket_watch->httpc = httpc;
+  socket_watch->watch.fd = fd;
+  socket_watch->watch.ready = on_socket_ready;
+  return socket_watch;
+}
+
+static void
+connection_free (gpointer data)
+{
+  struct socket_watch *connection = data;
+
+  loop_unwatch (connection->httpc->loop, &connection->watch);
+  if (connection->call != NULL && connection->call->connection == connection)
+    connection->call->connection = NULL;
+  if (connection->path != NULL)
+    g_hash_table_remove (connection->httpc->broken, connection->path);
+  g_free (connection->path);
+  g_free (connection);
+}
+
+static void
+stop_watching (struct httpc *httpc, struct socket_watch *socket_watch)
+{
+  if (socket_watch == NULL)
+    return;
+  loop_unwatch (httpc->loop, &socket_watch->watch);
+  if (httpc->serving == socket_watch)
+    httpc->serving = NULL;
+  if (!socket_watch->is_connection)
+    g_free (socket_watch);
+}
+
 static int
 on_socket (CURL *easy, curl_socket_t fd, int what, void *user,
            void *socket_data)
@@ -265,22 +362,20 @@
 
   if (what == CURL_POLL_REMOVE)
     {
-      if (socket_watch != NULL)
-        loop_unwatch (httpc->loop, &socket_watch->watch);
-      if (httpc->serving == socket_watch)
-        httpc->serving = NULL;
-      g_free (socket_watch);
+      stop_watching (httpc, socket_watch);
       return 0;
     }
   if (socket_watch == NULL)
     {
-      socket_watch = g_new0 (struct socket_watch, 1);
-      socket_watch->httpc = httpc;
-      socket_watch->watch.fd = fd;
-      socket_watch->watch.ready = on_socket_ready;
+      socket_watch
+          = g_hash_table_lookup (httpc->connections, GINT_TO_POINTER (fd));
+      if (socket_watch == NULL)
+        socket_watch = socket_watch_new (httpc, fd);
       curl_multi_assign (httpc->multi, fd, socket_watch);
     }
   curl_easy_getinfo (easy, CURLINFO_PRIVATE, &socket_watch->call);
+  if (socket_watch->is_connection)
+    socket_watch->call->connection = socket_watch;
   loop_watch (httpc->loop, &socket_watch->watch, epoll_events (what));
   return 0;
 }
@@ -325,9 +420,15 @@
     httpc->collected_max = HTTPC_COLLECTED_MAX;
   httpc->timer.fire = on_multi_timer;
   CK_LIST_INIT (&httpc->calls);
+  httpc->connections = g_hash_table_new_full (g_direct_hash, g_direct_equal,
+                                              NULL, connection_free);
+  httpc->broken
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   httpc->multi = curl_multi_init ();
   if (httpc->multi == NULL)
     {
+      g_hash_table_unref (httpc->connections);
+      g_hash_table_unref (httpc->broken);
       g_free (httpc);
       return NULL;
     }
@@ -365,6 +466,8 @@
       call_free (call);
     }
   curl_multi_cleanup (httpc->multi);
+  g_hash_table_unref (httpc->connections);
+  g_hash_table_unref (httpc->broken);
   loop_timer_clear (httpc->loop, &httpc->timer);
   g_free (httpc);
 }
@@ -392,6 +495,36 @@
   finish (call, CURLE_OPERATION_TIMEDOUT);
 }
 
+/* Identifies a connection.  */
+static char *
+connection_path (const char *peer, int peer_port, int local_port)
+{
+  return g_strdup_printf ("%s:%d:%d", peer, peer_port, local_port);
+}
+
+static void
+note_path (struct httpc_call *call, char *path)
+{
+  struct socket_watch *connection = call->connection;
+
+  if (connection == NULL)
+    {
+      g_free (path);
+      return;
+    }
+  g_free (connection->path);
+  connection->path = path;
+}
+
+static bool
+is_broken (const struct httpc *httpc, char *path)
+{
+  bool broken = g_hash_table_contains (httpc->broken, path);
+
+  g_free (path);
+  return broken;
+}
+
 /* curl resends a request by itself when a reused connection breaks before the
    first byte of the response, whatever the method.  Only the caller knows
    whether a retry is safe, so the second attempt is aborted here.  */
@@ -401,18 +534,22 @@
   struct httpc_call *call = user;
   long connects = 0;
 
-  (void)peer;
   (void)local;
-  (void)peer_port;
-  (void)local_port;
   if (call->phase != HTTPC_UNSENT)
     {
       call->resend_attempted = true;
       return CURL_PREREQFUNC_ABORT;
     }
-  call->phase = HTTPC_SENT;
   curl_easy_getinfo (call->easy, CURLINFO_NUM_CONNECTS, &connects);
   call->reused = connects == 0;
+  if (!call->reused)
+    note_path (call, connection_path (peer, peer_port, local_port));
+  else if (g_hash_table_size (call->httpc->broken) > 0)
+    call->broken = is_broken (call->httpc,
+                              connection_path (peer, peer_port, local_port));
+  if (call->broken)
+    return CURL_PREREQFUNC_ABORT;
+  call->phase = HTTPC_SENT;
   if (call->reused && call->request.reused_idle_timeout_ms > 0)
     loop_timer_set (call->httpc->loop, &call->idle_timer,
                     ts_add_ms (loop_now (call->httpc->loop),
@@ -541,8 +678,9 @@
   const int interval_s = KEEPALIVE_INTERVAL_S;
   const int probes = KEEPALIVE_PROBES;
   const int one = 1;
+  struct httpc_call *call = user;
+  struct socket_watch *connection;
 
-  (void)user;
   if (type != CURLSOCKTYPE_IPCXN)
     return CURL_SOCKOPT_OK;
   setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms,
@@ -551,9 +689,24 @@
   setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof idle_s);
   setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s, sizeof interval_s);
   setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+  connection = socket_watch_new (call->httpc, fd);
+  connection->is_connection = true;
+  connection->call = call;
+  call->connection = connection;
+  g_hash_table_replace (call->httpc->connections, GINT_TO_POINTER (fd),
+                        connection);
   return CURL_SOCKOPT_OK;
 }
 
+static int
+on_close_socket (void *user, curl_socket_t fd)
+{
+  struct httpc *httpc = user;
+
+  g_hash_table_remove (httpc->connections, GINT_TO_POINTER (fd));
+  return close (fd);
+}
+
 static void
 set_limits (struct httpc_call *call)
 {
@@ -565,7 +718,6 @@
   curl_easy_setopt (call->easy, CURLOPT_CONNECTTIMEOUT_MS, (long)connect_ms);
   curl_easy_setopt (call->easy, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
   curl_easy_setopt (call->easy, CURLOPT_MAXAGE_CONN, call->httpc->max_age_s);
-  curl_easy_setopt (call->easy, CURLOPT_SOCKOPTFUNCTION, on_sockopt);
   curl_easy_setopt (call->easy, CURLOPT_PROTOCOLS_STR, "http,https");
   curl_easy_setopt (call->easy, CURLOPT_PATH_AS_IS, 1L);
   curl_easy_setopt (call->easy, CURLOPT_NOSIGNAL, 1L);
@@ -580,6 +732,10 @@
 set_callbacks (struct httpc_call *call)
 {
   curl_easy_setopt (call->easy, CURLOPT_PRIVATE, call);
+  curl_easy_setopt (call->easy, CURLOPT_SOCKOPTFUNCTION, on_sockopt);
+  curl_easy_setopt (call->easy, CURLOPT_SOCKOPTDATA, call);
+  curl_easy_setopt (call->easy, CURLOPT_CLOSESOCKETFUNCTION, on_close_socket);
+  curl_easy_setopt (call->easy, CURLOPT_CLOSESOCKETDATA, call->httpc);
   curl_easy_setopt (call->easy, CURLOPT_PREREQFUNCTION, on_prereq);
   curl_easy_setopt (call->easy, CURLOPT_PREREQDATA, call);
   curl_easy_setopt (call->easy, CURLOPT_HEADERFUNCTION, on_header);
--- a/tests/flood_server.h
+++ b/tests/flood_server.h
@@ -17,15 +17,17 @@
 #include <glib.h>
 
 #define FLOOD_BYTES_MAX                                                       \
-  (48u << 20)                    /* bytes sent on one connection, by default */
-#define FLOOD_BLOCK 65536u       /* bytes sent at once, at least */
+  (48u << 20)              /* bytes sent on one connection, by default */
+#define FLOOD_BLOCK 65536u /* bytes sent at once, at least */
+#define FLOOD_RESET_MS 20
 #define FLOOD_REQUEST_MAX 16384u /* bytes of a request's head */
 
 struct flood
 {
   const char *name;
   const char *begin;  /* IDENTITY stands for the headers of the attempt */
-  const char *repeat; /* sent again and again */
+  const char *repeat; /* sent again and again; NULL: the connection is reset
+                         after FLOOD_RESET_MS instead */
 };
 
 #define IDENTITY "@"
@@ -75,6 +77,8 @@
   { "after-answer",
     "HTTP/1.1 200 OK\r\n" IDENTITY "Content-Length: 5\r\n\r\nhello",
     "xxxxxxxx" },
+  { "reset-after-answer",
+    "HTTP/1.1 200 OK\r\n" IDENTITY "Content-Length: 5\r\n\r\nhello", NULL },
 };
 
 struct flood_server
@@ -191,6 +195,15 @@
     ;
 }
 
+static void
+flood_reset (int fd)
+{
+  const struct linger linger = { .l_onoff = 1 };
+
+  g_usleep (FLOOD_RESET_MS * 1000);
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+}
+
 static gpointer
 flood_connection_run (gpointer data)
 {
@@ -202,8 +215,12 @@
       const struct flood *flood = flood_find (strchr (head, ' ') + 1);
 
       g_atomic_int_inc (&connection->server->requests);
-      if (flood_begin (connection->fd, flood, head))
+      if (!flood_begin (connection->fd, flood, head))
+        ;
+      else if (flood->repeat != NULL)
         flood_repeat (connection, flood->repeat);
+      else
+        flood_reset (connection->fd);
     }
   close (connection->fd);
   g_free (connection);
--- a/tests/test_gate_flood.c
+++ b/tests/test_gate_flood.c
@@ -6,6 +6,7 @@
 #define EVENT(n) "id: " #n "\ndata: x" #n "\n\n"
 #define CHOSEN_TIMEOUT_MS 10000 /* until the flooding server is chosen */
 #define WARM_REQUESTS 4         /* fill the retry budget */
+#define AFTER_ANSWER_MS 100     /* until bytes behind a response have come */
 #define ANSWER_TIMEOUT_MS 8000
 
 /* The other server answers at once.  */
@@ -136,6 +137,15 @@
   check_flood ("long", "chunks", 200, events);
 }
 
+static void
+run_for (struct fixture *f, int64_t ms)
+{
+  struct timespec end = ts_add_ms (loop_now (f->loop), ms);
+
+  while (ts_before (loop_now (f->loop), end))
+    run_once (f);
+}
+
 /* An unsafe request was sent on a connection on which the server had sent
    bytes behind its last response, and failed.  */
 static void
@@ -151,6 +161,7 @@
          && g_atomic_int_get (&server.requests) < 5)
     {
       send_request (&f, "once", "after-answer");
+      run_for (&f, AFTER_ANSWER_MS);
       g_assert_cmpint (f.status, ==, 200);
       g_assert_cmpstr (f.received->str, ==, "hello");
     }
--- a/tests/test_httpc_limits.c
+++ b/tests/test_httpc_limits.c
@@ -9,6 +9,7 @@
 #include "ts.h"
 
 #define TIMEOUT_S 20
+#define AFTER_ANSWER_MS 100 /* until bytes behind a response have come */
 #define AT_ONCE 32
 #define AT_ONCE_MEMORY_MAX (192u << 20)
 
@@ -224,18 +225,26 @@
   tear_down (&f);
 }
 
-/* Bytes behind a complete response are not part of it, and the connection is
-   not used again.  */
 static void
-test_after_answer (void)
+run_for (struct fixture *f, int64_t ms)
+{
+  struct timespec end = ts_add_ms (clk_now (clk_monotonic ()), ms);
+
+  while (ts_before (clk_now (clk_monotonic ()), end))
+    loop_run_once (f->loop, 1);
+}
+
+static void
+check_idle_connection (const char *name)
 {
   struct fixture f;
 
   set_up (&f);
   for (unsigned i = 1; i <= 2; i++)
     {
-      start (&f, "after-answer", (struct httpc_request){ 0 });
+      start (&f, name, (struct httpc_request){ 0 });
       run (&f, i);
+      run_for (&f, AFTER_ANSWER_MS);
       g_assert_cmpuint (f.done, ==, i);
       g_assert_cmpint (f.error, ==, 0);
       g_assert_cmpint (f.status, ==, 200);
@@ -245,6 +254,21 @@
   tear_down (&f);
 }
 
+/* The next request was sent on a connection on which the server had sent bytes
+   behind the last response.  */
+static void
+test_after_answer (void)
+{
+  check_idle_connection ("after-answer");
+}
+
+/* The next request was sent on a connection that the server had reset.  */
+static void
+test_reset_after_answer (void)
+{
+  check_idle_connection ("reset-after-answer");
+}
+
 int
 main (int argc, char **argv)
 {
@@ -257,5 +281,7 @@
   g_test_add_func ("/httpc-limits/no-http", test_no_http);
   g_test_add_func ("/httpc-limits/bodies-at-once", test_bodies_at_once);
   g_test_add_func ("/httpc-limits/after-answer", test_after_answer);
+  g_test_add_func ("/httpc-limits/reset-after-answer",
+                   test_reset_after_answer);
   return g_test_run ();
 }
