--- a/tests/test_gate_flood.c
+++ b/tests/test_gate_flood.c
@@ -170,6 +170,79 @@
   flood_server_stop (&server);
 }
 
+/* A caller.  */
+struct caller_flood
+{
+  uint16_t port;
+  const char *begin;
+  const char *repeat;
+  size_t sent; /* bytes */
+  gint ended;  /* atomic: the connection was closed, or all bytes were sent */
+};
+
+static gpointer
+caller_flood_run (gpointer data)
+{
+  struct caller_flood *flood = data;
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  GString *block = g_string_new (NULL);
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  address.sin_port = htons (flood->port);
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  g_assert_cmpint (connect (fd, (struct sockaddr *)&address, sizeof address),
+                   ==, 0);
+  while (block->len < FLOOD_BLOCK)
+    g_string_append (block, flood->repeat);
+  if (flood_send (fd, flood->begin, strlen (flood->begin)))
+    while (flood->sent < FLOOD_BYTES_MAX
+           && flood_send (fd, block->str, block->len))
+      flood->sent += block->len;
+  close (fd);
+  g_string_free (block, TRUE);
+  g_atomic_int_set (&flood->ended, 1);
+  return NULL;
+}
+
+/* A body without end was read until the time limit of a request.  */
+static void
+test_caller (void)
+{
+#define HEAD "POST /safe/x HTTP/1.1\r\nHost: h.example\r\n" ID ": r1\r\n"
+  static const struct caller_flood cases[] = {
+    { .begin = HEAD, .repeat = FLOOD_LINE },
+    { .begin = HEAD "X-Line: ", .repeat = "xxxxxxxx" },
+    { .begin = "POST /safe/", .repeat = "xxxxxxxx" },
+    { .begin = "", .repeat = "xxxxxxxx" },
+    { .begin = HEAD "Transfer-Encoding: chunked\r\n\r\n",
+      .repeat = "8\r\nxxxxxxxx\r\n" },
+    { .begin = HEAD "Transfer-Encoding: chunked\r\n\r\n1;",
+      .repeat = "xxxxxxxx" },
+    { .begin = HEAD "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n",
+      .repeat = FLOOD_LINE },
+    { .begin = HEAD "Content-Length: 9000000000\r\n\r\n",
+      .repeat = "xxxxxxxx" },
+  };
+  struct fixture f;
+
+  set_up (&f);
+  wait_until_serving (&f);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct caller_flood flood = cases[i];
+      GThread *thread;
+
+      flood.port = gate_port (f.gate);
+      thread = g_thread_new ("caller", caller_flood_run, &flood);
+      RUN_UNTIL (&f, g_atomic_int_get (&flood.ended) != 0);
+      g_thread_join (thread);
+      g_test_message ("%zu: %zu bytes sent", i, flood.sent);
+      g_assert_cmpuint (flood.sent, <, FLOOD_BYTES_MAX);
+    }
+  g_assert_cmpuint (f.at_server, ==, 0);
+  tear_down (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -178,5 +251,6 @@
   g_test_add_func ("/gate-flood/unsafe", test_unsafe);
   g_test_add_func ("/gate-flood/stream", test_stream);
   g_test_add_func ("/gate-flood/after-answer", test_after_answer);
+  g_test_add_func ("/gate-flood/caller", test_caller);
   return g_test_run ();
 }
