httpc: shorter reads, so that floods leave turns to other requests

While six servers sent chunks of 8 bytes without end, a caller that sent one request after the other got 2 answers before the floods were over, the slowest in 0.4 to 0.9 s (/gate-flood/others).

Cause: for each event of a socket libcurl reads up to 100 times its buffer of 16 KiB, and decoding 1.6 MB of small chunks took up to 21 ms; each iteration of the loop did this for every flood.

The buffer is 2 KiB.

--- a/src/httpc.c
+++ b/src/httpc.c
@@ -20,7 +20,9 @@
 #define KEEPALIVE_INTERVAL_S 1
 #define KEEPALIVE_PROBES 3
 #define DRAIN_BYTES (16u << 10) /* read at once */
-#define HEAD_LINE_OVERHEAD 32   /* bytes, as in RFC 9113, section 6.5.2 */
+/* libcurl reads up to 100 times before it returns to the loop.  */
+#define READ_BYTES 2048L
+#define HEAD_LINE_OVERHEAD 32 /* bytes, as in RFC 9113, section 6.5.2 */
 
 CK_LIST_HEAD (call_list, httpc_call);
 
@@ -720,6 +722,7 @@
   curl_easy_setopt (call->easy, CURLOPT_MAXAGE_CONN, call->httpc->max_age_s);
   curl_easy_setopt (call->easy, CURLOPT_PROTOCOLS_STR, "http,https");
   curl_easy_setopt (call->easy, CURLOPT_PATH_AS_IS, 1L);
+  curl_easy_setopt (call->easy, CURLOPT_BUFFERSIZE, READ_BYTES);
   curl_easy_setopt (call->easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (call->easy, CURLOPT_NOPROXY, "*");
   curl_easy_setopt (call->easy, CURLOPT_HTTP_VERSION,
--- a/tests/test_gate_flood.c
+++ b/tests/test_gate_flood.c
@@ -7,6 +7,9 @@
 #define CHOSEN_TIMEOUT_MS 10000 /* until the flooding server is chosen */
 #define WARM_REQUESTS 4         /* fill the retry budget */
 #define AFTER_ANSWER_MS 100     /* until bytes behind a response have come */
+#define FLOODS_AT_ONCE 6u
+#define OTHERS_MIN 3u /* answered one after the other while the floods last   \
+                       */
 #define CALLER_FLOOD_MS 2000
 #define CALLER_ITERATIONS_MAX 2000 /* of the loop, in CALLER_FLOOD_MS */
 #define ANSWER_TIMEOUT_MS 8000
@@ -172,6 +175,72 @@
   flood_server_stop (&server);
 }
 
+static void
+on_flooded_done (void *user, const struct httpc_result *result)
+{
+  unsigned *ended = user;
+
+  g_assert_cmpint (result->status, ==, 502);
+  (*ended)++;
+}
+
+static void
+start_flooded (struct fixture *f, unsigned *ended)
+{
+  static const char *const headers[]
+      = { "Host: h.example", "Parsleyrill-Request-Id: r2", NULL };
+  char *url = g_strdup_printf ("http://127.0.0.1:%u/once/chunks",
+                               gate_port (f->gate));
+  struct httpc_request request = { .method = "POST",
+                                   .url = url,
+                                   .headers = headers,
+                                   .done = on_flooded_done,
+                                   .user = ended };
+
+  g_assert_nonnull (httpc_start (f->caller, &request));
+  g_free (url);
+}
+
+/* Other requests hardly went on while servers answered without end, because of
+   long reads from each in turn.  */
+static void
+test_others (void)
+{
+  struct fixture f;
+  struct flood_server server;
+  unsigned ended = 0;
+  unsigned answered = 0;
+  int64_t longest_ms = 0;
+
+  set_up (&f);
+  flood_server_start (&server);
+  list_flood_server (&f, &server);
+  put_config (&f, 1);
+  do
+    send_request (&f, "safe", "reset-after-answer");
+  while (f.status != 200);
+  for (unsigned i = 0; i < FLOODS_AT_ONCE; i++)
+    start_flooded (&f, &ended);
+  list_server (&f, "ready");
+  while (ended < FLOODS_AT_ONCE)
+    {
+      struct timespec started = clk_now (clk_monotonic ());
+      struct timespec took;
+
+      send_request (&f, "safe", "reset-after-answer");
+      took = ts_sub (clk_now (clk_monotonic ()), started);
+      g_assert_cmpint (f.status, ==, 200);
+      g_assert_cmpstr (f.received->str, ==, "hello");
+      longest_ms = MAX (longest_ms, ts_to_ms (took));
+      answered++;
+    }
+  g_test_message ("%u answered beside %u floods, the slowest in %d ms",
+                  answered, FLOODS_AT_ONCE, (int)longest_ms);
+  g_assert_cmpuint (answered, >=, OTHERS_MIN);
+  tear_down (&f);
+  flood_server_stop (&server);
+}
+
 /* A caller.  */
 struct caller_flood
 {
@@ -276,6 +345,7 @@
   g_test_add_func ("/gate-flood/unsafe", test_unsafe);
   g_test_add_func ("/gate-flood/stream", test_stream);
   g_test_add_func ("/gate-flood/after-answer", test_after_answer);
+  g_test_add_func ("/gate-flood/others", test_others);
   g_test_add_func ("/gate-flood/caller", test_caller);
   return g_test_run ();
 }
