forward: say in the log how long a server had been silent and whether a stream was cut

What callers saw: streams that ended early; the log could not tell a node that gave up from one that had stood still itself, nor a refusal from a cut stream.

Change: ATTEMPT_FAILED has silent_ms, the time since the last byte, and events; REQUEST_REFUSED has cut.

--- a/src/forward_answer.c
+++ b/src/forward_answer.c
@@ -18,6 +18,7 @@
     return;
   forward->head_parsed = true;
   forward->first_at = forward_now (forward);
+  forward->heard_at = forward->first_at;
   gateway->options.caller->ops->interpret (gateway->options.caller,
                                            forward->call, status,
                                            &forward->parsed, &forward->answer);
@@ -112,6 +113,7 @@
   struct forward *forward = user;
   int err;
 
+  forward->heard_at = forward_now (forward);
   if (forward->streaming)
     {
       err = sse_forward (&forward->sse, forward->buffer, bytes, n,
--- a/src/forward_log.c
+++ b/src/forward_log.c
@@ -95,6 +95,7 @@
   log_int (&line, "status", status);
   log_str (&line, "why", why);
   log_int (&line, "not_run", forward_not_run (forward));
+  log_int (&line, "cut", forward->head_sent);
   log_int (&line, "sendings", forward->dispatches);
   log_delay (forward, &line);
   log_int (&line, "retry_after_ms", retry_ms);
@@ -115,6 +116,9 @@
   log_int (&line, "not_run", forward->head_parsed && forward->answer.not_run);
   log_int (&line, "reused", result->reused);
   log_int (&line, "sent", result->phase != HTTPC_UNSENT);
+  log_double (&line, "silent_ms",
+              to_ms (ts_sub (forward_now (forward), forward->heard_at)));
+  log_int (&line, "events", (int64_t)forward->sse.events);
   log_end (&line);
 }
 
--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -258,6 +258,7 @@
   forward->state = FORWARD_SENT;
   forward->sent_at = now;
   forward->first_at = (struct timespec){ 0 };
+  forward->heard_at = now;
   forward->head_parsed = false;
   forward->streaming = false;
   sse_init (&forward->sse);
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -48,6 +48,7 @@
   struct pick_explanation explanation; /* of the latest choice of a replica */
   struct timespec sent_at;
   struct timespec first_at;      /* first byte of the response; zero: none */
+  struct timespec heard_at;      /* latest byte, or the dispatch */
   struct caller_response answer; /* of the current attempt */
   bool head_parsed;              /* ANSWER is valid */
   bool streaming;  /* the current response is passed on as a stream */
