forward: a silent server's attempt ends only for one that takes its place

A route with one attempt, an empty retry budget or a model with one replica lost every stream of a server that was silent for longer than four times the longest allowed pause (1.6 s there), though the server went on; a request on a reused connection got 502 after half a second.

Cause: the idle timeout of httpc ended the attempt first, and only then did the gateway ask whether the request may be repeated, the budget allows it and another server is ready. Class: an irreversible step taken on suspicion, before it is known that something better exists.

Change: httpc asks its user when an idle timeout has passed. The gateway moves the request if it may be repeated, another server can take it now and the budget allows it; sends it to the same server on a new connection if only the connection seems dead and the server isn't leaving; else lets it go on. The decision is in stall. A server that is waited for counts as failing for its ejection, as before. SERVER_SILENT (207) logs what was done.

--- a/src/eject.c
+++ b/src/eject.c
@@ -111,6 +111,12 @@
   return false;
 }
 
+bool
+eject_suspect (struct eject *eject, const char *engine, struct timespec now)
+{
+  return record_failure (get_state (eject, engine), now);
+}
+
 void
 eject_abandon (struct eject *eject, const char *engine)
 {
--- a/src/eject.h
+++ b/src/eject.h
@@ -39,6 +39,11 @@
 bool eject_end (struct eject *eject, const char *engine, bool ok,
                 struct timespec now);
 
+/* A dispatch that goes on shows a failure: the engine sends nothing.  True
+   when this ejected the engine.  */
+bool eject_suspect (struct eject *eject, const char *engine,
+                    struct timespec now);
+
 /* The dispatch was canceled by this node: neither success nor failure.  */
 void eject_abandon (struct eject *eject, const char *engine);
 
--- a/src/forward.c
+++ b/src/forward.c
@@ -16,6 +16,7 @@
   for (size_t i = 0; i < forward->tried_count; i++)
     route_engine_unref (forward->engines[i]);
   route_engine_unref (forward->engine);
+  route_engine_unref (forward->replacement);
   caller_request_clear (&forward->parsed);
   site_unref (forward->site);
   g_string_free (forward->buffer, TRUE);
--- a/src/forward_answer.c
+++ b/src/forward_answer.c
@@ -114,6 +114,8 @@
   int err;
 
   forward->heard_at = forward_now (forward);
+  reach_heard (forward->gateway->reach, forward->engine->id,
+               forward->heard_at);
   if (forward->streaming)
     {
       err = sse_forward (&forward->sse, forward->buffer, bytes, n,
@@ -164,13 +166,15 @@
   forward_finish (forward);
 }
 
-/* The reused connection timed out, which is no evidence against the
-   server.  */
+/* The connection timed out, but that is no evidence against the server: it
+   was reused, or is replaced by a new one.  */
 static bool
-connection_stalled (const struct httpc_result *result)
+connection_stalled (const struct forward *forward,
+                    const struct httpc_result *result)
 {
-  return result->error == -ETIMEDOUT && result->reused
-         && result->phase < HTTPC_RESPONDING;
+  return forward->replacement == forward->engine
+         || (result->error == -ETIMEDOUT && result->reused
+             && result->phase < HTTPC_RESPONDING);
 }
 
 static void
@@ -182,7 +186,7 @@
   const char *id = forward->engine->id;
   bool healthy = refusal || (result->error == 0 && is_authentic (forward));
 
-  if (connection_stalled (result))
+  if (connection_stalled (forward, result))
     {
       reach_stalled (gateway->reach, id, now);
       eject_abandon (gateway->eject, id);
@@ -208,6 +212,70 @@
   return !forward->head_sent || forward->can_resume;
 }
 
+/* Whether perhaps only the connection of the attempt is dead, not the
+   server, and the server may be sent the request again.  */
+static bool
+is_connection_suspect (struct forward *forward)
+{
+  struct timespec expected
+      = ts_add_ms (forward->heard_at, forward->route->gap_ms);
+
+  return (!forward->head_parsed
+          || reach_heard_after (forward->gateway->reach, forward->engine->id,
+                                expected))
+         && forward_engine_is_replica (forward);
+}
+
+/* Sets forward->replacement unless the attempt is to go on.  */
+static enum stall_action
+replace_silent (struct forward *forward)
+{
+  struct gateway *gateway = forward->gateway;
+  struct stall stall = { .may_retry = may_retry (forward) };
+  struct route_engine *other = NULL;
+  enum stall_action action;
+
+  if (stall.may_retry)
+    other = forward_pick_other (forward);
+  stall.other_ready = other != NULL;
+  stall.connection_suspect = is_connection_suspect (forward);
+  action = stall_decide (&stall);
+  if (action != STALL_WAIT
+      && !retry_withdraw (gateway->retry, forward->service->name))
+    action = STALL_WAIT;
+  if (action == STALL_MOVE)
+    forward->replacement = other;
+  else
+    route_engine_unref (other);
+  if (action == STALL_RECONNECT)
+    forward->replacement = route_engine_ref (forward->engine);
+  return action;
+}
+
+bool
+forward_on_silence (void *user)
+{
+  struct forward *forward = user;
+  enum stall_action action = replace_silent (forward);
+
+  forward_log_silent (forward, action);
+  if (action == STALL_WAIT && forward->head_parsed)
+    eject_suspect (forward->gateway->eject, forward->engine->id,
+                   forward_now (forward));
+  return action != STALL_WAIT;
+}
+
+/* Ends the silent attempt in favour of its replacement.  */
+static void
+start_replacement (struct forward *forward)
+{
+  struct route_engine *engine = forward->replacement;
+
+  forward->replacement = NULL;
+  counter_add (COUNTER_RETRIES, 1);
+  forward_dispatch (forward, engine);
+}
+
 /* Nothing was sent to the server: tries other servers, or the same one later.
    Such attempts do not use the retry budget, because they put no load on
    any server.  */
@@ -314,7 +382,9 @@
   if (result->error != 0 || refusal)
     forward_log_failed (forward, result);
   gateway_dispatch_soon (forward->gateway);
-  if (refusal)
+  if (forward->replacement != NULL)
+    start_replacement (forward);
+  else if (refusal)
     retry_refused (forward, "no server has room");
   else if (result->error != 0 && result->phase == HTTPC_UNSENT)
     retry_unsent (forward);
--- a/src/forward_log.c
+++ b/src/forward_log.c
@@ -122,6 +122,21 @@
   log_end (&line);
 }
 
+void
+forward_log_silent (struct forward *forward, enum stall_action action)
+{
+  struct log_line line;
+
+  begin_line (forward, &line, EVENT_SERVER_SILENT);
+  log_str (&line, "engine", forward->engine->id);
+  log_int (&line, "sending", forward->dispatches);
+  log_double (&line, "silent_ms",
+              to_ms (ts_sub (forward_now (forward), forward->heard_at)));
+  log_int (&line, "events", (int64_t)forward->sse.events);
+  log_str (&line, "action", stall_action_name (action));
+  log_end (&line);
+}
+
 void
 forward_log_gone (struct forward *forward)
 {
--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -161,6 +161,12 @@
   forward->tried[forward->tried_count++] = forward->engine->id;
 }
 
+static void
+unmark_tried (struct forward *forward)
+{
+  route_engine_unref (forward->engines[--forward->tried_count]);
+}
+
 /* Called before the request waits: afterwards all servers may be tried
    again.  */
 static void
@@ -222,6 +228,7 @@
           .target = httpd_uri (forward->request),
           .headers = (const char *const *)headers->pdata,
           .fresh_connection = needs_new_connection (forward),
+          .silent = forward_on_silence,
           .head = forward_on_head,
           .body_cb = forward_on_bytes,
           .done = forward_on_done,
@@ -244,8 +251,8 @@
   g_free (url);
 }
 
-static void
-dispatch (struct forward *forward, struct route_engine *engine)
+void
+forward_dispatch (struct forward *forward, struct route_engine *engine)
 {
   struct gateway *gateway = forward->gateway;
   struct timespec now = forward_now (forward);
@@ -349,7 +356,7 @@
 
   if (!is_overloaded (forward, &retry_ms))
     {
-      dispatch (forward, engine);
+      forward_dispatch (forward, engine);
       return;
     }
   route_engine_unref (engine);
@@ -357,6 +364,55 @@
     forward_fail (forward, "the servers are overloaded", retry_ms);
 }
 
+/* Fills REPLICAS, which borrow from the list of servers, and *READY_AT, see
+   servers_replicas.  */
+static void
+get_replicas (struct forward *forward, GArray *replicas,
+              struct timespec *ready_at)
+{
+  servers_replicas (
+      listing_servers (forward->gateway->listing), forward->service->name,
+      forward->target != NULL ? forward->parsed.model : NULL,
+      forward->parsed.adapter, forward_now (forward), replicas, ready_at);
+}
+
+struct route_engine *
+forward_pick_other (struct forward *forward)
+{
+  GArray *replicas = g_array_new (FALSE, FALSE, sizeof (struct route_replica));
+  struct route_engine *engine = NULL;
+  struct timespec ready_at;
+
+  get_replicas (forward, replicas, &ready_at);
+  forward_mark_tried (forward);
+  if (replicas->len > 0 && gateway_may_dispatch (forward->gateway))
+    engine = pick_engine (forward, replicas);
+  if (engine == NULL)
+    unmark_tried (forward);
+  g_array_unref (replicas);
+  return engine;
+}
+
+bool
+forward_engine_is_replica (struct forward *forward)
+{
+  GArray *replicas = g_array_new (FALSE, FALSE, sizeof (struct route_replica));
+  struct timespec ready_at;
+  bool found = false;
+
+  get_replicas (forward, replicas, &ready_at);
+  for (guint i = 0; i < replicas->len && !found; i++)
+    {
+      const struct route_replica *replica
+          = &g_array_index (replicas, struct route_replica, i);
+
+      found = !replica->leaving
+              && strcmp (replica->engine->id, forward->engine->id) == 0;
+    }
+  g_array_unref (replicas);
+  return found && gateway_may_dispatch (forward->gateway);
+}
+
 void
 forward_route (struct forward *forward)
 {
@@ -366,9 +422,7 @@
   struct route_engine *engine = NULL;
   struct timespec ready_at;
 
-  servers_replicas (listing_servers (gateway->listing), forward->service->name,
-                    forward->target != NULL ? forward->parsed.model : NULL,
-                    forward->parsed.adapter, now, replicas, &ready_at);
+  get_replicas (forward, replicas, &ready_at);
   if (replicas->len > 0 && gateway_may_dispatch (gateway))
     engine = pick_engine (forward, replicas);
   g_array_unref (replicas);
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -12,6 +12,7 @@
 #include "log.h"
 #include "sse.h"
 #include "site.h"
+#include "stall.h"
 
 #define FORWARD_DISPATCHES_MAX 6 /* to servers, including refused ones */
 
@@ -45,6 +46,8 @@
   size_t tried_count;
   struct httpc_call *call;             /* NULL: no attempt in progress */
   struct route_engine *engine;         /* of CALL */
+  struct route_engine *replacement;    /* takes the place of CALL, which ends;
+                                          NULL: none */
   struct pick_explanation explanation; /* of the latest choice of a replica */
   struct timespec sent_at;
   struct timespec first_at;      /* first byte of the response; zero: none */
@@ -90,10 +93,19 @@
 /* Cancels the attempt in progress.  Closing its connection ends the work
    at the server.  */
 void forward_cancel (struct forward *forward);
+/* Dispatches the request to ENGINE, whose reference it takes.  */
+void forward_dispatch (struct forward *forward, struct route_engine *engine);
+/* A new reference to another engine than the current one that can take the
+   request now, or NULL.  */
+struct route_engine *forward_pick_other (struct forward *forward);
+/* Whether the current engine could still be chosen: it is listed, not leaving
+   and has the target.  */
+bool forward_engine_is_replica (struct forward *forward);
 /* The current engine will not be used again for this request.  */
 void forward_mark_tried (struct forward *forward);
 
 /* forward_answer.c */
+bool forward_on_silence (void *user);
 void forward_on_head (void *user, long status, const char *content_type);
 int forward_on_bytes (void *user, const char *bytes, size_t n);
 void forward_on_done (void *user, const struct httpc_result *result);
@@ -104,6 +116,7 @@
 void forward_log_done (struct forward *forward, long status);
 void forward_log_refused (struct forward *forward, unsigned status,
                           const char *why, int64_t retry_ms);
+void forward_log_silent (struct forward *forward, enum stall_action action);
 void forward_log_failed (struct forward *forward,
                          const struct httpc_result *result);
 void forward_log_gone (struct forward *forward);
--- a/src/httpc.c
+++ b/src/httpc.c
@@ -304,14 +304,25 @@
   g_free (httpc);
 }
 
+static int64_t
+idle_timeout (const struct httpc_call *call)
+{
+  const struct httpc_request *request = &call->request;
+
+  if (call->body_started && request->body_idle_timeout_ms > 0)
+    return request->body_idle_timeout_ms;
+  if (call->phase == HTTPC_SENT && call->reused
+      && request->reused_idle_timeout_ms > 0)
+    return request->reused_idle_timeout_ms;
+  return request->idle_timeout_ms;
+}
+
 static void
 restart_idle_timer (struct httpc_call *call)
 {
   struct loop *loop = call->httpc->loop;
-  int64_t ms = call->request.idle_timeout_ms;
+  int64_t ms = idle_timeout (call);
 
-  if (call->body_started && call->request.body_idle_timeout_ms > 0)
-    ms = call->request.body_idle_timeout_ms;
   if (ms > 0)
     loop_timer_set (loop, &call->idle_timer, ts_add_ms (loop_now (loop), ms));
 }
@@ -323,6 +334,12 @@
       = (struct httpc_call *)((char *)timer
                               - offsetof (struct httpc_call, idle_timer));
 
+  if (call->request.silent != NULL
+      && !call->request.silent (call->request.user))
+    {
+      restart_idle_timer (call);
+      return;
+    }
   call->idle_timed_out = true;
   finish (call, CURLE_OPERATION_TIMEDOUT);
 }
@@ -349,9 +366,7 @@
   curl_easy_getinfo (call->easy, CURLINFO_NUM_CONNECTS, &connects);
   call->reused = connects == 0;
   if (call->reused && call->request.reused_idle_timeout_ms > 0)
-    loop_timer_set (call->httpc->loop, &call->idle_timer,
-                    ts_add_ms (loop_now (call->httpc->loop),
-                               call->request.reused_idle_timeout_ms));
+    restart_idle_timer (call);
   return CURL_PREREQFUNC_OK;
 }
 
--- a/src/reach.c
+++ b/src/reach.c
@@ -11,6 +11,7 @@
   struct timespec backoff_until;  /* zero: not backing off */
   struct timespec new_only_until; /* no reused connections until then */
   int64_t backoff_ms;             /* duration of the last backoff */
+  struct timespec heard_at;       /* zero: no bytes yet */
   double first_byte_ms;           /* moving average; 0: not known */
 };
 
@@ -94,6 +95,21 @@
       = ts_add_ms (now, REACH_STALL_MS);
 }
 
+void
+reach_heard (struct reach *reach, const char *engine, struct timespec now)
+{
+  get_server (reach, engine, now)->heard_at = now;
+}
+
+bool
+reach_heard_after (const struct reach *reach, const char *engine,
+                   struct timespec since)
+{
+  const struct server *server = g_hash_table_lookup (reach->servers, engine);
+
+  return server != NULL && ts_before (since, server->heard_at);
+}
+
 bool
 reach_backing_off (struct reach *reach, const char *engine,
                    struct timespec now)
--- a/src/reach.h
+++ b/src/reach.h
@@ -41,6 +41,14 @@
 void reach_stalled (struct reach *reach, const char *engine,
                     struct timespec now);
 
+/* ENGINE sent bytes.  */
+void reach_heard (struct reach *reach, const char *engine,
+                  struct timespec now);
+
+/* Whether ENGINE sent bytes, on any connection, after SINCE.  */
+bool reach_heard_after (const struct reach *reach, const char *engine,
+                        struct timespec since);
+
 /* Whether to avoid ENGINE.  The first call after the backoff has expired
    returns false and starts another backoff, so that only one request tries the
    engine.  */
--- a/tests/test_silence.c
+++ b/tests/test_silence.c
@@ -32,7 +32,7 @@
 }
 
 static void
-start_serving (struct fixture *f)
+start_serving (struct fixture *f, bool no_retries)
 {
   static const char silence_config[]
       = "{\"Version\":2,\"Routes\":["
@@ -48,7 +48,7 @@
         "],\"Services\":[{\"Name\":\"app\"}]}";
   char *text = g_strdup_printf (silence_config, GAP_MS, GAP_MS);
 
-  set_up (f);
+  set_up_with (f, no_retries);
   wait_until_serving (f);
   put_row (f, "op/config", text);
   g_free (text);
@@ -84,7 +84,7 @@
 {
   struct fixture f;
 
-  start_serving (&f);
+  start_serving (&f, false);
   start_request (&f, "GET", "/one/events", NULL);
   stay_silent (&f);
   g_assert_false (f.done);
@@ -102,7 +102,7 @@
 {
   struct fixture f;
 
-  start_serving (&f);
+  start_serving (&f, false);
   start_request (&f, "GET", "/two/events", NULL);
   stay_silent (&f);
   g_assert_false (f.done);
@@ -120,7 +120,7 @@
 {
   struct fixture f;
 
-  start_serving (&f);
+  start_serving (&f, false);
   start_request (&f, "GET", "/safe/hold", NULL);
   stay_silent (&f);
   g_assert_false (f.done);
@@ -131,22 +131,28 @@
   tear_down (&f);
 }
 
+static void
+list_second_server (struct fixture *f)
+{
+  char *text = g_strdup_printf (
+      "{\"Service\":\"app\",\"Address\":\"127.0.0.1:%u\",\"Zone\":\"z\","
+      "\"Slots\":8,\"State\":\"ready\",\"Sequence\":1}",
+      httpd_port (f->server));
+
+  put_row (f, "servers/i-2", text);
+  g_free (text);
+}
+
 /* A stream goes on at another server while its own is silent.  */
 static void
 test_moves_to_other_server (void)
 {
   struct fixture f;
-  char *text;
 
-  start_serving (&f);
+  start_serving (&f, false);
   start_request (&f, "GET", "/two/events", NULL);
   RUN_UNTIL (&f, f.held != NULL);
-  text = g_strdup_printf (
-      "{\"Service\":\"app\",\"Address\":\"127.0.0.1:%u\",\"Zone\":\"z\","
-      "\"Slots\":8,\"State\":\"ready\",\"Sequence\":1}",
-      httpd_port (f.server));
-  put_row (&f, "servers/i-2", text);
-  g_free (text);
+  list_second_server (&f);
   RUN_UNTIL (&f, f.done);
   g_assert_cmpint (f.error, ==, 0);
   g_assert_cmpstr (f.received->str, ==, EVENT (1) EVENT (2));
@@ -154,6 +160,25 @@
   tear_down (&f);
 }
 
+/* Guards against cutting a stream whose server is silent because the retry
+   budget is empty.  */
+static void
+test_no_budget (void)
+{
+  struct fixture f;
+
+  start_serving (&f, true);
+  start_request (&f, "GET", "/two/events", NULL);
+  RUN_UNTIL (&f, f.held != NULL);
+  list_second_server (&f);
+  stay_silent (&f);
+  g_assert_false (f.done);
+  finish_held_stream (&f);
+  g_assert_cmpint (f.error, ==, 0);
+  g_assert_cmpstr (f.received->str, ==, EVENT (1) EVENT (2));
+  tear_down (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -162,5 +187,6 @@
   g_test_add_func ("/silence/no-other-server", test_no_other_server);
   g_test_add_func ("/silence/before-response", test_silent_before_response);
   g_test_add_func ("/silence/moves", test_moves_to_other_server);
+  g_test_add_func ("/silence/no-budget", test_no_budget);
   return g_test_run ();
 }
