httpc: stop the timeout for the first byte when the response begins

What callers saw (by test): a response that had begun within the limit for the first byte, but ended after it, was given up on a reused connection and asked for again elsewhere.

Cause: restart_idle_timer left the timer as it was when no limit applies from then on, so the limit for the first byte went on into the body.

Evidence: /silence/response-begun failed before ("'f.done' should be FALSE", 500 ms after the send), passes now.

Change: the timer is cleared when no limit applies.

--- a/src/httpc.c
+++ b/src/httpc.c
@@ -325,6 +325,8 @@
 
   if (ms > 0)
     loop_timer_set (loop, &call->idle_timer, ts_add_ms (loop_now (loop), ms));
+  else
+    loop_timer_clear (loop, &call->idle_timer);
 }
 
 static void
--- a/tests/test_silence.c
+++ b/tests/test_silence.c
@@ -25,6 +25,15 @@
       begin_event_stream (request, EVENT (1));
       f->held = request;
     }
+  else if (strcmp (behaviour, "begin") == 0)
+    {
+      const char *headers[]
+          = { ID, httpd_header (request, ID), SEAL, "seal", NULL };
+
+      httpd_stream_begin (request, 200, "text/plain", headers);
+      httpd_stream_write (request, "be", 2);
+      f->held = request;
+    }
   else if (strcmp (behaviour, "hold") == 0)
     f->held = request;
   else
@@ -39,6 +48,10 @@
         "{\"Name\":\"safe\",\"Hostname\":\"h.example\",\"Prefix\":\"/safe/\","
         "\"Kind\":\"safe\",\"TimeoutMs\":20000,\"Service\":\"app\","
         "\"MaxAttempts\":1},"
+        "{\"Name\":\"again\",\"Hostname\":\"h.example\",\"Prefix\":\"/again/"
+        "\","
+        "\"Kind\":\"safe\",\"TimeoutMs\":20000,\"Service\":\"app\","
+        "\"MaxAttempts\":2},"
         "{\"Name\":\"one\",\"Hostname\":\"h.example\",\"Prefix\":\"/one/\","
         "\"Kind\":\"streaming\",\"TimeoutMs\":20000,\"Service\":\"app\","
         "\"MaxAttempts\":1,\"Resumable\":true,\"GapAimMs\":%d},"
@@ -179,6 +192,28 @@
   tear_down (&f);
 }
 
+/* Guards against a timeout for the first byte of a response that has already
+   begun.  */
+static void
+test_response_begun (void)
+{
+  struct fixture f;
+
+  start_serving (&f, false);
+  start_request (&f, "GET", "/again/begin", NULL);
+  RUN_UNTIL (&f, f.held != NULL);
+  list_second_server (&f);
+  stay_silent (&f);
+  g_assert_false (f.done);
+  httpd_stream_write (f.held, "gun", 3);
+  httpd_stream_end (f.held);
+  RUN_UNTIL (&f, f.done);
+  g_assert_cmpint (f.error, ==, 0);
+  g_assert_cmpstr (f.received->str, ==, "begun");
+  g_assert_cmpuint (f.at_server, ==, 1);
+  tear_down (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -188,5 +223,6 @@
   g_test_add_func ("/silence/before-response", test_silent_before_response);
   g_test_add_func ("/silence/moves", test_moves_to_other_server);
   g_test_add_func ("/silence/no-budget", test_no_budget);
+  g_test_add_func ("/silence/response-begun", test_response_begun);
   return g_test_run ();
 }
