loop: read all descriptors that are ready before timers fire

What callers would see: after a pause of the node, streams moved to other servers, or given up before, although their bytes were waiting.

Cause: one epoll_wait returns at most 64 events and timers fire right after them, so the idle timeouts of all further connections were due before their bytes were read.

Evidence: /loop/bytes-before-timers, 200 ready descriptors after a pause: 136 timeouts before, none now.

Change: up to 16 polls an iteration while each returns a full batch.

--- a/src/loop.c
+++ b/src/loop.c
@@ -9,6 +9,7 @@
 #include <glib.h>
 #include "ts.h"
 
+#define LOOP_POLLS 16 /* max calls of epoll_wait before timers fire */
 #define LOOP_BATCH 64 /* max events per epoll_wait */
 
 CK_LIST_HEAD (prepare_list, loop_prepare);
@@ -275,17 +276,28 @@
     }
 }
 
+/* Returns whether more descriptors may be ready.  */
+static bool
+poll_once (struct loop *loop, int sleep_ms)
+{
+  int n = epoll_wait (loop->epoll_fd, loop->batch, LOOP_BATCH, sleep_ms);
+
+  loop->now = clk_now (loop->clk);
+  loop->batch_count = n > 0 ? n : 0;
+  dispatch_events (loop);
+  return n == LOOP_BATCH;
+}
+
+/* Reads what is ready before timers fire: after the process stood still, idle
+   timeouts are due of connections whose bytes wait to be read.  */
 void
 loop_run_once (struct loop *loop, int max_ms)
 {
   int sleep_ms = run_prepares (loop, max_ms);
-  int n;
 
   sleep_ms = min_timeout (sleep_ms, next_timer_ms (loop));
-  n = epoll_wait (loop->epoll_fd, loop->batch, LOOP_BATCH, sleep_ms);
-  loop->now = clk_now (loop->clk);
-  loop->batch_count = n > 0 ? n : 0;
-  dispatch_events (loop);
+  for (int i = 0; i < LOOP_POLLS && poll_once (loop, sleep_ms); i++)
+    sleep_ms = 0;
   fire_timers (loop);
 }
 
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -2,6 +2,7 @@
 #include <fcntl.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/eventfd.h>
 #include <unistd.h>
 #include <glib.h>
 #include <jansson.h>
@@ -289,6 +290,70 @@
   loop_free (a.loop);
 }
 
+#define READY 200 /* descriptors, more than the loop reads at once */
+
+struct idle_watch
+{
+  struct loop_watch watch;
+  struct loop_timer timer;
+  struct loop *loop;
+  int *timeouts;
+};
+
+static void
+on_idle_bytes (struct loop_watch *watch, uint32_t events)
+{
+  struct idle_watch *idle = (struct idle_watch *)watch;
+  uint64_t value;
+
+  (void)events;
+  g_assert_cmpint (read (watch->fd, &value, sizeof value), ==, sizeof value);
+  loop_timer_clear (idle->loop, &idle->timer);
+}
+
+static void
+on_idle_timeout (struct loop_timer *timer)
+{
+  struct idle_watch *idle
+      = (struct idle_watch *)((char *)timer
+                              - offsetof (struct idle_watch, timer));
+
+  (*idle->timeouts)++;
+}
+
+/* Guards against idle timeouts of connections whose bytes wait unread because
+   the process stood still.  */
+static void
+test_bytes_before_timers (void)
+{
+  struct clk_manual manual;
+  struct loop *loop;
+  struct idle_watch idle[READY];
+  int timeouts = 0;
+
+  clk_manual_init (&manual, ts_from_ms (1000));
+  loop = loop_new (&manual.clk);
+  for (int i = 0; i < READY; i++)
+    {
+      idle[i] = (struct idle_watch){ .watch = { .ready = on_idle_bytes },
+                                     .timer = { .fire = on_idle_timeout },
+                                     .loop = loop,
+                                     .timeouts = &timeouts };
+      idle[i].watch.fd = eventfd (1, EFD_CLOEXEC | EFD_NONBLOCK);
+      loop_watch (loop, &idle[i].watch, EPOLLIN);
+      loop_timer_set (loop, &idle[i].timer, ts_from_ms (2000));
+    }
+  manual.at = ts_from_ms (5000);
+  loop_run_once (loop, 0);
+  g_assert_cmpint (timeouts, ==, 0);
+  for (int i = 0; i < READY; i++)
+    {
+      loop_unwatch (loop, &idle[i].watch);
+      close (idle[i].watch.fd);
+    }
+  loop_free (loop);
+}
+
 #define SENDERS 4
 #define MESSAGES 2000
 
@@ -473,6 +538,7 @@
   g_test_add_func ("/http/large-body", test_http_large_body);
   g_test_add_func ("/loop/timers", test_timers);
   g_test_add_func ("/loop/reschedule", test_timer_reschedules);
+  g_test_add_func ("/loop/bytes-before-timers", test_bytes_before_timers);
   g_test_add_func ("/ring/senders", test_ring);
   g_test_add_func ("/kernel/start", test_kernel);
   g_test_add_func ("/log/json", test_log_json);
