call: before the configured limit of silence, an attempt ends only for one in its place

What callers of parsleyd would see: a stream whose engine was silent for 2 s was given up and run again, with one replica at the same engine, and cut when the retry budget was empty or the attempts were used up, although the configured limit of silence (10 s) had not passed.

Evidence: /traffic/silence failed before (the stream was run a second time: its first event came twice), passes now. /traffic/idle-timeout holds the configured limit, before and after.

Change: the exchange asks the call, which decides by stall; the configured limit still ends the attempt.

--- a/src/call_answer.c
+++ b/src/call_answer.c
@@ -1,9 +1,11 @@
 #include <errno.h>
+#include <string.h>
 #include "call_state.h"
 #include "counter.h"
 #include "eject.h"
 #include "reach.h"
 #include "retry.h"
+#include "stall.h"
 #include "ts.h"
 
 /* After a connection broke, the backend server may have crashed: time for the
@@ -254,4 +256,40 @@
   return err;
 }
 
-const struct exchange_ops call_exchange_ops = { on_begin, on_bytes, on_end };
+/* Whether the call may be attempted once more if its current attempt times
+   out.  */
+static bool
+may_replace (const struct call *call)
+{
+  struct attempt attempts[ATTEMPT_MAX];
+
+  memcpy (attempts, call->attempts, sizeof attempts);
+  attempt_event (&attempts[call->count - 1], ATTEMPT_EV_TIMEOUT);
+  return call->request != NULL && can_resume (call)
+         && attempt_may_retry (attempts, call->count, !call->non_idempotent,
+                               false);
+}
+
+/* Before the configured limit of silence, an attempt ends only for one that
+   takes its place.  */
+static bool
+on_silent (void *user, struct timespec silence)
+{
+  struct call *call = user;
+  int64_t limit_ms = call_idle_timeout (call);
+  struct stall stall
+      = { .may_retry = may_replace (call),
+          .connection_suspect = call->state != STATE_ANSWERING };
+
+  if (limit_ms > 0 && ts_to_ms (silence) >= limit_ms)
+    return true;
+  if (!stall.connection_suspect)
+    stall.may_retry
+        = stall.may_retry
+          && retry_available (call->worker->retry, call->api.target);
+  stall.other_ready = stall.may_retry && call_other_ready (call);
+  return stall_decide (&stall) != STALL_WAIT;
+}
+
+const struct exchange_ops call_exchange_ops
+    = { on_begin, on_bytes, on_silent, on_end };
--- a/src/call_route.c
+++ b/src/call_route.c
@@ -195,6 +195,24 @@
   return route_engine_ref (view->replicas[index].engine);
 }
 
+bool
+call_other_ready (struct call *call)
+{
+  struct route_reader *reader = call->worker->reader;
+  struct target_view view;
+  ptrdiff_t index;
+  bool ready;
+
+  route_reader_begin (reader);
+  view = get_target_view (route_read (reader), call->api.target,
+                          call->api.kind == API_SERVICE);
+  index = view.known && view.count > 0 ? pick_index (call, &view) : -1;
+  ready = index >= 0
+          && (call->explanation.free_slot || view.replicas[index].slots == 0);
+  route_reader_end (reader);
+  return ready;
+}
+
 static void
 use_engine (struct call *call, struct route_engine *engine)
 {
@@ -215,8 +233,8 @@
 
 /* A response that is not streamed sends no byte before it is ready, so
    only the deadline limits it.  */
-static int64_t
-idle_timeout (const struct call *call)
+int64_t
+call_idle_timeout (const struct call *call)
 {
   int64_t ms = call->worker->options->idle_timeout_ms;
 
@@ -230,7 +248,7 @@
 {
   int64_t first_byte_ms
       = reach_first_byte_timeout_ms (call->worker->reach, call->engine->id);
-  int64_t idle_ms = idle_timeout (call);
+  int64_t idle_ms = call_idle_timeout (call);
 
   return idle_ms != 0 ? MIN (first_byte_ms, idle_ms) : first_byte_ms;
 }
@@ -242,7 +260,7 @@
   if (call->api.kind != API_COMPLETION || !call->api.stream
       || call->non_idempotent)
     return 0;
-  return MIN (STREAM_IDLE_TIMEOUT_MS, idle_timeout (call));
+  return MIN (STREAM_IDLE_TIMEOUT_MS, call_idle_timeout (call));
 }
 
 /* Collects the caller's headers for a service, without hop-by-hop headers and
@@ -321,7 +339,7 @@
           .headers = (const char *const *)headers->pdata,
           .timeout_ms
           = call->non_idempotent ? left_ms (call) + RECORD_GRACE_MS : 0,
-          .idle_timeout_ms = idle_timeout (call),
+          .idle_timeout_ms = call_idle_timeout (call),
           .reused_idle_timeout_ms = reused_idle_timeout (call),
           .body_idle_timeout_ms = body_idle_timeout (call),
           .expects_done_event = call->api.kind == API_COMPLETION,
--- a/src/call_state.h
+++ b/src/call_state.h
@@ -88,6 +88,10 @@
 
 /* call_route.c */
 
+/* Whether another engine than the current one can take the call now.  */
+bool call_other_ready (struct call *call);
+/* Longest silence within a response, milliseconds; 0: no limit.  */
+int64_t call_idle_timeout (const struct call *call);
 /* Dispatches the call to a backend server, queues it, or refuses it.  */
 void call_route (struct call *call);
 
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -25,7 +25,8 @@
   bool wrong_id;      /* the response belongs to another attempt */
   GPtrArray *headers; /* of the response: name, value, ..., NULL */
   struct timespec started;
-  struct timespec head_at; /* response head received; zero: not yet */
+  struct timespec heard_at; /* latest byte, or the start */
+  struct timespec head_at;  /* response head received; zero: not yet */
 };
 
 /* Response headers that are not passed on: hop-by-hop headers and those that
@@ -78,6 +79,16 @@
   g_ptr_array_add (exchange->headers, g_strdup (value));
 }
 
+static bool
+on_silent (void *user)
+{
+  struct exchange *exchange = user;
+  struct timespec now = clk_now (exchange->worker->options->clk);
+
+  return exchange->ops->silent (exchange->user,
+                                ts_sub (now, exchange->heard_at));
+}
+
 static const char *const *
 get_response_headers (struct exchange *exchange)
 {
@@ -97,6 +108,7 @@
       = { .http = { .status = status, .content_type = content_type } };
 
   exchange->head_at = clk_now (exchange->worker->options->clk);
+  exchange->heard_at = exchange->head_at;
   exchange->wrong_id = !id_matches (exchange, status);
   if (exchange->wrong_id || status != 200
       || !g_str_has_prefix (content_type, EVENT_STREAM))
@@ -111,6 +123,7 @@
 {
   struct exchange *exchange = user;
 
+  exchange->heard_at = clk_now (exchange->worker->options->clk);
   if (exchange->wrong_id)
     return -ECANCELED;
   if (exchange->streaming && exchange->expects_done_event)
@@ -204,6 +217,7 @@
   exchange->expects_done_event = options->expects_done_event;
   exchange->is_head = strcmp (options->method, "HEAD") == 0;
   exchange->started = clk_now (options->worker->options->clk);
+  exchange->heard_at = exchange->started;
   sse_init (&exchange->sse);
   ck_pr_inc_uint (&exchange->engine->inflight);
   return exchange;
@@ -225,6 +239,7 @@
           .reused_idle_timeout_ms = options->reused_idle_timeout_ms,
           .body_idle_timeout_ms = options->body_idle_timeout_ms,
           .fresh_connection = options->new_connection,
+          .silent = on_silent,
           .head = on_head,
           .body_cb = on_bytes,
           .done = on_done,
--- a/src/retry.c
+++ b/src/retry.c
@@ -97,13 +97,19 @@
     set_target_budget (retry, target, hundredths + retry->percent);
 }
 
+bool
+retry_available (struct retry *retry, const char *target)
+{
+  return retry->budget >= HUNDREDTHS_PER_RETRY
+         && target_budget (retry, target) >= HUNDREDTHS_PER_RETRY;
+}
+
 bool
 retry_withdraw (struct retry *retry, const char *target)
 {
   unsigned hundredths = target_budget (retry, target);
 
-  if (retry->budget < HUNDREDTHS_PER_RETRY
-      || hundredths < HUNDREDTHS_PER_RETRY)
+  if (!retry_available (retry, target))
     return false;
   retry->budget -= HUNDREDTHS_PER_RETRY;
   set_target_budget (retry, target, hundredths - HUNDREDTHS_PER_RETRY);
--- a/src/retry.h
+++ b/src/retry.h
@@ -49,6 +49,9 @@
    returns false.  */
 bool retry_withdraw (struct retry *retry, const char *target);
 
+/* Whether retry_withdraw would succeed.  */
+bool retry_available (struct retry *retry, const char *target);
+
 /* Delay before attempt number N (2 for the first retry): uniform between 0
    and an exponentially growing limit.  0 when the previous attempt was not
    run.  */
--- a/tests/traffic_fixture.h
+++ b/tests/traffic_fixture.h
@@ -44,11 +44,16 @@
   long status;
 };
 
+/* Longest silence within a stream; a test program may set another.  */
+#ifndef IDLE_TIMEOUT_MS
+#define IDLE_TIMEOUT_MS 300
+#endif
+
 #define EVENTS "data: {\"t\":1}\n\ndata: {\"t\":2}\n\n"
 #define STREAM EVENTS "data: [DONE]\n\n"
 #define BODY "{\"model\":\"m\",\"prompt\":\"p\",\"stream\":true}"
 
-static void
+static inline void
 answer_stream (struct fixture *f, struct httpd_request *request, bool complete)
 {
   const char *headers[] = { "X-Request-Id", f->last_id, NULL };
@@ -148,7 +153,7 @@
                                      .zone = "erie",
                                      .region = "great-lakes",
                                      .operator_token = "secret",
-                                     .idle_timeout_ms = 300,
+                                     .idle_timeout_ms = IDLE_TIMEOUT_MS,
                                      .idle_timeout_s = 1 };
   char *address;
 
@@ -244,7 +249,7 @@
   return started;
 }
 
-static void
+static inline void
 request_and_wait (struct fixture *f, const char *path, const char *body,
                   const char *const *headers)
 {
