eject: a server that sends again after a pause no longer counts as failing

What callers would see: one stream that waited for a silent server counted as three failures after 4.8 s, and the server stayed excluded while that stream went on, half a minute and more.

--- a/src/eject.c
+++ b/src/eject.c
@@ -117,6 +117,21 @@
   return record_failure (get_state (eject, engine), now);
 }
 
+void
+eject_resumed (struct eject *eject, const char *engine)
+{
+  struct engine_state *state = g_hash_table_lookup (eject->engines, engine);
+
+  if (state == NULL || state->failures == 0)
+    return;
+  state->failures--;
+  if (state->ejected && state->failures < EJECT_FAILURES)
+    {
+      state->ejected = false;
+      state->ejections--;
+    }
+}
+
 void
 eject_abandon (struct eject *eject, const char *engine)
 {
--- a/src/eject.h
+++ b/src/eject.h
@@ -39,11 +39,15 @@
 bool eject_end (struct eject *eject, const char *engine, bool ok,
                 struct timespec now);
 
-/* A dispatch that goes on shows a failure: the engine sends nothing.  True
-   when this ejected the engine.  */
+/* A dispatch that goes on shows a failure: the engine sends nothing.  Called
+   once a dispatch, unless eject_resumed came in between.  True when this
+   ejected the engine.  */
 bool eject_suspect (struct eject *eject, const char *engine,
                     struct timespec now);
 
+/* The engine sends again: takes one eject_suspect back.  */
+void eject_resumed (struct eject *eject, const char *engine);
+
 /* The dispatch was canceled by this node: neither success nor failure.  */
 void eject_abandon (struct eject *eject, const char *engine);
 
