reach: a connection is dead only if its server sent on others all the while

What callers would see: when a server goes on after a pause, the first byte on one connection had the node close its neighbours, whose bytes were a moment behind, and run their streams anew.

Cause: any byte from the server after the longest allowed pause counted as evidence against the silent connection.

Change: reach remembers since when a server has sent without a pause of 500 ms; only if that is longer than the connection has been silent is it replaced.

--- a/src/forward_answer.c
+++ b/src/forward_answer.c
@@ -217,12 +217,9 @@
 static bool
 is_connection_suspect (struct forward *forward)
 {
-  struct timespec expected
-      = ts_add_ms (forward->heard_at, forward->route->gap_ms);
-
   return (!forward->head_parsed
-          || reach_heard_after (forward->gateway->reach, forward->engine->id,
-                                expected))
+          || reach_heard_since (forward->gateway->reach, forward->engine->id,
+                                forward->heard_at, forward_now (forward)))
          && forward_engine_is_replica (forward);
 }
 
--- a/src/reach.c
+++ b/src/reach.c
@@ -12,6 +12,7 @@
   struct timespec new_only_until; /* no reused connections until then */
   int64_t backoff_ms;             /* duration of the last backoff */
   struct timespec heard_at;       /* zero: no bytes yet */
+  struct timespec heard_from;     /* no pause since then */
   double first_byte_ms;           /* moving average; 0: not known */
 };
 
@@ -95,19 +96,30 @@
       = ts_add_ms (now, REACH_STALL_MS);
 }
 
+static bool
+is_paused (const struct server *server, struct timespec now)
+{
+  return ts_before (ts_add_ms (server->heard_at, REACH_PAUSE_MS), now);
+}
+
 void
 reach_heard (struct reach *reach, const char *engine, struct timespec now)
 {
-  get_server (reach, engine, now)->heard_at = now;
+  struct server *server = get_server (reach, engine, now);
+
+  if (is_paused (server, now))
+    server->heard_from = now;
+  server->heard_at = now;
 }
 
 bool
-reach_heard_after (const struct reach *reach, const char *engine,
-                   struct timespec since)
+reach_heard_since (const struct reach *reach, const char *engine,
+                   struct timespec since, struct timespec now)
 {
   const struct server *server = g_hash_table_lookup (reach->servers, engine);
 
-  return server != NULL && ts_before (since, server->heard_at);
+  return server != NULL && !is_paused (server, now)
+         && ts_before (server->heard_from, since);
 }
 
 bool
--- a/src/reach.h
+++ b/src/reach.h
@@ -22,6 +22,7 @@
 #define REACH_FIRST_BYTE_MAX_MS 3000
 #define REACH_FIRST_BYTE_FACTOR 8     /* of the mean time to the first byte */
 #define REACH_FIRST_BYTE_MIN_FACTOR 2 /* of the mean, may exceed MAX_MS */
+#define REACH_PAUSE_MS 500     /* longer silence of an engine is a pause */
 #define REACH_EXPIRE_MS 600000 /* idle time before an engine's state goes */
 
 struct reach;
@@ -45,9 +46,10 @@
 void reach_heard (struct reach *reach, const char *engine,
                   struct timespec now);
 
-/* Whether ENGINE sent bytes, on any connection, after SINCE.  */
-bool reach_heard_after (const struct reach *reach, const char *engine,
-                        struct timespec since);
+/* Whether ENGINE has sent bytes, on any connection, from SINCE to NOW without
+   a pause longer than REACH_PAUSE_MS.  */
+bool reach_heard_since (const struct reach *reach, const char *engine,
+                        struct timespec since, struct timespec now);
 
 /* Whether to avoid ENGINE.  The first call after the backoff has expired
    returns false and starts another backoff, so that only one request tries the
