forward: no replacement for a stream before its server was silent for 1.5 s

What callers would see: on routes that allow pauses of 100 to 300 ms, a stream moved after 0.4 to 1.2 s of silence, although sound servers pause for a second or so and go on; the moved stream is read anew and takes a retry from the budget.

Cause: the idle time was four allowed pauses, whatever these were. Sites with pauses of 400 ms and more are as before (1.6 s).

--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -14,6 +14,7 @@
 #define URGENCY_BASE 2         /* of route priority 0 */
 /* A stream without an event for this many target gaps is considered dead.  */
 #define STREAM_IDLE_GAPS 4
+#define STREAM_IDLE_MIN_MS 1500 /* sound servers pause for a second or so */
 
 /* Adds CHANGE to the number of requests that wait for the target, and
    informs the planners.  */
@@ -245,7 +246,8 @@
                                             forward->engine->id),
                2 * forward->route->objective_ms);
   if (idempotent && forward->route->kind == SITE_STREAM)
-    request.body_idle_timeout_ms = STREAM_IDLE_GAPS * forward->route->gap_ms;
+    request.body_idle_timeout_ms
+        = MAX (STREAM_IDLE_GAPS * forward->route->gap_ms, STREAM_IDLE_MIN_MS);
   forward->call = httpc_start (forward->gateway->httpc, &request);
   g_ptr_array_unref (headers);
   g_free (url);
