forward: a stream that left a silent server is not cut for want of budget

What callers would see: a stream was moved off a silent server, the next one refused it, and as the retry budget was empty the stream was cut, though its first server would have gone on.

Cause: the retry after a refusal is tried at once or never. Besides, the budget was looked at after another server had been picked, which left the current one marked as tried, and a replacement that came up after the first look was noticed a whole idle time later.

Change: such a stream waits for the budget until its deadline. Budget and time left are looked at before a server is picked.

--- a/src/call_answer.c
+++ b/src/call_answer.c
@@ -12,6 +12,7 @@
    strike against the request (suspect.h) to reach the other nodes.  */
 #define CRASH_RETRY_DELAY_MS 100
 #define RESUME_TIMEOUT_MS 5000 /* to resume a truncated stream */
+#define SILENCE_CHECK_MS 400   /* between looks for a replacement */
 #define SERVER_ERROR 500       /* lowest status of a server error */
 
 void
@@ -272,7 +273,7 @@
 
 /* Before the configured limit of silence, an attempt ends only for one that
    takes its place.  */
-static bool
+static int64_t
 on_silent (void *user, struct timespec silence)
 {
   struct call *call = user;
@@ -282,13 +283,13 @@
           .connection_suspect = call->state != STATE_ANSWERING };
 
   if (limit_ms > 0 && ts_to_ms (silence) >= limit_ms)
-    return true;
+    return 0;
   if (!stall.connection_suspect)
     stall.may_retry
         = stall.may_retry
           && retry_available (call->worker->retry, call->api.target);
   stall.other_ready = stall.may_retry && call_other_ready (call);
-  return stall_decide (&stall) != STALL_WAIT;
+  return stall_decide (&stall) == STALL_WAIT ? SILENCE_CHECK_MS : 0;
 }
 
 const struct exchange_ops call_exchange_ops
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -79,7 +79,7 @@
   g_ptr_array_add (exchange->headers, g_strdup (value));
 }
 
-static bool
+static int64_t
 on_silent (void *user)
 {
   struct exchange *exchange = user;
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -47,8 +47,8 @@
   void (*begin) (void *user, const struct exchange_result *result);
   int (*bytes) (void *user, const char *bytes, size_t n); /* 0, -EAGAIN */
   /* An idle timeout has passed; SILENCE is the time since the last byte, or
-     since the start.  Whether to end the exchange with -ETIMEDOUT.  */
-  bool (*silent) (void *user, struct timespec silence);
+     since the start.  Returns as httpc_request.silent.  */
+  int64_t (*silent) (void *user, struct timespec silence);
   void (*end) (void *user, const struct exchange_result *result);
 };
 
--- a/src/forward_answer.c
+++ b/src/forward_answer.c
@@ -6,6 +6,7 @@
 
 #define EVENT_STREAM "text/event-stream"
 #define ANSWER_BYTES_MAX (16u << 20) /* of a response that is not streamed */
+#define SILENCE_CHECK_MIN_MS 200     /* between looks for a replacement */
 #define SERVER_ERROR 500             /* lowest status of a server error */
 #define FULL_RETRY_AFTER_MS 200 /* time for a full server to free a slot */
 
@@ -107,15 +108,27 @@
   return httpd_stream_write (forward->request, bytes, n);
 }
 
+static void
+note_bytes (struct forward *forward)
+{
+  struct gateway *gateway = forward->gateway;
+
+  forward->heard_at = forward_now (forward);
+  reach_heard (gateway->reach, forward->engine->id, forward->heard_at);
+  forward->silent = false;
+  if (!forward->suspected)
+    return;
+  forward->suspected = false;
+  eject_resumed (gateway->eject, forward->engine->id);
+}
+
 int
 forward_on_bytes (void *user, const char *bytes, size_t n)
 {
   struct forward *forward = user;
   int err;
 
-  forward->heard_at = forward_now (forward);
-  reach_heard (forward->gateway->reach, forward->engine->id,
-               forward->heard_at);
+  note_bytes (forward);
   if (forward->streaming)
     {
       err = sse_forward (&forward->sse, forward->buffer, bytes, n,
@@ -228,38 +241,49 @@
 replace_silent (struct forward *forward)
 {
   struct gateway *gateway = forward->gateway;
-  struct stall stall = { .may_retry = may_retry (forward) };
-  struct route_engine *other = NULL;
+  const char *service = forward->service->name;
+  struct stall stall
+      = { .may_retry
+          = may_retry (forward) && retry_available (gateway->retry, service) };
+  struct route_engine *other
+      = stall.may_retry ? forward_pick_other (forward) : NULL;
   enum stall_action action;
 
-  if (stall.may_retry)
-    other = forward_pick_other (forward);
   stall.other_ready = other != NULL;
   stall.connection_suspect = is_connection_suspect (forward);
   action = stall_decide (&stall);
-  if (action != STALL_WAIT
-      && !retry_withdraw (gateway->retry, forward->service->name))
-    action = STALL_WAIT;
   if (action == STALL_MOVE)
     forward->replacement = other;
-  else
-    route_engine_unref (other);
-  if (action == STALL_RECONNECT)
+  else if (action == STALL_RECONNECT)
     forward->replacement = route_engine_ref (forward->engine);
+  if (action != STALL_WAIT)
+    retry_withdraw (gateway->retry, service);
   return action;
 }
 
-bool
+/* The server may be about to fail, so that new requests avoid it.  */
+static void
+suspect_server (struct forward *forward)
+{
+  forward->suspected = true;
+  eject_suspect (forward->gateway->eject, forward->engine->id,
+                 forward_now (forward));
+}
+
+int64_t
 forward_on_silence (void *user)
 {
   struct forward *forward = user;
   enum stall_action action = replace_silent (forward);
 
-  forward_log_silent (forward, action);
-  if (action == STALL_WAIT && forward->head_parsed)
-    eject_suspect (forward->gateway->eject, forward->engine->id,
-                   forward_now (forward));
-  return action != STALL_WAIT;
+  if (action != STALL_WAIT || !forward->silent)
+    forward_log_silent (forward, action);
+  if (action != STALL_WAIT)
+    return 0;
+  if (forward->head_parsed && !forward->suspected)
+    suspect_server (forward);
+  forward->silent = true;
+  return MAX (forward->route->gap_ms, SILENCE_CHECK_MIN_MS);
 }
 
 /* Ends the silent attempt in favour of its replacement.  */
@@ -269,7 +293,10 @@
   struct route_engine *engine = forward->replacement;
 
   forward->replacement = NULL;
+  forward->moved = true;
   counter_add (COUNTER_RETRIES, 1);
+  if (engine != forward->engine)
+    forward_mark_tried (forward);
   forward_dispatch (forward, engine);
 }
 
@@ -309,6 +336,14 @@
       counter_add (COUNTER_RETRIES, 1);
       forward_route (forward);
     }
+  else if (forward->dispatches < FORWARD_DISPATCHES_MAX && forward->moved
+           && forward->head_sent)
+    {
+      /* The stream's former server may be sound: it is not cut for want of
+         budget.  */
+      forward->retry_due = true;
+      forward_route (forward);
+    }
   else
     forward_fail (forward, why, FULL_RETRY_AFTER_MS);
 }
--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -104,13 +104,15 @@
   return parsed->parts[parsed->part_count > 1 ? parsed->part_count - 2 : 0];
 }
 
-/* Ids, borrowed, of servers that must not be used now: those already tried
-   and those that refuse connections.  */
+/* Ids, borrowed, of servers that must not be used now: those already tried,
+   those that refuse connections, and the one of the attempt in progress.  */
 static GPtrArray *
 excluded_replicas (struct forward *forward, const GArray *replicas)
 {
   GPtrArray *ids = g_ptr_array_new ();
 
+  if (forward->call != NULL)
+    g_ptr_array_add (ids, forward->engine->id);
   for (size_t i = 0; i < forward->tried_count; i++)
     g_ptr_array_add (ids, (gpointer)forward->tried[i]);
   for (guint i = 0; i < replicas->len; i++)
@@ -162,12 +164,6 @@
   forward->tried[forward->tried_count++] = forward->engine->id;
 }
 
-static void
-unmark_tried (struct forward *forward)
-{
-  route_engine_unref (forward->engines[--forward->tried_count]);
-}
-
 /* Called before the request waits: afterwards all servers may be tried
    again.  */
 static void
@@ -268,6 +264,8 @@
   forward->sent_at = now;
   forward->first_at = (struct timespec){ 0 };
   forward->heard_at = now;
+  forward->silent = false;
+  forward->suspected = false;
   forward->head_parsed = false;
   forward->streaming = false;
   sse_init (&forward->sse);
@@ -386,11 +384,9 @@
   struct timespec ready_at;
 
   get_replicas (forward, replicas, &ready_at);
-  forward_mark_tried (forward);
-  if (replicas->len > 0 && gateway_may_dispatch (forward->gateway))
+  if (replicas->len > 0 && gateway_may_dispatch (forward->gateway)
+      && left_ms (forward) >= ANSWER_MIN_MS)
     engine = pick_engine (forward, replicas);
-  if (engine == NULL)
-    unmark_tried (forward);
   g_array_unref (replicas);
   return engine;
 }
@@ -415,6 +411,19 @@
   return found && gateway_may_dispatch (forward->gateway);
 }
 
+/* Takes the retry from the budget that the next dispatch needs, if any.  */
+static bool
+take_due_retry (struct forward *forward)
+{
+  if (!forward->retry_due)
+    return true;
+  if (!retry_withdraw (forward->gateway->retry, forward->service->name))
+    return false;
+  counter_add (COUNTER_RETRIES, 1);
+  forward->retry_due = false;
+  return true;
+}
+
 void
 forward_route (struct forward *forward)
 {
@@ -428,6 +437,8 @@
   if (replicas->len > 0 && gateway_may_dispatch (gateway))
     engine = pick_engine (forward, replicas);
   g_array_unref (replicas);
+  if (engine != NULL && !take_due_retry (forward))
+    g_clear_pointer (&engine, route_engine_unref);
   if (engine != NULL)
     dispatch_or_reject (forward, engine);
   else if (!gateway_may_dispatch (gateway))
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -56,6 +56,10 @@
   bool head_parsed;              /* ANSWER is valid */
   bool streaming;  /* the current response is passed on as a stream */
   bool head_sent;  /* the response head was sent to the caller */
+  bool silent;     /* the current engine is being waited for in silence */
+  bool suspected;  /* and counts as failing for that */
+  bool moved;      /* a silent engine was given up, which may be sound */
+  bool retry_due;  /* the next dispatch takes a retry from the budget */
   struct sse sse;  /* parser of the current stream */
   GString *buffer; /* body so far, or an incomplete event */
   bool can_resume; /* LAST_EVENT is valid */
@@ -96,7 +100,7 @@
 /* Dispatches the request to ENGINE, whose reference it takes.  */
 void forward_dispatch (struct forward *forward, struct route_engine *engine);
 /* A new reference to another engine than the current one that can take the
-   request now, or NULL.  */
+   request and answer it in time, or NULL.  */
 struct route_engine *forward_pick_other (struct forward *forward);
 /* Whether the current engine could still be chosen: it is listed, not leaving
    and has the target.  */
@@ -105,7 +109,7 @@
 void forward_mark_tried (struct forward *forward);
 
 /* forward_answer.c */
-bool forward_on_silence (void *user);
+int64_t forward_on_silence (void *user);
 void forward_on_head (void *user, long status, const char *content_type);
 int forward_on_bytes (void *user, const char *bytes, size_t n);
 void forward_on_done (void *user, const struct httpc_result *result);
--- a/src/httpc.c
+++ b/src/httpc.c
@@ -336,10 +336,14 @@
       = (struct httpc_call *)((char *)timer
                               - offsetof (struct httpc_call, idle_timer));
 
-  if (call->request.silent != NULL
-      && !call->request.silent (call->request.user))
+  struct loop *loop = call->httpc->loop;
+  int64_t wait_ms = call->request.silent != NULL
+                        ? call->request.silent (call->request.user)
+                        : 0;
+
+  if (wait_ms > 0)
     {
-      restart_idle_timer (call);
+      loop_timer_set (loop, timer, ts_add_ms (loop_now (loop), wait_ms));
       return;
     }
   call->idle_timed_out = true;
--- a/src/httpc.h
+++ b/src/httpc.h
@@ -60,10 +60,10 @@
   int64_t connect_timeout_ms;     /* 0: HTTPC_CONNECT_TIMEOUT_MS */
   bool fresh_connection;          /* do not reuse a connection */
   size_t body_max;                /* max collected bytes; 0: HTTPC_BODY_MAX */
-  /* Called when one of the idle timeouts has passed.  True ends the call
-     with -ETIMEDOUT; false lets it go on, and the function is called again
-     when the same time has passed without a byte.  NULL: the call ends.  */
-  bool (*silent) (void *user);
+  /* Called when one of the idle timeouts has passed.  Returns 0 to end the
+     call with -ETIMEDOUT, or the time, milliseconds, after which it is called
+     again if still no byte has come.  NULL: the call ends.  */
+  int64_t (*silent) (void *user);
   /* Called once, before the first body bytes; may be NULL.  */
   void (*head) (void *user, long status, const char *content_type);
   /* Receives N bytes of the body.  Returns 0, -EAGAIN to pause (the same bytes
--- a/tests/gate_fixture.h
+++ b/tests/gate_fixture.h
@@ -18,6 +18,8 @@
 #include "store.h"
 #include "ts.h"
 
+#define MANY_RETRIES 100
+
 struct row
 {
   char *value; /* base64 */
@@ -50,7 +52,7 @@
   GString *received;
   char *retry_after;
   const char *body; /* of the next request; NULL: none; borrowed */
-  bool no_retries;  /* the gate's retry budget is empty */
+  double retries;   /* limit on the fleet's retries */
 };
 
 /* Handles a request at the backend server.  Defined by the test program.  */
@@ -417,20 +419,20 @@
   options.gateway.front.address = "127.0.0.1";
   options.gateway.zone = "z";
   options.gateway.max_connections = 100;
-  options.gateway.retry_share = f->no_retries ? 0 : 1.0;
-  options.gateway.retry_burst = f->no_retries ? 0 : 100;
+  options.gateway.retry_share = f->retries >= MANY_RETRIES ? 1.0 : 0;
+  options.gateway.retry_burst = f->retries;
   g_assert_cmpint (gate_new (&options, &f->gate), ==, 0);
 }
 
 static void
-set_up_with (struct fixture *f, bool no_retries)
+set_up_with (struct fixture *f, double retries)
 {
   struct httpc_options http = { 0 };
   struct store_options store = { 0 };
   char *address;
 
   memset (f, 0, sizeof *f);
-  f->no_retries = no_retries;
+  f->retries = retries;
   f->loop = loop_new (clk_monotonic ());
   f->rows = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, row_free);
   f->waiting_feeds = g_ptr_array_new ();
@@ -461,7 +463,7 @@
 static inline void
 set_up (struct fixture *f)
 {
-  set_up_with (f, false);
+  set_up_with (f, MANY_RETRIES);
 }
 
 /* Adds configuration and server, and waits until requests are served.  */
