--- a/tests/gate_fixture.h
+++ b/tests/gate_fixture.h
@@ -259,7 +259,7 @@
   httpd_respond (request, status, "text/plain", headers, body, strlen (body));
 }
 
-static void
+static inline void
 begin_event_stream (struct httpd_request *request, const char *events)
 {
   const char *headers[]
