Servers that ask for a pause get nothing from this node until it ends

What callers saw: a request that a server turned away with 503 and Retry-After was sent there again 40 ms later and was told to return after 0.2 s whatever the server had asked for. Cause: Retry-After in the responses of servers was not read. Change: platform/decode reads it from responses to requests, orders and report requests (seconds with a fraction; anything else is ignored), servers holds the end of the pause, at most 10 minutes away, and servers_replicas leaves the server out until then. Requests wait if the first pause ends before their deadline and are refused at once otherwise, with the time left as Retry-After. Orders and report requests are held back as well: a decider without reports of an engine gives it no orders.

--- a/src/backend.h
+++ b/src/backend.h
@@ -107,6 +107,13 @@
   size_t in_memory_count;
 };
 
+/* What a response of a server says about the server itself.  */
+struct backend_notice
+{
+  int64_t pause_ms; /* it wants nothing from this node for so long; 0: not
+                       said */
+};
+
 struct backend_ops
 {
   void (*order) (struct backend *backend, const struct backend_order *order,
@@ -124,6 +131,11 @@
 struct backend
 {
   const struct backend_ops *ops;
+  /* Called for each response to an order or a report request, before its
+     callback; NULL: not called.  */
+  void (*notice) (void *user, const char *engine,
+                  const struct backend_notice *notice);
+  void *notice_user;
 };
 
 #endif
--- a/src/caller.h
+++ b/src/caller.h
@@ -17,6 +17,7 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <glib.h>
+#include "backend.h"
 #include "httpc.h"
 #include "httpd.h"
 
@@ -64,6 +65,7 @@
   bool has_load;
   unsigned running; /* requests of all callers at the server */
   unsigned queued;
+  struct backend_notice notice;
 };
 
 /* A request for the addresses to connect to.  */
--- a/src/forward_answer.c
+++ b/src/forward_answer.c
@@ -21,6 +21,9 @@
   gateway->options.caller->ops->interpret (gateway->options.caller,
                                            forward->call, status,
                                            &forward->parsed, &forward->answer);
+  if (!forward->answer.not_available)
+    listing_server_notice (gateway->listing, forward->engine->id,
+                           &forward->answer.notice);
   if (forward->answer.has_load)
     servers_report_load (listing_servers (gateway->listing),
                          forward->engine->id, forward->answer.running,
@@ -243,7 +246,8 @@
       forward_route (forward);
     }
   else
-    forward_fail (forward, why, FULL_RETRY_AFTER_MS);
+    forward_fail (forward, why,
+                  MAX (forward_ready_in_ms (forward), FULL_RETRY_AFTER_MS));
 }
 
 static void
--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -356,18 +356,40 @@
     forward_fail (forward, "the servers are overloaded", retry_ms);
 }
 
+/* The replicas that may take the request, and, if there is none, when the
+   first one may, see servers_replicas.  */
+static GArray *
+find_replicas (const struct forward *forward, struct timespec *ready_at)
+{
+  GArray *replicas = g_array_new (FALSE, FALSE, sizeof (struct route_replica));
+
+  servers_replicas (
+      listing_servers (forward->gateway->listing), forward->service->name,
+      forward->target != NULL ? forward->parsed.model : NULL,
+      forward->parsed.adapter, forward_now (forward), replicas, ready_at);
+  return replicas;
+}
+
+int64_t
+forward_ready_in_ms (const struct forward *forward)
+{
+  struct timespec ready_at;
+  GArray *replicas = find_replicas (forward, &ready_at);
+  bool none = replicas->len == 0 && !ts_is_zero (ready_at);
+
+  g_array_unref (replicas);
+  return none ? ts_to_ms (ts_sub (ready_at, forward_now (forward))) : 0;
+}
+
 void
 forward_route (struct forward *forward)
 {
   struct gateway *gateway = forward->gateway;
-  GArray *replicas = g_array_new (FALSE, FALSE, sizeof (struct route_replica));
   struct timespec now = forward_now (forward);
   struct route_engine *engine = NULL;
   struct timespec ready_at;
+  GArray *replicas = find_replicas (forward, &ready_at);
 
-  servers_replicas (listing_servers (gateway->listing), forward->service->name,
-                    forward->target != NULL ? forward->parsed.model : NULL,
-                    forward->parsed.adapter, now, replicas, &ready_at);
   if (replicas->len > 0 && gateway_may_dispatch (gateway))
     engine = pick_engine (forward, replicas);
   g_array_unref (replicas);
@@ -378,7 +400,9 @@
   else if (left_ms (forward) < ANSWER_MIN_MS)
     forward_fail (forward, "no server is free in time", 0);
   else if (ready_too_late (forward, ready_at))
-    forward_fail (forward, "the model is not loaded in time",
+    forward_fail (forward,
+                  forward->target != NULL ? "the model is not loaded in time"
+                                          : "no server takes requests in time",
                   ts_to_ms (ts_sub (ready_at, now)));
   else
     {
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -84,6 +84,9 @@
 
 /* Dispatches the request to a backend server, queues it, or refuses it.  */
 void forward_route (struct forward *forward);
+/* Time until some server may take the request; 0: some may now, or it is not
+   known.  */
+int64_t forward_ready_in_ms (const struct forward *forward);
 /* Removes the request from the waiting list, if it is there.  */
 void forward_dequeue (struct forward *forward);
 /* Cancels the attempt in progress.  Closing its connection ends the work
--- a/src/listing.c
+++ b/src/listing.c
@@ -318,6 +318,26 @@
                   ts_add_ms (listing_now (listing), EXPIRE_INTERVAL_MS));
 }
 
+static void
+log_pause (const char *id, int64_t pause_ms)
+{
+  struct log_line line;
+
+  log_begin (&line, EVENT_SERVER_PAUSE);
+  log_str (&line, "engine", id);
+  log_int (&line, "pause_ms", pause_ms);
+  log_end (&line);
+}
+
+void
+listing_server_notice (struct listing *listing, const char *id,
+                       const struct backend_notice *notice)
+{
+  if (servers_report_notice (listing->servers, id, notice,
+                             listing_now (listing)))
+    log_pause (id, notice->pause_ms);
+}
+
 /* Watched tables.  */
 
 /* The whole fleet retries at a bounded rate.  */
--- a/src/listing.h
+++ b/src/listing.h
@@ -53,6 +53,10 @@
 bool listing_config_from_peer (const struct listing *listing);
 struct servers *listing_servers (const struct listing *listing);
 
+/* A response of server ID to this node said this about the server.  */
+void listing_server_notice (struct listing *listing, const char *id,
+                            const struct backend_notice *notice);
+
 /* Age of the list of servers: the store's or the decider's, whichever is
    newer.  */
 int64_t listing_age_ms (const struct listing *listing);
--- a/src/planners.c
+++ b/src/planners.c
@@ -323,6 +323,14 @@
     }
 }
 
+static void
+on_notice (void *user, const char *engine, const struct backend_notice *notice)
+{
+  const struct planners *planners = user;
+
+  listing_server_notice (planners->listing, engine, notice);
+}
+
 static int
 planners_start (struct service *service, struct kernel *kernel)
 {
@@ -332,6 +340,11 @@
   planners->core = core_find (kernel);
   planners->links = links_find (kernel);
   planners->listing = listing_find (kernel);
+  if (planners->core->backend != NULL)
+    {
+      planners->core->backend->notice = on_notice;
+      planners->core->backend->notice_user = planners;
+    }
   options.node = planners->core->node;
   options.incarnation = planners->core->incarnation;
   options.rand = planners->core->rand;
--- a/src/planners_order.c
+++ b/src/planners_order.c
@@ -107,6 +107,13 @@
   planners_rpc_free (rpc);
 }
 
+static bool
+is_paused (const struct planners *planners, const char *engine)
+{
+  return servers_is_paused (listing_servers (planners->listing), engine,
+                            planners_now (planners));
+}
+
 static void
 send_order (struct planners *planners, const char *service,
             const struct planner_action *action)
@@ -129,6 +136,11 @@
       on_order_response (rpc, BACKEND_REFUSED, "lease may have expired");
       return;
     }
+  if (is_paused (planners, action->engine))
+    {
+      on_order_response (rpc, BACKEND_REFUSED, "the engine asked for a pause");
+      return;
+    }
   order.fence = lease_fence (planners->lease);
   counter_add (
       is_load (action->type) ? COUNTER_LOAD_ORDERS : COUNTER_UNLOAD_ORDERS, 1);
@@ -203,9 +215,13 @@
             const struct planner_action *action)
 {
   struct backend *backend = planners->core->backend;
+  struct rpc *rpc = planners_rpc_new (planners, service, action->engine);
 
-  backend->ops->report (backend, action->engine, action->address, on_report,
-                        planners_rpc_new (planners, service, action->engine));
+  if (is_paused (planners, action->engine))
+    on_report (rpc, BACKEND_REFUSED, NULL);
+  else
+    backend->ops->report (backend, action->engine, action->address, on_report,
+                          rpc);
 }
 
 void
--- a/src/servers.c
+++ b/src/servers.c
@@ -316,6 +316,31 @@
   g_hash_table_replace (server->missing, g_strdup (target), until);
 }
 
+bool
+servers_report_notice (struct servers *servers, const char *id,
+                       const struct backend_notice *notice,
+                       struct timespec now)
+{
+  struct server *server = servers_find (servers, id);
+  bool paused = servers_is_paused (servers, id, now);
+
+  if (server == NULL || notice->pause_ms <= 0)
+    return false;
+  server->paused_until
+      = ts_max (server->paused_until,
+                ts_add_ms (now, MIN (notice->pause_ms, SERVERS_PAUSE_MAX_MS)));
+  return !paused;
+}
+
+bool
+servers_is_paused (const struct servers *servers, const char *id,
+                   struct timespec now)
+{
+  const struct server *server = servers_find (servers, id);
+
+  return server != NULL && ts_before (now, server->paused_until);
+}
+
 void
 servers_replicas_begin (struct servers *servers, struct timespec at)
 {
@@ -383,9 +408,20 @@
     *ready_at = holder->ready_at;
 }
 
+struct replica_query
+{
+  const char *service;
+  const char *target;
+  const char *adapter;
+  struct timespec now;
+  GArray *replicas;
+  struct timespec *ready_at;
+  struct timespec pause_ends; /* first end of a pause; zero: none */
+};
+
+/* Appends SERVER, unless it is paused.  */
 static void
-append_replica (const struct server *server, const char *adapter,
-                GArray *replicas)
+append_replica (const struct server *server, struct replica_query *query)
 {
   struct route_replica replica
       = { .engine = server->route,
@@ -395,9 +431,14 @@
           .inflight_at_report = server->inflight_at_load,
           .reported_at = server->load_at,
           .leaving = server->leaving,
-          .adapter_loaded = adapter != NULL };
+          .adapter_loaded = query->adapter != NULL };
 
-  g_array_append_val (replicas, replica);
+  if (!ts_before (query->now, server->paused_until))
+    g_array_append_val (query->replicas, replica);
+  else if (ts_is_zero (query->pause_ends))
+    query->pause_ends = server->paused_until;
+  else
+    query->pause_ends = ts_min (query->pause_ends, server->paused_until);
 }
 
 static bool
@@ -408,22 +449,11 @@
              now, ts_add_ms (servers->published_at, SERVERS_REPLICAS_TTL_MS));
 }
 
-struct replica_query
-{
-  const char *service;
-  const char *target;
-  const char *adapter;
-  struct timespec now;
-  GArray *replicas;
-  struct timespec *ready_at;
-};
-
 /* Appends the engines in HOLDERS that have the target of QUERY, without those
    that are in EXCEPT.  */
 static void
 append_holders (const struct servers *servers, const struct holders *holders,
-                const struct holders *except,
-                const struct replica_query *query)
+                const struct holders *except, struct replica_query *query)
 {
   GHashTable *engines = holders_of (holders, query->target);
   const struct holder *holder;
@@ -444,7 +474,7 @@
       if (!holder->loaded)
         update_ready_at (holder, query->ready_at);
       else if (!is_missing (server, query->target, query->now))
-        append_replica (server, query->adapter, query->replicas);
+        append_replica (server, query);
     }
 }
 
@@ -462,8 +492,7 @@
 }
 
 static void
-append_servers_of (const struct servers *servers,
-                   const struct replica_query *query)
+append_servers_of (const struct servers *servers, struct replica_query *query)
 {
   GHashTable *set = g_hash_table_lookup (servers->by_service, query->service);
   const struct server *server;
@@ -474,7 +503,7 @@
   g_hash_table_iter_init (&iter, set);
   while (g_hash_table_iter_next (&iter, (gpointer *)&server, NULL))
     if (!server->leaving)
-      append_replica (server, query->adapter, query->replicas);
+      append_replica (server, query);
 }
 
 void
@@ -503,5 +532,8 @@
       if (fresh && replicas->len == 0 && ts_is_zero (*ready_at))
         update_expected_ready_at (servers, model, ready_at);
     }
+  if (replicas->len == 0 && !ts_is_zero (query.pause_ends))
+    *ready_at = ts_is_zero (*ready_at) ? query.pause_ends
+                                       : ts_min (*ready_at, query.pause_ends);
   g_free (target);
 }
--- a/src/servers.h
+++ b/src/servers.h
@@ -4,7 +4,8 @@
    Merges four sources: the platform's list (servers_put), the replicas
    published by the decider, the node that holds the lease on the engines
    (servers_replicas_add), the responses of the servers themselves
-   (servers_report_load, servers_report_missing), and those to other nodes
+   (servers_report_load, servers_report_missing, servers_report_notice), and
+   those to other nodes
    (servers_apply_load).  Published replicas take
    precedence while they are fresh, because the platform's list lags, and
    otherwise apply to engines whose contents are not listed.
@@ -18,6 +19,7 @@
 #include <stdint.h>
 #include <time.h>
 #include <glib.h>
+#include "backend.h"
 #include "frame.h"
 #include "inventory.h"
 #include "route.h"
@@ -32,6 +34,10 @@
 /* How long a load that this node observed takes precedence over others.  */
 #define SERVERS_OWN_LOAD_MS 250
 
+/* Longest pause of a server.  A request for a longer one is taken for this
+   one, so that a malformed value does not exclude the server for good.  */
+#define SERVERS_PAUSE_MAX_MS 600000
+
 /* A server as the platform lists it.  */
 struct server_entry
 {
@@ -57,10 +63,11 @@
   unsigned queued;
   unsigned inflight_at_load; /* this node's requests, when that was reported */
   struct timespec load_at;   /* time of that report */
-  struct timespec observed_at; /* last load in a response to this node */
-  bool load_observed;          /* by this node, since servers_take_loads */
-  bool load_applied;           /* the same by other nodes */
-  GHashTable *missing;         /* target name to struct timespec: expiry */
+  struct timespec observed_at;  /* last load in a response to this node */
+  bool load_observed;           /* by this node, since servers_take_loads */
+  bool load_applied;            /* the same by other nodes */
+  struct timespec paused_until; /* it wants nothing before; zero: no pause */
+  GHashTable *missing;          /* target name to struct timespec: expiry */
 };
 
 struct servers;
@@ -109,6 +116,16 @@
 void servers_report_missing (struct servers *servers, const char *id,
                              const char *target, struct timespec now);
 
+/* A response of server ID to this node said this.  Returns true if requests
+   may now be routed differently.  */
+bool servers_report_notice (struct servers *servers, const char *id,
+                            const struct backend_notice *notice,
+                            struct timespec now);
+
+/* Whether server ID wants nothing from this node now.  */
+bool servers_is_paused (const struct servers *servers, const char *id,
+                        struct timespec now);
+
 /* Engine name in a published replica that no engine is loading yet.  */
 #define SERVERS_NO_ENGINE "-"
 
@@ -134,8 +151,8 @@
 
 /* Appends the replicas that may serve MODEL (NULL: any request of SERVICE)
    with ADAPTER (may be NULL) to REPLICAS, whose engines are borrowed.  If
-   there is none, *READY_AT is the estimated time of the first one, zero if
-   unknown.  */
+   there is none, *READY_AT is the estimated time of the first one, or the end
+   of the first pause, zero if unknown.  */
 void servers_replicas (struct servers *servers, const char *service,
                        const char *model, const char *adapter,
                        struct timespec now, GArray *replicas,
--- a/tests/test_documents.c
+++ b/tests/test_documents.c
@@ -5,6 +5,7 @@
 #include <glib/gstdio.h>
 #include <stdlib.h>
 #include <unistd.h>
+#include "decode.h"
 #include "settings_file.h"
 #include "cases.h"
 #include "document.h"
@@ -153,6 +154,24 @@
   check_config ("\xff", 1);
 }
 
+/* Guards against pauses of a length that a server did not ask for.  */
+static void
+test_seconds (void)
+{
+  static const char *const ignored[]
+      = { "",    "-1",  "0",
+          "nan", "inf", "soon",
+          "1 s", "1,5", "Fri, 04 Dec 2026 09:00:00 GMT" };
+
+  g_assert_cmpint (decode_seconds_ms (NULL), ==, 0);
+  for (size_t i = 0; i < G_N_ELEMENTS (ignored); i++)
+    g_assert_cmpint (decode_seconds_ms (ignored[i]), ==, 0);
+  g_assert_cmpint (decode_seconds_ms ("1"), ==, 1000);
+  g_assert_cmpint (decode_seconds_ms ("0.0004"), ==, 1);
+  g_assert_cmpint (decode_seconds_ms ("2.5"), ==, 2500);
+  g_assert_cmpint (decode_seconds_ms ("1e300"), ==, 1000000000000);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -162,5 +181,6 @@
   g_test_add_func ("/documents/server-rows", test_server_rows);
   g_test_add_func ("/documents/inventory", test_inventory);
   g_test_add_func ("/documents/config", test_config);
+  g_test_add_func ("/documents/seconds", test_seconds);
   return g_test_run ();
 }
--- a/tests/test_servers.c
+++ b/tests/test_servers.c
@@ -131,6 +131,39 @@
   tear_down (&f);
 }
 
+/* Guards against requests to a server during the pause that it asked for, and
+   against pauses that outlast what was asked for.  */
+static void
+test_pause (void)
+{
+  struct backend_notice asked = { .pause_ms = 1000 };
+  struct backend_notice shorter = { .pause_ms = 10 };
+  struct backend_notice endless = { .pause_ms = INT64_MAX };
+  struct backend_notice none = { .pause_ms = 0 };
+  struct timespec now = ts_from_ms (1);
+  struct fixture f;
+
+  set_up (&f);
+  put (&f, "e1", "m", 1, 5, false);
+  put (&f, "e2", "m", 1, 5, false);
+  g_assert_false (servers_report_notice (f.servers, "e1", &none, now));
+  g_assert_false (servers_report_notice (f.servers, "gone", &asked, now));
+  g_assert_true (servers_report_notice (f.servers, "e1", &asked, now));
+  g_assert_false (servers_report_notice (f.servers, "e1", &shorter, now));
+  g_assert_cmpuint (count (&f, "m", NULL, 1000), ==, 1);
+  g_assert_true (ts_is_zero (f.ready_at));
+  put (&f, "e1", "m", 1, 6, false);
+  g_assert_cmpuint (count (&f, "m", NULL, 1000), ==, 1);
+  g_assert_cmpuint (count (&f, "m", NULL, 1001), ==, 2);
+  servers_report_notice (f.servers, "e1", &endless, now);
+  servers_report_notice (f.servers, "e2", &asked, now);
+  g_assert_cmpuint (count (&f, NULL, NULL, 500), ==, 0);
+  g_assert_cmpint (ts_to_ms (f.ready_at), ==, 1001);
+  g_assert_cmpuint (count (&f, "m", NULL, SERVERS_PAUSE_MAX_MS), ==, 1);
+  g_assert_cmpuint (count (&f, "m", NULL, SERVERS_PAUSE_MAX_MS + 1), ==, 2);
+  tear_down (&f);
+}
+
 /* An entry that differs in its adapters only changes where requests may go,
    one that differs in its sequence only does not.  */
 static void
@@ -391,6 +424,7 @@
   g_test_add_func ("/servers/published-old", test_published_old);
   g_test_add_func ("/servers/loads", test_loads);
   g_test_add_func ("/servers/missing", test_missing);
+  g_test_add_func ("/servers/pause", test_pause);
   g_test_add_func ("/rates", test_rates);
   g_test_add_func ("/retry/budget", test_retry_budget);
   g_test_add_func ("/histo", test_histo);
