Test: a server that says in a response that it leaves gets no more requests

What callers see: requests go on to a server that has said it leaves, as long as its entry in the store says ready; they are cut off when it exits. Cause: the header is not read. Evidence: build/tests/test_gate_notice, /notice/leaving and /notice/leaving-stream: the next request is answered 200 by that server.

--- a/tests/test_gate_notice.c
+++ b/tests/test_gate_notice.c
@@ -5,6 +5,31 @@
 
 #define PAUSE_MS 900
 
+static const char *const short_deadline[]
+    = { "Parsleyrill-Deadline-Ms: 300", NULL };
+
+static void
+answer_leaving (struct httpd_request *request, const char *body)
+{
+  const char *headers[]
+      = { ID,  httpd_header (request, ID), SEAL, "seal", "Server-Leaving", "1",
+          NULL };
+
+  httpd_respond (request, 200, "text/plain", headers, body, strlen (body));
+}
+
+static void
+stream_leaving (struct httpd_request *request)
+{
+  const char *headers[]
+      = { ID,  httpd_header (request, ID), SEAL, "seal", "Server-Leaving", "1",
+          NULL };
+
+  httpd_stream_begin (request, 200, "text/event-stream", headers);
+  httpd_stream_write (request, "id: 1\n\n", 7);
+  httpd_stream_end (request);
+}
+
 /* The last component of the path selects the server's behaviour.  */
 static void
 handle_at_server (struct fixture *f, struct httpd_request *request)
@@ -15,7 +40,11 @@
   const char *long_pause[]
       = { "Parsleyrill-Not-Executed", "1", "Retry-After", "30", NULL };
 
-  if (strcmp (behaviour, "pause") == 0 && f->at_server == 1)
+  if (strcmp (behaviour, "leaves") == 0)
+    answer_leaving (request, "hello");
+  else if (strcmp (behaviour, "leaves-events") == 0)
+    stream_leaving (request);
+  else if (strcmp (behaviour, "pause") == 0 && f->at_server == 1)
     httpd_respond (request, 503, "text/plain", pause, "", 0);
   else if (strcmp (behaviour, "long-pause") == 0)
     httpd_respond (request, 503, "text/plain", long_pause, "", 0);
@@ -72,11 +101,75 @@
   tear_down (&f);
 }
 
+/* Lists the server as ready, with the time of its start.  */
+static void
+list_started (struct fixture *f, int64_t born, unsigned sequence)
+{
+  char *text = g_strdup_printf (
+      "{\"Service\":\"app\",\"Address\":\"127.0.0.1:%u\",\"Zone\":\"z\","
+      "\"Slots\":8,\"State\":\"ready\",\"Sequence\":%u,"
+      "\"born\":%" G_GINT64_FORMAT "}",
+      httpd_port (f->server), sequence, born);
+
+  put_row (f, "servers/i-1", text);
+  g_free (text);
+}
+
+/* Waits for the response to PATH, in which the server says that it leaves.
+   Then it gets no more requests, although its entry is as before.  */
+static void
+check_left (struct fixture *f, const char *path)
+{
+  request_and_wait (f, "GET", path, NULL);
+  g_assert_cmpint (f->status, ==, 200);
+  request_and_wait (f, "GET", "/safe/x", short_deadline);
+  g_assert_cmpint (f->status, ==, 503);
+  list_started (f, 1000, 2);
+  for (int i = 0; i < 400; i++)
+    run_once (f);
+  request_and_wait (f, "GET", "/safe/x", short_deadline);
+  g_assert_cmpint (f->status, ==, 503);
+  g_assert_cmpuint (f->at_server, ==, 1);
+}
+
+/* Guards against requests to a server that has said in a response that it
+   leaves, while its entry does not.  */
+static void
+test_leaving (void)
+{
+  struct fixture f;
+
+  set_up (&f);
+  list_started (&f, 1000, 1);
+  wait_until_serving (&f);
+  list_started (&f, 1000, 1);
+  check_left (&f, "/safe/leaves");
+  list_started (&f, 2000, 0);
+  do
+    request_and_wait (&f, "GET", "/safe/x", short_deadline);
+  while (f.status != 200);
+  tear_down (&f);
+}
+
+/* Guards against the same in the head of a stream.  */
+static void
+test_leaving_stream (void)
+{
+  struct fixture f;
+
+  set_up (&f);
+  wait_until_serving (&f);
+  check_left (&f, "/long/leaves-events");
+  tear_down (&f);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/notice/pause", test_pause);
   g_test_add_func ("/notice/long-pause", test_long_pause);
+  g_test_add_func ("/notice/leaving", test_leaving);
+  g_test_add_func ("/notice/leaving-stream", test_leaving_stream);
   return g_test_run ();
 }
