Servers that say in a response that they leave get no more requests

What callers saw: requests went on to a server that had said it leaves, as long as its entry, or the decider's list, said ready. Cause: Server-Leaving was not read. For that the start of a server is part of its entry and of the decider's list. The planner gets the changed entry at once. Another replica is loaded as for a listed leave; requests do not use the time that is left at the only replica, as with a listed leave. Connection: close alone changes nothing.

--- a/src/backend.h
+++ b/src/backend.h
@@ -110,6 +110,7 @@
 /* What a response of a server says about the server itself.  */
 struct backend_notice
 {
+  bool leaving;     /* it is about to exit */
   int64_t pause_ms; /* it wants nothing from this node for so long; 0: not
                        said */
 };
--- a/src/forward_answer.c
+++ b/src/forward_answer.c
@@ -21,7 +21,7 @@
   gateway->options.caller->ops->interpret (gateway->options.caller,
                                            forward->call, status,
                                            &forward->parsed, &forward->answer);
-  if (!forward->answer.not_available)
+  if (!forward->answer.not_available && !forward->engine->gone)
     listing_server_notice (gateway->listing, forward->engine->id,
                            &forward->answer.notice);
   if (forward->answer.has_load)
--- a/src/frame.h
+++ b/src/frame.h
@@ -84,7 +84,8 @@
   uint64_t queued;
   uint64_t age_ms; /* of the report */
   bool leaving;
-  bool gone; /* in a delta: the replica was removed */
+  bool gone;     /* in a delta: the replica was removed */
+  uint64_t born; /* start of a whole server, see struct server_entry */
 };
 
 struct peer_load
--- a/src/listing.c
+++ b/src/listing.c
@@ -219,6 +219,7 @@
   changed = servers_put (listing->servers, &entry);
   if (changed)
     log_server (listing, &entry);
+  entry.leaving = servers_find (listing->servers, entry.id)->leaving;
   kernel_post (listing->core->kernel, KERNEL_SERVER_LISTED, &entry);
   server_entry_clear (&entry);
   return changed;
@@ -329,13 +330,39 @@
   log_end (&line);
 }
 
+/* Tells the planners, whose engines follow the listed entries, and the waiting
+   requests.  */
+static void
+post_leaving (struct listing *listing, const struct server *server)
+{
+  struct server_entry entry = { .id = server->route->id,
+                                .address = server->route->address,
+                                .zone = server->route->zone,
+                                .service = server->route->pool,
+                                .slots = server->slots,
+                                .leaving = true,
+                                .born = server->born,
+                                .inventory = server->inventory };
+  struct log_line line;
+
+  log_begin (&line, EVENT_SERVER_LEAVING);
+  log_str (&line, "engine", server->route->id);
+  log_end (&line);
+  kernel_post (listing->core->kernel, KERNEL_SERVER_LISTED, &entry);
+  kernel_post (listing->core->kernel, KERNEL_SERVERS_CHANGED, NULL);
+}
+
 void
 listing_server_notice (struct listing *listing, const char *id,
                        const struct backend_notice *notice)
 {
-  if (servers_report_notice (listing->servers, id, notice,
-                             listing_now (listing)))
+  if (!servers_report_notice (listing->servers, id, notice,
+                              listing_now (listing)))
+    return;
+  if (notice->pause_ms > 0)
     log_pause (id, notice->pause_ms);
+  if (notice->leaving)
+    post_leaving (listing, servers_find (listing->servers, id));
 }
 
 /* Watched tables.  */
@@ -580,7 +607,8 @@
                                 .zone = server->zone,
                                 .service = server->pool,
                                 .slots = (unsigned)server->slots,
-                                .leaving = server->leaving };
+                                .leaving = server->leaving,
+                                .born = (int64_t)server->born };
 
   g_hash_table_add (listing->peer_servers, g_strdup (server->engine));
   if (!peer_list_applies (listing) || entry.address == NULL
--- a/src/planners_replicas.c
+++ b/src/planners_replicas.c
@@ -44,7 +44,8 @@
                                       .pool = server->route->pool,
                                       .model = (char *)SERVERS_WHOLE_SERVER,
                                       .slots = server->slots,
-                                      .leaving = server->leaving };
+                                      .leaving = server->leaving,
+                                      .born = (uint64_t)server->born };
 
       g_array_append_val (replicas, replica);
     }
--- a/src/servers.c
+++ b/src/servers.c
@@ -97,8 +97,10 @@
 static bool
 same_server (const struct server *server, const struct server_entry *entry)
 {
-  bool restarted = server->inventory != NULL && entry->inventory != NULL
-                   && server->inventory->born != entry->inventory->born;
+  bool restarted = (server->inventory != NULL && entry->inventory != NULL
+                    && server->inventory->born != entry->inventory->born)
+                   || (server->born != 0 && entry->born != 0
+                       && server->born != entry->born);
 
   return !restarted && strcmp (server->route->address, entry->address) == 0
          && strcmp (server->route->pool, entry->service) == 0;
@@ -183,6 +185,7 @@
 {
   struct server *server = servers_find (servers, entry->id);
   bool changed = false;
+  bool leaving;
 
   if (server != NULL && !same_server (server, entry))
     {
@@ -197,10 +200,13 @@
       server = add_server (servers, entry);
       changed = true;
     }
-  changed = changed || server->leaving != entry->leaving
-            || !ts_is_zero (server->drop_at);
+  leaving = entry->leaving || server->said_leaving;
+  changed
+      = changed || server->leaving != leaving || !ts_is_zero (server->drop_at);
   server->slots = entry->slots;
-  server->leaving = entry->leaving;
+  server->leaving = leaving;
+  if (entry->born != 0)
+    server->born = entry->born;
   server->drop_at = (struct timespec){ 0 };
   return update_inventory (servers, server, entry->inventory) || changed;
 }
@@ -323,13 +329,24 @@
 {
   struct server *server = servers_find (servers, id);
   bool paused = servers_is_paused (servers, id, now);
+  bool changed = false;
 
-  if (server == NULL || notice->pause_ms <= 0)
+  if (server == NULL)
     return false;
-  server->paused_until
-      = ts_max (server->paused_until,
-                ts_add_ms (now, MIN (notice->pause_ms, SERVERS_PAUSE_MAX_MS)));
-  return !paused;
+  if (notice->pause_ms > 0)
+    {
+      server->paused_until = ts_max (
+          server->paused_until,
+          ts_add_ms (now, MIN (notice->pause_ms, SERVERS_PAUSE_MAX_MS)));
+      changed = !paused;
+    }
+  if (notice->leaving && !server->said_leaving)
+    {
+      server->said_leaving = true;
+      server->leaving = true;
+      changed = true;
+    }
+  return changed;
 }
 
 bool
--- a/src/servers.h
+++ b/src/servers.h
@@ -47,6 +47,7 @@
   char *service;
   unsigned slots;
   bool leaving;                /* gets no new requests */
+  int64_t born;                /* start, Unix milliseconds; 0: unknown */
   struct inventory *inventory; /* NULL for a plain service */
 };
 
@@ -57,7 +58,9 @@
   struct route_engine *route; /* id, address and zone; the service as pool */
   unsigned slots;
   bool leaving;
-  struct timespec drop_at;     /* removal time; zero: still listed */
+  bool said_leaving;       /* by itself: holds although its entry differs */
+  int64_t born;            /* 0: unknown */
+  struct timespec drop_at; /* removal time; zero: still listed */
   struct inventory *inventory; /* NULL for a plain service */
   unsigned running;            /* last reported, requests of all nodes */
   unsigned queued;
@@ -76,7 +79,8 @@
 void servers_free (struct servers *servers);
 
 /* Adds or updates a server.  Returns true if requests may now be routed
-   differently.  */
+   differently.  A server that itself said it leaves keeps leaving until it is
+   removed or has restarted.  */
 bool servers_put (struct servers *servers, const struct server_entry *entry);
 
 /* The platform no longer lists ID; it is removed at AT unless it is listed
--- a/tests/test_listing.c
+++ b/tests/test_listing.c
@@ -277,6 +277,27 @@
   tear_down (&f);
 }
 
+/* Guards against requests to a server that said it leaves, after a published
+   list that says otherwise.  */
+static void
+test_list_older_than_notice (void)
+{
+  struct backend_notice notice = { .leaving = true };
+  struct fixture f;
+
+  set_up (&f);
+  for (int i = 0; i < 4; i++)
+    {
+      publish (&f, "i1", false, 100, 7);
+      advance (&f, 500);
+    }
+  listing_server_notice (f.listing, "i1", &notice);
+  g_assert_true (server (&f, "i1")->leaving);
+  publish (&f, "i1", false, 100, 7);
+  g_assert_true (server (&f, "i1")->leaving);
+  tear_down (&f);
+}
+
 /* Changes of the published list are applied without the rest of it, unless the
    store has been queried since.  */
 static void
@@ -373,5 +394,6 @@
   g_test_add_func ("/listing/list-changes", test_list_changes);
   g_test_add_func ("/listing/watch-continues", test_watch_continues);
   g_test_add_func ("/listing/announced-version", test_announced_version);
+  g_test_add_func ("/listing/older-than-notice", test_list_older_than_notice);
   return g_test_run ();
 }
--- a/tests/test_servers.c
+++ b/tests/test_servers.c
@@ -164,6 +164,36 @@
   tear_down (&f);
 }
 
+/* Guards against requests to a server that said it leaves, after an entry that
+   is older than that.  */
+static void
+test_said_leaving (void)
+{
+  struct backend_notice notice = { .leaving = true };
+  struct server_entry published = { .id = (char *)"e1",
+                                    .address = (char *)"10.0.0.1:1",
+                                    .zone = (char *)"z",
+                                    .service = (char *)"s",
+                                    .slots = 8 };
+  struct timespec now = ts_from_ms (1);
+  struct fixture f;
+
+  set_up (&f);
+  put (&f, "e1", "m", 1, 5, false);
+  g_assert_true (servers_report_notice (f.servers, "e1", &notice, now));
+  g_assert_false (servers_report_notice (f.servers, "e1", &notice, now));
+  g_assert_cmpuint (count (&f, "m", NULL, 1), ==, 0);
+  put (&f, "e1", "m", 1, 6, false);
+  g_assert_false (servers_put (f.servers, &published));
+  g_assert_cmpuint (count (&f, "m", NULL, 1), ==, 0);
+  published.born = 7;
+  g_assert_false (servers_put (f.servers, &published));
+  published.born = 8; /* restarted */
+  g_assert_true (servers_put (f.servers, &published));
+  g_assert_cmpuint (count (&f, NULL, NULL, 1), ==, 1);
+  tear_down (&f);
+}
+
 /* An entry that differs in its adapters only changes where requests may go,
    one that differs in its sequence only does not.  */
 static void
@@ -425,6 +455,7 @@
   g_test_add_func ("/servers/loads", test_loads);
   g_test_add_func ("/servers/missing", test_missing);
   g_test_add_func ("/servers/pause", test_pause);
+  g_test_add_func ("/servers/said-leaving", test_said_leaving);
   g_test_add_func ("/rates", test_rates);
   g_test_add_func ("/retry/budget", test_retry_budget);
   g_test_add_func ("/histo", test_histo);
