Test: the store comes back from a copy that is some seconds old

What callers see after such a restore: a new configuration is missed for good when its row gets a version that was given out before; 503 while the servers have not registered again; requests go to servers that left; a node whose row is lost is not found by new nodes; responses from before are applied. Cause: Store-Era is not read and versions are taken to grow for ever. The store of gate_fixture restores a copy of its rows, sends its era and answers 410 to reads after a version that it does not have.

--- a/tests/gate_fixture.h
+++ b/tests/gate_fixture.h
@@ -37,6 +37,7 @@
   struct gate *gate;
   GHashTable *rows; /* "TABLE/KEY" to struct row */
   uint64_t version;
+  uint64_t era;                /* of the store; 0: not in its responses */
   GPtrArray *waiting_feeds;    /* struct httpd_request: waits for new rows */
   struct httpd_request *held;  /* at the server, not yet answered */
   unsigned at_server;          /* requests that reached the server */
@@ -88,29 +89,41 @@
 }
 
 static void
-answer_json (struct httpd_request *request, unsigned status, json_t *json)
+answer_json (struct fixture *f, struct httpd_request *request, unsigned status,
+             json_t *json)
 {
   char *text = json_dumps (json, JSON_COMPACT);
+  char *era = g_strdup_printf ("%" G_GUINT64_FORMAT, f->era);
+  const char *headers[] = { "Store-Era", era, NULL };
 
-  httpd_respond (request, status, "application/json", NULL, text,
-                 strlen (text));
+  httpd_respond (request, status, "application/json",
+                 f->era != 0 ? headers : NULL, text, strlen (text));
+  g_free (era);
   free (text);
   json_decref (json);
 }
 
+/* The version after which REQUEST reads; 0: all rows.  */
+static uint64_t
+read_after (struct httpd_request *request)
+{
+  const char *after = httpd_query (request, "after");
+
+  return after != NULL ? strtoull (after, NULL, 10) : 0;
+}
+
 static bool
 answer_rows (struct fixture *f, struct httpd_request *request, bool wait)
 {
-  const char *after = httpd_query (request, "after");
-  json_t *rows = rows_json (f, httpd_query (request, "Table"),
-                            after != NULL ? strtoull (after, NULL, 10) : 0);
+  json_t *rows
+      = rows_json (f, httpd_query (request, "Table"), read_after (request));
 
   if (wait && json_array_size (rows) == 0)
     {
       json_decref (rows);
       return false;
     }
-  answer_json (request, 200,
+  answer_json (f, request, 200,
                json_pack ("{s:o, s:b, s:I}", "Rows", rows, "HasMore", 0, "Ver",
                           (json_int_t)f->version));
   return true;
@@ -131,6 +144,39 @@
       g_ptr_array_remove_index (f->waiting_feeds, i - 1);
 }
 
+/* A copy of the rows, for restore_rows.  */
+static inline GHashTable *
+copy_rows (struct fixture *f)
+{
+  GHashTable *copy
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, row_free);
+  GHashTableIter iter;
+  const struct row *row;
+  const char *key;
+
+  g_hash_table_iter_init (&iter, f->rows);
+  while (g_hash_table_iter_next (&iter, (gpointer *)&key, (gpointer *)&row))
+    {
+      struct row *to = g_new0 (struct row, 1);
+
+      to->value = g_strdup (row->value);
+      to->version = row->version;
+      g_hash_table_insert (copy, g_strdup (key), to);
+    }
+  return copy;
+}
+
+/* Replaces the rows by COPY, made at VERSION, which it takes.  What was
+   written since is lost, and its versions are given out again.  */
+static inline void
+restore_rows (struct fixture *f, GHashTable *copy, uint64_t version)
+{
+  g_hash_table_unref (f->rows);
+  f->rows = copy;
+  f->version = version;
+  f->era++;
+}
+
 static char *
 row_name (const json_t *row)
 {
@@ -173,7 +219,7 @@
   if (!versions_match (f, body))
     {
       json_decref (body);
-      answer_json (request, 412, json_pack ("{s:[]}", "Rows"));
+      answer_json (f, request, 412, json_pack ("{s:[]}", "Rows"));
       return;
     }
   json_array_foreach (json_object_get (body, "SetKeys"), i, item)
@@ -191,7 +237,7 @@
       g_free (value);
     }
   json_decref (body);
-  answer_json (request, 200,
+  answer_json (f, request, 200,
                json_pack ("{s:I}", "Ver", (json_int_t)f->version));
 }
 
@@ -203,6 +249,8 @@
 
   if (strcmp (path, "/v1/rows-tx") == 0)
     write_rows (f, request);
+  else if (read_after (request) > f->version)
+    answer_json (f, request, 410, json_object ());
   else if (!answer_rows (f, request, strcmp (path, "/v1/rows-feed") == 0))
     g_ptr_array_add (f->waiting_feeds, request);
 }
@@ -362,7 +410,7 @@
   g_free (text);
 }
 
-static void
+static inline void
 list_server (struct fixture *f, const char *state)
 {
   char *text = g_strdup_printf (
@@ -457,7 +505,7 @@
 }
 
 /* Adds configuration and server, and waits until requests are served.  */
-static void
+static inline void
 wait_until_serving (struct fixture *f)
 {
   put_config (f, 1);
