A store that comes back from a copy is read anew

What callers saw after the store came back from a copy some seconds old: a new configuration was missed for good when its row got a version that was given out before, 503 until the servers had registered again, requests to servers that had left, whose entries in the copy still said ready. Cause: versions of the store were taken to grow for ever, and what it had acknowledged for kept. Responses from an earlier era than the known one have an unknown outcome, so have transactions that an older era sent, and watches end as compacted.

--- a/src/gate.c
+++ b/src/gate.c
@@ -76,6 +76,14 @@
   log_end (&line);
 }
 
+static void
+on_store_restored (void *user)
+{
+  const struct gate *gate = user;
+
+  kernel_post (gate->core.kernel, KERNEL_STORE_RESTORED, NULL);
+}
+
 int
 gate_new (const struct gate_options *options, struct gate **out)
 {
@@ -86,6 +94,8 @@
   gate->options.gateway.drain_ms = options->drain_ms;
   create_core (gate);
   register_services (gate);
+  options->platform->restored = on_store_restored;
+  options->platform->restored_user = gate;
   err = kernel_start (gate->core.kernel);
   if (err < 0)
     {
--- a/src/listing.c
+++ b/src/listing.c
@@ -51,6 +51,7 @@
   bool listed;  /* VERSION is valid: it may be watched */
   bool pending; /* a list or watch is in progress */
   bool relist;  /* list it next, do not continue the watch */
+  bool stale;   /* the result of the call in progress is ignored */
   uint64_t version;
   unsigned failures;
   struct loop_timer timer;
@@ -81,6 +82,10 @@
   bool peer_list_applied;
   struct timespec start_wait_until;
   struct timespec last_outage_at; /* last failed call; zero: none */
+  bool restored;                  /* COPY_VERSION is not known yet */
+  /* Rows up to this version may be from the copy that the store was restored
+     from; 0: it was not.  */
+  uint64_t copy_version;
 };
 
 static struct timespec
@@ -216,6 +221,12 @@
       badrow_log (catalog->servers_table, row->key, why);
       return false;
     }
+  if (row->version <= listing->copy_version
+      && servers_is_outdated (listing->servers, &entry))
+    {
+      server_entry_clear (&entry);
+      return false;
+    }
   changed = servers_put (listing->servers, &entry);
   if (changed)
     log_server (listing, &entry);
@@ -294,6 +305,11 @@
   bool changed = false;
 
   listing->peer_list_applied = false;
+  if (complete && listing->restored)
+    {
+      listing->restored = false;
+      listing->copy_version = changes->version;
+    }
   begin_list (listing);
   for (size_t i = 0; i < changes->count; i++)
     if (changes->rows[i].value == NULL)
@@ -401,6 +417,15 @@
   watched->failures++;
 }
 
+static void
+query_now (struct watched_table *watched)
+{
+  struct loop *loop = watched->listing->core->loop;
+
+  if (!watched->pending)
+    loop_timer_set (loop, &watched->timer, loop_now (loop));
+}
+
 static void
 on_changes (void *user, enum platform_status status,
             const struct platform_changes *changes)
@@ -409,12 +434,20 @@
   struct listing *listing = watched->listing;
   bool complete = !watched->listed;
 
+  bool stale = watched->stale;
+
   watched->pending = false;
+  watched->stale = false;
   if (status != PLATFORM_OK)
     {
       on_query_failed (watched, status);
       return;
     }
+  if (stale)
+    {
+      query_now (watched);
+      return;
+    }
   watched->failures = 0;
   watched->listed = true;
   watched->version = changes->version;
@@ -540,15 +573,6 @@
   return ts_to_ms (ts_sub (listing_now (listing), at));
 }
 
-static void
-query_now (struct watched_table *watched)
-{
-  struct loop *loop = watched->listing->core->loop;
-
-  if (!watched->pending)
-    loop_timer_set (loop, &watched->timer, loop_now (loop));
-}
-
 void
 listing_query_store (struct listing *listing)
 {
@@ -655,6 +679,30 @@
 
 /* The service.  */
 
+static void
+read_anew (struct watched_table *watched)
+{
+  watched->relist = true;
+  watched->stale = watched->pending;
+  query_now (watched);
+}
+
+/* Versions of the rows have no meaning any more.  Servers are missing until
+   they register again, as after an outage, and rows of servers may be older
+   than what is known.  */
+static void
+on_store_restored (struct listing *listing)
+{
+  listing->last_outage_at = listing_now (listing);
+  listing->restored = true;
+  listing->copy_version = 0;
+  listing->peer_list_version = 0;
+  servers_list_restored (listing->servers);
+  read_anew (&listing->config_table);
+  read_anew (&listing->servers_table);
+  nodetable_register_again (&listing->nodes);
+}
+
 static void
 listing_event (struct service *service, const struct kernel_event *event)
 {
@@ -662,6 +710,8 @@
 
   if (event->type == KERNEL_DRAIN_STARTED)
     nodetable_unregister (&listing->nodes);
+  else if (event->type == KERNEL_STORE_RESTORED)
+    on_store_restored (listing);
   else if (event->type == KERNEL_PEER_CONNECTED)
     links_add_member (listing->links, event->data);
 }
--- a/src/nodetable.c
+++ b/src/nodetable.c
@@ -12,6 +12,8 @@
 #define NODES_TABLE "nodes"
 #define NODES_INTERVAL_MS 60000     /* between queries of the other nodes */
 #define NODES_DEAD_INTERVAL_MS 5000 /* while some seem dead */
+/* Per node of the fleet: all register again within this time.  */
+#define REGISTER_SPREAD_MS 10
 
 static void
 on_registered (void *user, enum platform_status status,
@@ -102,6 +104,21 @@
       ts_add_ms (loop_now (nodes->core->loop), nodes_interval_ms (nodes)));
 }
 
+void
+nodetable_register_again (struct nodetable *nodes)
+{
+  gint32 spread_ms
+      = (gint32)MIN (nodes->count, NODES_INTERVAL_MS / REGISTER_SPREAD_MS)
+        * REGISTER_SPREAD_MS;
+
+  nodes->registered = false;
+  if (!nodes->core->draining)
+    loop_timer_set (
+        nodes->core->loop, &nodes->timer,
+        ts_add_ms (loop_now (nodes->core->loop),
+                   g_rand_int_range (nodes->core->rand, 0, spread_ms + 1)));
+}
+
 void
 nodetable_unregister (struct nodetable *nodes)
 {
--- a/src/nodetable.h
+++ b/src/nodetable.h
@@ -28,6 +28,9 @@
                       struct links *links);
 void nodetable_stop (struct nodetable *nodes);
 
+/* Writes this node's row again, soon: the table was restored from a copy.  */
+void nodetable_register_again (struct nodetable *nodes);
+
 /* Removes this node's row, at a planned stop.  */
 void nodetable_unregister (struct nodetable *nodes);
 
--- a/src/platform.h
+++ b/src/platform.h
@@ -8,6 +8,13 @@
    PLATFORM_UNKNOWN means that the operation may or may not have taken effect;
    a caller that needs to know reads the row back and compares TOKEN.
 
+   The table may be restored from a copy.  What was written after the copy was
+   made is lost, although it was acknowledged, and its versions are used again.
+   Each time ERA rises.  A version is meaningful only in the era in which it
+   was read: a transaction that was sent in an earlier era than it was executed
+   in ends as PLATFORM_UNKNOWN, a watch as PLATFORM_COMPACTED.  Responses from
+   an earlier era than the known one end as PLATFORM_UNKNOWN.
+
    Ownership: arguments are borrowed for the duration of the call, results for
    the duration of the callback.  */
 
@@ -162,6 +169,11 @@
 struct platform
 {
   const struct platform_ops *ops;
+  uint64_t era; /* 0: not known, or the table is never restored */
+  /* Called when ERA has risen from a known one, before the callback of the
+     call that showed it; may be NULL.  */
+  void (*restored) (void *user);
+  void *restored_user;
 };
 
 #endif
--- a/src/servers.c
+++ b/src/servers.c
@@ -13,10 +13,17 @@
      platform lists them.  */
   struct holders *published;
   struct holders *listed;
+  GHashTable *removed; /* id to struct removed */
   struct timespec published_at;
   bool published_partly; /* see servers_replicas_complete */
 };
 
+struct removed
+{
+  int64_t born; /* 0: unknown */
+  struct timespec at;
+};
+
 void
 server_entry_clear (struct server_entry *entry)
 {
@@ -55,6 +62,8 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, server_free);
   servers->by_service
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, unref_table);
+  servers->removed
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   servers->published = holders_new ();
   servers->listed = holders_new ();
   return servers;
@@ -67,6 +76,7 @@
     return;
   g_hash_table_unref (servers->by_service);
   g_hash_table_unref (servers->all);
+  g_hash_table_unref (servers->removed);
   holders_free (servers->published);
   holders_free (servers->listed);
   g_free (servers);
@@ -220,6 +230,30 @@
     server->drop_at = at;
 }
 
+static void
+remember_removed (struct servers *servers, const struct server *server,
+                  struct timespec now)
+{
+  struct removed *removed = g_new (struct removed, 1);
+
+  removed->born = server->born;
+  removed->at = now;
+  g_hash_table_replace (servers->removed, g_strdup (server->route->id),
+                        removed);
+}
+
+static void
+forget_removed (struct servers *servers, struct timespec now)
+{
+  const struct removed *removed;
+  GHashTableIter iter;
+
+  g_hash_table_iter_init (&iter, servers->removed);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&removed))
+    if (ts_before (ts_add_ms (removed->at, SERVERS_REMOVED_TTL_MS), now))
+      g_hash_table_iter_remove (&iter);
+}
+
 bool
 servers_expire (struct servers *servers, struct timespec now)
 {
@@ -231,13 +265,39 @@
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&server))
     if (!ts_is_zero (server->drop_at) && !ts_before (now, server->drop_at))
       {
+        remember_removed (servers, server, now);
         unindex_server (servers, server);
         g_hash_table_iter_remove (&iter);
         removed = true;
       }
+  forget_removed (servers, now);
   return removed;
 }
 
+void
+servers_list_restored (struct servers *servers)
+{
+  struct server *server;
+  GHashTableIter iter;
+
+  g_hash_table_iter_init (&iter, servers->all);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&server))
+    server->said_leaving = server->leaving;
+}
+
+bool
+servers_is_outdated (const struct servers *servers,
+                     const struct server_entry *entry)
+{
+  const struct server *server = servers_find (servers, entry->id);
+  const struct removed *removed
+      = g_hash_table_lookup (servers->removed, entry->id);
+
+  if (server != NULL)
+    return entry->born < server->born;
+  return removed != NULL && entry->born <= removed->born;
+}
+
 struct server *
 servers_find (const struct servers *servers, const char *id)
 {
--- a/src/servers.h
+++ b/src/servers.h
@@ -38,6 +38,10 @@
    one, so that a malformed value does not exclude the server for good.  */
 #define SERVERS_PAUSE_MAX_MS 600000
 
+/* How long a removed server is remembered: longer than an older list of the
+   platform may go back.  */
+#define SERVERS_REMOVED_TTL_MS 60000
+
 /* A server as the platform lists it.  */
 struct server_entry
 {
@@ -92,6 +96,15 @@
    any.  */
 bool servers_expire (struct servers *servers, struct timespec now);
 
+/* The platform's list goes back to an older one.  Servers that leave keep
+   leaving until they are removed or have restarted.  */
+void servers_list_restored (struct servers *servers);
+
+/* Whether ENTRY, from such an older list, is outdated: the server was removed
+   within SERVERS_REMOVED_TTL_MS, or has restarted since.  */
+bool servers_is_outdated (const struct servers *servers,
+                          const struct server_entry *entry);
+
 /* NULL when there is none.  */
 struct server *servers_find (const struct servers *servers, const char *id);
 
