Test: property of the lease over a table that is restored from older copies

What may happen: two holders with one fencing token, so that an engine takes orders of both, and a lower token after a higher one at an engine. Cause: the token is the one in the row plus one, and a candidate's wait counts from when it first read a version of the row; after a restore both go back.

--- a/src/lease.c
+++ b/src/lease.c
@@ -65,6 +65,7 @@
   uint64_t version;     /* of the row of the held lease; 0: none */
   uint64_t fence_floor; /* highest fencing token known to be used */
   struct timespec valid_until;
+  uint64_t era; /* of the table; 0: not known */
 };
 
 struct lease *
@@ -541,6 +542,15 @@
   lease->next = now;
 }
 
+void
+lease_set_era (struct lease *lease, uint64_t era, struct timespec now,
+               struct action_list *out)
+{
+  (void)now;
+  (void)out;
+  lease->era = MAX (lease->era, era);
+}
+
 bool
 lease_may_send (const struct lease *lease, struct timespec now)
 {
--- a/src/lease.h
+++ b/src/lease.h
@@ -114,6 +114,11 @@
 void lease_fenced (struct lease *lease, uint64_t fence, struct timespec now,
                    struct action_list *out);
 
+/* The table is in ERA, see platform.h.  To be called before the result of the
+   call that showed it is passed on.  */
+void lease_set_era (struct lease *lease, uint64_t era, struct timespec now,
+                    struct action_list *out);
+
 /* Whether an order may be sent at NOW.  To be called directly before the send
    with a fresh clock reading, after any step that may block.  After the lease
    has expired it is true only where engines check the fencing token and the
--- a/tests/fake_table.h
+++ b/tests/fake_table.h
@@ -1,7 +1,8 @@
 /* fake_table - an in-memory implementation of the platform's table for tests.
 
    Writes take effect immediately.  Tests that need delayed or lost writes
-   keep copies of transactions and apply them later.  */
+   keep copies of transactions and apply them later.  With fake_table_restore
+   the table goes back to a copy, and versions are used again.  */
 
 #ifndef FAKE_TABLE_H
 #define FAKE_TABLE_H
@@ -17,6 +18,10 @@
   GHashTable *tokens; /* tokens of committed transactions */
   unsigned reads;
   unsigned writes;
+  bool forgets_tokens; /* a repeated transaction is checked like any other */
+  uint64_t era;        /* rises with each restore */
+  GPtrArray *copies;   /* struct platform_rows: the rows before each committed
+                          transaction; NULL: not kept */
 };
 
 static inline void
@@ -55,6 +60,20 @@
 {
   g_tree_destroy (table->rows);
   g_hash_table_unref (table->tokens);
+  if (table->copies != NULL)
+    g_ptr_array_unref (table->copies);
+}
+
+static inline void
+fake_table_put (struct fake_table *table, const struct platform_row *from)
+{
+  struct platform_row *row = g_new0 (struct platform_row, 1);
+
+  row->key = g_strdup (from->key);
+  row->value = g_strdup (from->value);
+  row->token = g_strdup (from->token);
+  row->version = from->version;
+  g_tree_replace (table->rows, row->key, row);
 }
 
 static inline struct platform_row *
@@ -106,6 +125,63 @@
   g_tree_replace (table->rows, row->key, row);
 }
 
+static inline void
+fake_copy_free (void *copy)
+{
+  fake_rows_clear ((struct platform_rows *)copy);
+  g_free (copy);
+}
+
+/* Keeps copies from now on, for fake_table_restore.  */
+static inline void
+fake_table_keep_copies (struct fake_table *table)
+{
+  table->era = 1;
+  table->forgets_tokens = true;
+  table->copies = g_ptr_array_new_with_free_func (fake_copy_free);
+}
+
+static inline gboolean
+fake_copy_row (void *key, void *value, void *data)
+{
+  (void)key;
+  fake_rows_add ((struct platform_rows *)data,
+                 (const struct platform_row *)value);
+  return FALSE;
+}
+
+static inline void
+fake_table_copy (struct fake_table *table)
+{
+  struct platform_rows *copy;
+
+  if (table->copies == NULL)
+    return;
+  copy = g_new0 (struct platform_rows, 1);
+  g_tree_foreach (table->rows, fake_copy_row, copy);
+  g_ptr_array_add (table->copies, copy);
+}
+
+/* Restores the table from the copy that is WRITES committed transactions
+   old.  */
+static inline void
+fake_table_restore (struct fake_table *table, unsigned writes)
+{
+  unsigned n = MIN (writes, table->copies->len);
+  const struct platform_rows *copy;
+
+  table->era++;
+  if (n == 0)
+    return;
+  copy = (const struct platform_rows *)g_ptr_array_index (
+      table->copies, table->copies->len - n);
+  g_tree_destroy (table->rows);
+  table->rows = g_tree_new_full (fake_compare, NULL, NULL, fake_row_free);
+  for (size_t i = 0; i < copy->count; i++)
+    fake_table_put (table, &copy->rows[i]);
+  g_ptr_array_set_size (table->copies, (gint)(table->copies->len - n));
+}
+
 /* CONFLICTS may be NULL.  */
 static inline enum platform_status
 fake_table_txn (struct fake_table *table, const struct platform_txn *txn,
@@ -114,7 +190,8 @@
   enum platform_status status = PLATFORM_OK;
 
   table->writes++;
-  if (g_hash_table_contains (table->tokens, txn->token))
+  if (!table->forgets_tokens
+      && g_hash_table_contains (table->tokens, txn->token))
     return PLATFORM_OK;
   for (size_t i = 0; i < txn->check_count; i++)
     {
@@ -130,6 +207,7 @@
     }
   if (status != PLATFORM_OK)
     return status;
+  fake_table_copy (table);
   for (size_t i = 0; i < txn->write_count; i++)
     fake_table_write (table, txn->token, &txn->writes[i]);
   g_hash_table_add (table->tokens, g_strdup (txn->token));
