The lease holds over a table that is restored from a copy

What could happen: after the store came back from a copy two holders had one fencing token, or a lower token followed a higher one at an engine. Cause: tokens and versions of the lease's row go back with the copy. Change: a new era of the table ends the lease and voids open transactions. A token is era times 2^24 plus the version of the row that the acquisition is based on, at least one more than the highest known. The row names the era in which it was written; a row of another era, or none, says nothing of the holder, so candidates wait a whole lease from when they first read it. The node that held the lease when it heard of the era acquires it again at once, with a new token. Stores without eras are used as before.

--- a/src/lease.c
+++ b/src/lease.c
@@ -15,6 +15,9 @@
 #define NON_CANDIDATE_TICK_MS 5000 /* tick while not a candidate */
 #define RESPONSE_TICK_MS 1000      /* tick while waiting for the table */
 #define HANDOVER_DELAY_MS 30000    /* then a holder with rank > 0 releases */
+/* Bits of a token below the era.  A restore takes back fewer versions than
+   this can count.  */
+#define FENCE_ERA_SHIFT 24
 
 enum attempt_kind
 {
@@ -66,6 +69,9 @@
   uint64_t fence_floor; /* highest fencing token known to be used */
   struct timespec valid_until;
   uint64_t era; /* of the table; 0: not known */
+  /* Until then this node may acquire the lease again that it held when the era
+     began.  */
+  struct timespec reclaim_until;
 };
 
 struct lease *
@@ -170,7 +176,7 @@
       = g_strdup_printf ("%s/%s/%" PRIu64 "/%" PRIu64, lease->key, lease->node,
                          lease->incarnation, ++lease->token_count);
   attempt->value = leaserow_text (lease->node, lease->incarnation, fence,
-                                  kind == RELEASE);
+                                  lease->era, kind == RELEASE);
   attempt->check.key = lease->key;
   attempt->check.version = version;
   attempt->write.key = lease->key;
@@ -193,48 +199,85 @@
          && lease->seen.incarnation < lease->incarnation;
 }
 
+/* Whether the row tells who holds the lease now.  */
+static bool
+row_is_current (const struct lease *lease)
+{
+  return lease->seen.era == lease->era;
+}
+
+/* Whether the lease is known to be free, or held by this node.  */
+static bool
+is_free (const struct lease *lease)
+{
+  const struct leaserow *seen = &lease->seen;
+
+  return row_is_current (lease)
+         && (seen->version == 0 || seen->released
+             || (lease->checks_fence
+                 && (seen->holder_dead
+                     || held_by_former_incarnation (lease))));
+}
+
+static bool
+may_reclaim (const struct lease *lease, struct timespec now)
+{
+  return ts_before (now, lease->reclaim_until);
+}
+
 /* Earliest time at which this candidate may acquire the lease.  */
 static struct timespec
-acquire_at (const struct lease *lease)
+acquire_at (const struct lease *lease, struct timespec now)
 {
   const struct leaserow *seen = &lease->seen;
   struct timespec delay = ts_from_ms ((int64_t)lease->rank * RANK_DELAY_MS);
   struct timespec free_at = seen->at;
 
-  if (held_by_self (lease) && !seen->released)
+  if (row_is_current (lease) && held_by_self (lease) && !seen->released)
+    return seen->at;
+  if (!row_is_current (lease) && may_reclaim (lease, now))
     return seen->at;
-  if (seen->version != 0 && !seen->released
-      && !(lease->checks_fence
-           && (seen->holder_dead || held_by_former_incarnation (lease))))
+  if (!is_free (lease))
     free_at = ts_add (
         seen->at, ts_from_s (ts_to_s (lease->duration) * CLOCK_RATE_FACTOR));
   return ts_add (free_at, delay);
 }
 
 static bool
-is_candidate (const struct lease *lease)
+is_candidate (const struct lease *lease, struct timespec now)
+{
+  return (lease->rank < LEASE_CANDIDATES || may_reclaim (lease, now))
+         && !lease->release_wanted;
+}
+
+/* Of two acquisitions in one era the later one is based on a higher version of
+   the row.  */
+static uint64_t
+next_fence (const struct lease *lease)
 {
-  return lease->rank < LEASE_CANDIDATES && !lease->release_wanted;
+  uint64_t next = MAX (lease->seen.fence, lease->fence_floor) + 1;
+
+  if (lease->era == 0)
+    return next;
+  return MAX (next, (lease->era << FENCE_ERA_SHIFT) + lease->seen.version);
 }
 
 static void
 acquire (struct lease *lease, struct timespec now, struct action_list *out)
 {
-  uint64_t highest_used = MAX (lease->seen.fence, lease->fence_floor);
-
   lease->state = LEASE_ACQUIRING;
-  begin_attempt (lease, ACQUIRE, lease->seen.version, highest_used + 1, now,
+  begin_attempt (lease, ACQUIRE, lease->seen.version, next_fence (lease), now,
                  out);
 }
 
 static void
 watch (struct lease *lease, struct timespec now, struct action_list *out)
 {
-  if (!is_candidate (lease))
+  if (!is_candidate (lease, now))
     lease->next = ts_add_ms (now, NON_CANDIDATE_TICK_MS);
   else if (lease->reading)
     lease->next = ts_add_ms (now, RESPONSE_TICK_MS);
-  else if (lease->seen.known && !ts_before (now, acquire_at (lease)))
+  else if (lease->seen.known && !ts_before (now, acquire_at (lease, now)))
     acquire (lease, now, out);
   else
     read_row (lease, now, out);
@@ -247,10 +290,10 @@
       = CANDIDATE_POLL_MS * (double)(1 + MIN (lease->rank, LEASE_CANDIDATES));
 
   lease->next = backoff_jitter (ms, lease->rand, now);
-  if (is_candidate (lease) && !lease->seen.known)
+  if (is_candidate (lease, now) && !lease->seen.known)
     lease->next = now;
-  else if (is_candidate (lease))
-    lease->next = ts_min (lease->next, acquire_at (lease));
+  else if (is_candidate (lease, now))
+    lease->next = ts_min (lease->next, acquire_at (lease, now));
 }
 
 static void
@@ -289,6 +332,7 @@
   lease->fence = attempt->fence;
   lease->fence_floor = MAX (lease->fence_floor, lease->fence);
   lease->valid_until = ts_add (attempt->sent_at, lease->duration);
+  lease->reclaim_until = (struct timespec){ 0 };
   attempt_close (attempt);
   lease->table_unavailable = false;
   lease->seen.known = false;
@@ -515,7 +559,7 @@
 void
 lease_hint (struct lease *lease, struct timespec now, struct action_list *out)
 {
-  if (lease->state == LEASE_WATCHING && is_candidate (lease))
+  if (lease->state == LEASE_WATCHING && is_candidate (lease, now))
     read_row (lease, now, out);
 }
 
@@ -526,8 +570,8 @@
       || g_strcmp0 (lease->seen.holder, node) != 0)
     return;
   lease->seen.holder_dead = true;
-  if (is_candidate (lease))
-    lease->next = ts_min (lease->next, ts_max (now, acquire_at (lease)));
+  if (is_candidate (lease, now))
+    lease->next = ts_min (lease->next, ts_max (now, acquire_at (lease, now)));
 }
 
 void
@@ -546,9 +590,15 @@
 lease_set_era (struct lease *lease, uint64_t era, struct timespec now,
                struct action_list *out)
 {
-  (void)now;
-  (void)out;
-  lease->era = MAX (lease->era, era);
+  bool held = lease->state == LEASE_HELD;
+
+  if (era <= lease->era)
+    return;
+  lease->era = era;
+  lease->seen.known = false;
+  lease->reclaim_until = held ? lease->valid_until : (struct timespec){ 0 };
+  return_to_watching (lease, LEASE_LOST, now, out);
+  lease->next = now;
 }
 
 bool
--- a/src/lease.h
+++ b/src/lease.h
@@ -8,6 +8,15 @@
    row, and is longer than the lease by CLOCK_RATE_FACTOR (Gray and Cheriton
    1989, for clocks that differ only in rate).
 
+   When the table is restored from a copy, versions and tokens in it go back.
+   A new era of the table therefore ends the lease, transactions of an earlier
+   one are void, and a row that was not written in the current era, or is
+   missing, tells nothing of the present holder: candidates wait as if it had
+   just been renewed.  Only the node that held the lease when it heard of the
+   era may acquire it again at once, as nobody else can have before that lease
+   expires.  Tokens have the era in their high bits and grow with the version
+   of the row.
+
    A state machine without I/O, see action.h.  Control thread only.  Each
    LEASE_TXN must be answered by one lease_txn_done and each LEASE_READ by one
    lease_row.  */
@@ -56,7 +65,8 @@
   LEASE_TXN,     /* send TXN, then lease_txn_done with ATTEMPT */
   LEASE_WON,     /* this node is the holder, with FENCE and VERSION */
   LEASE_RENEWED, /* the row has a new VERSION */
-  LEASE_LOST,    /* another node has changed the row or has a higher token */
+  LEASE_LOST,    /* another node has changed the row or has a higher token, or
+                    the table was restored */
   LEASE_RELEASED /* released: notify the candidates, see lease_hint */
 };
 
--- a/src/leaserow.c
+++ b/src/leaserow.c
@@ -18,6 +18,7 @@
       = (uint64_t)json_integer_value (json_object_get (row, "incarnation"));
   leaserow->fence
       = (uint64_t)json_integer_value (json_object_get (row, "fence"));
+  leaserow->era = (uint64_t)json_integer_value (json_object_get (row, "era"));
   leaserow->released = json_is_true (json_object_get (row, "released"));
   json_decref (row);
 }
@@ -39,11 +40,12 @@
 
 char *
 leaserow_text (const char *node, uint64_t incarnation, uint64_t fence,
-               bool released)
+               uint64_t era, bool released)
 {
-  json_t *row = json_pack ("{s:s, s:I, s:I, s:b}", "holder", node,
-                           "incarnation", (json_int_t)incarnation, "fence",
-                           (json_int_t)fence, "released", released);
+  json_t *row
+      = json_pack ("{s:s, s:I, s:I, s:I, s:b}", "holder", node, "incarnation",
+                   (json_int_t)incarnation, "fence", (json_int_t)fence, "era",
+                   (json_int_t)era, "released", released);
   char *text = json_dumps (row, JSON_COMPACT);
   char *copy = g_strdup (text);
 
--- a/src/leaserow.h
+++ b/src/leaserow.h
@@ -18,6 +18,7 @@
   char *holder;
   uint64_t incarnation;
   uint64_t fence;
+  uint64_t era; /* of the table, when the value was written; 0: unknown */
   bool released;
   bool holder_dead;
 };
@@ -31,6 +32,6 @@
 
 /* Value of a row as JSON text; the caller frees it with g_free.  */
 char *leaserow_text (const char *node, uint64_t incarnation, uint64_t fence,
-                     bool released);
+                     uint64_t era, bool released);
 
 #endif
--- a/src/planners.c
+++ b/src/planners.c
@@ -284,6 +284,18 @@
   planners_set_timer (planners);
 }
 
+static void
+enter_era (struct planners *planners)
+{
+  struct action_list list;
+
+  action_list_init (&list);
+  lease_set_era (planners->lease, planners->core->platform->era,
+                 planners_now (planners), &list);
+  planners_run_lease (planners, &list);
+  planners_set_timer (planners);
+}
+
 static void
 planners_event (struct service *service, const struct kernel_event *event)
 {
@@ -315,6 +327,9 @@
       if (planners->deciding)
         planners_send_all_replicas (planners, event->data);
       break;
+    case KERNEL_STORE_RESTORED:
+      enter_era (planners);
+      break;
     case KERNEL_DRAIN_STARTED:
       release_lease (planners);
       break;
--- a/src/planners_lease.c
+++ b/src/planners_lease.c
@@ -57,6 +57,8 @@
   struct action_list list;
 
   action_list_init (&list);
+  lease_set_era (planners->lease, planners->core->platform->era,
+                 planners_now (planners), &list);
   lease_row (planners->lease, status, find_lease_row (rows),
              planners_now (planners), &list);
   planners_run_lease (planners, &list);
@@ -73,6 +75,8 @@
   struct action_list list;
 
   action_list_init (&list);
+  lease_set_era (planners->lease, planners->core->platform->era,
+                 planners_now (planners), &list);
   lease_txn_done (planners->lease, rpc->attempt, status, find_lease_row (rows),
                   planners_now (planners), &list);
   planners_run_lease (planners, &list);
--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -212,7 +212,7 @@
 {
   struct lease_options options
       = { .cell = "c", .node = "a", .incarnation = 2 };
-  char *value = leaserow_text (holder, 1, 7, false);
+  char *value = leaserow_text (holder, 1, 7, 0, false);
   struct platform_row row
       = { .key = "cell/c", .version = 40, .value = value, .token = "" };
   struct action_list list;
