--- a/tests/test_gate_notice.c
+++ b/tests/test_gate_notice.c
@@ -40,7 +40,9 @@
   const char *long_pause[]
       = { "Parsleyrill-Not-Executed", "1", "Retry-After", "30", NULL };
 
-  if (strcmp (behaviour, "leaves") == 0)
+  if (strcmp (behaviour, "report") == 0)
+    httpd_respond (request, 503, "text/plain", pause, "", 0);
+  else if (strcmp (behaviour, "leaves") == 0)
     answer_leaving (request, "hello");
   else if (strcmp (behaviour, "leaves-events") == 0)
     stream_leaving (request);
@@ -163,6 +165,45 @@
   tear_down (&f);
 }
 
+static const char engine_config[]
+    = "{\"Version\":1,\"Routes\":[{\"Name\":\"r\",\"Hostname\":"
+      "\"h.example\",\"Prefix\":\"/m/\",\"Kind\":\"streaming\","
+      "\"TimeoutMs\":20000,\"Service\":\"app\",\"MaxAttempts\":2,"
+      "\"Resumable\":true,\"GapAimMs\":5000}],\"Services\":[{\"Name\":"
+      "\"app\",\"Engine\":{\"Slots\":8,\"WeightsMb\":1000,"
+      "\"AdapterSlots\":4,\"LoadsPerS\":1,\"Models\":[{\"Name\":\"m\","
+      "\"WeightsMb\":10,\"LoadS\":1,\"Adapters\":1,\"AdapterMb\":1}]}}]}";
+
+/* Guards against report requests and orders of the decider during the pause
+   that an engine asked for.  */
+static void
+test_decider_pauses (void)
+{
+  struct fixture f;
+  char *text;
+
+  set_up (&f);
+  put_row (&f, "op/config", engine_config);
+  text = g_strdup_printf (
+      "{\"Service\":\"app\",\"Address\":\"127.0.0.1:%u\",\"Zone\":\"z\","
+      "\"Slots\":8,\"State\":\"ready\",\"Sequence\":0,\"born\":1000,"
+      "\"Models\":[]}",
+      httpd_port (f.server));
+  put_row (&f, "servers/i-1", text);
+  g_free (text);
+  for (unsigned round = 1; round <= 2; round++)
+    {
+      int64_t pause_ends;
+
+      RUN_UNTIL (&f, f.at_server >= round);
+      pause_ends = now_ms () + PAUSE_MS - 50;
+      while (now_ms () < pause_ends)
+        run_once (&f);
+      g_assert_cmpuint (f.at_server, ==, round);
+    }
+  tear_down (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -171,5 +212,6 @@
   g_test_add_func ("/notice/long-pause", test_long_pause);
   g_test_add_func ("/notice/leaving", test_leaving);
   g_test_add_func ("/notice/leaving-stream", test_leaving_stream);
+  g_test_add_func ("/notice/decider-pauses", test_decider_pauses);
   return g_test_run ();
 }
--- a/tests/test_gate_restore.c
+++ b/tests/test_gate_restore.c
@@ -232,6 +232,53 @@
   tear_down (&f);
 }
 
+/* Fencing token in the row of the lease; 0: there is no row.  */
+static json_int_t
+lease_token (struct fixture *f)
+{
+  const struct row *row = g_hash_table_lookup (f->rows, "cell/engines");
+  json_int_t token;
+  guchar *bytes;
+  json_t *json;
+  gsize n;
+
+  if (row == NULL)
+    return 0;
+  bytes = g_base64_decode (row->value, &n);
+  json = json_loadb ((const char *)bytes, n, 0, NULL);
+  token = json_integer_value (
+      json_object_get (json_object_get (json, "value"), "fence"));
+  json_decref (json);
+  g_free (bytes);
+  return token;
+}
+
+/* Guards against a decider that goes on under a lease that the copy does not
+   have, or takes it again under a token that was used before.  */
+static void
+test_lease (void)
+{
+  struct fixture f;
+  GHashTable *copy;
+  json_int_t before;
+  uint64_t version;
+  int64_t end_ms;
+
+  set_up_store (&f);
+  copy = copy_rows (&f);
+  version = f.version;
+  end_ms = now_ms () + WAIT_MS;
+  RUN_UNTIL (&f, lease_token (&f) != 0 || now_ms () > end_ms);
+  before = lease_token (&f);
+  g_assert_cmpint (before, >, 0);
+  run_ms (&f, 500);
+  restore_rows (&f, copy, version);
+  end_ms = now_ms () + 2000; /* the holder need not wait for its own lease */
+  RUN_UNTIL (&f, lease_token (&f) > before || now_ms () > end_ms);
+  g_assert_cmpint (lease_token (&f), >, before);
+  tear_down (&f);
+}
+
 /* Guards against responses from before the store was restored, which arrive
    after it.  */
 static void
@@ -264,6 +311,7 @@
   g_test_add_func ("/restore/servers-return", test_servers_return);
   g_test_add_func ("/restore/leaving", test_leaving);
   g_test_add_func ("/restore/removed", test_removed);
+  g_test_add_func ("/restore/lease", test_lease);
   g_test_add_func ("/restore/late-response", test_late_response);
   return g_test_run ();
 }
