Test: what a server said of itself holds after its entry was missing

What callers may see: a server that said it leaves, or asked for a pause, gets requests again if its entry lapses, as in an outage of the store, and returns. Cause: it is forgotten with the entry. Evidence: build/tests/test_servers, /servers/notice-outlasts-entry: 2 replicas instead of none.

--- a/tests/test_servers.c
+++ b/tests/test_servers.c
@@ -194,6 +194,34 @@
   tear_down (&f);
 }
 
+/* Guards against requests to a server that said it leaves or asked for a
+   pause, after its entry was missing for a while.  */
+static void
+test_notice_outlasts_entry (void)
+{
+  struct backend_notice leaving = { .leaving = true };
+  struct backend_notice pause = { .pause_ms = 5000 };
+  struct timespec now = ts_from_ms (1);
+  struct fixture f;
+
+  set_up (&f);
+  put (&f, "e1", "m", 7, 5, false);
+  put (&f, "e2", "m", 7, 5, false);
+  servers_report_notice (f.servers, "e1", &leaving, now);
+  servers_report_notice (f.servers, "e2", &pause, now);
+  servers_drop (f.servers, "e1", now);
+  servers_drop (f.servers, "e2", now);
+  g_assert_true (servers_expire (f.servers, now));
+  g_assert_null (servers_find (f.servers, "e1"));
+  put (&f, "e1", "m", 7, 6, false);
+  put (&f, "e2", "m", 7, 6, false);
+  g_assert_cmpuint (count (&f, "m", NULL, 5000), ==, 0);
+  g_assert_cmpuint (count (&f, "m", NULL, 5001), ==, 1);
+  put (&f, "e1", "m", 8, 0, false); /* restarted */
+  g_assert_cmpuint (count (&f, "m", NULL, 5001), ==, 2);
+  tear_down (&f);
+}
+
 /* An entry that differs in its adapters only changes where requests may go,
    one that differs in its sequence only does not.  */
 static void
@@ -456,6 +484,8 @@
   g_test_add_func ("/servers/missing", test_missing);
   g_test_add_func ("/servers/pause", test_pause);
   g_test_add_func ("/servers/said-leaving", test_said_leaving);
+  g_test_add_func ("/servers/notice-outlasts-entry",
+                   test_notice_outlasts_entry);
   g_test_add_func ("/rates", test_rates);
   g_test_add_func ("/retry/budget", test_retry_budget);
   g_test_add_func ("/histo", test_histo);
