What a server said of itself holds after its entry was missing

What callers may have seen: requests to a server that said it leaves, or asked for a pause, once its entry had lapsed, as in an outage of the store, and was back. Cause: both were forgotten with the entry. Change: they are kept for a minute with the start of the removed server and hold again for the same start.

--- a/src/servers.c
+++ b/src/servers.c
@@ -21,6 +21,8 @@
 struct removed
 {
   int64_t born; /* 0: unknown */
+  bool said_leaving;
+  struct timespec paused_until;
   struct timespec at;
 };
 
@@ -160,6 +162,20 @@
   return changed;
 }
 
+/* If ENTRY was missing for a while, what the server said still holds.  */
+static void
+recall_removed (const struct servers *servers, struct server *server,
+                const struct server_entry *entry)
+{
+  const struct removed *removed
+      = g_hash_table_lookup (servers->removed, entry->id);
+
+  if (removed == NULL || entry->born == 0 || entry->born != removed->born)
+    return;
+  server->said_leaving = removed->said_leaving;
+  server->paused_until = removed->paused_until;
+}
+
 static struct server *
 add_server (struct servers *servers, const struct server_entry *entry)
 {
@@ -174,6 +190,7 @@
     }
   g_hash_table_add (set, server);
   g_hash_table_insert (servers->all, g_strdup (entry->id), server);
+  recall_removed (servers, server, entry);
   return server;
 }
 
@@ -237,6 +254,8 @@
   struct removed *removed = g_new (struct removed, 1);
 
   removed->born = server->born;
+  removed->said_leaving = server->said_leaving;
+  removed->paused_until = server->paused_until;
   removed->at = now;
   g_hash_table_replace (servers->removed, g_strdup (server->route->id),
                         removed);
--- a/src/servers.h
+++ b/src/servers.h
@@ -38,8 +38,8 @@
    one, so that a malformed value does not exclude the server for good.  */
 #define SERVERS_PAUSE_MAX_MS 600000
 
-/* How long a removed server is remembered: longer than an older list of the
-   platform may go back.  */
+/* How long a removed server, and what it said of itself, is remembered: longer
+   than an older list of the platform may go back.  */
 #define SERVERS_REMOVED_TTL_MS 60000
 
 /* A server as the platform lists it.  */
@@ -83,8 +83,8 @@
 void servers_free (struct servers *servers);
 
 /* Adds or updates a server.  Returns true if requests may now be routed
-   differently.  A server that itself said it leaves keeps leaving until it is
-   removed or has restarted.  */
+   differently.  A server that itself said it leaves keeps leaving until it has
+   restarted, or is removed for SERVERS_REMOVED_TTL_MS.  */
 bool servers_put (struct servers *servers, const struct server_entry *entry);
 
 /* The platform no longer lists ID; it is removed at AT unless it is listed
--- a/tests/test_servers.c
+++ b/tests/test_servers.c
@@ -91,6 +91,7 @@
                                 .service = (char *)"s",
                                 .slots = 8,
                                 .leaving = leaving,
+                                .born = born,
                                 .inventory = inventory_new () };
 
   entry.inventory->born = born;
@@ -186,9 +187,9 @@
   put (&f, "e1", "m", 1, 6, false);
   g_assert_false (servers_put (f.servers, &published));
   g_assert_cmpuint (count (&f, "m", NULL, 1), ==, 0);
-  published.born = 7;
+  published.born = 1;
   g_assert_false (servers_put (f.servers, &published));
-  published.born = 8; /* restarted */
+  published.born = 2; /* restarted */
   g_assert_true (servers_put (f.servers, &published));
   g_assert_cmpuint (count (&f, NULL, NULL, 1), ==, 1);
   tear_down (&f);
