Test: the first restore of a store whose era begins at 0

What callers see: all that a restore does unnoticed, as before eras were read, if the store counts its restores from 0. Cause: 0 stands for an era that is not known.

--- a/tests/gate_fixture.h
+++ b/tests/gate_fixture.h
@@ -37,7 +37,7 @@
   struct gate *gate;
   GHashTable *rows; /* "TABLE/KEY" to struct row */
   uint64_t version;
-  uint64_t era;                /* of the store; 0: not in its responses */
+  uint64_t era; /* of the store, from 1, told as one less; 0: not told */
   GPtrArray *waiting_feeds;    /* struct httpd_request: waits for new rows */
   struct httpd_request *held;  /* at the server, not yet answered */
   unsigned at_server;          /* requests that reached the server */
@@ -93,7 +93,7 @@
              json_t *json)
 {
   char *text = json_dumps (json, JSON_COMPACT);
-  char *era = g_strdup_printf ("%" G_GUINT64_FORMAT, f->era);
+  char *era = g_strdup_printf ("%" G_GUINT64_FORMAT, f->era - 1);
   const char *headers[] = { "Store-Era", era, NULL };
 
   httpd_respond (request, status, "application/json",
--- a/tests/test_gate_restore.c
+++ b/tests/test_gate_restore.c
@@ -43,11 +43,12 @@
   g_free (text);
 }
 
+/* The store has not been restored yet.  */
 static void
 set_up_store (struct fixture *f)
 {
   set_up (f);
-  f->era = 3;
+  f->era = 1;
   put_config (f, 1);
 }
 
@@ -289,6 +290,9 @@
   set_up_store (&f);
   put_server (&f, "ready", 1);
   wait_for_status (&f, "/safe/x", 200);
+  f.era++;
+  put_server (&f, "ready", 2);
+  run_ms (&f, 1500); /* the gate has seen the new era */
   f.era--;
   put_row (&f, "op/config", other_config);
   for (int64_t end_ms = now_ms () + 2000; now_ms () < end_ms;)
