--- a/src/listing.c
+++ b/src/listing.c
@@ -433,7 +433,6 @@
   struct watched_table *watched = user;
   struct listing *listing = watched->listing;
   bool complete = !watched->listed;
-
   bool stale = watched->stale;
 
   watched->pending = false;
