--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -364,26 +364,38 @@
     forward_fail (forward, "the servers are overloaded", retry_ms);
 }
 
-/* Fills REPLICAS, which borrow from the list of servers, and *READY_AT, see
-   servers_replicas.  */
-static void
-get_replicas (struct forward *forward, GArray *replicas,
-              struct timespec *ready_at)
+/* The replicas that may take the request, and, if there is none, when the
+   first one may, see servers_replicas.  */
+static GArray *
+find_replicas (const struct forward *forward, struct timespec *ready_at)
 {
+  GArray *replicas = g_array_new (FALSE, FALSE, sizeof (struct route_replica));
+
   servers_replicas (
       listing_servers (forward->gateway->listing), forward->service->name,
       forward->target != NULL ? forward->parsed.model : NULL,
       forward->parsed.adapter, forward_now (forward), replicas, ready_at);
+  return replicas;
+}
+
+int64_t
+forward_ready_in_ms (const struct forward *forward)
+{
+  struct timespec ready_at;
+  GArray *replicas = find_replicas (forward, &ready_at);
+  bool none = replicas->len == 0 && !ts_is_zero (ready_at);
+
+  g_array_unref (replicas);
+  return none ? ts_to_ms (ts_sub (ready_at, forward_now (forward))) : 0;
 }
 
 struct route_engine *
 forward_pick_other (struct forward *forward)
 {
-  GArray *replicas = g_array_new (FALSE, FALSE, sizeof (struct route_replica));
-  struct route_engine *engine = NULL;
   struct timespec ready_at;
+  GArray *replicas = find_replicas (forward, &ready_at);
+  struct route_engine *engine = NULL;
 
-  get_replicas (forward, replicas, &ready_at);
   if (replicas->len > 0 && gateway_may_dispatch (forward->gateway)
       && left_ms (forward) >= ANSWER_MIN_MS)
     engine = pick_engine (forward, replicas);
@@ -394,11 +406,10 @@
 bool
 forward_engine_is_replica (struct forward *forward)
 {
-  GArray *replicas = g_array_new (FALSE, FALSE, sizeof (struct route_replica));
   struct timespec ready_at;
+  GArray *replicas = find_replicas (forward, &ready_at);
   bool found = false;
 
-  get_replicas (forward, replicas, &ready_at);
   for (guint i = 0; i < replicas->len && !found; i++)
     {
       const struct route_replica *replica
@@ -428,12 +439,11 @@
 forward_route (struct forward *forward)
 {
   struct gateway *gateway = forward->gateway;
-  GArray *replicas = g_array_new (FALSE, FALSE, sizeof (struct route_replica));
   struct timespec now = forward_now (forward);
   struct route_engine *engine = NULL;
   struct timespec ready_at;
+  GArray *replicas = find_replicas (forward, &ready_at);
 
-  get_replicas (forward, replicas, &ready_at);
   if (replicas->len > 0 && gateway_may_dispatch (gateway))
     engine = pick_engine (forward, replicas);
   g_array_unref (replicas);
@@ -446,7 +456,9 @@
   else if (left_ms (forward) < ANSWER_MIN_MS)
     forward_fail (forward, "no server is free in time", 0);
   else if (ready_too_late (forward, ready_at))
-    forward_fail (forward, "the model is not loaded in time",
+    forward_fail (forward,
+                  forward->target != NULL ? "the model is not loaded in time"
+                                          : "no server takes requests in time",
                   ts_to_ms (ts_sub (ready_at, now)));
   else
     {
--- a/src/listing.c
+++ b/src/listing.c
@@ -51,6 +51,7 @@
   bool listed;  /* VERSION is valid: it may be watched */
   bool pending; /* a list or watch is in progress */
   bool relist;  /* list it next, do not continue the watch */
+  bool stale;   /* the result of the call in progress is ignored */
   uint64_t version;
   unsigned failures;
   struct loop_timer timer;
@@ -81,6 +82,10 @@
   bool peer_list_applied;
   struct timespec start_wait_until;
   struct timespec last_outage_at; /* last failed call; zero: none */
+  bool restored;                  /* COPY_VERSION is not known yet */
+  /* Rows up to this version may be from the copy that the store was restored
+     from; 0: it was not.  */
+  uint64_t copy_version;
 };
 
 static struct timespec
@@ -216,9 +221,16 @@
       badrow_log (catalog->servers_table, row->key, why);
       return false;
     }
+  if (row->version <= listing->copy_version
+      && servers_is_outdated (listing->servers, &entry))
+    {
+      server_entry_clear (&entry);
+      return false;
+    }
   changed = servers_put (listing->servers, &entry);
   if (changed)
     log_server (listing, &entry);
+  entry.leaving = servers_find (listing->servers, entry.id)->leaving;
   kernel_post (listing->core->kernel, KERNEL_SERVER_LISTED, &entry);
   server_entry_clear (&entry);
   return changed;
@@ -293,6 +305,11 @@
   bool changed = false;
 
   listing->peer_list_applied = false;
+  if (complete && listing->restored)
+    {
+      listing->restored = false;
+      listing->copy_version = changes->version;
+    }
   begin_list (listing);
   for (size_t i = 0; i < changes->count; i++)
     if (changes->rows[i].value == NULL)
@@ -318,6 +335,52 @@
                   ts_add_ms (listing_now (listing), EXPIRE_INTERVAL_MS));
 }
 
+static void
+log_pause (const char *id, int64_t pause_ms)
+{
+  struct log_line line;
+
+  log_begin (&line, EVENT_SERVER_PAUSE);
+  log_str (&line, "engine", id);
+  log_int (&line, "pause_ms", pause_ms);
+  log_end (&line);
+}
+
+/* Tells the planners, whose engines follow the listed entries, and the waiting
+   requests.  */
+static void
+post_leaving (struct listing *listing, const struct server *server)
+{
+  struct server_entry entry = { .id = server->route->id,
+                                .address = server->route->address,
+                                .zone = server->route->zone,
+                                .service = server->route->pool,
+                                .slots = server->slots,
+                                .leaving = true,
+                                .born = server->born,
+                                .inventory = server->inventory };
+  struct log_line line;
+
+  log_begin (&line, EVENT_SERVER_LEAVING);
+  log_str (&line, "engine", server->route->id);
+  log_end (&line);
+  kernel_post (listing->core->kernel, KERNEL_SERVER_LISTED, &entry);
+  kernel_post (listing->core->kernel, KERNEL_SERVERS_CHANGED, NULL);
+}
+
+void
+listing_server_notice (struct listing *listing, const char *id,
+                       const struct backend_notice *notice)
+{
+  if (!servers_report_notice (listing->servers, id, notice,
+                              listing_now (listing)))
+    return;
+  if (notice->pause_ms > 0)
+    log_pause (id, notice->pause_ms);
+  if (notice->leaving)
+    post_leaving (listing, servers_find (listing->servers, id));
+}
+
 /* Watched tables.  */
 
 /* The whole fleet retries at a bounded rate.  */
@@ -354,6 +417,15 @@
   watched->failures++;
 }
 
+static void
+query_now (struct watched_table *watched)
+{
+  struct loop *loop = watched->listing->core->loop;
+
+  if (!watched->pending)
+    loop_timer_set (loop, &watched->timer, loop_now (loop));
+}
+
 static void
 on_changes (void *user, enum platform_status status,
             const struct platform_changes *changes)
@@ -361,13 +433,20 @@
   struct watched_table *watched = user;
   struct listing *listing = watched->listing;
   bool complete = !watched->listed;
+  bool stale = watched->stale;
 
   watched->pending = false;
+  watched->stale = false;
   if (status != PLATFORM_OK)
     {
       on_query_failed (watched, status);
       return;
     }
+  if (stale)
+    {
+      query_now (watched);
+      return;
+    }
   watched->failures = 0;
   watched->listed = true;
   watched->version = changes->version;
@@ -493,15 +572,6 @@
   return ts_to_ms (ts_sub (listing_now (listing), at));
 }
 
-static void
-query_now (struct watched_table *watched)
-{
-  struct loop *loop = watched->listing->core->loop;
-
-  if (!watched->pending)
-    loop_timer_set (loop, &watched->timer, loop_now (loop));
-}
-
 void
 listing_query_store (struct listing *listing)
 {
@@ -560,7 +630,8 @@
                                 .zone = server->zone,
                                 .service = server->pool,
                                 .slots = (unsigned)server->slots,
-                                .leaving = server->leaving };
+                                .leaving = server->leaving,
+                                .born = (int64_t)server->born };
 
   g_hash_table_add (listing->peer_servers, g_strdup (server->engine));
   if (!peer_list_applies (listing) || entry.address == NULL
@@ -607,6 +678,30 @@
 
 /* The service.  */
 
+static void
+read_anew (struct watched_table *watched)
+{
+  watched->relist = true;
+  watched->stale = watched->pending;
+  query_now (watched);
+}
+
+/* Versions of the rows have no meaning any more.  Servers are missing until
+   they register again, as after an outage, and rows of servers may be older
+   than what is known.  */
+static void
+on_store_restored (struct listing *listing)
+{
+  listing->last_outage_at = listing_now (listing);
+  listing->restored = true;
+  listing->copy_version = 0;
+  listing->peer_list_version = 0;
+  servers_list_restored (listing->servers);
+  read_anew (&listing->config_table);
+  read_anew (&listing->servers_table);
+  nodetable_register_again (&listing->nodes);
+}
+
 static void
 listing_event (struct service *service, const struct kernel_event *event)
 {
@@ -614,6 +709,8 @@
 
   if (event->type == KERNEL_DRAIN_STARTED)
     nodetable_unregister (&listing->nodes);
+  else if (event->type == KERNEL_STORE_RESTORED)
+    on_store_restored (listing);
   else if (event->type == KERNEL_PEER_CONNECTED)
     links_add_member (listing->links, event->data);
 }
--- a/src/planners.c
+++ b/src/planners.c
@@ -284,6 +284,18 @@
   planners_set_timer (planners);
 }
 
+static void
+enter_era (struct planners *planners)
+{
+  struct action_list list;
+
+  action_list_init (&list);
+  lease_set_era (planners->lease, planners->core->platform->era,
+                 planners_now (planners), &list);
+  planners_run_lease (planners, &list);
+  planners_set_timer (planners);
+}
+
 static void
 planners_event (struct service *service, const struct kernel_event *event)
 {
@@ -315,6 +327,9 @@
       if (planners->deciding)
         planners_send_all_replicas (planners, event->data);
       break;
+    case KERNEL_STORE_RESTORED:
+      enter_era (planners);
+      break;
     case KERNEL_DRAIN_STARTED:
       release_lease (planners);
       break;
@@ -323,6 +338,14 @@
     }
 }
 
+static void
+on_notice (void *user, const char *engine, const struct backend_notice *notice)
+{
+  const struct planners *planners = user;
+
+  listing_server_notice (planners->listing, engine, notice);
+}
+
 static int
 planners_start (struct service *service, struct kernel *kernel)
 {
@@ -332,6 +355,11 @@
   planners->core = core_find (kernel);
   planners->links = links_find (kernel);
   planners->listing = listing_find (kernel);
+  if (planners->core->backend != NULL)
+    {
+      planners->core->backend->notice = on_notice;
+      planners->core->backend->notice_user = planners;
+    }
   options.node = planners->core->node;
   options.incarnation = planners->core->incarnation;
   options.rand = planners->core->rand;
