tests: gates, store and servers as real processes under faults

A store, backend servers and gates as processes of their own, callers on kept connections; processes are killed, stopped and restarted, and servers lose, reset, repeat and refuse. The record of the servers' runs is compared with what the callers were answered: runs twice, refused requests that ran, retries over the fleet's budget.

--- a/tests/gate_fixture.h
+++ b/tests/gate_fixture.h
@@ -190,6 +190,13 @@
       g_free (text);
       g_free (value);
     }
+  json_array_foreach (json_object_get (body, "Remove"), i, item)
+    {
+      char *name = row_name (item);
+
+      put_row (f, name, NULL);
+      g_free (name);
+    }
   json_decref (body);
   answer_json (request, 200,
                json_pack ("{s:I}", "Ver", (json_int_t)f->version));
--- /dev/null
+++ b/tests/test_processes.c
@@ -0,0 +1,893 @@
+/* Gates, a store and backend servers as processes of their own, and callers on
+   kept connections, while processes are killed, stopped and started again.
+   What each server ran is compared with what the callers were answered.
+
+   PROCESS_SEEDS sets the number of seeds of /processes/all, 0 by default.  */
+
+#include <signal.h>
+#include <spawn.h>
+#include <sys/prctl.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#pragma GCC diagnostic ignored "-Wunused-function"
+#include "gate_fixture.h"
+#include "process_engine.h"
+
+#define GATES 3
+#define ENGINES 4
+#define CALLERS 24
+#define FRONT_PORT 8149
+#define READY_PORT 8141
+#define CONTROL_PORT 8144
+#define DIRECTORY_PORT 8143
+#define STORE_PORT 8142
+#define ENGINE_PORT 8400
+#define TICK_MS 100
+#define LATE_RUNS_MS 1500 /* for requests that a stopped server still holds   \
+                           */
+#define BUDGET_RATIO 0.2
+#define BUDGET_WINDOW_MS 10000
+
+/* Percentages of the ticks.  */
+struct process_faults
+{
+  int kill_engine;
+  int stop_engine;
+  int kill_gate;
+  int stop_gate;
+  int kill_all_gates;
+};
+
+struct process_case
+{
+  struct engine_faults engine;
+  struct process_faults process;
+  int run_ms;
+  int slots;
+  int budget_slack;
+  int pause_ms; /* longest pause of a caller between requests */
+};
+
+struct child
+{
+  pid_t pid;
+  int64_t resume_at; /* 0: not stopped */
+  int64_t start_at;  /* 0: running */
+  int64_t remove_at; /* removal of the entry OLD_ID; 0: none */
+  unsigned starts;
+  char id[32];
+  char old_id[32];
+};
+
+struct processes
+{
+  const struct process_case *options;
+  GRand *rand;
+  char *dir;
+  char *record_path;
+  int record;
+  char address[32]; /* without the last number */
+  struct child store;
+  struct child gates[GATES];
+  struct child engines[ENGINES];
+  atomic_bool stopping;
+  unsigned seed;
+};
+
+struct caller_thread
+{
+  struct processes *processes;
+  pthread_t thread;
+  unsigned number;
+  unsigned seed;
+  int fd; /* kept connection, or -1 */
+};
+
+static const char *program;
+
+/* The store process.  */
+
+static void
+handle_at_server (struct fixture *f, struct httpd_request *request)
+{
+  (void)f;
+  httpd_drop (request);
+}
+
+static int
+store_main (char **argv)
+{
+  struct fixture f = { 0 };
+  struct httpd_options options = { .address = argv[0],
+                                   .port = STORE_PORT,
+                                   .request = on_store,
+                                   .gone = on_store_finished,
+                                   .user = &f };
+
+  f.loop = loop_new (clk_monotonic ());
+  f.rows = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, row_free);
+  f.waiting_feeds = g_ptr_array_new ();
+  options.loop = f.loop;
+  put_config (&f, 1);
+  if (httpd_new (&options, &f.store) < 0)
+    return 1;
+  for (;;)
+    loop_run_once (f.loop, 1000);
+}
+
+/* Starting processes.  */
+
+static pid_t
+start_process (struct processes *p, char *const *argv, const char *log_name,
+               char *const *environment)
+{
+  char *log = g_build_filename (p->dir, log_name, NULL);
+  pid_t pid = fork ();
+
+  if (pid == 0)
+    {
+      int fd = open (log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+
+      prctl (PR_SET_PDEATHSIG, SIGKILL);
+      dup2 (fd, STDOUT_FILENO);
+      dup2 (fd, STDERR_FILENO);
+      execve (argv[0], argv, environment);
+      _exit (127);
+    }
+  g_free (log);
+  return pid;
+}
+
+static int
+connect_to (const char *address, int port)
+{
+  struct sockaddr_in sin = { .sin_family = AF_INET };
+  struct timeval limit = { .tv_sec = 1 };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  sin.sin_port = htons ((uint16_t)port);
+  inet_pton (AF_INET, address, &sin.sin_addr);
+  setsockopt (fd, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
+  if (connect (fd, (struct sockaddr *)&sin, sizeof sin) == 0)
+    return fd;
+  close (fd);
+  return -1;
+}
+
+static char *
+address_of (const struct processes *p, int host)
+{
+  return g_strdup_printf ("%s%d", p->address, host);
+}
+
+#define STORE_HOST 1
+#define GATE_HOST(i) (10 + (i))
+#define ENGINE_HOST(i) (100 + (i))
+
+/* Sends one request to the store; returns whether it was answered 200.  */
+static bool
+call_store (struct processes *p, const char *body)
+{
+  char *address = address_of (p, STORE_HOST);
+  char *text = g_strdup_printf ("POST /v1/rows-tx HTTP/1.1\r\nHost: s\r\n"
+                                "Content-Length: %zu\r\n\r\n%s",
+                                strlen (body), body);
+  char input[HEAD_MAX];
+  size_t length = 0;
+  size_t end;
+  int fd = connect_to (address, STORE_PORT);
+  bool ok = fd >= 0 && send_all (fd, text, strlen (text))
+            && read_message (fd, input, &length, &end)
+            && g_str_has_prefix (input, "HTTP/1.1 200");
+
+  if (fd >= 0)
+    close (fd);
+  g_free (text);
+  g_free (address);
+  return ok;
+}
+
+static void
+write_entry (struct processes *p, int i)
+{
+  char *address = address_of (p, ENGINE_HOST (i));
+  char *value = g_strdup_printf (
+      "{\"Service\":\"app\",\"Address\":\"%s:%d\",\"Zone\":\"z\","
+      "\"Slots\":%d,\"State\":\"ready\",\"Sequence\":1}",
+      address, ENGINE_PORT, p->options->slots);
+  char *encoded = g_base64_encode ((const guchar *)value, strlen (value));
+  char *body = g_strdup_printf ("{\"SetKeys\":[{\"Table\":\"servers\","
+                                "\"Key\":\"%s\",\"Value\":\"%s\"}]}",
+                                p->engines[i].id, encoded);
+
+  g_assert_true (call_store (p, body));
+  g_free (body);
+  g_free (encoded);
+  g_free (value);
+  g_free (address);
+}
+
+static void
+remove_entry (struct processes *p, const char *id)
+{
+  char *body = g_strdup_printf (
+      "{\"Remove\":[{\"Table\":\"servers\",\"Key\":\"%s\"}]}", id);
+
+  g_assert_true (call_store (p, body));
+  g_free (body);
+}
+
+static void
+start_store (struct processes *p)
+{
+  char *address = address_of (p, STORE_HOST);
+  char *argv[] = { (char *)program, (char *)"store", address, NULL };
+  char *none[] = { NULL };
+
+  p->store.pid = start_process (p, argv, "store.log", none);
+  while (!call_store (p, "{}"))
+    sleep_ms (10);
+  g_free (address);
+}
+
+static void
+start_engine (struct processes *p, int i)
+{
+  const struct engine_faults *f = &p->options->engine;
+  struct child *child = &p->engines[i];
+  char *address = address_of (p, ENGINE_HOST (i));
+  char *port = g_strdup_printf ("%d", ENGINE_PORT);
+  char *slots = g_strdup_printf ("%d", p->options->slots);
+  char *seed = g_strdup_printf ("%u", g_rand_int (p->rand) % 1000000);
+  char *faults
+      = g_strdup_printf (ENGINE_FAULTS_FORMAT, f->lose, f->reset, f->full,
+                         f->fail, f->hang, f->close, f->repeat);
+  char *argv[] = { (char *)program, (char *)"engine",
+                   address,         port,
+                   child->id,       p->record_path,
+                   slots,           seed,
+                   faults,          NULL };
+  char *none[] = { NULL };
+
+  memcpy (child->old_id, child->id, sizeof child->id);
+  g_snprintf (child->id, sizeof child->id, "i-%d-%u", i, ++child->starts);
+  child->pid = start_process (p, argv, "engines.log", none);
+  write_entry (p, i);
+  g_free (faults);
+  g_free (seed);
+  g_free (slots);
+  g_free (port);
+  g_free (address);
+}
+
+static char *
+write_gate_settings (struct processes *p, int i)
+{
+  char *name = g_strdup_printf ("gate-%d.json", i);
+  char *path = g_build_filename (p->dir, name, NULL);
+  char *ip = address_of (p, GATE_HOST (i));
+  char *seed = address_of (p, GATE_HOST (0));
+  char *store = address_of (p, STORE_HOST);
+  char *text = g_strdup_printf (
+      "{\"NodeName\":\"n%d\",\"Zone\":\"z\",\"Region\":\"r\","
+      "\"Listen\":{\"Front\":\"%s:%d\",\"Ready\":\"%s:%d\","
+      "\"Control\":\"%s:%d\",\"Directory\":\"%s:%d\"},"
+      "\"Seeds\":[\"%s:%d\"],\"Limits\":{\"FdLimit\":2000},"
+      "\"Bounds\":{\"GraceS\":2,\"BudgetRatio\":%g,\"BudgetSlack\":%d},"
+      "\"Platform\":{\"Address\":\"%s:%d\"}}",
+      i, ip, FRONT_PORT, ip, READY_PORT, ip, CONTROL_PORT, ip, DIRECTORY_PORT,
+      seed, CONTROL_PORT, BUDGET_RATIO, p->options->budget_slack, store,
+      STORE_PORT);
+
+  g_assert_true (g_file_set_contents (path, text, -1, NULL));
+  g_free (text);
+  g_free (store);
+  g_free (seed);
+  g_free (ip);
+  g_free (name);
+  return path;
+}
+
+static void
+start_gate_process (struct processes *p, int i)
+{
+  char *settings = write_gate_settings (p, i);
+  char *dir = g_path_get_dirname (program);
+  char *gate = g_build_filename (dir, "..", "parsley-gate", NULL);
+  char *name = g_strdup_printf ("gate-%d.log", i);
+  char *argv[] = { gate, (char *)"--settings", settings, NULL };
+  char *environment[] = { (char *)"PARSLEY_PEER_TOKEN=secret-of-nodes", NULL };
+
+  p->gates[i].pid = start_process (p, argv, name, environment);
+  g_free (name);
+  g_free (gate);
+  g_free (dir);
+  g_free (settings);
+}
+
+static bool
+gate_serves (struct processes *p, int i)
+{
+  static const char text[] = "GET /safe/w HTTP/1.1\r\nHost: h.example\r\n"
+                             "Parsleyrill-Request-Id: warm\r\n\r\n";
+  char *address = address_of (p, GATE_HOST (i));
+  char input[HEAD_MAX];
+  size_t length = 0;
+  size_t end;
+  int fd = connect_to (address, FRONT_PORT);
+  bool ok = fd >= 0 && send_all (fd, text, strlen (text))
+            && read_message (fd, input, &length, &end)
+            && g_str_has_prefix (input, "HTTP/1.1 200");
+
+  if (fd >= 0)
+    close (fd);
+  g_free (address);
+  return ok;
+}
+
+/* Callers.  */
+
+enum request_kind
+{
+  KIND_SAFE,
+  KIND_ONCE,
+  KIND_LONG
+};
+
+static const char *const kind_paths[] = { "safe", "once", "long" };
+
+/* Waits for the response until DEADLINE; returns its status, 0 without
+   one.  */
+static int
+read_response (int fd, int64_t deadline, bool *keep)
+{
+  char input[HEAD_MAX];
+  size_t length = 0;
+  bool chunked;
+  char *blank;
+
+  *keep = false;
+  for (;;)
+    {
+      struct pollfd ready = { .fd = fd, .events = POLLIN };
+      int64_t left = deadline - process_now_ms ();
+      size_t body = 0;
+      char text[32];
+      ssize_t n;
+
+      if (left <= 0 || poll (&ready, 1, (int)left) <= 0)
+        return 0;
+      n = length + 1 < sizeof input
+              ? recv (fd, input + length, sizeof input - 1 - length, 0)
+              : 0;
+      if (n <= 0)
+        return 0;
+      length += (size_t)n;
+      input[length] = '\0';
+      blank = strstr (input, "\r\n\r\n");
+      if (blank == NULL)
+        continue;
+      chunked = strstr (input, "chunked") != NULL;
+      if (header_value (input, "\r\nContent-Length: ", text, sizeof text))
+        body = strtoul (text, NULL, 10);
+      if (chunked ? strstr (blank, "\r\n0\r\n\r\n") != NULL
+                  : length >= (size_t)(blank - input) + 4 + body)
+        break;
+    }
+  *keep = strstr (input, "Connection: close") == NULL;
+  return atoi (input + strlen ("HTTP/1.1 "));
+}
+
+static void
+make_request (struct caller_thread *caller, unsigned n)
+{
+  enum request_kind kind = (enum request_kind) (rand_r (&caller->seed) % 3);
+  int deadline_ms = 300 + rand_r (&caller->seed) % 1500;
+  bool leaves = rand_r (&caller->seed) % 100 < 5;
+  int record = caller->processes->record;
+  char id[32];
+  char *text;
+  bool keep;
+  int status;
+
+  g_snprintf (id, sizeof id, "%u-%u", caller->number, n);
+  text = g_strdup_printf (
+      "%s /%s/x HTTP/1.1\r\nHost: h.example\r\nParsleyrill-Request-Id: %s\r\n"
+      "Parsleyrill-Deadline-Ms: %d\r\n%s\r\n%s",
+      kind == KIND_ONCE ? "POST" : "GET", kind_paths[kind], id, deadline_ms,
+      kind == KIND_ONCE ? "Content-Length: 4\r\n" : "",
+      kind == KIND_ONCE ? "body" : "");
+  record_line (record, 'S', "%s %d", id, (int)kind);
+  if (leaves)
+    deadline_ms = rand_r (&caller->seed) % 60;
+  keep = send_all (caller->fd, text, strlen (text));
+  status = keep ? read_response (caller->fd, process_now_ms () + deadline_ms,
+                                 &keep)
+                : 0;
+  record_line (record, 'E', "%s %d", id, status);
+  g_free (text);
+  if (!keep || status == 0 || rand_r (&caller->seed) % 8 == 0)
+    {
+      close (caller->fd);
+      caller->fd = -1;
+    }
+}
+
+static void *
+run_caller (void *user)
+{
+  struct caller_thread *caller = user;
+  struct processes *p = caller->processes;
+
+  for (unsigned n = 0; !atomic_load (&p->stopping); n++)
+    {
+      char *address
+          = address_of (p, GATE_HOST (rand_r (&caller->seed) % GATES));
+
+      if (caller->fd < 0)
+        caller->fd = connect_to (address, FRONT_PORT);
+      g_free (address);
+      if (caller->fd >= 0)
+        make_request (caller, n);
+      sleep_ms (rand_r (&caller->seed) % p->options->pause_ms);
+    }
+  if (caller->fd >= 0)
+    close (caller->fd);
+  return NULL;
+}
+
+/* Faults of processes.  */
+
+static void
+kill_child (struct child *child)
+{
+  kill (child->pid, SIGKILL);
+  waitpid (child->pid, NULL, 0);
+  child->resume_at = 0;
+}
+
+static void
+stop_child (struct processes *p, struct child *child)
+{
+  if (child->start_at != 0 || child->resume_at != 0)
+    return;
+  kill (child->pid, SIGSTOP);
+  child->resume_at = process_now_ms () + g_rand_int_range (p->rand, 100, 1500);
+}
+
+static void
+kill_for_a_while (struct processes *p, struct child *child)
+{
+  if (child->start_at != 0)
+    return;
+  kill_child (child);
+  child->start_at = process_now_ms () + g_rand_int_range (p->rand, 0, 800);
+}
+
+static bool
+tick_drawn (struct processes *p, int percent)
+{
+  return g_rand_int_range (p->rand, 0, 100) < percent;
+}
+
+static void
+inject_faults (struct processes *p)
+{
+  const struct process_faults *faults = &p->options->process;
+  struct child *engine = &p->engines[g_rand_int_range (p->rand, 0, ENGINES)];
+  struct child *gate = &p->gates[g_rand_int_range (p->rand, 0, GATES)];
+
+  if (tick_drawn (p, faults->kill_engine))
+    kill_for_a_while (p, engine);
+  if (tick_drawn (p, faults->stop_engine))
+    stop_child (p, engine);
+  if (tick_drawn (p, faults->kill_gate))
+    kill_for_a_while (p, gate);
+  if (tick_drawn (p, faults->stop_gate))
+    stop_child (p, gate);
+  if (tick_drawn (p, faults->kill_all_gates))
+    for (int i = 0; i < GATES; i++)
+      kill_for_a_while (p, &p->gates[i]);
+}
+
+static void
+resume_child (struct child *child, int64_t now)
+{
+  if (child->resume_at == 0 || now < child->resume_at)
+    return;
+  kill (child->pid, SIGCONT);
+  child->resume_at = 0;
+}
+
+static void
+restore_engine (struct processes *p, int i, int64_t now)
+{
+  struct child *child = &p->engines[i];
+
+  resume_child (child, now);
+  if (child->start_at != 0 && now >= child->start_at)
+    {
+      if (child->remove_at != 0)
+        remove_entry (p, child->old_id);
+      start_engine (p, i);
+      child->start_at = 0;
+      child->remove_at = now + g_rand_int_range (p->rand, 0, 3000);
+    }
+  if (child->remove_at != 0 && now >= child->remove_at)
+    {
+      remove_entry (p, child->old_id);
+      child->remove_at = 0;
+    }
+}
+
+static void
+restore_processes (struct processes *p, int64_t now)
+{
+  for (int i = 0; i < ENGINES; i++)
+    restore_engine (p, i, now);
+  for (int i = 0; i < GATES; i++)
+    {
+      resume_child (&p->gates[i], now);
+      if (p->gates[i].start_at == 0 || now < p->gates[i].start_at)
+        continue;
+      start_gate_process (p, i);
+      p->gates[i].start_at = 0;
+    }
+}
+
+static void
+run_faults (struct processes *p)
+{
+  int64_t end = process_now_ms () + p->options->run_ms;
+
+  while (process_now_ms () < end)
+    {
+      restore_processes (p, process_now_ms ());
+      inject_faults (p);
+      sleep_ms (TICK_MS);
+    }
+}
+
+/* Comparison of the record with the rules.  */
+
+struct request_record
+{
+  int kind;
+  int status;
+  unsigned arrivals;
+  unsigned runs;
+};
+
+struct totals
+{
+  GHashTable *requests; /* id to struct request_record */
+  GArray *sent;         /* times, ms */
+  GArray *repeats;      /* times of arrivals beyond the first, ms */
+  unsigned answered;    /* with 200 */
+  unsigned refused;     /* with a status that promises "not run" */
+  unsigned refused_runs;
+  unsigned double_runs;
+  unsigned over_budget; /* most repeats above the limit, in any window */
+};
+
+static void
+read_line (struct totals *totals, const char *line)
+{
+  struct request_record *request;
+  long long time;
+  char id[64];
+  char kind;
+  int value = 0;
+
+  if (sscanf (line, "%c %lld %63s %d", &kind, &time, id, &value) < 3
+      || strcmp (id, "warm") == 0)
+    return;
+  request = g_hash_table_lookup (totals->requests, id);
+  if (request == NULL)
+    {
+      request = g_new0 (struct request_record, 1);
+      g_hash_table_insert (totals->requests, g_strdup (id), request);
+    }
+  if (kind == 'S')
+    {
+      request->kind = value;
+      g_array_append_val (totals->sent, time);
+    }
+  if (kind == 'E')
+    request->status = value;
+  if (kind == 'A' && request->arrivals++ > 0)
+    g_array_append_val (totals->repeats, time);
+  if (kind == 'R')
+    request->runs++;
+}
+
+static bool
+promises_not_run (int status)
+{
+  return status == 429 || status == 503 || status == 408 || status == 421;
+}
+
+static void
+check_request (const char *id, const struct request_record *request,
+               struct totals *totals)
+{
+  if (request->status == 200)
+    totals->answered++;
+  if (promises_not_run (request->status))
+    totals->refused++;
+  if (request->kind != KIND_ONCE)
+    return;
+  if (promises_not_run (request->status) && request->runs > 0)
+    {
+      totals->refused_runs++;
+      g_test_message ("refused and run: %s, status %d", id, request->status);
+    }
+  if (request->runs > 1)
+    {
+      totals->double_runs++;
+      g_test_message ("run %u times: %s", request->runs, id);
+    }
+}
+
+static unsigned
+count_between (const GArray *times, long long from, long long to)
+{
+  unsigned count = 0;
+
+  for (guint i = 0; i < times->len; i++)
+    {
+      long long time = g_array_index (times, long long, i);
+
+      count += time >= from && time < to;
+    }
+  return count;
+}
+
+static void
+check_budget (const struct process_case *options, struct totals *totals)
+{
+  const long long window = BUDGET_WINDOW_MS;
+
+  for (guint i = 0; i < totals->repeats->len; i++)
+    {
+      long long from = g_array_index (totals->repeats, long long, i);
+      unsigned repeats = count_between (totals->repeats, from, from + window);
+      unsigned sent = count_between (totals->sent, from, from + window);
+      double limit;
+
+      sent = MAX (sent, count_between (totals->sent, from - window, from));
+      sent = MAX (sent, count_between (totals->sent, from - window / 2,
+                                       from + window / 2));
+      limit = BUDGET_RATIO * sent + options->budget_slack;
+      if (repeats > limit)
+        totals->over_budget
+            = MAX (totals->over_budget, (unsigned)(repeats - limit));
+    }
+}
+
+static void
+check_record (struct processes *p)
+{
+  struct totals totals = { 0 };
+  GHashTableIter iter;
+  gpointer id;
+  gpointer request;
+  char *text;
+  char **lines;
+
+  totals.requests
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  totals.sent = g_array_new (FALSE, FALSE, sizeof (long long));
+  totals.repeats = g_array_new (FALSE, FALSE, sizeof (long long));
+  g_assert_true (g_file_get_contents (p->record_path, &text, NULL, NULL));
+  lines = g_strsplit (text, "\n", -1);
+  for (char **line = lines; *line != NULL; line++)
+    read_line (&totals, *line);
+  g_hash_table_iter_init (&iter, totals.requests);
+  while (g_hash_table_iter_next (&iter, &id, &request))
+    check_request (id, request, &totals);
+  check_budget (p->options, &totals);
+  g_test_message ("seed %u: %u requests, %u answered, %u refused, %u repeats; "
+                  "%u refused and run, %u run twice, %u over the budget",
+                  p->seed, totals.sent->len, totals.answered, totals.refused,
+                  totals.repeats->len, totals.refused_runs, totals.double_runs,
+                  totals.over_budget);
+  g_assert_cmpuint (totals.answered, >, 100);
+  g_assert_cmpuint (totals.double_runs, ==, 0);
+  g_assert_cmpuint (totals.refused_runs, ==, 0);
+  g_assert_cmpuint (totals.over_budget, ==, 0);
+  g_strfreev (lines);
+  g_free (text);
+  g_array_unref (totals.sent);
+  g_array_unref (totals.repeats);
+  g_hash_table_unref (totals.requests);
+}
+
+/* A run.  */
+
+static void
+start_processes (struct processes *p)
+{
+  pid_t pid = getpid ();
+
+  p->dir = g_dir_make_tmp ("processes-XXXXXX", NULL);
+  p->record_path = g_build_filename (p->dir, "record", NULL);
+  p->record
+      = open (p->record_path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+  g_snprintf (p->address, sizeof p->address, "127.%d.%d.",
+              1 + (pid >> 8) % 200, pid & 255);
+  start_store (p);
+  for (int i = 0; i < ENGINES; i++)
+    start_engine (p, i);
+  for (int i = 0; i < GATES; i++)
+    start_gate_process (p, i);
+  for (int i = 0; i < GATES; i++)
+    while (!gate_serves (p, i))
+      sleep_ms (20);
+}
+
+/* Servers that were stopped run what they have received before the end.  */
+static void
+stop_processes (struct processes *p)
+{
+  for (int i = 0; i < GATES; i++)
+    if (p->gates[i].start_at == 0)
+      kill (p->gates[i].pid, SIGCONT);
+  for (int i = 0; i < ENGINES; i++)
+    if (p->engines[i].start_at == 0)
+      kill (p->engines[i].pid, SIGCONT);
+  sleep_ms (LATE_RUNS_MS);
+  for (int i = 0; i < GATES; i++)
+    if (p->gates[i].start_at == 0)
+      kill_child (&p->gates[i]);
+  for (int i = 0; i < ENGINES; i++)
+    if (p->engines[i].start_at == 0)
+      kill_child (&p->engines[i]);
+  kill_child (&p->store);
+}
+
+static void
+free_processes (struct processes *p)
+{
+  char *command = g_strdup_printf ("rm -rf '%s'", p->dir);
+
+  close (p->record);
+  if (g_getenv ("PROCESS_KEEP") != NULL)
+    g_test_message ("kept %s", p->dir);
+  else if (system (command) != 0)
+    g_test_message ("not removed: %s", p->dir);
+  g_free (command);
+  g_free (p->record_path);
+  g_free (p->dir);
+  g_rand_free (p->rand);
+}
+
+static void
+run_processes (const struct process_case *options, unsigned seed)
+{
+  struct processes p = { .options = options, .seed = seed };
+  struct caller_thread callers_[CALLERS] = { 0 };
+
+  p.rand = g_rand_new_with_seed (seed);
+  start_processes (&p);
+  for (unsigned i = 0; i < CALLERS; i++)
+    {
+      callers_[i].processes = &p;
+      callers_[i].number = i;
+      callers_[i].seed = seed * 1000 + i;
+      callers_[i].fd = -1;
+      g_assert_cmpint (
+          pthread_create (&callers_[i].thread, NULL, run_caller, &callers_[i]),
+          ==, 0);
+    }
+  run_faults (&p);
+  atomic_store (&p.stopping, true);
+  for (unsigned i = 0; i < CALLERS; i++)
+    pthread_join (callers_[i].thread, NULL);
+  stop_processes (&p);
+  check_record (&p);
+  free_processes (&p);
+}
+
+/* Guards against requests sent again when a kept connection breaks after the
+   server has run them.  */
+static void
+test_lost_answers (void)
+{
+  static const struct process_case options
+      = { .engine = { .lose = 5, .reset = 5, .close = 20 },
+          .process = { .kill_engine = 8 },
+          .run_ms = 6000,
+          .slots = 8,
+          .budget_slack = 54,
+          .pause_ms = 20 };
+
+  run_processes (&options, 1);
+}
+
+/* Guards against responses to an earlier request that are taken for a refusal
+   of the next one.  */
+static void
+test_late_responses (void)
+{
+  static const struct process_case options
+      = { .engine = { .full = 20, .repeat = 15 },
+          .run_ms = 6000,
+          .slots = 8,
+          .budget_slack = 54,
+          .pause_ms = 20 };
+
+  run_processes (&options, 2);
+}
+
+/* Guards against "not run" while a stopped server holds the request in its
+   socket buffer.  */
+static void
+test_stopped (void)
+{
+  static const struct process_case options
+      = { .engine = { .hang = 3 },
+          .process = { .stop_engine = 15, .stop_gate = 8 },
+          .run_ms = 6000,
+          .slots = 8,
+          .budget_slack = 54,
+          .pause_ms = 20 };
+
+  run_processes (&options, 3);
+}
+
+/* Guards against retries over the fleet's budget while nodes start again and
+   again.  */
+static void
+test_retries_after_restarts (void)
+{
+  static const struct process_case options
+      = { .engine = { .full = 60 },
+          .process = { .kill_engine = 5, .kill_all_gates = 8 },
+          .run_ms = 12000,
+          .slots = 8,
+          .budget_slack = 54,
+          .pause_ms = 200 };
+
+  run_processes (&options, 4);
+}
+
+/* All faults at once, for runs by hand.  */
+static void
+test_all (void)
+{
+  static const struct process_case options
+      = { .engine = { 3, 3, 10, 2, 2, 10, 3 },
+          .process = { .kill_engine = 4,
+                       .stop_engine = 4,
+                       .kill_gate = 3,
+                       .stop_gate = 3,
+                       .kill_all_gates = 1 },
+          .run_ms = 15000,
+          .slots = 8,
+          .budget_slack = 54,
+          .pause_ms = 60 };
+  const char *seeds = g_getenv ("PROCESS_SEEDS");
+  unsigned count = seeds != NULL ? (unsigned)atoi (seeds) : 0;
+
+  for (unsigned seed = 1; seed <= count; seed++)
+    run_processes (&options, 100 + seed);
+}
+
+int
+main (int argc, char **argv)
+{
+  program = argv[0];
+  if (argc > 2 && strcmp (argv[1], "engine") == 0)
+    return engine_main (argv + 2);
+  if (argc > 2 && strcmp (argv[1], "store") == 0)
+    return store_main (argv + 2);
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/processes/lost-answers", test_lost_answers);
+  g_test_add_func ("/processes/late-responses", test_late_responses);
+  g_test_add_func ("/processes/stopped", test_stopped);
+  g_test_add_func ("/processes/retries-after-restarts",
+                   test_retries_after_restarts);
+  g_test_add_func ("/processes/all", test_all);
+  return g_test_run ();
+}
