--- a/tests/process_engine.h
+++ b/tests/process_engine.h
@@ -32,7 +32,7 @@
   int lose;   /* run, then close the connection without a response */
   int reset;  /* run, then reset the connection */
   int full;   /* refuse with 503 */
-  int fail;   /* run, then respond 500 */
+  int fail;   /* run, then respond with an error, without saying "not run" */
   int hang;   /* run for longer than any deadline */
   int close;  /* close the connection after the response, without notice */
   int repeat; /* send the last response of the connection once more, just
@@ -178,7 +178,8 @@
                 sizeof request->expected);
   header_value (head, "\r\nLast-Event-Id: ", text, sizeof text);
   request->resume_after = (unsigned)strtoul (text, NULL, 10);
-  request->stream = strstr (head, " /long/") != NULL;
+  request->stream
+      = strstr (head, " /long/") != NULL || strstr (head, " /cut/") != NULL;
 }
 
 static bool
@@ -243,6 +244,12 @@
 #define SEALED "Parsleyrill-Response-Seal: s\r\n"
 #define NOT_RUN "Parsleyrill-Not-Executed: 1\r\n"
 
+static const char *const failures[]
+    = { "500 Failed", "503 Unavailable", "429 Too Many", "504 Timeout",
+        "408 Timeout" };
+
+#define FAILURES (sizeof failures / sizeof failures[0])
+
 /* Returns whether the connection is kept.  */
 static bool
 run_request (struct engine_connection *connection,
@@ -262,12 +269,13 @@
       reset_connection (connection->fd);
       return false;
     }
+  if (drawn (connection, faults->fail))
+    return respond (connection, request,
+                    failures[rand_r (&connection->seed) % FAILURES], SEALED);
   if (request->stream)
     return respond_events (connection, request)
            && !drawn (connection, faults->close);
-  return respond (connection, request,
-                  drawn (connection, faults->fail) ? "500 Failed" : "200 OK",
-                  SEALED)
+  return respond (connection, request, "200 OK", SEALED)
          && !drawn (connection, faults->close);
 }
 
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -288,6 +288,45 @@
   tear_down (&f);
 }
 
+static void
+list_dead_server (struct fixture *f)
+{
+  put_row (f, "servers/i-dead",
+           "{\"Service\":\"app\",\"Address\":\"127.0.0.1:1\",\"Zone\":\"z\","
+           "\"Slots\":8,\"State\":\"ready\",\"Sequence\":1}");
+}
+
+/* Guards against a retry budget that grows each time a request finds a server
+   that refuses connections.  */
+static void
+test_budget_unsent (void)
+{
+  static const char *const deadline[]
+      = { "Parsleyrill-Deadline-Ms: 1500", NULL };
+  struct fixture f;
+
+  set_up (&f);
+  wait_until_serving (&f);
+  do
+    {
+      f.at_server = 0;
+      request_and_wait (&f, "GET", "/safe/never", deadline);
+    }
+  while (f.at_server > 2);
+  put_row (&f, "servers/i-1", NULL);
+  list_dead_server (&f);
+  request_and_wait (&f, "GET", "/safe/x", deadline);
+  g_assert_cmpint (f.status, ==, 503);
+  put_row (&f, "servers/i-dead", NULL);
+  list_server (&f, "ready");
+  f.at_server = 0;
+  request_and_wait (&f, "GET", "/safe/never", deadline);
+  g_assert_cmpuint (f.at_server, >=, 1);
+  /* Two requests allow less than two retries, beside less than one left.  */
+  g_assert_cmpuint (f.at_server, <=, 3);
+  tear_down (&f);
+}
+
 /* The caller gets one stream from two attempts, with complete events only.  */
 static void
 test_resume (void)
@@ -455,6 +494,7 @@
   g_test_add_func ("/gate/retries", test_retries);
   g_test_add_func ("/gate/large", test_body_limit);
   g_test_add_func ("/gate/not-run", test_not_run);
+  g_test_add_func ("/gate/budget-unsent", test_budget_unsent);
   g_test_add_func ("/gate/resume", test_resume);
   g_test_add_func ("/gate/disconnect", test_disconnect);
   g_test_add_func ("/gate/leaving", test_draining_server);
--- a/tests/test_processes.c
+++ b/tests/test_processes.c
@@ -14,7 +14,7 @@
 #include "process_engine.h"
 
 #define GATES 3
-#define ENGINES 4
+#define ENGINES_MAX 4
 #define CALLERS 24
 #define FRONT_PORT 8149
 #define READY_PORT 8141
@@ -23,8 +23,9 @@
 #define STORE_PORT 8142
 #define ENGINE_PORT 8400
 #define TICK_MS 100
-#define LATE_RUNS_MS 1500 /* for requests that a stopped server still holds   \
-                           */
+#define LATE_RUNS_MS                                                          \
+  1500 /* for requests that a stopped server still holds                      \
+        */
 #define BUDGET_RATIO 0.2
 #define BUDGET_WINDOW_MS 10000
 
@@ -42,10 +43,12 @@
 {
   struct engine_faults engine;
   struct process_faults process;
+  int engines;
   int run_ms;
   int slots;
   int budget_slack;
-  int pause_ms; /* longest pause of a caller between requests */
+  int pause_ms;          /* longest pause of a caller between requests */
+  unsigned answered_min; /* percent of the requests */
 };
 
 struct child
@@ -69,7 +72,7 @@
   char address[32]; /* without the last number */
   struct child store;
   struct child gates[GATES];
-  struct child engines[ENGINES];
+  struct child engines[ENGINES_MAX];
   atomic_bool stopping;
   unsigned seed;
 };
@@ -331,10 +334,11 @@
 {
   KIND_SAFE,
   KIND_ONCE,
+  KIND_CUT,
   KIND_LONG
 };
 
-static const char *const kind_paths[] = { "safe", "once", "long" };
+static const char *const kind_paths[] = { "safe", "once", "cut", "long" };
 
 /* Waits for the response until DEADLINE; returns its status, 0 without
    one.  */
@@ -381,7 +385,7 @@
 static void
 make_request (struct caller_thread *caller, unsigned n)
 {
-  enum request_kind kind = (enum request_kind) (rand_r (&caller->seed) % 3);
+  enum request_kind kind = (enum request_kind) (rand_r (&caller->seed) % 4);
   int deadline_ms = 300 + rand_r (&caller->seed) % 1500;
   bool leaves = rand_r (&caller->seed) % 100 < 5;
   int record = caller->processes->record;
@@ -474,7 +478,8 @@
 inject_faults (struct processes *p)
 {
   const struct process_faults *faults = &p->options->process;
-  struct child *engine = &p->engines[g_rand_int_range (p->rand, 0, ENGINES)];
+  struct child *engine
+      = &p->engines[g_rand_int_range (p->rand, 0, p->options->engines)];
   struct child *gate = &p->gates[g_rand_int_range (p->rand, 0, GATES)];
 
   if (tick_drawn (p, faults->kill_engine))
@@ -523,7 +528,7 @@
 static void
 restore_processes (struct processes *p, int64_t now)
 {
-  for (int i = 0; i < ENGINES; i++)
+  for (int i = 0; i < p->options->engines; i++)
     restore_engine (p, i, now);
   for (int i = 0; i < GATES; i++)
     {
@@ -615,7 +620,7 @@
     totals->answered++;
   if (promises_not_run (request->status))
     totals->refused++;
-  if (request->kind != KIND_ONCE)
+  if (request->kind != KIND_ONCE && request->kind != KIND_CUT)
     return;
   if (promises_not_run (request->status) && request->runs > 0)
     {
@@ -693,6 +698,8 @@
                   totals.repeats->len, totals.refused_runs, totals.double_runs,
                   totals.over_budget);
   g_assert_cmpuint (totals.answered, >, 100);
+  g_assert_cmpuint (totals.answered * 100, >=,
+                    totals.sent->len * p->options->answered_min);
   g_assert_cmpuint (totals.double_runs, ==, 0);
   g_assert_cmpuint (totals.refused_runs, ==, 0);
   g_assert_cmpuint (totals.over_budget, ==, 0);
@@ -717,7 +724,7 @@
   g_snprintf (p->address, sizeof p->address, "127.%d.%d.",
               1 + (pid >> 8) % 200, pid & 255);
   start_store (p);
-  for (int i = 0; i < ENGINES; i++)
+  for (int i = 0; i < p->options->engines; i++)
     start_engine (p, i);
   for (int i = 0; i < GATES; i++)
     start_gate_process (p, i);
@@ -733,14 +740,14 @@
   for (int i = 0; i < GATES; i++)
     if (p->gates[i].start_at == 0)
       kill (p->gates[i].pid, SIGCONT);
-  for (int i = 0; i < ENGINES; i++)
+  for (int i = 0; i < p->options->engines; i++)
     if (p->engines[i].start_at == 0)
       kill (p->engines[i].pid, SIGCONT);
   sleep_ms (LATE_RUNS_MS);
   for (int i = 0; i < GATES; i++)
     if (p->gates[i].start_at == 0)
       kill_child (&p->gates[i]);
-  for (int i = 0; i < ENGINES; i++)
+  for (int i = 0; i < p->options->engines; i++)
     if (p->engines[i].start_at == 0)
       kill_child (&p->engines[i]);
   kill_child (&p->store);
@@ -797,6 +804,7 @@
   static const struct process_case options
       = { .engine = { .lose = 5, .reset = 5, .close = 20 },
           .process = { .kill_engine = 8 },
+          .engines = 4,
           .run_ms = 6000,
           .slots = 8,
           .budget_slack = 54,
@@ -805,21 +813,54 @@
   run_processes (&options, 1);
 }
 
-/* Guards against responses to an earlier request that are taken for a refusal
-   of the next one.  */
+/* Guards against a late copy of a refusal that is taken for the response to
+   the same request when it is sent to that server again.  */
 static void
-test_late_responses (void)
+test_late_refusals (void)
 {
   static const struct process_case options
-      = { .engine = { .full = 20, .repeat = 15 },
+      = { .engine = { .full = 50, .repeat = 60 },
+          .engines = 1,
           .run_ms = 6000,
-          .slots = 8,
-          .budget_slack = 54,
-          .pause_ms = 20 };
+          .slots = 16,
+          .budget_slack = 400,
+          .pause_ms = 60 };
 
   run_processes (&options, 2);
 }
 
+/* Guards against a connection that, after one late response, gives every
+   later request the response to the one before it: besides the 5 % of the
+   callers that leave, only the 3 % that meet a late response may fail.  */
+static void
+test_late_responses (void)
+{
+  static const struct process_case options = { .engine = { .repeat = 2 },
+                                               .engines = 1,
+                                               .run_ms = 4000,
+                                               .slots = 24,
+                                               .budget_slack = 54,
+                                               .pause_ms = 2,
+                                               .answered_min = 90 };
+
+  run_processes (&options, 6);
+}
+
+/* Guards against an error of a server that has run the request, passed on with
+   a status that promises "not run".  */
+static void
+test_errors_after_run (void)
+{
+  static const struct process_case options = { .engine = { .fail = 10 },
+                                               .engines = 4,
+                                               .run_ms = 3000,
+                                               .slots = 8,
+                                               .budget_slack = 54,
+                                               .pause_ms = 60 };
+
+  run_processes (&options, 5);
+}
+
 /* Guards against "not run" while a stopped server holds the request in its
    socket buffer.  */
 static void
@@ -828,6 +869,7 @@
   static const struct process_case options
       = { .engine = { .hang = 3 },
           .process = { .stop_engine = 15, .stop_gate = 8 },
+          .engines = 4,
           .run_ms = 6000,
           .slots = 8,
           .budget_slack = 54,
@@ -843,11 +885,12 @@
 {
   static const struct process_case options
       = { .engine = { .full = 60 },
-          .process = { .kill_engine = 5, .kill_all_gates = 8 },
+          .process = { .kill_engine = 5, .kill_all_gates = 15 },
+          .engines = 4,
           .run_ms = 12000,
           .slots = 8,
           .budget_slack = 54,
-          .pause_ms = 200 };
+          .pause_ms = 600 };
 
   run_processes (&options, 4);
 }
@@ -863,6 +906,7 @@
                        .kill_gate = 3,
                        .stop_gate = 3,
                        .kill_all_gates = 1 },
+          .engines = 4,
           .run_ms = 15000,
           .slots = 8,
           .budget_slack = 54,
@@ -884,7 +928,9 @@
     return store_main (argv + 2);
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/processes/lost-answers", test_lost_answers);
+  g_test_add_func ("/processes/late-refusals", test_late_refusals);
   g_test_add_func ("/processes/late-responses", test_late_responses);
+  g_test_add_func ("/processes/errors-after-run", test_errors_after_run);
   g_test_add_func ("/processes/stopped", test_stopped);
   g_test_add_func ("/processes/retries-after-restarts",
                    test_retries_after_restarts);
