--- a/tests/test_processes.c
+++ b/tests/test_processes.c
@@ -823,7 +823,7 @@
           .engines = 1,
           .run_ms = 6000,
           .slots = 16,
-          .budget_slack = 400,
+          .budget_slack = 4000,
           .pause_ms = 60 };
 
   run_processes (&options, 2);
