forward: a request sent to a server again uses a new connection

Callers saw 503 for requests that ran, and requests that must run once ran twice. Cause: a server may send a copy of a response late, where the next one is expected, and the request id tells to whom it belongs. It does not when the same request is sent to that server again, after it was refused and waited: a late copy of the first refusal bears its id and was taken for the second, while the second was run. The request then went to the server a third time or was answered 503.

Now an attempt at a server that was sent this request before uses a new connection, on which nothing can be late. Connections of first attempts are reused as before.

--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -202,12 +202,29 @@
   return headers;
 }
 
-/* If a reused connection breaks, it is unknown whether the request ran.  */
+/* Whether the request, with the same id, was sent to the chosen server
+   before.  */
+static bool
+was_sent_to_server (const struct forward *forward)
+{
+  guint id = g_str_hash (forward->engine->id);
+
+  for (unsigned i = 0; i + 1 < forward->dispatches; i++)
+    if (forward->sent_to[i] == id)
+      return true;
+  return false;
+}
+
+/* If a reused connection breaks, it is unknown whether the request ran.  A
+   late copy of the response to an earlier attempt cannot be told from the
+   response to this one if both use the same connection.  */
 static bool
 needs_new_connection (const struct forward *forward)
 {
-  return reach_needs_new_connection (
-      forward->gateway->reach, forward->engine->id, forward_now (forward));
+  return was_sent_to_server (forward)
+         || reach_needs_new_connection (forward->gateway->reach,
+                                        forward->engine->id,
+                                        forward_now (forward));
 }
 
 static void
@@ -255,6 +272,7 @@
   forward->engine = engine;
   if (forward->dispatches++ == 0)
     retry_deposit (gateway->retry, forward->service->name);
+  forward->sent_to[forward->dispatches - 1] = g_str_hash (engine->id);
   forward->state = FORWARD_SENT;
   forward->sent_at = now;
   forward->first_at = (struct timespec){ 0 };
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -43,8 +43,9 @@
   const char *tried[FORWARD_DISPATCHES_MAX]; /* ids, owned by ENGINES */
   struct route_engine *engines[FORWARD_DISPATCHES_MAX];
   size_t tried_count;
-  struct httpc_call *call;             /* NULL: no attempt in progress */
-  struct route_engine *engine;         /* of CALL */
+  guint sent_to[FORWARD_DISPATCHES_MAX]; /* hashes of server ids */
+  struct httpc_call *call;               /* NULL: no attempt in progress */
+  struct route_engine *engine;           /* of CALL */
   struct pick_explanation explanation; /* of the latest choice of a replica */
   struct timespec sent_at;
   struct timespec first_at;      /* first byte of the response; zero: none */
