test_processes: late-responses without full servers

With 24 slots for 24 callers the server also refused requests, and their retries hid those after late responses. With 64 it refuses none.

--- a/tests/test_processes.c
+++ b/tests/test_processes.c
@@ -838,7 +838,7 @@
   static const struct process_case options = { .engine = { .repeat = 2 },
                                                .engines = 1,
                                                .run_ms = 4000,
-                                               .slots = 24,
+                                               .slots = 64,
                                                .budget_slack = 54,
                                                .pause_ms = 2,
                                                .answered_min = 90 };
