httpc, forward: no reuse of a connection after another request's response

Callers got 502, and retries piled up: one late response on a kept connection shifted all later ones. The response to another request ended the call, the connection went back to the pool with the response to this request still due, and the next request on it got that one. curl only drops such a connection if the bytes have arrived before it is reused; under load it is reused within milliseconds.

httpc asks its caller at the end of the head whether the connection may be reused; forward says no when the response has another request's id.

--- a/src/forward_answer.c
+++ b/src/forward_answer.c
@@ -27,6 +27,20 @@
                          forward->answer.queued, forward->first_at);
 }
 
+/* After a response to another request, the response to this one is still due
+   on the connection.  */
+bool
+forward_may_reuse (void *user, long status)
+{
+  struct forward *forward = user;
+  const struct caller *caller = forward->gateway->options.caller;
+  struct caller_response answer;
+
+  caller->ops->interpret (caller, forward->call, status, &forward->parsed,
+                          &answer);
+  return answer.id_matches;
+}
+
 /* Whether the server itself generated the response, for this request.  Only
    such a response may be passed on.  */
 static bool
--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -239,6 +239,7 @@
           .target = httpd_uri (forward->request),
           .headers = (const char *const *)headers->pdata,
           .fresh_connection = needs_new_connection (forward),
+          .reusable = forward_may_reuse,
           .head = forward_on_head,
           .body_cb = forward_on_bytes,
           .done = forward_on_done,
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -94,6 +94,7 @@
 void forward_mark_tried (struct forward *forward);
 
 /* forward_answer.c */
+bool forward_may_reuse (void *user, long status);
 void forward_on_head (void *user, long status, const char *content_type);
 int forward_on_bytes (void *user, const char *bytes, size_t n);
 void forward_on_done (void *user, const struct httpc_result *result);
--- a/src/httpc.c
+++ b/src/httpc.c
@@ -355,14 +355,27 @@
   return CURL_PREREQFUNC_OK;
 }
 
+static void
+check_reusable (struct httpc_call *call)
+{
+  long status = 0;
+
+  if (call->request.reusable == NULL)
+    return;
+  curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
+  if (status >= 200 && !call->request.reusable (call->request.user, status))
+    curl_easy_setopt (call->easy, CURLOPT_FORBID_REUSE, 1L);
+}
+
 static size_t
 on_header (char *bytes, size_t size, size_t n, void *user)
 {
   struct httpc_call *call = user;
 
-  (void)bytes;
   call->phase = HTTPC_RESPONDING;
   restart_idle_timer (call);
+  if (size * n > 0 && (*bytes == '\r' || *bytes == '\n'))
+    check_reusable (call);
   return size * n;
 }
 
--- a/src/httpc.h
+++ b/src/httpc.h
@@ -60,6 +60,9 @@
   int64_t connect_timeout_ms;     /* 0: HTTPC_CONNECT_TIMEOUT_MS */
   bool fresh_connection;          /* do not reuse a connection */
   size_t body_max;                /* max collected bytes; 0: HTTPC_BODY_MAX */
+  /* Called at the end of the head; returns whether the connection may be
+     reused.  NULL: it may.  */
+  bool (*reusable) (void *user, long status);
   /* Called once, before the first body bytes; may be NULL.  */
   void (*head) (void *user, long status, const char *content_type);
   /* Receives N bytes of the body.  Returns 0, -EAGAIN to pause (the same bytes
