forward: no 429, 503, 408 or 421 for a request that a server has run

Callers got 429, 503 or 408 for requests that had run. Cause: the response of a server is passed on unchanged, also one with a status that callers take as "not run". The server states that with a header of its own; an overloaded or failing one that answers 503 without it has, for all that is known, run the request. Only refusals that the node itself composes went through attempt_not_run.

The adapter tells which statuses callers read so; without the server's statement such a response is an error of unknown outcome: another server where the route allows a retry, otherwise 502.

--- a/src/forward_answer.c
+++ b/src/forward_answer.c
@@ -297,6 +297,9 @@
   else if (forward->head_sent && !forward->streaming)
     retry_or_fail (forward,
                    "the response to the resumed request is not a stream");
+  else if (forward->answer.implies_not_run)
+    retry_or_fail (forward,
+                   "the status says \"not run\", the server does not");
   else if (retry_server_error (forward, result))
     {
       counter_add (COUNTER_RETRIES, 1);
