forward: a request adds to the retry budget once

Retries exceeded their share while servers refused connections. Cause: an attempt that could not connect is taken back, and the next dispatch of the same request, then counted as its first, added to the budget again: a request that waits adds some tenths of a retry for each dead server and backoff.

--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -271,8 +271,10 @@
   forward_dequeue (forward);
   route_engine_unref (forward->engine);
   forward->engine = engine;
-  if (forward->dispatches++ == 0)
+  forward->dispatches++;
+  if (!forward->deposited)
     retry_deposit (gateway->retry, forward->service->name);
+  forward->deposited = true;
   forward->sent_to[forward->dispatches - 1] = g_str_hash (engine->id);
   forward->state = FORWARD_SENT;
   forward->sent_at = now;
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -40,6 +40,7 @@
   struct attempt attempts[ATTEMPT_MAX]; /* without refused and unsent ones */
   size_t count;                         /* of ATTEMPTS */
   unsigned dispatches;                  /* refused ones too */
+  bool deposited;                       /* counted for the retry budget */
   const char *tried[FORWARD_DISPATCHES_MAX]; /* ids, owned by ENGINES */
   struct route_engine *engines[FORWARD_DISPATCHES_MAX];
   size_t tried_count;
