gateway: no burst of retries until a node has run for the window

Retries exceeded the fleet's limit while nodes started again and again. Cause: each process begins with its node's full part of the burst, whether or not the process before it has just used it; the reserve of 30 % covers one such start in a window, not a fleet that is killed or stopped in turn.

A budget now begins empty and earns retries from first attempts only; the burst is added when the process has run for BudgetWindowS, since then no former process of the node can have used it within the window. A fleet that starts ten seconds before its callers loses nothing; after a restart fewer requests are retried for that time.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -26,8 +26,7 @@
 #define ADDRESSES_RETURNED_MIN 2
 #define ADDRESSES_RETURNED_MAX 4
 /* Share of the fleet-wide retry limit that the nodes may use together.  The
-   rest is a reserve: nodes count independently, and a restarted node begins
-   with a full budget.  */
+   rest is a reserve, as nodes count independently.  */
 #define RETRY_SAFETY 0.7
 /* Shares of the drain time, from its start, during which new requests are
    accepted and waiting ones dispatched.  When the first ends, callers have
@@ -307,9 +306,38 @@
   retry.percent = (unsigned)(RETRY_SAFETY * 100.0 * o->retry_share);
   retry.burst = (unsigned)(RETRY_SAFETY * o->retry_burst
                            / (double)MAX (nodes, NODES_ASSUMED_MIN));
+  retry.begin_empty = gateway->retry_begins_empty;
   return retry;
 }
 
+/* The former process of this node can no longer have used its burst within
+   the window.  */
+static void
+on_retry_timer (struct loop_timer *timer)
+{
+  struct gateway *gateway
+      = (struct gateway *)((char *)timer
+                           - offsetof (struct gateway, retry_timer));
+  struct retry_options retry;
+
+  gateway->retry_begins_empty = false;
+  retry = node_retry_limits (gateway);
+  retry_set_limits (gateway->retry, &retry);
+}
+
+static void
+start_retry_window (struct gateway *gateway)
+{
+  struct loop *loop = gateway->core->loop;
+
+  gateway->retry_timer.fire = on_retry_timer;
+  gateway->retry_begins_empty = gateway->options.retry_window_ms > 0;
+  if (gateway->retry_begins_empty)
+    loop_timer_set (
+        loop, &gateway->retry_timer,
+        ts_add_ms (loop_now (loop), gateway->options.retry_window_ms));
+}
+
 static void
 create_policies (struct gateway *gateway)
 {
@@ -338,6 +366,7 @@
   httpc_free (gateway->httpc);
   loop_timer_clear (gateway->core->loop, &gateway->dispatch_timer);
   loop_timer_clear (gateway->core->loop, &gateway->cleanup_timer);
+  loop_timer_clear (gateway->core->loop, &gateway->retry_timer);
 }
 
 static int
@@ -355,6 +384,7 @@
   gateway->httpc = httpc_new (&client);
   if (gateway->httpc == NULL)
     return -ENOMEM;
+  start_retry_window (gateway);
   create_policies (gateway);
   gateway->dispatch_timer.fire = on_dispatch_timer;
   gateway->cleanup_timer.fire = on_cleanup_timer;
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -32,6 +32,9 @@
      share of its requests, plus a burst.  */
   double retry_share;
   unsigned retry_burst;
+  /* Time over which that limit is measured.  A node that has started more
+     recently does not use the burst.  0: it may.  */
+  int64_t retry_window_ms;
 };
 
 struct service *gateway_new (const struct gateway_options *options);
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -46,6 +46,8 @@
   GHashTable *waiting_for;     /* "SERVICE TARGET" -> number of requests */
   struct loop_timer dispatch_timer;
   struct loop_timer cleanup_timer;
+  struct loop_timer retry_timer;
+  bool retry_begins_empty;
   unsigned open;                    /* requests in progress */
   struct timespec drain_started_at; /* start of the planned stop */
 };
--- a/src/retry.c
+++ b/src/retry.c
@@ -13,7 +13,8 @@
   unsigned budget;
   unsigned budget_max;
   unsigned target_budget_max;
-  GHashTable *targets; /* name -> budget */
+  unsigned target_budget_new; /* of targets that are not in TARGETS */
+  GHashTable *targets;        /* name -> budget */
 };
 
 struct retry *
@@ -49,6 +50,8 @@
 
   retry->percent = options->percent;
   retry->target_budget_max = options->burst * HUNDREDTHS_PER_RETRY;
+  retry->target_budget_new
+      = options->begin_empty ? 0 : retry->target_budget_max;
   g_hash_table_iter_init (&iter, retry->targets);
   while (g_hash_table_iter_next (&iter, NULL, &hundredths))
     if (GPOINTER_TO_UINT (hundredths) > retry->target_budget_max)
@@ -72,15 +75,17 @@
 
   if (g_hash_table_lookup_extended (retry->targets, target, NULL, &hundredths))
     return GPOINTER_TO_UINT (hundredths);
-  return retry->target_budget_max;
+  return retry->target_budget_new;
 }
 
-/* Full budgets are not stored, which bounds the size of the table.  */
+/* Budgets like those of new targets are not stored, which bounds the size of
+   the table.  */
 static void
 set_target_budget (struct retry *retry, const char *target,
                    unsigned hundredths)
 {
-  if (hundredths >= retry->target_budget_max)
+  hundredths = MIN (hundredths, retry->target_budget_max);
+  if (hundredths == retry->target_budget_new)
     g_hash_table_remove (retry->targets, target);
   else
     g_hash_table_replace (retry->targets, g_strdup (target),
--- a/src/retry.h
+++ b/src/retry.h
@@ -28,6 +28,7 @@
 {
   unsigned percent; /* of first attempts */
   unsigned burst;   /* accumulated retries, per target */
+  bool begin_empty; /* a new target has accumulated none, otherwise BURST */
 };
 
 /* Budgets as described above; THREADS is the number of traffic threads of the
--- a/tests/prop_dispatch.cc
+++ b/tests/prop_dispatch.cc
@@ -136,6 +136,43 @@
   });
 }
 
+/* Guards against a burst of retries at each start of a node.  */
+static bool
+retries_begin_empty ()
+{
+  return rc::check ("a budget that begins empty allows its share only", [] {
+    struct retry_options options = {};
+    int deposits = 0;
+    int retries = 0;
+
+    options.percent = in_range<unsigned> (1, 50);
+    options.burst = in_range<unsigned> (1, 20);
+    options.begin_empty = true;
+    struct retry *retry = retry_new_per_target (&options);
+    for (int i = 0; i < 300; i++)
+      {
+        if (in_range<int> (0, 2) == 0)
+          {
+            retry_deposit (retry, "t");
+            deposits++;
+          }
+        else
+          retries += retry_withdraw (retry, "t");
+        RC_ASSERT (retries * 100 <= deposits * (int)options.percent);
+      }
+    options.begin_empty = false;
+    retry_set_limits (retry, &options);
+    int more = 0;
+    while (retry_withdraw (retry, "t"))
+      more++;
+    RC_ASSERT (more <= (int)options.burst);
+    while (retry_withdraw (retry, "other"))
+      more++;
+    RC_ASSERT (more >= (int)options.burst);
+    retry_free (retry);
+  });
+}
+
 struct replica_set
 {
   std::vector<struct route_replica> replicas;
@@ -297,6 +334,7 @@
 
   ok &= non_idempotent_runs_once ();
   ok &= retries_bounded ();
+  ok &= retries_begin_empty ();
   ok &= ejection_bounded ();
   ok &= pick_uses_permitted_replicas ();
   ok &= pair_is_same_on_all_nodes ();
--- a/tests/test_processes.c
+++ b/tests/test_processes.c
@@ -23,11 +23,10 @@
 #define STORE_PORT 8142
 #define ENGINE_PORT 8400
 #define TICK_MS 100
-#define LATE_RUNS_MS                                                          \
-  1500 /* for requests that a stopped server still holds                      \
-        */
+/* For requests that a stopped server still holds.  */
+#define LATE_RUNS_MS 1500
 #define BUDGET_RATIO 0.2
-#define BUDGET_WINDOW_MS 10000
+#define BUDGET_WINDOW_S 10
 
 /* Percentages of the ticks.  */
 struct process_faults
@@ -47,7 +46,9 @@
   int run_ms;
   int slots;
   int budget_slack;
-  int pause_ms;          /* longest pause of a caller between requests */
+  int budget_window_s; /* told to the gates; 0: each may use its whole part of
+                          the slack from its start */
+  int pause_ms;        /* longest pause of a caller between requests */
   unsigned answered_min; /* percent of the requests */
 };
 
@@ -276,11 +277,12 @@
       "\"Listen\":{\"Front\":\"%s:%d\",\"Ready\":\"%s:%d\","
       "\"Control\":\"%s:%d\",\"Directory\":\"%s:%d\"},"
       "\"Seeds\":[\"%s:%d\"],\"Limits\":{\"FdLimit\":2000},"
-      "\"Bounds\":{\"GraceS\":2,\"BudgetRatio\":%g,\"BudgetSlack\":%d},"
+      "\"Bounds\":{\"GraceS\":2,\"BudgetRatio\":%g,\"BudgetSlack\":%d,"
+      "\"BudgetWindowS\":%d},"
       "\"Platform\":{\"Address\":\"%s:%d\"}}",
       i, ip, FRONT_PORT, ip, READY_PORT, ip, CONTROL_PORT, ip, DIRECTORY_PORT,
-      seed, CONTROL_PORT, BUDGET_RATIO, p->options->budget_slack, store,
-      STORE_PORT);
+      seed, CONTROL_PORT, BUDGET_RATIO, p->options->budget_slack,
+      p->options->budget_window_s, store, STORE_PORT);
 
   g_assert_true (g_file_set_contents (path, text, -1, NULL));
   g_free (text);
@@ -651,7 +653,7 @@
 static void
 check_budget (const struct process_case *options, struct totals *totals)
 {
-  const long long window = BUDGET_WINDOW_MS;
+  const long long window = BUDGET_WINDOW_S * TS_MS_PER_S;
 
   for (guint i = 0; i < totals->repeats->len; i++)
     {
@@ -890,6 +892,7 @@
           .run_ms = 12000,
           .slots = 8,
           .budget_slack = 54,
+          .budget_window_s = BUDGET_WINDOW_S,
           .pause_ms = 600 };
 
   run_processes (&options, 4);
@@ -910,6 +913,7 @@
           .run_ms = 15000,
           .slots = 8,
           .budget_slack = 54,
+          .budget_window_s = BUDGET_WINDOW_S,
           .pause_ms = 60 };
   const char *seeds = g_getenv ("PROCESS_SEEDS");
   unsigned count = seeds != NULL ? (unsigned)atoi (seeds) : 0;
