--- a/tests/test_processes.c
+++ b/tests/test_processes.c
@@ -831,6 +831,23 @@
   run_processes (&options, 2);
 }
 
+/* Guards against a late copy of a refusal that is taken for the response to
+   the same request when it is sent to the next server at that address.  */
+static void
+test_late_refusals_at_address (void)
+{
+  static const struct process_case options
+      = { .engine = { .repeat = 60 },
+          .process = { .kill_engine = 12 },
+          .engines = 2,
+          .run_ms = 6000,
+          .slots = 64,
+          .budget_slack = 4000,
+          .pause_ms = 20 };
+
+  run_processes (&options, 7);
+}
+
 /* Guards against a connection that, after one late response, gives every
    later request the response to the one before it: besides the 5 % of the
    callers that leave, only the 3 % that meet a late response may fail.  */
@@ -933,6 +950,8 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/processes/lost-answers", test_lost_answers);
   g_test_add_func ("/processes/late-refusals", test_late_refusals);
+  g_test_add_func ("/processes/late-refusals-at-address",
+                   test_late_refusals_at_address);
   g_test_add_func ("/processes/late-responses", test_late_responses);
   g_test_add_func ("/processes/errors-after-run", test_errors_after_run);
   g_test_add_func ("/processes/stopped", test_stopped);
