forward: connections are told apart by address, not by server

Callers saw 503 for a request that ran, and double runs, when a server had been replaced at its address. Cause: the check for an earlier attempt compared instance ids, but the client's connections belong to an address. The refusal of the first instance and the run of the second shared one connection.

--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -202,15 +202,16 @@
   return headers;
 }
 
-/* Whether the request, with the same id, was sent to the chosen server
-   before.  */
+/* Whether the request, with the same id, was sent to the address of the
+   chosen server before.  Servers that follow each other at an address share
+   its connections.  */
 static bool
-was_sent_to_server (const struct forward *forward)
+was_sent_to_address (const struct forward *forward)
 {
-  guint id = g_str_hash (forward->engine->id);
+  guint address = g_str_hash (forward->engine->address);
 
   for (unsigned i = 0; i + 1 < forward->dispatches; i++)
-    if (forward->sent_to[i] == id)
+    if (forward->sent_to[i] == address)
       return true;
   return false;
 }
@@ -221,7 +222,7 @@
 static bool
 needs_new_connection (const struct forward *forward)
 {
-  return was_sent_to_server (forward)
+  return was_sent_to_address (forward)
          || reach_needs_new_connection (forward->gateway->reach,
                                         forward->engine->id,
                                         forward_now (forward));
@@ -275,7 +276,7 @@
   if (!forward->deposited)
     retry_deposit (gateway->retry, forward->service->name);
   forward->deposited = true;
-  forward->sent_to[forward->dispatches - 1] = g_str_hash (engine->id);
+  forward->sent_to[forward->dispatches - 1] = g_str_hash (engine->address);
   forward->state = FORWARD_SENT;
   forward->sent_at = now;
   forward->first_at = (struct timespec){ 0 };
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -44,7 +44,7 @@
   const char *tried[FORWARD_DISPATCHES_MAX]; /* ids, owned by ENGINES */
   struct route_engine *engines[FORWARD_DISPATCHES_MAX];
   size_t tried_count;
-  guint sent_to[FORWARD_DISPATCHES_MAX]; /* hashes of server ids */
+  guint sent_to[FORWARD_DISPATCHES_MAX]; /* hashes of addresses */
   struct httpc_call *call;               /* NULL: no attempt in progress */
   struct route_engine *engine;           /* of CALL */
   struct pick_explanation explanation; /* of the latest choice of a replica */
