--- a/src/forward_answer.c
+++ b/src/forward_answer.c
@@ -32,6 +32,20 @@
                          forward->answer.queued, forward->first_at);
 }
 
+/* After a response to another request, the response to this one is still due
+   on the connection.  */
+bool
+forward_may_reuse (void *user, long status)
+{
+  struct forward *forward = user;
+  const struct caller *caller = forward->gateway->options.caller;
+  struct caller_response answer;
+
+  caller->ops->interpret (caller, forward->call, status, &forward->parsed,
+                          &answer);
+  return answer.id_matches;
+}
+
 /* Whether the server itself generated the response, for this request.  Only
    such a response may be passed on.  */
 static bool
@@ -389,6 +403,9 @@
   else if (forward->head_sent && !forward->streaming)
     retry_or_fail (forward,
                    "the response to the resumed request is not a stream");
+  else if (forward->answer.implies_not_run)
+    retry_or_fail (forward,
+                   "the status says \"not run\", the server does not");
   else if (retry_server_error (forward, result))
     {
       counter_add (COUNTER_RETRIES, 1);
--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -205,12 +205,30 @@
   return headers;
 }
 
-/* If a reused connection breaks, it is unknown whether the request ran.  */
+/* Whether the request, with the same id, was sent to the address of the
+   chosen server before.  Servers that follow each other at an address share
+   its connections.  */
+static bool
+was_sent_to_address (const struct forward *forward)
+{
+  guint address = g_str_hash (forward->engine->address);
+
+  for (unsigned i = 0; i + 1 < forward->dispatches; i++)
+    if (forward->sent_to[i] == address)
+      return true;
+  return false;
+}
+
+/* If a reused connection breaks, it is unknown whether the request ran.  A
+   late copy of the response to an earlier attempt cannot be told from the
+   response to this one if both use the same connection.  */
 static bool
 needs_new_connection (const struct forward *forward)
 {
-  return reach_needs_new_connection (
-      forward->gateway->reach, forward->engine->id, forward_now (forward));
+  return was_sent_to_address (forward)
+         || reach_needs_new_connection (forward->gateway->reach,
+                                        forward->engine->id,
+                                        forward_now (forward));
 }
 
 static void
@@ -226,6 +244,7 @@
           .headers = (const char *const *)headers->pdata,
           .fresh_connection = needs_new_connection (forward),
           .silent = forward_on_silence,
+          .reusable = forward_may_reuse,
           .head = forward_on_head,
           .body_cb = forward_on_bytes,
           .done = forward_on_done,
@@ -258,8 +277,11 @@
   forward_dequeue (forward);
   route_engine_unref (forward->engine);
   forward->engine = engine;
-  if (forward->dispatches++ == 0)
+  forward->dispatches++;
+  if (!forward->deposited)
     retry_deposit (gateway->retry, forward->service->name);
+  forward->deposited = true;
+  forward->sent_to[forward->dispatches - 1] = g_str_hash (engine->address);
   forward->state = FORWARD_SENT;
   forward->sent_at = now;
   forward->first_at = (struct timespec){ 0 };
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -41,11 +41,13 @@
   struct attempt attempts[ATTEMPT_MAX]; /* without refused and unsent ones */
   size_t count;                         /* of ATTEMPTS */
   unsigned dispatches;                  /* refused ones too */
+  bool deposited;                       /* counted for the retry budget */
   const char *tried[FORWARD_DISPATCHES_MAX]; /* ids, owned by ENGINES */
   struct route_engine *engines[FORWARD_DISPATCHES_MAX];
   size_t tried_count;
-  struct httpc_call *call;             /* NULL: no attempt in progress */
-  struct route_engine *engine;         /* of CALL */
+  guint sent_to[FORWARD_DISPATCHES_MAX]; /* hashes of addresses */
+  struct httpc_call *call;               /* NULL: no attempt in progress */
+  struct route_engine *engine;           /* of CALL */
   struct route_engine *replacement;    /* takes the place of CALL, which ends;
                                           NULL: none */
   struct pick_explanation explanation; /* of the latest choice of a replica */
@@ -113,6 +115,7 @@
 
 /* forward_answer.c */
 int64_t forward_on_silence (void *user);
+bool forward_may_reuse (void *user, long status);
 void forward_on_head (void *user, long status, const char *content_type);
 int forward_on_bytes (void *user, const char *bytes, size_t n);
 void forward_on_done (void *user, const struct httpc_result *result);
--- a/src/httpc.h
+++ b/src/httpc.h
@@ -64,6 +64,9 @@
      call with -ETIMEDOUT, or the time, milliseconds, after which it is called
      again if still no byte has come.  NULL: the call ends.  */
   int64_t (*silent) (void *user);
+  /* Called at the end of the head; returns whether the connection may be
+     reused.  NULL: it may.  */
+  bool (*reusable) (void *user, long status);
   /* Called once, before the first body bytes; may be NULL.  */
   void (*head) (void *user, long status, const char *content_type);
   /* Receives N bytes of the body.  Returns 0, -EAGAIN to pause (the same bytes
