--- a/src/forward_answer.c
+++ b/src/forward_answer.c
@@ -5,8 +5,9 @@
 #include "ts.h"
 
 #define EVENT_STREAM "text/event-stream"
-#define SERVER_ERROR 500        /* lowest status of a server error */
-#define FULL_RETRY_AFTER_MS 200 /* time for a full server to free a slot */
+#define SILENCE_CHECK_MIN_MS 200 /* between looks for a replacement */
+#define SERVER_ERROR 500         /* lowest status of a server error */
+#define FULL_RETRY_AFTER_MS 200  /* time for a full server to free a slot */
 
 static void
 parse_response_head (struct forward *forward, long status)
@@ -17,15 +18,33 @@
     return;
   forward->head_parsed = true;
   forward->first_at = forward_now (forward);
+  forward->heard_at = forward->first_at;
   gateway->options.caller->ops->interpret (gateway->options.caller,
                                            forward->call, status,
                                            &forward->parsed, &forward->answer);
+  if (!forward->answer.not_available && !forward->engine->gone)
+    listing_server_notice (gateway->listing, forward->engine->id,
+                           &forward->answer.notice);
   if (forward->answer.has_load)
     servers_report_load (listing_servers (gateway->listing),
                          forward->engine->id, forward->answer.running,
                          forward->answer.queued, forward->first_at);
 }
 
+/* After a response to another request, the response to this one is still due
+   on the connection.  */
+bool
+forward_may_reuse (void *user, long status)
+{
+  struct forward *forward = user;
+  const struct caller *caller = forward->gateway->options.caller;
+  struct caller_response answer;
+
+  caller->ops->interpret (caller, forward->call, status, &forward->parsed,
+                          &answer);
+  return answer.id_matches;
+}
+
 /* Whether the server itself generated the response, for this request.  Only
    such a response may be passed on.  */
 static bool
@@ -106,6 +125,21 @@
   return httpd_stream_write (forward->request, bytes, n);
 }
 
+void
+forward_on_received (void *user)
+{
+  struct forward *forward = user;
+  struct gateway *gateway = forward->gateway;
+
+  forward->heard_at = forward_now (forward);
+  reach_heard (gateway->reach, forward->engine->id, forward->heard_at);
+  forward->silent = false;
+  if (!forward->suspected)
+    return;
+  forward->suspected = false;
+  eject_resumed (gateway->eject, forward->engine->id);
+}
+
 int
 forward_on_bytes (void *user, const char *bytes, size_t n)
 {
@@ -155,13 +189,15 @@
   forward_finish (forward);
 }
 
-/* The reused connection timed out, which is no evidence against the
-   server.  */
+/* The connection timed out, but that is no evidence against the server: it
+   was reused, or is replaced by a new one.  */
 static bool
-connection_stalled (const struct httpc_result *result)
+connection_stalled (const struct forward *forward,
+                    const struct httpc_result *result)
 {
-  return result->error == -ETIMEDOUT && result->reused
-         && result->phase < HTTPC_RESPONDING;
+  return forward->replacement == forward->engine
+         || (result->error == -ETIMEDOUT && result->reused
+             && result->phase < HTTPC_RESPONDING);
 }
 
 static void
@@ -173,7 +209,7 @@
   const char *id = forward->engine->id;
   bool healthy = refusal || (result->error == 0 && is_authentic (forward));
 
-  if (connection_stalled (result))
+  if (connection_stalled (forward, result))
     {
       reach_stalled (gateway->reach, id, now);
       eject_abandon (gateway->eject, id);
@@ -199,6 +235,81 @@
   return !forward->head_sent || forward->can_resume;
 }
 
+/* Whether perhaps only the connection of the attempt is dead, not the
+   server, and the server may be sent the request again.  */
+static bool
+is_connection_suspect (struct forward *forward)
+{
+  return (!forward->head_parsed
+          || reach_heard_since (forward->gateway->reach, forward->engine->id,
+                                forward->heard_at, forward_now (forward)))
+         && forward_engine_is_replica (forward);
+}
+
+/* Sets forward->replacement unless the attempt is to go on.  */
+static enum stall_action
+replace_silent (struct forward *forward)
+{
+  struct gateway *gateway = forward->gateway;
+  const char *service = forward->service->name;
+  struct stall stall
+      = { .may_retry
+          = may_retry (forward) && retry_available (gateway->retry, service) };
+  struct route_engine *other
+      = stall.may_retry ? forward_pick_other (forward) : NULL;
+  enum stall_action action;
+
+  stall.other_ready = other != NULL;
+  stall.connection_suspect = is_connection_suspect (forward);
+  action = stall_decide (&stall);
+  if (action == STALL_MOVE)
+    forward->replacement = other;
+  else if (action == STALL_RECONNECT)
+    forward->replacement = route_engine_ref (forward->engine);
+  if (action != STALL_WAIT)
+    retry_withdraw (gateway->retry, service);
+  return action;
+}
+
+/* The server may be about to fail, so that new requests avoid it.  */
+static void
+suspect_server (struct forward *forward)
+{
+  forward->suspected = true;
+  eject_suspect (forward->gateway->eject, forward->engine->id,
+                 forward_now (forward));
+}
+
+int64_t
+forward_on_silence (void *user)
+{
+  struct forward *forward = user;
+  enum stall_action action = replace_silent (forward);
+
+  if (action != STALL_WAIT || !forward->silent)
+    forward_log_silent (forward, action);
+  if (action != STALL_WAIT)
+    return 0;
+  if (forward->head_parsed && !forward->suspected)
+    suspect_server (forward);
+  forward->silent = true;
+  return MAX (forward->route->gap_ms, SILENCE_CHECK_MIN_MS);
+}
+
+/* Ends the silent attempt in favour of its replacement.  */
+static void
+start_replacement (struct forward *forward)
+{
+  struct route_engine *engine = forward->replacement;
+
+  forward->replacement = NULL;
+  forward->moved = true;
+  counter_add (COUNTER_RETRIES, 1);
+  if (engine != forward->engine)
+    forward_mark_tried (forward);
+  forward_dispatch (forward, engine);
+}
+
 /* Nothing was sent to the server: tries other servers, or the same one later.
    Such attempts do not use the retry budget, because they put no load on
    any server.  */
@@ -235,8 +346,17 @@
       counter_add (COUNTER_RETRIES, 1);
       forward_route (forward);
     }
+  else if (forward->dispatches < FORWARD_DISPATCHES_MAX && forward->moved
+           && forward->head_sent)
+    {
+      /* The stream's former server may be sound: it is not cut for want of
+         budget.  */
+      forward->retry_due = true;
+      forward_route (forward);
+    }
   else
-    forward_fail (forward, why, FULL_RETRY_AFTER_MS);
+    forward_fail (forward, why,
+                  MAX (forward_ready_in_ms (forward), FULL_RETRY_AFTER_MS));
 }
 
 static void
@@ -276,6 +396,9 @@
   else if (forward->head_sent && !forward->streaming)
     retry_or_fail (forward,
                    "the response to the resumed request is not a stream");
+  else if (forward->answer.implies_not_run)
+    retry_or_fail (forward,
+                   "the status says \"not run\", the server does not");
   else if (retry_server_error (forward, result))
     {
       counter_add (COUNTER_RETRIES, 1);
@@ -305,7 +428,9 @@
   if (result->error != 0 || refusal)
     forward_log_failed (forward, result);
   gateway_dispatch_soon (forward->gateway);
-  if (refusal)
+  if (forward->replacement != NULL)
+    start_replacement (forward);
+  else if (refusal)
     retry_refused (forward, "no server has room");
   else if (result->error != 0 && result->phase == HTTPC_UNSENT)
     retry_unsent (forward);
--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -14,6 +14,7 @@
 #define URGENCY_BASE 2         /* of route priority 0 */
 /* A stream without an event for this many target gaps is considered dead.  */
 #define STREAM_IDLE_GAPS 4
+#define STREAM_IDLE_MIN_MS 1500 /* sound servers pause for a second or so */
 
 /* Adds CHANGE to the number of requests that wait for the target, and
    informs the planners.  */
@@ -103,13 +104,15 @@
   return parsed->parts[parsed->part_count > 1 ? parsed->part_count - 2 : 0];
 }
 
-/* Ids, borrowed, of servers that must not be used now: those already tried
-   and those that refuse connections.  */
+/* Ids, borrowed, of servers that must not be used now: those already tried,
+   those that refuse connections, and the one of the attempt in progress.  */
 static GPtrArray *
 excluded_replicas (struct forward *forward, const GArray *replicas)
 {
   GPtrArray *ids = g_ptr_array_new ();
 
+  if (forward->call != NULL)
+    g_ptr_array_add (ids, forward->engine->id);
   for (size_t i = 0; i < forward->tried_count; i++)
     g_ptr_array_add (ids, (gpointer)forward->tried[i]);
   for (guint i = 0; i < replicas->len; i++)
@@ -202,12 +205,30 @@
   return headers;
 }
 
-/* If a reused connection breaks, it is unknown whether the request ran.  */
+/* Whether the request, with the same id, was sent to the address of the
+   chosen server before.  Servers that follow each other at an address share
+   its connections.  */
+static bool
+was_sent_to_address (const struct forward *forward)
+{
+  guint address = g_str_hash (forward->engine->address);
+
+  for (unsigned i = 0; i + 1 < forward->dispatches; i++)
+    if (forward->sent_to[i] == address)
+      return true;
+  return false;
+}
+
+/* If a reused connection breaks, it is unknown whether the request ran.  A
+   late copy of the response to an earlier attempt cannot be told from the
+   response to this one if both use the same connection.  */
 static bool
 needs_new_connection (const struct forward *forward)
 {
-  return reach_needs_new_connection (
-      forward->gateway->reach, forward->engine->id, forward_now (forward));
+  return was_sent_to_address (forward)
+         || reach_needs_new_connection (forward->gateway->reach,
+                                        forward->engine->id,
+                                        forward_now (forward));
 }
 
 static void
@@ -222,7 +243,10 @@
           .target = httpd_uri (forward->request),
           .headers = (const char *const *)headers->pdata,
           .fresh_connection = needs_new_connection (forward),
+          .silent = forward_on_silence,
+          .reusable = forward_may_reuse,
           .head = forward_on_head,
+          .received = forward_on_received,
           .body_cb = forward_on_bytes,
           .done = forward_on_done,
           .user = forward };
@@ -238,14 +262,15 @@
                                             forward->engine->id),
                2 * forward->route->objective_ms);
   if (idempotent && forward->route->kind == SITE_STREAM)
-    request.body_idle_timeout_ms = STREAM_IDLE_GAPS * forward->route->gap_ms;
+    request.body_idle_timeout_ms
+        = MAX (STREAM_IDLE_GAPS * forward->route->gap_ms, STREAM_IDLE_MIN_MS);
   forward->call = httpc_start (forward->gateway->httpc, &request);
   g_ptr_array_unref (headers);
   g_free (url);
 }
 
-static void
-dispatch (struct forward *forward, struct route_engine *engine)
+void
+forward_dispatch (struct forward *forward, struct route_engine *engine)
 {
   struct gateway *gateway = forward->gateway;
   struct timespec now = forward_now (forward);
@@ -253,11 +278,17 @@
   forward_dequeue (forward);
   route_engine_unref (forward->engine);
   forward->engine = engine;
-  if (forward->dispatches++ == 0)
+  forward->dispatches++;
+  if (!forward->deposited)
     retry_deposit (gateway->retry, forward->service->name);
+  forward->deposited = true;
+  forward->sent_to[forward->dispatches - 1] = g_str_hash (engine->address);
   forward->state = FORWARD_SENT;
   forward->sent_at = now;
   forward->first_at = (struct timespec){ 0 };
+  forward->heard_at = now;
+  forward->silent = false;
+  forward->suspected = false;
   forward->head_parsed = false;
   forward->streaming = false;
   sse_init (&forward->sse);
@@ -348,7 +379,7 @@
 
   if (!is_overloaded (forward, &retry_ms))
     {
-      dispatch (forward, engine);
+      forward_dispatch (forward, engine);
       return;
     }
   route_engine_unref (engine);
@@ -356,21 +387,91 @@
     forward_fail (forward, "the servers are overloaded", retry_ms);
 }
 
+/* The replicas that may take the request, and, if there is none, when the
+   first one may, see servers_replicas.  */
+static GArray *
+find_replicas (const struct forward *forward, struct timespec *ready_at)
+{
+  GArray *replicas = g_array_new (FALSE, FALSE, sizeof (struct route_replica));
+
+  servers_replicas (
+      listing_servers (forward->gateway->listing), forward->service->name,
+      forward->target != NULL ? forward->parsed.model : NULL,
+      forward->parsed.adapter, forward_now (forward), replicas, ready_at);
+  return replicas;
+}
+
+int64_t
+forward_ready_in_ms (const struct forward *forward)
+{
+  struct timespec ready_at;
+  GArray *replicas = find_replicas (forward, &ready_at);
+  bool none = replicas->len == 0 && !ts_is_zero (ready_at);
+
+  g_array_unref (replicas);
+  return none ? ts_to_ms (ts_sub (ready_at, forward_now (forward))) : 0;
+}
+
+struct route_engine *
+forward_pick_other (struct forward *forward)
+{
+  struct timespec ready_at;
+  GArray *replicas = find_replicas (forward, &ready_at);
+  struct route_engine *engine = NULL;
+
+  if (replicas->len > 0 && gateway_may_dispatch (forward->gateway)
+      && left_ms (forward) >= ANSWER_MIN_MS)
+    engine = pick_engine (forward, replicas);
+  g_array_unref (replicas);
+  return engine;
+}
+
+bool
+forward_engine_is_replica (struct forward *forward)
+{
+  struct timespec ready_at;
+  GArray *replicas = find_replicas (forward, &ready_at);
+  bool found = false;
+
+  for (guint i = 0; i < replicas->len && !found; i++)
+    {
+      const struct route_replica *replica
+          = &g_array_index (replicas, struct route_replica, i);
+
+      found = !replica->leaving
+              && strcmp (replica->engine->id, forward->engine->id) == 0;
+    }
+  g_array_unref (replicas);
+  return found && gateway_may_dispatch (forward->gateway);
+}
+
+/* Takes the retry from the budget that the next dispatch needs, if any.  */
+static bool
+take_due_retry (struct forward *forward)
+{
+  if (!forward->retry_due)
+    return true;
+  if (!retry_withdraw (forward->gateway->retry, forward->service->name))
+    return false;
+  counter_add (COUNTER_RETRIES, 1);
+  forward->retry_due = false;
+  return true;
+}
+
 void
 forward_route (struct forward *forward)
 {
   struct gateway *gateway = forward->gateway;
-  GArray *replicas = g_array_new (FALSE, FALSE, sizeof (struct route_replica));
   struct timespec now = forward_now (forward);
   struct route_engine *engine = NULL;
   struct timespec ready_at;
+  GArray *replicas = find_replicas (forward, &ready_at);
 
-  servers_replicas (listing_servers (gateway->listing), forward->service->name,
-                    forward->target != NULL ? forward->parsed.model : NULL,
-                    forward->parsed.adapter, now, replicas, &ready_at);
   if (replicas->len > 0 && gateway_may_dispatch (gateway))
     engine = pick_engine (forward, replicas);
   g_array_unref (replicas);
+  if (engine != NULL && !take_due_retry (forward))
+    g_clear_pointer (&engine, route_engine_unref);
   if (engine != NULL)
     dispatch_or_reject (forward, engine);
   else if (!gateway_may_dispatch (gateway))
@@ -378,7 +479,9 @@
   else if (left_ms (forward) < ANSWER_MIN_MS)
     forward_fail (forward, "no server is free in time", 0);
   else if (ready_too_late (forward, ready_at))
-    forward_fail (forward, "the model is not loaded in time",
+    forward_fail (forward,
+                  forward->target != NULL ? "the model is not loaded in time"
+                                          : "no server takes requests in time",
                   ts_to_ms (ts_sub (ready_at, now)));
   else
     {
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -12,6 +12,7 @@
 #include "log.h"
 #include "sse.h"
 #include "site.h"
+#include "stall.h"
 
 #define FORWARD_DISPATCHES_MAX 6 /* to servers, including refused ones */
 
@@ -40,18 +41,27 @@
   struct attempt attempts[ATTEMPT_MAX]; /* without refused and unsent ones */
   size_t count;                         /* of ATTEMPTS */
   unsigned dispatches;                  /* refused ones too */
+  bool deposited;                       /* counted for the retry budget */
   const char *tried[FORWARD_DISPATCHES_MAX]; /* ids, owned by ENGINES */
   struct route_engine *engines[FORWARD_DISPATCHES_MAX];
   size_t tried_count;
-  struct httpc_call *call;             /* NULL: no attempt in progress */
-  struct route_engine *engine;         /* of CALL */
+  guint sent_to[FORWARD_DISPATCHES_MAX]; /* hashes of addresses */
+  struct httpc_call *call;               /* NULL: no attempt in progress */
+  struct route_engine *engine;           /* of CALL */
+  struct route_engine *replacement;    /* takes the place of CALL, which ends;
+                                          NULL: none */
   struct pick_explanation explanation; /* of the latest choice of a replica */
   struct timespec sent_at;
   struct timespec first_at;      /* first byte of the response; zero: none */
+  struct timespec heard_at;      /* latest byte, or the dispatch */
   struct caller_response answer; /* of the current attempt */
   bool head_parsed;              /* ANSWER is valid */
   bool streaming;  /* the current response is passed on as a stream */
   bool head_sent;  /* the response head was sent to the caller */
+  bool silent;     /* the current engine is being waited for in silence */
+  bool suspected;  /* and counts as failing for that */
+  bool moved;      /* a silent engine was given up, which may be sound */
+  bool retry_due;  /* the next dispatch takes a retry from the budget */
   struct sse sse;  /* parser of the current stream */
   GString *buffer; /* an incomplete event */
   bool can_resume; /* LAST_EVENT is valid */
@@ -84,16 +94,30 @@
 
 /* Dispatches the request to a backend server, queues it, or refuses it.  */
 void forward_route (struct forward *forward);
+/* Time until some server may take the request; 0: some may now, or it is not
+   known.  */
+int64_t forward_ready_in_ms (const struct forward *forward);
 /* Removes the request from the waiting list, if it is there.  */
 void forward_dequeue (struct forward *forward);
 /* Cancels the attempt in progress.  Closing its connection ends the work
    at the server.  */
 void forward_cancel (struct forward *forward);
+/* Dispatches the request to ENGINE, whose reference it takes.  */
+void forward_dispatch (struct forward *forward, struct route_engine *engine);
+/* A new reference to another engine than the current one that can take the
+   request and answer it in time, or NULL.  */
+struct route_engine *forward_pick_other (struct forward *forward);
+/* Whether the current engine could still be chosen: it is listed, not leaving
+   and has the target.  */
+bool forward_engine_is_replica (struct forward *forward);
 /* The current engine will not be used again for this request.  */
 void forward_mark_tried (struct forward *forward);
 
 /* forward_answer.c */
+int64_t forward_on_silence (void *user);
+bool forward_may_reuse (void *user, long status);
 bool forward_on_head (void *user, long status, const char *content_type);
+void forward_on_received (void *user);
 int forward_on_bytes (void *user, const char *bytes, size_t n);
 void forward_on_done (void *user, const struct httpc_result *result);
 
@@ -103,6 +127,7 @@
 void forward_log_done (struct forward *forward, long status);
 void forward_log_refused (struct forward *forward, unsigned status,
                           const char *why, int64_t retry_ms);
+void forward_log_silent (struct forward *forward, enum stall_action action);
 void forward_log_failed (struct forward *forward,
                          const struct httpc_result *result);
 void forward_log_gone (struct forward *forward);
--- a/src/httpc.c
+++ b/src/httpc.c
@@ -474,16 +474,29 @@
   g_free (httpc);
 }
 
+static int64_t
+idle_timeout (const struct httpc_call *call)
+{
+  const struct httpc_request *request = &call->request;
+
+  if (call->body_started && request->body_idle_timeout_ms > 0)
+    return request->body_idle_timeout_ms;
+  if (call->phase == HTTPC_SENT && call->reused
+      && request->reused_idle_timeout_ms > 0)
+    return request->reused_idle_timeout_ms;
+  return request->idle_timeout_ms;
+}
+
 static void
 restart_idle_timer (struct httpc_call *call)
 {
   struct loop *loop = call->httpc->loop;
-  int64_t ms = call->request.idle_timeout_ms;
+  int64_t ms = idle_timeout (call);
 
-  if (call->body_started && call->request.body_idle_timeout_ms > 0)
-    ms = call->request.body_idle_timeout_ms;
   if (ms > 0)
     loop_timer_set (loop, &call->idle_timer, ts_add_ms (loop_now (loop), ms));
+  else
+    loop_timer_clear (loop, &call->idle_timer);
 }
 
 static void
@@ -493,6 +506,16 @@
       = (struct httpc_call *)((char *)timer
                               - offsetof (struct httpc_call, idle_timer));
 
+  struct loop *loop = call->httpc->loop;
+  int64_t wait_ms = call->request.silent != NULL
+                        ? call->request.silent (call->request.user)
+                        : 0;
+
+  if (wait_ms > 0)
+    {
+      loop_timer_set (loop, timer, ts_add_ms (loop_now (loop), wait_ms));
+      return;
+    }
   call->idle_timed_out = true;
   finish (call, CURLE_OPERATION_TIMEDOUT);
 }
@@ -553,25 +576,38 @@
     return CURL_PREREQFUNC_ABORT;
   call->phase = HTTPC_SENT;
   if (call->reused && call->request.reused_idle_timeout_ms > 0)
-    loop_timer_set (call->httpc->loop, &call->idle_timer,
-                    ts_add_ms (loop_now (call->httpc->loop),
-                               call->request.reused_idle_timeout_ms));
+    restart_idle_timer (call);
   return CURL_PREREQFUNC_OK;
 }
 
+static void
+check_reusable (struct httpc_call *call)
+{
+  long status = 0;
+
+  if (call->request.reusable == NULL)
+    return;
+  curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
+  if (status >= 200 && !call->request.reusable (call->request.user, status))
+    curl_easy_setopt (call->easy, CURLOPT_FORBID_REUSE, 1L);
+}
+
 /* Called for the lines of the head, of interim responses and of trailers.  */
 static size_t
 on_header (char *bytes, size_t size, size_t n, void *user)
 {
   struct httpc_call *call = user;
 
-  (void)bytes;
   call->phase = HTTPC_RESPONDING;
   call->delivered = true;
   restart_idle_timer (call);
   call->head_bytes += size * n + HEAD_LINE_OVERHEAD;
   call->too_large = call->head_bytes > call->request.head_max;
-  return call->too_large ? 0 : size * n;
+  if (call->too_large)
+    return 0;
+  if (size * n > 0 && (*bytes == '\r' || *bytes == '\n'))
+    check_reusable (call);
+  return size * n;
 }
 
 static void
@@ -635,6 +671,8 @@
   call->delivered = true;
   deliver_head (call);
   restart_idle_timer (call);
+  if (call->request.received != NULL)
+    call->request.received (call->request.user);
   if (!call->passed_on)
     return collect (call, bytes, size * n);
   return deliver_body (call, bytes, size * n);
--- a/src/httpc.h
+++ b/src/httpc.h
@@ -68,9 +68,18 @@
      of trailers; each line counts 32 bytes more.  Also max bytes between two
      chunks.  0: HTTPC_HEAD_MAX.  */
   size_t head_max;
+  /* Called when one of the idle timeouts has passed.  Returns 0 to end the
+     call with -ETIMEDOUT, or the time, milliseconds, after which it is called
+     again if still no byte has come.  NULL: the call ends.  */
+  int64_t (*silent) (void *user);
+  /* Called at the end of the head; returns whether the connection may be
+     reused.  NULL: it may.  */
+  bool (*reusable) (void *user, long status);
   /* Called once, before the first body bytes; may be NULL.  Returns whether
      the body is to be passed to body_cb; otherwise it is collected.  */
   bool (*head) (void *user, long status, const char *content_type);
+  /* Called when bytes of the body have come; may be NULL.  */
+  void (*received) (void *user);
   /* Receives N bytes of the body.  Returns 0, -EAGAIN to pause (the same bytes
      are passed again after httpc_unpause), or -ECANCELED to end the call.
      NULL: the body is collected; HEAD must then be NULL too.  */
--- a/src/servers.c
+++ b/src/servers.c
@@ -13,10 +13,19 @@
      platform lists them.  */
   struct holders *published;
   struct holders *listed;
+  GHashTable *removed; /* id to struct removed */
   struct timespec published_at;
   bool published_partly; /* see servers_replicas_complete */
 };
 
+struct removed
+{
+  int64_t born; /* 0: unknown */
+  bool said_leaving;
+  struct timespec paused_until;
+  struct timespec at;
+};
+
 void
 server_entry_clear (struct server_entry *entry)
 {
@@ -55,6 +64,8 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, server_free);
   servers->by_service
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, unref_table);
+  servers->removed
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   servers->published = holders_new ();
   servers->listed = holders_new ();
   return servers;
@@ -67,6 +78,7 @@
     return;
   g_hash_table_unref (servers->by_service);
   g_hash_table_unref (servers->all);
+  g_hash_table_unref (servers->removed);
   holders_free (servers->published);
   holders_free (servers->listed);
   g_free (servers);
@@ -97,8 +109,10 @@
 static bool
 same_server (const struct server *server, const struct server_entry *entry)
 {
-  bool restarted = server->inventory != NULL && entry->inventory != NULL
-                   && server->inventory->born != entry->inventory->born;
+  bool restarted = (server->inventory != NULL && entry->inventory != NULL
+                    && server->inventory->born != entry->inventory->born)
+                   || (server->born != 0 && entry->born != 0
+                       && server->born != entry->born);
 
   return !restarted && strcmp (server->route->address, entry->address) == 0
          && strcmp (server->route->pool, entry->service) == 0;
@@ -148,6 +162,20 @@
   return changed;
 }
 
+/* If ENTRY was missing for a while, what the server said still holds.  */
+static void
+recall_removed (const struct servers *servers, struct server *server,
+                const struct server_entry *entry)
+{
+  const struct removed *removed
+      = g_hash_table_lookup (servers->removed, entry->id);
+
+  if (removed == NULL || entry->born == 0 || entry->born != removed->born)
+    return;
+  server->said_leaving = removed->said_leaving;
+  server->paused_until = removed->paused_until;
+}
+
 static struct server *
 add_server (struct servers *servers, const struct server_entry *entry)
 {
@@ -162,6 +190,7 @@
     }
   g_hash_table_add (set, server);
   g_hash_table_insert (servers->all, g_strdup (entry->id), server);
+  recall_removed (servers, server, entry);
   return server;
 }
 
@@ -183,6 +212,7 @@
 {
   struct server *server = servers_find (servers, entry->id);
   bool changed = false;
+  bool leaving;
 
   if (server != NULL && !same_server (server, entry))
     {
@@ -197,10 +227,13 @@
       server = add_server (servers, entry);
       changed = true;
     }
-  changed = changed || server->leaving != entry->leaving
-            || !ts_is_zero (server->drop_at);
+  leaving = entry->leaving || server->said_leaving;
+  changed
+      = changed || server->leaving != leaving || !ts_is_zero (server->drop_at);
   server->slots = entry->slots;
-  server->leaving = entry->leaving;
+  server->leaving = leaving;
+  if (entry->born != 0)
+    server->born = entry->born;
   server->drop_at = (struct timespec){ 0 };
   return update_inventory (servers, server, entry->inventory) || changed;
 }
@@ -214,6 +247,32 @@
     server->drop_at = at;
 }
 
+static void
+remember_removed (struct servers *servers, const struct server *server,
+                  struct timespec now)
+{
+  struct removed *removed = g_new (struct removed, 1);
+
+  removed->born = server->born;
+  removed->said_leaving = server->said_leaving;
+  removed->paused_until = server->paused_until;
+  removed->at = now;
+  g_hash_table_replace (servers->removed, g_strdup (server->route->id),
+                        removed);
+}
+
+static void
+forget_removed (struct servers *servers, struct timespec now)
+{
+  const struct removed *removed;
+  GHashTableIter iter;
+
+  g_hash_table_iter_init (&iter, servers->removed);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&removed))
+    if (ts_before (ts_add_ms (removed->at, SERVERS_REMOVED_TTL_MS), now))
+      g_hash_table_iter_remove (&iter);
+}
+
 bool
 servers_expire (struct servers *servers, struct timespec now)
 {
@@ -225,13 +284,39 @@
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&server))
     if (!ts_is_zero (server->drop_at) && !ts_before (now, server->drop_at))
       {
+        remember_removed (servers, server, now);
         unindex_server (servers, server);
         g_hash_table_iter_remove (&iter);
         removed = true;
       }
+  forget_removed (servers, now);
   return removed;
 }
 
+void
+servers_list_restored (struct servers *servers)
+{
+  struct server *server;
+  GHashTableIter iter;
+
+  g_hash_table_iter_init (&iter, servers->all);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&server))
+    server->said_leaving = server->leaving;
+}
+
+bool
+servers_is_outdated (const struct servers *servers,
+                     const struct server_entry *entry)
+{
+  const struct server *server = servers_find (servers, entry->id);
+  const struct removed *removed
+      = g_hash_table_lookup (servers->removed, entry->id);
+
+  if (server != NULL)
+    return entry->born < server->born;
+  return removed != NULL && entry->born <= removed->born;
+}
+
 struct server *
 servers_find (const struct servers *servers, const char *id)
 {
@@ -316,6 +401,42 @@
   g_hash_table_replace (server->missing, g_strdup (target), until);
 }
 
+bool
+servers_report_notice (struct servers *servers, const char *id,
+                       const struct backend_notice *notice,
+                       struct timespec now)
+{
+  struct server *server = servers_find (servers, id);
+  bool paused = servers_is_paused (servers, id, now);
+  bool changed = false;
+
+  if (server == NULL)
+    return false;
+  if (notice->pause_ms > 0)
+    {
+      server->paused_until = ts_max (
+          server->paused_until,
+          ts_add_ms (now, MIN (notice->pause_ms, SERVERS_PAUSE_MAX_MS)));
+      changed = !paused;
+    }
+  if (notice->leaving && !server->said_leaving)
+    {
+      server->said_leaving = true;
+      server->leaving = true;
+      changed = true;
+    }
+  return changed;
+}
+
+bool
+servers_is_paused (const struct servers *servers, const char *id,
+                   struct timespec now)
+{
+  const struct server *server = servers_find (servers, id);
+
+  return server != NULL && ts_before (now, server->paused_until);
+}
+
 void
 servers_replicas_begin (struct servers *servers, struct timespec at)
 {
@@ -383,9 +504,20 @@
     *ready_at = holder->ready_at;
 }
 
+struct replica_query
+{
+  const char *service;
+  const char *target;
+  const char *adapter;
+  struct timespec now;
+  GArray *replicas;
+  struct timespec *ready_at;
+  struct timespec pause_ends; /* first end of a pause; zero: none */
+};
+
+/* Appends SERVER, unless it is paused.  */
 static void
-append_replica (const struct server *server, const char *adapter,
-                GArray *replicas)
+append_replica (const struct server *server, struct replica_query *query)
 {
   struct route_replica replica
       = { .engine = server->route,
@@ -395,9 +527,14 @@
           .inflight_at_report = server->inflight_at_load,
           .reported_at = server->load_at,
           .leaving = server->leaving,
-          .adapter_loaded = adapter != NULL };
+          .adapter_loaded = query->adapter != NULL };
 
-  g_array_append_val (replicas, replica);
+  if (!ts_before (query->now, server->paused_until))
+    g_array_append_val (query->replicas, replica);
+  else if (ts_is_zero (query->pause_ends))
+    query->pause_ends = server->paused_until;
+  else
+    query->pause_ends = ts_min (query->pause_ends, server->paused_until);
 }
 
 static bool
@@ -408,22 +545,11 @@
              now, ts_add_ms (servers->published_at, SERVERS_REPLICAS_TTL_MS));
 }
 
-struct replica_query
-{
-  const char *service;
-  const char *target;
-  const char *adapter;
-  struct timespec now;
-  GArray *replicas;
-  struct timespec *ready_at;
-};
-
 /* Appends the engines in HOLDERS that have the target of QUERY, without those
    that are in EXCEPT.  */
 static void
 append_holders (const struct servers *servers, const struct holders *holders,
-                const struct holders *except,
-                const struct replica_query *query)
+                const struct holders *except, struct replica_query *query)
 {
   GHashTable *engines = holders_of (holders, query->target);
   const struct holder *holder;
@@ -444,7 +570,7 @@
       if (!holder->loaded)
         update_ready_at (holder, query->ready_at);
       else if (!is_missing (server, query->target, query->now))
-        append_replica (server, query->adapter, query->replicas);
+        append_replica (server, query);
     }
 }
 
@@ -462,8 +588,7 @@
 }
 
 static void
-append_servers_of (const struct servers *servers,
-                   const struct replica_query *query)
+append_servers_of (const struct servers *servers, struct replica_query *query)
 {
   GHashTable *set = g_hash_table_lookup (servers->by_service, query->service);
   const struct server *server;
@@ -474,7 +599,7 @@
   g_hash_table_iter_init (&iter, set);
   while (g_hash_table_iter_next (&iter, (gpointer *)&server, NULL))
     if (!server->leaving)
-      append_replica (server, query->adapter, query->replicas);
+      append_replica (server, query);
 }
 
 void
@@ -503,5 +628,8 @@
       if (fresh && replicas->len == 0 && ts_is_zero (*ready_at))
         update_expected_ready_at (servers, model, ready_at);
     }
+  if (replicas->len == 0 && !ts_is_zero (query.pause_ends))
+    *ready_at = ts_is_zero (*ready_at) ? query.pause_ends
+                                       : ts_min (*ready_at, query.pause_ends);
   g_free (target);
 }
