--- a/tests/test_gate_flood.c
+++ b/tests/test_gate_flood.c
@@ -8,8 +8,9 @@
 #define WARM_REQUESTS 4         /* fill the retry budget */
 #define AFTER_ANSWER_MS 100     /* until bytes behind a response have come */
 #define FLOODS_AT_ONCE 6u
-#define OTHERS_MIN 3u /* answered one after the other while the floods last   \
-                       */
+#define OTHERS_MIN                                                            \
+  3u /* answered one after the other while the floods last                    \
+      */
 #define CALLER_FLOOD_MS 2000
 #define CALLER_ITERATIONS_MAX 2000 /* of the loop, in CALLER_FLOOD_MS */
 #define ANSWER_TIMEOUT_MS 8000
