Log the software version of servers, and the stream that a request resumes

Cause for this change: the log of a send names the engine only, so a resume within one answer, a caller's resume and a restarted engine cannot be told apart. Change: the version in a server's row is kept with the server and logged in SERVER_LISTED and REQUEST_ROUTED; the latter and REQUEST_REFUSED name the request that began the resumed stream, as the caller gives it, and the last event. The decider's list carries the version to the other nodes. No decision uses it yet.

--- a/src/caller.c
+++ b/src/caller.c
@@ -8,5 +8,6 @@
   g_free (request->id);
   g_free (request->model);
   g_free (request->adapter);
+  g_free (request->stream);
   memset (request, 0, sizeof *request);
 }
--- a/src/caller.h
+++ b/src/caller.h
@@ -38,6 +38,9 @@
   uint64_t shared_tokens; /* of all parts but the last */
   bool resumes;           /* continues a stream after event RESUME_AFTER */
   uint64_t resume_after;
+  /* If RESUMES: id of the request that got the first event of the stream;
+     NULL: not given.  */
+  char *stream;
 };
 
 void caller_request_clear (struct caller_request *request);
--- a/src/forward_log.c
+++ b/src/forward_log.c
@@ -36,6 +36,23 @@
                 forward->explanation.delay_s * (double)TS_MS_PER_S);
 }
 
+/* The stream that the request continues, and its last event.  */
+static void
+log_resume (const struct forward *forward, struct log_line *line)
+{
+  if (forward->head_sent)
+    {
+      log_str (line, "resumes", forward->parsed.id);
+      log_int (line, "after", (int64_t)forward->last_event);
+    }
+  else if (forward->parsed.resumes)
+    {
+      log_str (line, "resumes",
+               forward->parsed.stream != NULL ? forward->parsed.stream : "?");
+      log_int (line, "after", (int64_t)forward->parsed.resume_after);
+    }
+}
+
 void
 forward_log_waiting (struct forward *forward, struct timespec ready_at)
 {
@@ -60,6 +77,8 @@
   histo_add (HISTO_WAIT, ts_sub (forward_now (forward), forward->arrived));
   begin_line (forward, &line, EVENT_REQUEST_ROUTED);
   log_str (&line, "engine", forward->engine->id);
+  log_str (&line, "software", forward->engine->software);
+  log_resume (forward, &line);
   log_int (&line, "sending", forward->dispatches);
   log_str (&line, "reason", pick_reason_name (forward->explanation.reason));
   log_double (&line, "load", forward->explanation.load);
@@ -92,6 +111,7 @@
   struct log_line line;
 
   begin_line (forward, &line, EVENT_REQUEST_REFUSED);
+  log_resume (forward, &line);
   log_int (&line, "status", status);
   log_str (&line, "why", why);
   log_int (&line, "not_run", forward_not_run (forward));
--- a/src/frame.h
+++ b/src/frame.h
@@ -75,8 +75,8 @@
   char *zone;
   char *pool;
   char *model;
-  char *adapter; /* NULL for a model */
-  char *version;
+  char *adapter;     /* NULL for a model */
+  char *version;     /* of the model; of a whole server: of its software */
   uint64_t state;    /* enum backend_copy_state */
   uint64_t ready_ms; /* if loading: estimated time left */
   uint64_t slots;
--- a/src/listing.c
+++ b/src/listing.c
@@ -172,6 +172,7 @@
   log_str (&line, "service", entry->service);
   log_str (&line, "address", entry->address);
   log_str (&line, "zone", entry->zone);
+  log_str (&line, "software", entry->software);
   log_int (&line, "leaving", entry->leaving);
   if (entry->inventory != NULL)
     {
@@ -559,6 +560,7 @@
                                 .address = server->address,
                                 .zone = server->zone,
                                 .service = server->pool,
+                                .software = server->version,
                                 .slots = (unsigned)server->slots,
                                 .leaving = server->leaving };
 
--- a/src/planners.c
+++ b/src/planners.c
@@ -120,6 +120,7 @@
                                     .address = server->route->address,
                                     .zone = server->route->zone,
                                     .service = server->route->pool,
+                                    .software = server->route->software,
                                     .slots = server->slots,
                                     .leaving = server->leaving,
                                     .inventory = server->inventory };
--- a/src/planners_replicas.c
+++ b/src/planners_replicas.c
@@ -43,6 +43,7 @@
                                       .zone = server->route->zone,
                                       .pool = server->route->pool,
                                       .model = (char *)SERVERS_WHOLE_SERVER,
+                                      .version = server->route->software,
                                       .slots = server->slots,
                                       .leaving = server->leaving };
 
--- a/src/route.c
+++ b/src/route.c
@@ -278,5 +278,6 @@
   g_free (engine->address);
   g_free (engine->zone);
   g_free (engine->pool);
+  g_free (engine->software);
   g_free (engine);
 }
--- a/src/route.h
+++ b/src/route.h
@@ -23,6 +23,7 @@
   char *address; /* IP:port */
   char *zone;
   char *pool;
+  char *software;    /* version of its software; NULL: unknown */
   unsigned refs;     /* atomic */
   unsigned inflight; /* atomic: requests of this node in flight there */
   unsigned gone;     /* atomic: 1 once it is no longer in the instance list */
--- a/src/servers.c
+++ b/src/servers.c
@@ -24,6 +24,7 @@
   g_free (entry->address);
   g_free (entry->zone);
   g_free (entry->service);
+  g_free (entry->software);
   inventory_free (entry->inventory);
   memset (entry, 0, sizeof *entry);
 }
@@ -87,6 +88,7 @@
 
   server->route = route_engine_new (entry->id, entry->address, entry->zone,
                                     entry->service);
+  server->route->software = g_strdup (entry->software);
   server->missing
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return server;
--- a/src/servers.h
+++ b/src/servers.h
@@ -39,6 +39,7 @@
   char *address; /* IP:port */
   char *zone;
   char *service;
+  char *software; /* version of its software; NULL: unknown */
   unsigned slots;
   bool leaving;                /* gets no new requests */
   struct inventory *inventory; /* NULL for a plain service */
