--- a/tests/gate_fixture.h
+++ b/tests/gate_fixture.h
@@ -50,6 +50,7 @@
   GString *received;
   char *retry_after;
   const char *body; /* of the next request; NULL: none; borrowed */
+  const char *id;   /* of the next request; NULL: "r1"; borrowed */
 };
 
 /* Handles a request at the backend server.  Defined by the test program.  */
@@ -305,6 +306,7 @@
 {
   char *url
       = g_strdup_printf ("http://127.0.0.1:%u%s", gate_port (f->gate), path);
+  char *id = g_strdup_printf (ID ": %s", f->id != NULL ? f->id : "r1");
   GPtrArray *all = g_ptr_array_new ();
   struct httpc_request request
       = { .method = method,
@@ -317,12 +319,13 @@
   for (; headers != NULL && *headers != NULL; headers++)
     g_ptr_array_add (all, (gpointer)*headers);
   g_ptr_array_add (all, (gpointer) "Host: h.example");
-  g_ptr_array_add (all, (gpointer) "Parsleyrill-Request-Id: r1");
+  g_ptr_array_add (all, id);
   g_ptr_array_add (all, NULL);
   request.headers = (const char *const *)all->pdata;
   f->done = false;
   f->call = httpc_start (f->caller, &request);
   g_ptr_array_unref (all);
+  g_free (id);
   g_free (url);
 }
 
--- /dev/null
+++ b/tests/test_resume.c
@@ -0,0 +1,332 @@
+/* Tests that a stream goes on only at servers with the version of the software
+   that began it, whichever node resumes it.  */
+
+#include "gate_fixture.h"
+#include "gate_second.h"
+
+#define EVENT(n) "id: " #n "\ndata: x" #n "\n\n"
+#define SERVERS 6 /* half of them of each version */
+#define STREAMS 20
+
+static int began_at; /* number of the server of the last new stream */
+
+/* Number of the server that the last request was sent to.  */
+static int
+server_of_last_request (const struct fixture *f)
+{
+  static const char name[] = "Parsleyrill-Expect-Instance: i-";
+  const char *at = strstr (f->last_request->str, name);
+
+  g_assert_nonnull (at);
+  return atoi (at + strlen (name));
+}
+
+/* "open" leaves a new stream open after its first event, "cut" breaks it
+   off.  */
+static void
+handle_at_server (struct fixture *f, struct httpd_request *request)
+{
+  const char *behaviour = strrchr (httpd_path (request), '/') + 1;
+
+  if (strcmp (behaviour, "warm") == 0)
+    answer (request, 200, "hello");
+  else if (httpd_header (request, "Last-Event-Id") != NULL)
+    {
+      begin_event_stream (request, EVENT (2));
+      httpd_stream_end (request);
+    }
+  else
+    {
+      began_at = server_of_last_request (f);
+      begin_event_stream (request, EVENT (1));
+      if (strcmp (behaviour, "cut") == 0)
+        httpd_stream_abort (request);
+      else
+        f->held = request;
+    }
+}
+
+/* Lists server i-NUMBER, with SOFTWARE.  All have the same address.  */
+static void
+list_version (struct fixture *f, int number, const char *software,
+              const char *state)
+{
+  char *key = g_strdup_printf ("servers/i-%d", number);
+  char *text = g_strdup_printf (
+      "{\"Service\":\"app\",\"Address\":\"127.0.0.1:%u\",\"Zone\":\"z\","
+      "\"Slots\":8,\"Version\":\"%s\",\"State\":\"%s\",\"Sequence\":1}",
+      httpd_port (f->server), software, state);
+
+  put_row (f, key, text);
+  g_free (key);
+  g_free (text);
+}
+
+static const char *
+version_of (int number)
+{
+  return number <= SERVERS / 2 ? "v1" : "v2";
+}
+
+/* Requests until the node at F->gate sends them to server i-NUMBER.  */
+static void
+wait_until_used (struct fixture *f, int number)
+{
+  do
+    request_and_wait (f, "GET", "/safe/warm", NULL);
+  while (f->status != 200 || server_of_last_request (f) != number);
+}
+
+static void
+set_up_versions (struct fixture *f)
+{
+  set_up (f);
+  put_config (f, 1);
+  for (int i = 1; i <= SERVERS; i++)
+    list_version (f, i, version_of (i), "ready");
+  wait_until_used (f, 1);
+  wait_until_used (f, SERVERS);
+}
+
+/* Begins a stream with request ID; the caller disconnects after the first
+   event.  Returns the number of its server.  */
+static int
+begin_stream (struct fixture *f, const char *id)
+{
+  f->id = id;
+  start_request (f, "GET", "/long/open", NULL);
+  RUN_UNTIL (f, f->held != NULL && httpc_phase (f->call) == HTTPC_RESPONDING);
+  httpc_cancel (f->call);
+  RUN_UNTIL (f, f->held == NULL);
+  return began_at;
+}
+
+/* The caller resumes the stream that began with request BEGUN_AS.  */
+static void
+resume_stream (struct fixture *f, const char *begun_as)
+{
+  char *resumes = g_strdup_printf ("Resumes: %s", begun_as);
+  const char *headers[]
+      = { "Last-Event-Id: 1", resumes, "Parsleyrill-Deadline-Ms: 5000", NULL };
+
+  f->id = "again";
+  f->at_server = 0;
+  request_and_wait (f, "GET", "/long/open", headers);
+  g_free (resumes);
+}
+
+/* The last request went to the version of server NUMBER.  */
+static void
+check_version (const struct fixture *f, int number)
+{
+  g_assert_cmpstr (version_of (server_of_last_request (f)), ==,
+                   version_of (number));
+}
+
+static void
+check_resumed_at_version (const struct fixture *f, int number)
+{
+  g_assert_cmpint (f->status, ==, 200);
+  g_assert_cmpstr (f->received->str, ==, EVENT (2));
+  check_version (f, number);
+}
+
+/* Guards against a caller's resume that goes to a server of another version
+   than the one that began the stream.  */
+static void
+test_resume_at_same_version (void)
+{
+  struct fixture f;
+
+  set_up_versions (&f);
+  for (int i = 0; i < STREAMS; i++)
+    {
+      char *id = g_strdup_printf ("s%d", i);
+      int server = begin_stream (&f, id);
+
+      resume_stream (&f, id);
+      check_resumed_at_version (&f, server);
+      g_free (id);
+    }
+  tear_down (&f);
+}
+
+/* Guards against one answer with events of two versions, when the node itself
+   resumes a broken stream.  */
+static void
+test_answer_from_one_version (void)
+{
+  for (int i = 0; i < SERVERS; i++)
+    {
+      struct fixture f;
+
+      set_up_versions (&f);
+      request_and_wait (&f, "GET", "/long/cut", NULL);
+      g_assert_cmpstr (f.received->str, ==, EVENT (1) EVENT (2));
+      check_version (&f, began_at);
+      tear_down (&f);
+    }
+}
+
+/* Guards against a resume at another version at a node that did not begin the
+   stream: one that ran when it began, and, with LATE, one that started
+   later.  */
+static void
+check_other_node (bool late)
+{
+  struct fixture f;
+  struct second second;
+  struct gate *first;
+  int servers[STREAMS];
+
+  set_up_versions (&f);
+  first = f.gate;
+  if (!late)
+    {
+      start_second (&f, &second);
+      f.gate = second.gate;
+      wait_until_used (&f, 1);
+      wait_until_used (&f, SERVERS);
+      f.gate = first;
+    }
+  for (int i = 0; i < STREAMS; i++)
+    {
+      char *id = g_strdup_printf ("s%d", i);
+
+      servers[i] = begin_stream (&f, id);
+      g_free (id);
+    }
+  if (late)
+    start_second (&f, &second);
+  f.gate = second.gate;
+  wait_until_used (&f, 1);
+  wait_until_used (&f, SERVERS);
+  for (int i = 0; i < STREAMS; i++)
+    {
+      char *id = g_strdup_printf ("s%d", i);
+
+      resume_stream (&f, id);
+      check_resumed_at_version (&f, servers[i]);
+      g_free (id);
+    }
+  f.gate = first;
+  stop_second (&second);
+  tear_down (&f);
+}
+
+static void
+test_resume_at_other_node (void)
+{
+  check_other_node (false);
+}
+
+static void
+test_resume_at_later_node (void)
+{
+  check_other_node (true);
+}
+
+/* Guards against a resume at another version when the node that began the
+   stream is gone.  */
+static void
+test_resume_after_node_death (void)
+{
+  struct fixture f;
+  struct second second;
+  struct gate *first;
+  int servers[STREAMS];
+
+  set_up_versions (&f);
+  start_second (&f, &second);
+  first = f.gate;
+  f.gate = second.gate;
+  wait_until_used (&f, 1);
+  wait_until_used (&f, SERVERS);
+  for (int i = 0; i < STREAMS; i++)
+    {
+      char *id = g_strdup_printf ("s%d", i);
+
+      servers[i] = begin_stream (&f, id);
+      g_free (id);
+    }
+  f.gate = first;
+  stop_second (&second);
+  for (int i = 0; i < STREAMS; i++)
+    {
+      char *id = g_strdup_printf ("s%d", i);
+
+      resume_stream (&f, id);
+      check_resumed_at_version (&f, servers[i]);
+      g_free (id);
+    }
+  tear_down (&f);
+}
+
+static void
+check_refused (const struct fixture *f)
+{
+  g_assert_cmpint (f->status, ==, 503);
+  g_assert_cmpuint (f->at_server, ==, 0);
+}
+
+/* Guards against a guess: a stream that no node knows is refused while several
+   versions serve.  */
+static void
+test_unknown_stream (void)
+{
+  struct fixture f;
+
+  set_up_versions (&f);
+  resume_stream (&f, "unknown");
+  check_refused (&f);
+  tear_down (&f);
+}
+
+/* Guards against a resume at another version when the servers of the stream's
+   version leave.  */
+static void
+test_version_left (void)
+{
+  struct fixture f;
+  int server;
+
+  set_up_versions (&f);
+  server = begin_stream (&f, "s");
+  for (int i = 1; i <= SERVERS; i++)
+    if (strcmp (version_of (i), version_of (server)) == 0)
+      list_version (&f, i, version_of (i), "draining");
+  for (int i = 0; i < 300; i++)
+    run_once (&f);
+  resume_stream (&f, "s");
+  check_refused (&f);
+  tear_down (&f);
+}
+
+/* Guards against the refusal of streams that no node knows where only one
+   version has served.  */
+static void
+test_single_version (void)
+{
+  struct fixture f;
+
+  set_up (&f);
+  wait_until_serving (&f);
+  resume_stream (&f, "unknown");
+  g_assert_cmpint (f.status, ==, 200);
+  tear_down (&f);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/resume/same-version", test_resume_at_same_version);
+  g_test_add_func ("/resume/one-answer", test_answer_from_one_version);
+  g_test_add_func ("/resume/other-node", test_resume_at_other_node);
+  g_test_add_func ("/resume/later-node", test_resume_at_later_node);
+  g_test_add_func ("/resume/node-death", test_resume_after_node_death);
+  g_test_add_func ("/resume/unknown-stream", test_unknown_stream);
+  g_test_add_func ("/resume/version-left", test_version_left);
+  g_test_add_func ("/resume/single-version", test_single_version);
+  return g_test_run ();
+}
