--- a/tests/test_resume.c
+++ b/tests/test_resume.c
@@ -95,6 +95,7 @@
 {
   f->id = id;
   start_request (f, "GET", "/long/open", NULL);
+  f->id = NULL;
   RUN_UNTIL (f, f->held != NULL && httpc_phase (f->call) == HTTPC_RESPONDING);
   httpc_cancel (f->call);
   RUN_UNTIL (f, f->held == NULL);
@@ -112,6 +113,7 @@
   f->id = "again";
   f->at_server = 0;
   request_and_wait (f, "GET", "/long/open", headers);
+  f->id = NULL;
   g_free (resumes);
 }
 
