Resume a stream only at the version of the software that began it

Cause: a resume was routed as a new request, by load and prompt. The version in an engine's row and the request that a caller names were read by nothing, and no node remembered where a stream began. This holds for a caller's resume and for the node's own within one answer. Change: servers keep the version of their software, and one that changes it counts as a new server. A node records it when it passes a stream on (origin) and sends copies to three nodes, in different zones first (origins). A request that resumes a stream goes only to that version; a node that does not know the stream asks five nodes for at most 200 ms. If it stays unknown while several versions serve or served within two minutes, or no server of the version takes requests, the request is rejected at once with 503, and Retry-After only if a node did not answer.

--- a/src/forward.c
+++ b/src/forward.c
@@ -20,6 +20,7 @@
   site_unref (forward->site);
   g_string_free (forward->buffer, TRUE);
   g_free (forward->target);
+  g_free (forward->software);
   forward->gateway->open--;
   g_free (forward);
 }
@@ -36,6 +37,7 @@
 forward_finish (struct forward *forward)
 {
   forward_dequeue (forward);
+  origins_cancel (&forward->origin_query);
   forward->state = FORWARD_DONE;
   loop_timer_clear (forward->gateway->core->loop, &forward->deadline_timer);
   free_if_done (forward);
@@ -237,7 +239,10 @@
   if (forward->target != NULL)
     planners_request_arrived (gateway->planners, forward->service->name,
                               forward->target);
-  forward_route (forward);
+  if (forward->parsed.resumes)
+    forward_resume (forward);
+  else
+    forward_route (forward);
 }
 
 void
--- a/src/forward_answer.c
+++ b/src/forward_answer.c
@@ -79,6 +79,7 @@
   if (forward->head_sent)
     return;
   forward->head_sent = true;
+  forward_record_origin (forward);
   headers = copy_response_headers (forward);
   httpd_stream_begin (forward->request, (unsigned)status, type,
                       (const char *const *)headers->pdata);
--- /dev/null
+++ b/src/forward_resume.c
@@ -0,0 +1,90 @@
+#include "forward_state.h"
+#include "ts.h"
+
+/* The caller may resume a stream for this long after its deadline, as this
+   node knows it.  */
+#define RESUME_MARGIN_MS 2000
+/* When some nodes did not say whether they know the stream.  */
+#define ASK_AGAIN_MS 300
+
+/* The version is unknown where the platform does not tell it.  */
+static const char *
+software_of (const struct route_engine *engine)
+{
+  return engine->software != NULL ? engine->software : "";
+}
+
+/* The id of the request that got the first event of the stream.  */
+static const char *
+stream_id (const struct forward *forward)
+{
+  const struct caller_request *parsed = &forward->parsed;
+
+  return parsed->resumes && parsed->stream != NULL ? parsed->stream
+                                                   : parsed->id;
+}
+
+void
+forward_record_origin (struct forward *forward)
+{
+  int64_t timeout_ms = ts_to_ms (ts_sub (forward->deadline, forward->arrived));
+  int64_t ms = MAX (forward->parsed.deadline_ms, timeout_ms);
+  int64_t passed_ms
+      = ts_to_ms (ts_sub (forward_now (forward), forward->arrived));
+
+  g_free (forward->software);
+  forward->software = g_strdup (software_of (forward->engine));
+  origins_put (forward->gateway->origins, stream_id (forward),
+               forward->service->name, forward->software,
+               ms - passed_ms + RESUME_MARGIN_MS);
+}
+
+static const char *
+sole_software (const struct forward *forward)
+{
+  return servers_sole_software (listing_servers (forward->gateway->listing),
+                                forward->service->name, forward_now (forward));
+}
+
+/* Routes the request to the version that began its stream.  Services do not
+   share streams, so a stream of another service sets no version.  */
+static void
+route_to_origin (struct forward *forward, const struct origin_stream *stream)
+{
+  if (strcmp (stream->service, forward->service->name) == 0)
+    forward->software = g_strdup (stream->software);
+  forward_route (forward);
+}
+
+static void
+on_answer (struct origins_query *query, enum origins_result result,
+           const struct origin_stream *stream)
+{
+  struct forward *forward
+      = (struct forward *)((char *)query
+                           - offsetof (struct forward, origin_query));
+
+  if (result == ORIGINS_KNOWN)
+    route_to_origin (forward, stream);
+  else if (sole_software (forward) != NULL)
+    forward_route (forward);
+  else
+    forward_refuse (forward, 503, "unknown which version began the stream",
+                    result == ORIGINS_NO_ANSWER ? ASK_AGAIN_MS : 0);
+}
+
+void
+forward_resume (struct forward *forward)
+{
+  struct origins *origins = forward->gateway->origins;
+  const char *id = forward->parsed.stream;
+  const struct origin_stream *stream
+      = id != NULL ? origins_get (origins, id) : NULL;
+
+  if (stream != NULL)
+    route_to_origin (forward, stream);
+  else if (id != NULL)
+    origins_ask (origins, &forward->origin_query, id, on_answer);
+  else
+    on_answer (&forward->origin_query, ORIGINS_UNKNOWN, NULL);
+}
--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -356,6 +356,15 @@
     forward_fail (forward, "the servers are overloaded", retry_ms);
 }
 
+/* Whether no server may continue the stream, so that waiting is pointless.  */
+static bool
+version_is_gone (const struct forward *forward)
+{
+  return forward->software != NULL
+         && !servers_has_software (listing_servers (forward->gateway->listing),
+                                   forward->service->name, forward->software);
+}
+
 void
 forward_route (struct forward *forward)
 {
@@ -364,10 +373,14 @@
   struct timespec now = forward_now (forward);
   struct route_engine *engine = NULL;
   struct timespec ready_at;
-
-  servers_replicas (listing_servers (gateway->listing), forward->service->name,
-                    forward->target != NULL ? forward->parsed.model : NULL,
-                    forward->parsed.adapter, now, replicas, &ready_at);
+  struct servers_query need
+      = { .service = forward->service->name,
+          .model = forward->target != NULL ? forward->parsed.model : NULL,
+          .adapter = forward->parsed.adapter,
+          .software = forward->software };
+
+  servers_replicas (listing_servers (gateway->listing), &need, now, replicas,
+                    &ready_at);
   if (replicas->len > 0 && gateway_may_dispatch (gateway))
     engine = pick_engine (forward, replicas);
   g_array_unref (replicas);
@@ -375,6 +388,9 @@
     dispatch_or_reject (forward, engine);
   else if (!gateway_may_dispatch (gateway))
     forward_fail (forward, "stopping", DEFAULT_RETRY_AFTER_MS);
+  else if (version_is_gone (forward))
+    forward_fail (forward, "no server has the version that began the stream",
+                  0);
   else if (left_ms (forward) < ANSWER_MIN_MS)
     forward_fail (forward, "no server is free in time", 0);
   else if (ready_too_late (forward, ready_at))
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -1,5 +1,6 @@
 /* forward_state - state of one request, shared by the modules forward,
-   forward_send, forward_answer and forward_log.  Private to them.  */
+   forward_send, forward_resume, forward_answer and forward_log.  Private to
+   them.  */
 
 #ifndef PARSLEYRILL_FORWARD_STATE_H
 #define PARSLEYRILL_FORWARD_STATE_H
@@ -10,6 +11,7 @@
 #include "attempt.h"
 #include "forward.h"
 #include "log.h"
+#include "origins.h"
 #include "sse.h"
 #include "site.h"
 
@@ -56,6 +58,9 @@
   GString *buffer; /* body so far, or an incomplete event */
   bool can_resume; /* LAST_EVENT is valid */
   uint64_t last_event;
+  /* Version of the servers that may continue the stream; NULL: any.  */
+  char *software;
+  struct origins_query origin_query;
 };
 
 static inline struct timespec
@@ -92,6 +97,15 @@
 /* The current engine will not be used again for this request.  */
 void forward_mark_tried (struct forward *forward);
 
+/* forward_resume.c */
+
+/* Dispatches a request that resumes a stream to the version that began it,
+   once that is known, or refuses it.  */
+void forward_resume (struct forward *forward);
+/* The current engine begins or continues the stream, and only its version may
+   go on with it.  */
+void forward_record_origin (struct forward *forward);
+
 /* forward_answer.c */
 void forward_on_head (void *user, long status, const char *content_type);
 int forward_on_bytes (void *user, const char *bytes, size_t n);
--- a/src/frame.h
+++ b/src/frame.h
@@ -41,8 +41,13 @@
   PEER_REQUEST,          /* request ID: NAME and TEXT */
   PEER_RESPONSE,         /* its response: STATUS and TEXT */
   PEER_KEEPALIVE,        /* shows that the link is alive */
-  PEER_LOADS             /* loads of servers: observed by the sender, or from
-                            the leaseholder those observed by all nodes */
+  PEER_LOADS,          /* loads of servers: observed by the sender, or from the
+                          leaseholder those observed by all nodes */
+  PEER_ORIGIN,         /* the stream that began with request SUBJECT, at
+                          service NAME and software TEXT; SINCE: time left,
+                          ms */
+  PEER_ORIGIN_REQUEST, /* which began with request SUBJECT? */
+  PEER_ORIGIN_REPLY    /* as PEER_ORIGIN; no NAME: the stream is unknown */
 };
 
 struct peer_member
@@ -125,7 +130,7 @@
   uint64_t incarnation;  /* PEER_HELLO */
   uint64_t protocol;     /* PEER_HELLO: highest supported */
   uint64_t protocol_min; /* PEER_HELLO: lowest supported */
-  char *subject;         /* PEER_PROBE_REQUEST, PEER_PROBE_ACK */
+  char *subject; /* PEER_PROBE_REQUEST, PEER_PROBE_ACK, PEER_ORIGIN_* */
   char *cell;
   uint64_t fence;        /* fencing token of the sender's lease of CELL */
   uint64_t seq;          /* PEER_REPLICAS: consecutive; a gap means a loss */
@@ -133,7 +138,8 @@
   bool relay;            /* pass it on, see fanout.h */
   uint64_t list_version; /* PEER_REPLICAS: of the table of servers */
   uint64_t version;      /* PEER_CONFIG_*: of the document */
-  uint64_t since;        /* PEER_CONFIG; PEER_KEEPALIVE: interval, ms */
+  uint64_t since; /* PEER_CONFIG; PEER_KEEPALIVE: interval, ms; PEER_ORIGIN_*:
+                     time left, ms */
   char *name;
   char *text;
   uint64_t status;
--- a/src/gate.c
+++ b/src/gate.c
@@ -7,6 +7,7 @@
 #include "links.h"
 #include "listing.h"
 #include "log.h"
+#include "origins.h"
 #include "planners.h"
 #include "ts.h"
 
@@ -21,6 +22,7 @@
   struct service *links;
   struct service *listing;
   struct service *confpeer;
+  struct service *origins;
   struct service *planners;
   struct service *gateway;
   struct loop_timer drain_timer;
@@ -56,6 +58,7 @@
   kernel_register (kernel, gate->links = links_new ());
   kernel_register (kernel, gate->listing = listing_new (&listing));
   kernel_register (kernel, gate->confpeer = confpeer_new ());
+  kernel_register (kernel, gate->origins = origins_new ());
   kernel_register (kernel,
                    gate->planners = planners_new (&gate->options.planners));
   kernel_register (kernel,
@@ -176,6 +179,7 @@
   kernel_stop (gate->core.kernel);
   gateway_free (gate->gateway);
   planners_free (gate->planners);
+  origins_free (gate->origins);
   confpeer_free (gate->confpeer);
   listing_free (gate->listing);
   links_free (gate->links);
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -15,6 +15,7 @@
 #include "links.h"
 #include "listing.h"
 #include "loop.h"
+#include "origins.h"
 #include "pick.h"
 #include "reach.h"
 #include "retry.h"
@@ -33,6 +34,7 @@
   struct listing *listing;
   struct planners *planners;
   struct links *links;
+  struct origins *origins;
   struct httpc *httpc;
   struct httpd *front;
   struct httpd *directory;
--- a/src/links.c
+++ b/src/links.c
@@ -203,12 +203,16 @@
   return peer_send (links->peer, node, msg);
 }
 
+bool
+links_connected (const struct links *links, const char *node)
+{
+  return peer_connected (links->peer, node);
+}
+
 static bool
 is_linked (void *user, const char *node)
 {
-  const struct links *links = user;
-
-  return peer_connected (links->peer, node);
+  return links_connected (user, node);
 }
 
 static struct fanout_query
--- a/src/links.h
+++ b/src/links.h
@@ -47,6 +47,9 @@
 /* The address that this node listens on for peers; borrowed.  */
 const char *links_address (struct links *links);
 
+/* Whether there is a link to NODE.  */
+bool links_connected (const struct links *links, const char *node);
+
 /* -ENOTCONN if there is no link to NODE.  */
 int links_send (struct links *links, const char *node,
                 const struct peer_msg *msg);
--- a/src/servers.c
+++ b/src/servers.c
@@ -4,11 +4,14 @@
 #include "backend.h"
 #include "holders.h"
 #include "ts.h"
+#include "versions.h"
 
 struct servers
 {
   GHashTable *all;        /* id to struct server */
   GHashTable *by_service; /* name to GHashTable: set of struct server */
+  struct versions *versions;
+  struct timespec expired_at; /* last call of servers_expire */
   /* Models and adapters on engines: as published by the decider, and as the
      platform lists them.  */
   struct holders *published;
@@ -56,6 +59,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, server_free);
   servers->by_service
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, unref_table);
+  servers->versions = versions_new ();
   servers->published = holders_new ();
   servers->listed = holders_new ();
   return servers;
@@ -68,6 +72,7 @@
     return;
   g_hash_table_unref (servers->by_service);
   g_hash_table_unref (servers->all);
+  versions_free (servers->versions);
   holders_free (servers->published);
   holders_free (servers->listed);
   g_free (servers);
@@ -88,21 +93,26 @@
 
   server->route = route_engine_new (entry->id, entry->address, entry->zone,
                                     entry->service);
-  server->route->software = g_strdup (entry->software);
+  server->route->software
+      = g_strdup (entry->software != NULL ? entry->software : "");
   server->missing
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return server;
 }
 
-/* A server that has restarted, or has another address or service, is treated
-   as a new one: its previous state does not apply.  */
+/* A server that has restarted, or has another address, service or version of
+   the software, is treated as a new one: its previous state does not apply.
+ */
 static bool
 same_server (const struct server *server, const struct server_entry *entry)
 {
   bool restarted = server->inventory != NULL && entry->inventory != NULL
                    && server->inventory->born != entry->inventory->born;
 
-  return !restarted && strcmp (server->route->address, entry->address) == 0
+  return !restarted
+         && (entry->software == NULL
+             || strcmp (server->route->software, entry->software) == 0)
+         && strcmp (server->route->address, entry->address) == 0
          && strcmp (server->route->pool, entry->service) == 0;
 }
 
@@ -163,6 +173,7 @@
                            set);
     }
   g_hash_table_add (set, server);
+  versions_add (servers->versions, entry->service, server->route->software);
   g_hash_table_insert (servers->all, g_strdup (entry->id), server);
   return server;
 }
@@ -175,6 +186,8 @@
       = g_hash_table_lookup (servers->by_service, server->route->pool);
 
   holders_remove_engine (servers->listed, server->route->id);
+  versions_remove (servers->versions, server->route->pool,
+                   server->route->software, servers->expired_at);
   g_hash_table_remove (set, server);
   if (g_hash_table_size (set) == 0)
     g_hash_table_remove (servers->by_service, server->route->pool);
@@ -223,6 +236,7 @@
   GHashTableIter iter;
   bool removed = false;
 
+  servers->expired_at = now;
   g_hash_table_iter_init (&iter, servers->all);
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&server))
     if (!ts_is_zero (server->drop_at) && !ts_before (now, server->drop_at))
@@ -412,14 +426,22 @@
 
 struct replica_query
 {
-  const char *service;
+  const struct servers_query *need;
   const char *target;
-  const char *adapter;
   struct timespec now;
   GArray *replicas;
   struct timespec *ready_at;
 };
 
+/* Whether SERVER gets new requests such as NEED.  */
+static bool
+is_suitable (const struct server *server, const struct servers_query *need)
+{
+  return !server->leaving && strcmp (server->route->pool, need->service) == 0
+         && (need->software == NULL
+             || strcmp (server->route->software, need->software) == 0);
+}
+
 /* Appends the engines in HOLDERS that have the target of QUERY, without those
    that are in EXCEPT.  */
 static void
@@ -439,14 +461,13 @@
     {
       const struct server *server = servers_find (servers, id);
 
-      if (server == NULL || server->leaving
-          || strcmp (server->route->pool, query->service) != 0
+      if (server == NULL || !is_suitable (server, query->need)
           || (except != NULL && holders_has_engine (except, id)))
         continue;
       if (!holder->loaded)
         update_ready_at (holder, query->ready_at);
       else if (!is_missing (server, query->target, query->now))
-        append_replica (server, query->adapter, query->replicas);
+        append_replica (server, query->need->adapter, query->replicas);
     }
 }
 
@@ -467,7 +488,8 @@
 append_servers_of (const struct servers *servers,
                    const struct replica_query *query)
 {
-  GHashTable *set = g_hash_table_lookup (servers->by_service, query->service);
+  GHashTable *set
+      = g_hash_table_lookup (servers->by_service, query->need->service);
   const struct server *server;
   GHashTableIter iter;
 
@@ -475,35 +497,63 @@
     return;
   g_hash_table_iter_init (&iter, set);
   while (g_hash_table_iter_next (&iter, (gpointer *)&server, NULL))
-    if (!server->leaving)
-      append_replica (server, query->adapter, query->replicas);
+    if (is_suitable (server, query->need))
+      append_replica (server, query->need->adapter, query->replicas);
+}
+
+bool
+servers_has_software (const struct servers *servers, const char *service,
+                      const char *software)
+{
+  struct servers_query need = { .service = service, .software = software };
+  GHashTable *set = g_hash_table_lookup (servers->by_service, service);
+  const struct server *server;
+  GHashTableIter iter;
+
+  if (set == NULL)
+    return false;
+  g_hash_table_iter_init (&iter, set);
+  while (g_hash_table_iter_next (&iter, (gpointer *)&server, NULL))
+    if (is_suitable (server, &need))
+      return true;
+  return false;
+}
+
+const char *
+servers_sole_software (struct servers *servers, const char *service,
+                       struct timespec now)
+{
+  return versions_sole (servers->versions, service, now);
 }
 
 void
-servers_replicas (struct servers *servers, const char *service,
-                  const char *model, const char *adapter, struct timespec now,
-                  GArray *replicas, struct timespec *ready_at)
+servers_replicas (struct servers *servers, const struct servers_query *need,
+                  struct timespec now, GArray *replicas,
+                  struct timespec *ready_at)
 {
   bool fresh = published_is_fresh (servers, now);
   const struct holders *first = fresh ? servers->published : servers->listed;
   const struct holders *second = fresh ? servers->listed : servers->published;
-  char *target = model != NULL ? servers_target (model, adapter) : NULL;
-  struct replica_query query = { .service = service,
+  char *target = need->model != NULL
+                     ? servers_target (need->model, need->adapter)
+                     : NULL;
+  struct replica_query query = { .need = need,
                                  .target = target,
-                                 .adapter = adapter,
                                  .now = now,
                                  .replicas = replicas,
                                  .ready_at = ready_at };
 
   *ready_at = (struct timespec){ 0 };
-  if (model == NULL)
+  if (need->model == NULL)
     append_servers_of (servers, &query);
   else
     {
       append_holders (servers, first, NULL, &query);
       append_holders (servers, second, first, &query);
-      if (fresh && replicas->len == 0 && ts_is_zero (*ready_at))
-        update_expected_ready_at (servers, model, ready_at);
+      /* Expected loads may be on servers with any version.  */
+      if (fresh && need->software == NULL && replicas->len == 0
+          && ts_is_zero (*ready_at))
+        update_expected_ready_at (servers, need->model, ready_at);
     }
   g_free (target);
 }
--- a/src/servers.h
+++ b/src/servers.h
@@ -133,14 +133,29 @@
    of a server that the platform lists as restarted.  */
 bool servers_replicas_complete (const struct servers *servers);
 
-/* Appends the replicas that may serve MODEL (NULL: any request of SERVICE)
-   with ADAPTER (may be NULL) to REPLICAS, whose engines are borrowed.  If
-   there is none, *READY_AT is the estimated time of the first one, zero if
-   unknown.  */
-void servers_replicas (struct servers *servers, const char *service,
-                       const char *model, const char *adapter,
-                       struct timespec now, GArray *replicas,
-                       struct timespec *ready_at);
+/* What a request needs of a server.  */
+struct servers_query
+{
+  const char *service;
+  const char *model;    /* NULL: any request of SERVICE */
+  const char *adapter;  /* may be NULL */
+  const char *software; /* only servers with this version; NULL: any */
+};
+
+/* Appends the replicas that may serve NEED to REPLICAS, whose engines are
+   borrowed.  If there is none, *READY_AT is the estimated time of the first
+   one, zero if unknown.  */
+void servers_replicas (struct servers *servers,
+                       const struct servers_query *need, struct timespec now,
+                       GArray *replicas, struct timespec *ready_at);
+
+/* Whether a server of SERVICE with SOFTWARE gets new requests.  */
+bool servers_has_software (const struct servers *servers, const char *service,
+                           const char *software);
+
+/* See versions_sole.  */
+const char *servers_sole_software (struct servers *servers,
+                                   const char *service, struct timespec now);
 
 /* "MODEL" or "MODEL/ADAPTER"; the caller frees with g_free.  */
 char *servers_target (const char *model, const char *adapter);
--- a/tests/test_servers.c
+++ b/tests/test_servers.c
@@ -104,9 +104,12 @@
 static unsigned
 count (struct fixture *f, const char *model, const char *adapter, int64_t ms)
 {
+  struct servers_query need
+      = { .service = "s", .model = model, .adapter = adapter };
+
   g_array_set_size (f->replicas, 0);
-  servers_replicas (f->servers, "s", model, adapter, ts_from_ms (ms),
-                    f->replicas, &f->ready_at);
+  servers_replicas (f->servers, &need, ts_from_ms (ms), f->replicas,
+                    &f->ready_at);
   return f->replicas->len;
 }
 
