Load a model for resumed streams on an engine of their version

What callers saw: nothing yet; a resumed stream whose model is loaded only on engines of other versions would wait for its deadline, since the decider saw a loaded model. Cause: demand names a model or adapter, not the version that may serve it. Change: requests that resume a stream are reported with its version; the planner loads the model or adapter on an engine of that version when none has it, and asks the engines that have it for a report. Result: /planner/resuming and /planner/resuming-adapter; test_planner, prop_planner, test_resume, test_gate, test_traffic pass.

--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -27,11 +27,12 @@
 
   if (forward->target == NULL)
     return;
-  key = g_strdup_printf ("%s %s", service, forward->target);
+  key = g_strdup_printf ("%s %s\n%s", service, forward->target,
+                         forward->software != NULL ? forward->software : "");
   n = GPOINTER_TO_INT (g_hash_table_lookup (gateway->waiting_for, key))
       + change;
   planners_set_waiting (gateway->planners, service, forward->target,
-                        (unsigned)n, forward->deadline,
+                        forward->software, (unsigned)n, forward->deadline,
                         forward->route->priority);
   if (n > 0)
     g_hash_table_replace (gateway->waiting_for, key, GINT_TO_POINTER (n));
--- a/src/frame.h
+++ b/src/frame.h
@@ -65,9 +65,10 @@
 
 struct peer_want
 {
-  char *target;
-  uint64_t count;       /* requests waiting; 0: none left */
-  uint64_t calls;       /* arrivals since the last message */
+  char *target;   /* for requests that only servers with one version may serve,
+                     followed by "\nSOFTWARE" */
+  uint64_t count; /* requests waiting; 0: none left */
+  uint64_t calls; /* arrivals since the last message */
   uint64_t deadline_ms; /* the earliest; time left from now */
   uint64_t priority;
 };
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -45,7 +45,8 @@
   struct reach *reach;
   struct retry *retry;
   struct forward_list waiting; /* most urgent first */
-  GHashTable *waiting_for;     /* "SERVICE TARGET" -> number of requests */
+  GHashTable
+      *waiting_for; /* "SERVICE TARGET\nSOFTWARE" -> number of requests */
   struct loop_timer dispatch_timer;
   struct loop_timer cleanup_timer;
   unsigned open;                    /* requests in progress */
--- a/src/planner.c
+++ b/src/planner.c
@@ -17,6 +17,7 @@
   g_free (engine->last_loaded);
   g_free (engine->id);
   g_free (engine->address);
+  g_free (engine->software);
   g_free (engine);
 }
 
@@ -27,6 +28,7 @@
 
   g_free (entry->node);
   g_free (entry->target);
+  g_free (entry->software);
   g_free (entry);
 }
 
@@ -91,6 +93,7 @@
 
   engine->id = g_strdup (entry->id);
   engine->address = g_strdup (entry->address);
+  engine->software = g_strdup ("");
   engine->inventory = inventory_new ();
   g_hash_table_replace (planner->engines, engine->id, engine);
   return engine;
@@ -127,6 +130,11 @@
   if (engine == NULL)
     engine = engine_new (planner, entry);
   engine->leaving = entry->leaving;
+  if (entry->software != NULL)
+    {
+      g_free (engine->software);
+      engine->software = g_strdup (entry->software);
+    }
   if (entry->inventory != NULL)
     reset_if_restarted (planner, engine, entry->inventory);
 }
@@ -205,12 +213,12 @@
   add_requests (planner->arrivals, target, count, now);
 }
 
-void
-planner_set_waiting (struct planner *planner, const char *node,
-                     const char *target, unsigned waiting, unsigned priority,
-                     struct timespec now)
+/* KEY is owned by the table.  SOFTWARE may be NULL.  */
+static void
+set_waiting (struct planner *planner, char *key, const char *node,
+             const char *target, const char *software, unsigned waiting,
+             unsigned priority, struct timespec now)
 {
-  char *key = g_strdup_printf ("%s %s", node, target);
   struct planner_waiting *entry = g_hash_table_lookup (planner->waiting, key);
 
   /* Requests that no longer wait have just been dispatched to an engine.  They
@@ -227,11 +235,30 @@
   entry = g_new0 (struct planner_waiting, 1);
   entry->node = g_strdup (node);
   entry->target = g_strdup (target);
+  entry->software = g_strdup (software);
   entry->waiting = waiting;
   entry->priority = priority;
   g_hash_table_replace (planner->waiting, key, entry);
 }
 
+void
+planner_set_waiting (struct planner *planner, const char *node,
+                     const char *target, unsigned waiting, unsigned priority,
+                     struct timespec now)
+{
+  set_waiting (planner, g_strdup_printf ("%s %s", node, target), node, target,
+               NULL, waiting, priority, now);
+}
+
+void
+planner_set_resuming (struct planner *planner, const char *node,
+                      const char *target, const char *software,
+                      unsigned waiting, unsigned priority, struct timespec now)
+{
+  set_waiting (planner, g_strdup_printf ("%s %s\n%s", node, target, software),
+               node, target, software, waiting, priority, now);
+}
+
 void
 planner_remove_node (struct planner *planner, const char *node)
 {
--- a/src/planner.h
+++ b/src/planner.h
@@ -98,6 +98,12 @@
 void planner_set_waiting (struct planner *planner, const char *node,
                           const char *target, unsigned waiting,
                           unsigned priority, struct timespec now);
+/* The same for requests that only engines with SOFTWARE may serve, because
+   they resume a stream.  They are not counted by planner_set_waiting.  */
+void planner_set_resuming (struct planner *planner, const char *node,
+                           const char *target, const char *software,
+                           unsigned waiting, unsigned priority,
+                           struct timespec now);
 void planner_remove_node (struct planner *planner, const char *node);
 
 void planner_tick (struct planner *planner, struct timespec now,
--- a/src/planner_adapter.c
+++ b/src/planner_adapter.c
@@ -65,10 +65,11 @@
   return victim;
 }
 
-/* Number of engines on which ADAPTER is loaded or being loaded.  */
+/* Number of engines with SOFTWARE, NULL: any version, on which ADAPTER is
+   loaded or being loaded.  */
 static unsigned
 adapter_replicas (const struct plan *plan, const char *model,
-                  const char *adapter)
+                  const char *adapter, const char *software)
 {
   const struct planner_engine *engine;
   GHashTableIter iter;
@@ -79,7 +80,7 @@
     {
       const struct planner_order *order = &engine->order;
 
-      if (engine->leaving)
+      if (engine->leaving || !plan_has_software (engine, software))
         continue;
       n += inventory_has (engine->inventory, model, adapter);
       n += order->stage != STAGE_NONE && order->type == BACKEND_ADAPTER_LOAD
@@ -89,11 +90,11 @@
   return n;
 }
 
-/* The engine with the fewest adapters among those that have MODEL but not
-   ADAPTER.  */
+/* The engine with the fewest adapters among those with SOFTWARE, NULL: any
+   version, that have MODEL but not ADAPTER.  */
 static struct planner_engine *
 choose_adapter_engine (const struct plan *plan, const char *model,
-                       const char *adapter)
+                       const char *adapter, const char *software)
 {
   struct planner_engine *best = NULL;
   struct planner_engine *engine;
@@ -106,6 +107,7 @@
       unsigned n = inventory_adapter_slots_used (engine->inventory);
 
       if (!planner_can_order (engine, plan->now) || n >= fewest
+          || !plan_has_software (engine, software)
           || !inventory_has (engine->inventory, model, NULL)
           || inventory_has (engine->inventory, model, adapter))
         continue;
@@ -115,13 +117,14 @@
   return best;
 }
 
-/* Loads ADAPTER on an engine that has MODEL, or, with EVICT, first unloads
-   another adapter there.  */
+/* Loads ADAPTER on an engine with SOFTWARE, NULL: any version, that has MODEL,
+   or, with EVICT, first unloads another adapter there.  */
 static void
 load_adapter (struct plan *plan, const char *model, const char *adapter,
-              const char *cause, bool evict)
+              const char *software, const char *cause, bool evict)
 {
-  struct planner_engine *engine = choose_adapter_engine (plan, model, adapter);
+  struct planner_engine *engine
+      = choose_adapter_engine (plan, model, adapter, software);
   const char *victim;
   const char *victim_model = NULL;
 
@@ -162,8 +165,9 @@
         continue;
       model = g_strndup (entry->target, (gsize)(slash - entry->target));
       if (plan_model (plan, model) != NULL
-          && adapter_replicas (plan, model, slash + 1) == 0)
-        load_adapter (plan, model, slash + 1, "waiting", true);
+          && adapter_replicas (plan, model, slash + 1, entry->software) == 0)
+        load_adapter (plan, model, slash + 1, entry->software, "waiting",
+                      true);
       g_free (model);
     }
 }
@@ -184,8 +188,8 @@
     return;
   model = g_strndup (target, (gsize)(slash - target));
   if (plan_model (plan, model) != NULL
-      && adapter_replicas (plan, model, slash + 1) < needed)
-    load_adapter (plan, model, slash + 1, "calls", false);
+      && adapter_replicas (plan, model, slash + 1, NULL) < needed)
+    load_adapter (plan, model, slash + 1, NULL, "calls", false);
   g_free (model);
 }
 
--- a/src/planner_round.c
+++ b/src/planner_round.c
@@ -98,14 +98,22 @@
     }
 }
 
-static void
-count_waiting (struct plan *plan, const struct planner_waiting *entry)
+static struct plan_model *
+model_of (const struct plan *plan, const struct planner_waiting *entry)
 {
   char *name = g_strndup (entry->target, strcspn (entry->target, "/"));
   struct plan_model *model = plan_model (plan, name);
 
   g_free (name);
-  if (model == NULL)
+  return model;
+}
+
+static void
+count_waiting (struct plan *plan, const struct planner_waiting *entry)
+{
+  struct plan_model *model = model_of (plan, entry);
+
+  if (model == NULL || entry->software != NULL)
     return;
   if (model->waiting == 0 || entry->priority < model->priority)
     model->priority = entry->priority;
@@ -308,10 +316,11 @@
 }
 
 /* The engine with the least sum of waiting time, load time and loss for MODEL,
-   busy engines included.  FETCH: loads from the weight store are allowed.  */
+   busy engines included.  SOFTWARE: only engines with that version, NULL: all.
+   FETCH: loads from the weight store are allowed.  */
 static struct candidate
 choose_engine (const struct plan *plan, const struct site_model *model,
-               bool fetch)
+               const char *software, bool fetch)
 {
   struct candidate best = { .loss = PINNED_VALUE };
   struct planner_engine *engine;
@@ -324,6 +333,7 @@
       struct candidate candidate = { .engine = engine };
 
       if (!engine->has_report || engine->leaving
+          || !plan_has_software (engine, software)
           || inventory_model (engine->inventory, model->name) != NULL)
         continue;
       candidate.busy_s = engine_busy_s (plan, engine);
@@ -433,16 +443,16 @@
 }
 
 /* Starts to load MODEL if an idle engine is the best choice and the loss there
-   is less than BENEFIT.  FETCH: loads from the weight store are allowed.  */
+   is less than BENEFIT.  SOFTWARE and FETCH as for choose_engine.  */
 static bool
-try_load (struct plan *plan, struct plan_model *model, double benefit,
-          bool fetch)
+try_load (struct plan *plan, struct plan_model *model, const char *software,
+          double benefit, bool fetch)
 {
   struct candidate candidate;
 
   if (fetch)
     fetch = budget_allows_fetch (plan, 0);
-  candidate = choose_engine (plan, model->site, fetch);
+  candidate = choose_engine (plan, model->site, software, fetch);
   if (candidate.engine == NULL || candidate.loss >= benefit
       || candidate.busy_s > 0)
     return false;
@@ -492,21 +502,23 @@
       struct plan_model *model = g_ptr_array_index (models, i);
 
       if (model->waiting > 0 && model->replicas == 0 && !model->pending)
-        try_load (plan, model, WAITING_VALUE * model->waiting, true);
+        try_load (plan, model, NULL, WAITING_VALUE * model->waiting, true);
     }
 }
 
-/* Requests wait for MODEL although engines have it loaded.  Such an engine may
-   be down, which a report request shows sooner than the platform's list.  */
+/* Requests wait for MODEL although engines with SOFTWARE, NULL: any version,
+   have it loaded.  Such an engine may be down, which a report request shows
+   sooner than the platform's list.  */
 static void
-probe_holders (struct plan *plan, const struct plan_model *model)
+probe_holders (struct plan *plan, const struct plan_model *model,
+               const char *software)
 {
   struct planner_engine *engine;
   GHashTableIter iter;
 
   g_hash_table_iter_init (&iter, plan->planner->engines);
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&engine))
-    if (engine->has_report
+    if (engine->has_report && plan_has_software (engine, software)
         && inventory_model (engine->inventory, model->site->name))
       planner_probe_engine (engine, plan->now, plan->out);
 }
@@ -519,7 +531,57 @@
       const struct plan_model *model = g_ptr_array_index (models, i);
 
       if (model->waiting > 0 && model->loaded > 0)
-        probe_holders (plan, model);
+        probe_holders (plan, model, NULL);
+    }
+}
+
+/* Whether an engine with SOFTWARE has MODEL or is about to load it.  */
+static bool
+has_replica (const struct plan *plan, const struct plan_model *model,
+             const char *software)
+{
+  const char *name = model->site->name;
+  const struct planner_engine *engine;
+  GHashTableIter iter;
+
+  g_hash_table_iter_init (&iter, plan->planner->engines);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&engine))
+    {
+      const struct planner_order *order = &engine->order;
+      bool ordered
+          = order->stage != STAGE_NONE && strcmp (order->model, name) == 0;
+
+      if (engine->leaving || !plan_has_software (engine, software))
+        continue;
+      if (g_strcmp0 (engine->next_model, name) == 0
+          || (ordered && order->type == BACKEND_LOAD)
+          || (inventory_model (engine->inventory, name) != NULL
+              && !(ordered && order->type == BACKEND_UNLOAD)))
+        return true;
+    }
+  return false;
+}
+
+/* Loads models for requests that resume a stream, which other replicas may not
+   serve.  */
+static void
+load_resuming_models (struct plan *plan)
+{
+  const struct planner_waiting *entry;
+  GHashTableIter iter;
+
+  g_hash_table_iter_init (&iter, plan->planner->waiting);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&entry))
+    {
+      struct plan_model *model = model_of (plan, entry);
+
+      if (model == NULL || entry->software == NULL)
+        continue;
+      if (has_replica (plan, model, entry->software))
+        probe_holders (plan, model, entry->software);
+      else
+        try_load (plan, model, entry->software, WAITING_VALUE * entry->waiting,
+                  true);
     }
 }
 
@@ -563,8 +625,8 @@
     {
       struct plan_model *model = g_ptr_array_index (short_of, i);
 
-      try_load (plan, model, model->per_s * PLANNER_REQUEST_S * HORIZON_S,
-                true);
+      try_load (plan, model, NULL,
+                model->per_s * PLANNER_REQUEST_S * HORIZON_S, true);
     }
   g_ptr_array_unref (short_of);
 }
@@ -596,7 +658,8 @@
         continue;
       tries++;
       next = at + 1;
-      if (!try_load (plan, model, value, fetch && !model->has_local_copy))
+      if (!try_load (plan, model, NULL, value,
+                     fetch && !model->has_local_copy))
         continue;
       fetch = budget_allows_fetch (plan, 1);
       next = 0;
@@ -654,6 +717,7 @@
   models = sorted_models (&plan);
   probe_waiting_models (&plan, models);
   load_waiting_models (&plan, models);
+  load_resuming_models (&plan);
   add_replicas (&plan, models);
   planner_replicate_adapters (&plan);
   preload (&plan, models);
--- a/src/planner_round.h
+++ b/src/planner_round.h
@@ -46,6 +46,13 @@
   return g_hash_table_lookup (plan->models, name);
 }
 
+/* Whether ENGINE may serve requests for SOFTWARE, NULL: any version.  */
+static inline bool
+plan_has_software (const struct planner_engine *engine, const char *software)
+{
+  return software == NULL || strcmp (engine->software, software) == 0;
+}
+
 /* planner_adapter.c */
 
 /* Loads adapters that requests wait for.  */
--- a/src/planner_state.h
+++ b/src/planner_state.h
@@ -41,6 +41,7 @@
 {
   char *id;
   char *address;
+  char *software; /* version of its software; "": unknown */
   bool leaving;
   bool has_report;     /* a report since its start, still valid */
   bool report_pending; /* requested */
@@ -61,6 +62,7 @@
 {
   char *node;
   char *target;
+  char *software;    /* only engines with this version serve them; NULL: any */
   unsigned waiting;  /* number of requests */
   unsigned priority; /* of the most urgent; 0 is the highest */
 };
@@ -74,7 +76,8 @@
   struct rates *arrivals;      /* of requests, by target */
   struct rates *dispatched;    /* of waiting requests, by target: only the time
                                   of the last one, the counts are 0 */
-  GHashTable *waiting;         /* "NODE TARGET" to struct planner_waiting */
+  GHashTable *waiting;         /* "NODE TARGET", for one version followed by
+                                  "\nSOFTWARE", to struct planner_waiting */
   struct budget budget;
   /* Name of a model that requests wait for and no engine is loading, to struct
      timespec: when it is estimated to be loaded.  */
--- a/src/planners.h
+++ b/src/planners.h
@@ -34,10 +34,12 @@
 void planners_request_arrived (struct planners *planners, const char *service,
                                const char *target);
 
-/* WAITING requests at this node wait for TARGET now.  PRIORITY, 0 being the
-   highest, and DEADLINE are those of the most urgent one.  */
+/* WAITING requests at this node wait for TARGET now; with SOFTWARE those that
+   only servers with that version may serve, otherwise NULL.  PRIORITY, 0 being
+   the highest, and DEADLINE are those of the most urgent one.  */
 void planners_set_waiting (struct planners *planners, const char *service,
-                           const char *target, unsigned waiting,
-                           struct timespec deadline, unsigned priority);
+                           const char *target, const char *software,
+                           unsigned waiting, struct timespec deadline,
+                           unsigned priority);
 
 #endif
--- a/src/planners_demand.c
+++ b/src/planners_demand.c
@@ -37,6 +37,28 @@
   return planner;
 }
 
+/* TARGET may be followed by "\nSOFTWARE".  */
+static void
+set_waiting (struct planners *planners, struct planner *planner,
+             const char *node, const char *target,
+             const struct peer_want *want)
+{
+  const char *newline = strchr (target, '\n');
+  char *name;
+
+  if (newline == NULL)
+    {
+      planner_set_waiting (planner, node, target, (unsigned)want->count,
+                           (unsigned)want->priority, planners_now (planners));
+      return;
+    }
+  name = g_strndup (target, (gsize)(newline - target));
+  planner_set_resuming (planner, node, name, newline + 1,
+                        (unsigned)want->count, (unsigned)want->priority,
+                        planners_now (planners));
+  g_free (name);
+}
+
 static void
 apply_demand (struct planners *planners, const char *node,
               const struct peer_want *want)
@@ -49,8 +71,7 @@
   if (want->calls > 0)
     planner_request_arrived (planner, target, (double)want->calls,
                              planners_now (planners));
-  planner_set_waiting (planner, node, target, (unsigned)want->count,
-                       (unsigned)want->priority, planners_now (planners));
+  set_waiting (planners, planner, node, target, want);
 }
 
 static void
@@ -156,10 +177,13 @@
 
 void
 planners_set_waiting (struct planners *planners, const char *service,
-                      const char *target, unsigned waiting,
-                      struct timespec deadline, unsigned priority)
+                      const char *target, const char *software,
+                      unsigned waiting, struct timespec deadline,
+                      unsigned priority)
 {
-  char *key = g_strdup_printf ("%s %s", service, target);
+  char *key = software == NULL
+                  ? g_strdup_printf ("%s %s", service, target)
+                  : g_strdup_printf ("%s %s\n%s", service, target, software);
   unsigned before = demand_waiting (planners->demand, key);
 
   demand_set (planners->demand, DEMAND_THREAD, key, waiting, deadline,
--- a/tests/test_planner.c
+++ b/tests/test_planner.c
@@ -16,6 +16,7 @@
   char names[MODELS][4];
   struct action_list list;
   int64_t ms;
+  const char *software; /* of the engines reported next; NULL: unknown */
 };
 
 /* COUNT of the models are configured.  */
@@ -68,6 +69,7 @@
                                 .zone = (char *)"z",
                                 .service = (char *)"s",
                                 .slots = 8,
+                                .software = (char *)f->software,
                                 .inventory = inventory };
   char **names = g_strsplit (loaded, " ", -1);
   char **weights = g_strsplit (on_disk, " ", -1);
@@ -212,6 +214,59 @@
   tear_down (&f);
 }
 
+/* Guards against resumed streams that wait in vain because their model is
+   loaded only on engines with another version of the software.  */
+static void
+test_resuming (void)
+{
+  struct fixture f;
+
+  set_up (&f, 2);
+  f.software = "v1";
+  report (&f, "e1", 3, false, "m0", "m0 m1");
+  report (&f, "e2", 3, false, "m1", "m0 m1");
+  f.software = "v2";
+  report (&f, "e3", 3, false, "m1", "m1");
+  planner_set_resuming (f.planner, "n", "m0", "v1", 1, 0, ts_from_ms (f.ms));
+  tick (&f, 100);
+  check_order (&f, NULL);
+  planner_set_resuming (f.planner, "n", "m0", "v1", 0, 0, ts_from_ms (f.ms));
+  planner_set_resuming (f.planner, "n", "m0", "v2", 1, 0, ts_from_ms (f.ms));
+  tick (&f, 100);
+  check_order (&f, "load e3 m0");
+  accept (&f, "e3");
+  tick (&f, 100);
+  check_order (&f, NULL);
+  tear_down (&f);
+}
+
+/* The same for an adapter.  */
+static void
+test_resuming_adapter (void)
+{
+  struct fixture f;
+
+  set_up (&f, 1);
+  f.software = "v1";
+  report (&f, "e1", 3, false, "m0", "m0");
+  planner_set_waiting (f.planner, "n", "m0/a1", 1, 0, ts_from_ms (f.ms));
+  tick (&f, 0);
+  check_order (&f, "load e1 m0/a1");
+  accept (&f, "e1");
+  planner_set_waiting (f.planner, "n", "m0/a1", 0, 0, ts_from_ms (f.ms));
+  f.software = "v2";
+  report (&f, "e2", 3, false, "m0", "m0");
+  planner_set_resuming (f.planner, "n", "m0/a1", "v1", 1, 0,
+                        ts_from_ms (f.ms));
+  tick (&f, 20);
+  check_order (&f, NULL);
+  planner_set_resuming (f.planner, "n", "m0/a1", "v2", 1, 0,
+                        ts_from_ms (f.ms));
+  tick (&f, 20);
+  check_order (&f, "load e2 m0/a1");
+  tear_down (&f);
+}
+
 /* A new decider takes over while two engines carry out orders of the previous
    one.  These may be fetches and count against the budget of two.  */
 static void
@@ -532,6 +587,8 @@
   g_test_add_func ("/planner/waiting-before-takeover",
                    test_waiting_before_takeover);
   g_test_add_func ("/planner/surplus", test_surplus);
+  g_test_add_func ("/planner/resuming", test_resuming);
+  g_test_add_func ("/planner/resuming-adapter", test_resuming_adapter);
   g_test_add_func ("/planner/fetches-before",
                    test_fetches_of_previous_decider);
   g_test_add_func ("/planner/slow-store", test_slow_store);
