A resumed stream of unknown origin waits for the list of servers

What callers saw: nothing yet. A node that has just started refused a resumed stream before it had the list of servers, although a single version may serve; and a request of another kind with a Last-Event-Id was taken for a resumed stream. Cause: the check ran once, when the request arrived. Change: the check runs at each routing, so that the request waits for the list; only requests of streaming routes resume streams.

--- a/src/forward.c
+++ b/src/forward.c
@@ -239,7 +239,7 @@
   if (forward->target != NULL)
     planners_request_arrived (gateway->planners, forward->service->name,
                               forward->target);
-  if (forward->parsed.resumes)
+  if (forward->parsed.resumes && forward->route->kind == SITE_STREAM)
     forward_resume (forward);
   else
     forward_route (forward);
--- a/src/forward_resume.c
+++ b/src/forward_resume.c
@@ -34,16 +34,27 @@
 
   g_free (forward->software);
   forward->software = g_strdup (software_of (forward->engine));
+  forward->origin_result = ORIGINS_KNOWN;
   origins_put (forward->gateway->origins, stream_id (forward),
                forward->service->name, forward->software,
                ms - passed_ms + RESUME_MARGIN_MS);
 }
 
-static const char *
-sole_software (const struct forward *forward)
+bool
+forward_refuse_unknown (struct forward *forward)
 {
-  return servers_sole_software (listing_servers (forward->gateway->listing),
-                                forward->service->name, forward_now (forward));
+  struct servers *servers = listing_servers (forward->gateway->listing);
+  const char *service = forward->service->name;
+
+  if (forward->origin_result == ORIGINS_KNOWN
+      || servers_sole_software (servers, service, forward_now (forward))
+             != NULL
+      || !servers_has_software (servers, service, NULL))
+    return false;
+  forward_fail (forward, "unknown which version began the stream",
+                forward->origin_result == ORIGINS_NO_ANSWER ? ASK_AGAIN_MS
+                                                            : 0);
+  return true;
 }
 
 /* Routes the request to the version that began its stream.  Services do not
@@ -64,13 +75,11 @@
       = (struct forward *)((char *)query
                            - offsetof (struct forward, origin_query));
 
+  forward->origin_result = result;
   if (result == ORIGINS_KNOWN)
     route_to_origin (forward, stream);
-  else if (sole_software (forward) != NULL)
-    forward_route (forward);
   else
-    forward_refuse (forward, 503, "unknown which version began the stream",
-                    result == ORIGINS_NO_ANSWER ? ASK_AGAIN_MS : 0);
+    forward_route (forward);
 }
 
 void
--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -380,6 +380,11 @@
           .adapter = forward->parsed.adapter,
           .software = forward->software };
 
+  if (forward_refuse_unknown (forward))
+    {
+      g_array_unref (replicas);
+      return;
+    }
   servers_replicas (listing_servers (gateway->listing), &need, now, replicas,
                     &ready_at);
   if (replicas->len > 0 && gateway_may_dispatch (gateway))
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -61,6 +61,9 @@
   /* Version of the servers that may continue the stream; NULL: any.  */
   char *software;
   struct origins_query origin_query;
+  /* Other than ORIGINS_KNOWN: the request resumes a stream, and the version
+     that began it is not known.  */
+  enum origins_result origin_result;
 };
 
 static inline struct timespec
@@ -102,6 +105,10 @@
 /* Dispatches a request that resumes a stream to the version that began it,
    once that is known, or refuses it.  */
 void forward_resume (struct forward *forward);
+/* Refuses the request and returns true if it resumes a stream of which the
+   version is not known and servers of several versions serve or have served
+   recently.  */
+bool forward_refuse_unknown (struct forward *forward);
 /* The current engine begins or continues the stream, and only its version may
    go on with it.  */
 void forward_record_origin (struct forward *forward);
--- a/src/servers.h
+++ b/src/servers.h
@@ -149,7 +149,8 @@
                        const struct servers_query *need, struct timespec now,
                        GArray *replicas, struct timespec *ready_at);
 
-/* Whether a server of SERVICE with SOFTWARE gets new requests.  */
+/* Whether a server of SERVICE with SOFTWARE, NULL: any version, gets new
+   requests.  */
 bool servers_has_software (const struct servers *servers, const char *service,
                            const char *software);
 
--- a/tests/test_resume.c
+++ b/tests/test_resume.c
@@ -104,7 +104,7 @@
 
 /* The caller resumes the stream that began with request BEGUN_AS.  */
 static void
-resume_stream (struct fixture *f, const char *begun_as)
+start_resume (struct fixture *f, const char *begun_as)
 {
   char *resumes = g_strdup_printf ("Resumes: %s", begun_as);
   const char *headers[]
@@ -112,11 +112,18 @@
 
   f->id = "again";
   f->at_server = 0;
-  request_and_wait (f, "GET", "/long/open", headers);
+  start_request (f, "GET", "/long/open", headers);
   f->id = NULL;
   g_free (resumes);
 }
 
+static void
+resume_stream (struct fixture *f, const char *begun_as)
+{
+  start_resume (f, begun_as);
+  RUN_UNTIL (f, f->done);
+}
+
 /* The last request went to the version of server NUMBER.  */
 static void
 check_version (const struct fixture *f, int number)
@@ -318,6 +325,29 @@
   tear_down (&f);
 }
 
+/* Guards against a guess at a node that does not know the servers yet: it
+   waits for their list, and refuses the stream if several versions serve.  */
+static void
+test_servers_unknown (void)
+{
+  struct fixture f;
+
+  set_up (&f);
+  put_config (&f, 1);
+  do
+    request_and_wait (&f, "GET", "/nowhere/x", NULL);
+  while (f.status != 404);
+  start_resume (&f, "unknown");
+  for (int i = 0; i < 20; i++)
+    run_once (&f);
+  g_assert_false (f.done);
+  for (int i = 1; i <= SERVERS; i++)
+    list_version (&f, i, version_of (i), "ready");
+  RUN_UNTIL (&f, f.done);
+  check_refused (&f);
+  tear_down (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -328,6 +358,7 @@
   g_test_add_func ("/resume/later-node", test_resume_at_later_node);
   g_test_add_func ("/resume/node-death", test_resume_after_node_death);
   g_test_add_func ("/resume/unknown-stream", test_unknown_stream);
+  g_test_add_func ("/resume/servers-unknown", test_servers_unknown);
   g_test_add_func ("/resume/version-left", test_version_left);
   g_test_add_func ("/resume/single-version", test_single_version);
   return g_test_run ();
