--- a/tests/test_resume.c
+++ b/tests/test_resume.c
@@ -3,6 +3,8 @@
 
 #include "gate_fixture.h"
 #include "gate_second.h"
+#include "origins.h"
+#include "peer.h"
 
 #define EVENT(n) "id: " #n "\ndata: x" #n "\n\n"
 #define SERVERS 6 /* half of them of each version */
@@ -325,6 +327,88 @@
   tear_down (&f);
 }
 
+/* A member that answers no message, as when its machine is frozen.  */
+struct silent
+{
+  struct peer *peer;
+  bool connected;
+};
+
+static void
+on_silent_message (void *user, const char *from, const struct peer_msg *msg)
+{
+  (void)user;
+  (void)from;
+  (void)msg;
+}
+
+static void
+on_silent_up (void *user, const char *node)
+{
+  struct silent *silent = user;
+  struct peer_member self = { .id = (char *)"silent",
+                              .address = (char *)peer_address (silent->peer),
+                              .advertised_address = (char *)"127.0.0.1:1",
+                              .zone = (char *)"z",
+                              .region = (char *)"r",
+                              .incarnation = 1 };
+  struct peer_msg probe
+      = { .type = PEER_PROBE, .id = 1, .members = &self, .member_count = 1 };
+
+  g_assert_cmpint (peer_send (silent->peer, node, &probe), ==, 0);
+  silent->connected = true;
+}
+
+static void
+start_silent (struct fixture *f, struct silent *silent, GRand *rand)
+{
+  char *address = peer_address_from_store (f);
+  struct peer_options options = { .loop = f->loop,
+                                  .clk = clk_monotonic (),
+                                  .host = "127.0.0.1",
+                                  .token = f->settings.peer_token,
+                                  .node = "silent",
+                                  .incarnation = 1,
+                                  .region = "r",
+                                  .zone = "z",
+                                  .message = on_silent_message,
+                                  .up = on_silent_up,
+                                  .user = silent,
+                                  .rand = rand };
+
+  silent->connected = false;
+  silent->peer = peer_new (&options);
+  g_assert_cmpint (peer_connect (silent->peer, address), ==, 0);
+  RUN_UNTIL (f, silent->connected);
+  for (int i = 0; i < 20; i++)
+    run_once (f);
+  g_free (address);
+}
+
+/* Guards against a caller that is kept waiting for a node that does not
+   answer, or is not told to come back although that node may know the stream.
+ */
+static void
+test_no_answer (void)
+{
+  GRand *rand = g_rand_new_with_seed (1);
+  struct fixture f;
+  struct silent silent;
+  struct timespec begin;
+
+  set_up_versions (&f);
+  start_silent (&f, &silent, rand);
+  begin = clk_now (clk_monotonic ());
+  resume_stream (&f, "unknown");
+  check_refused (&f);
+  g_assert_nonnull (f.retry_after);
+  g_assert_cmpint (ts_to_ms (ts_sub (clk_now (clk_monotonic ()), begin)), >=,
+                   ORIGINS_TIMEOUT_MS);
+  peer_free (silent.peer);
+  tear_down (&f);
+  g_rand_free (rand);
+}
+
 /* Guards against a guess at a node that does not know the servers yet: it
    waits for their list, and refuses the stream if several versions serve.  */
 static void
@@ -358,6 +442,7 @@
   g_test_add_func ("/resume/later-node", test_resume_at_later_node);
   g_test_add_func ("/resume/node-death", test_resume_after_node_death);
   g_test_add_func ("/resume/unknown-stream", test_unknown_stream);
+  g_test_add_func ("/resume/no-answer", test_no_answer);
   g_test_add_func ("/resume/servers-unknown", test_servers_unknown);
   g_test_add_func ("/resume/version-left", test_version_left);
   g_test_add_func ("/resume/single-version", test_single_version);
--- a/tests/test_servers.c
+++ b/tests/test_servers.c
@@ -134,6 +134,56 @@
   tear_down (&f);
 }
 
+/* Whether server e1 is listed anew with SOFTWARE, NULL: unreadable.  */
+static bool
+put_version (struct fixture *f, const char *software)
+{
+  struct server_entry entry = { .id = (char *)"e1",
+                                .address = (char *)"10.0.0.1:1",
+                                .zone = (char *)"z",
+                                .service = (char *)"s",
+                                .software = (char *)software,
+                                .slots = 8 };
+
+  return servers_put (f->servers, &entry);
+}
+
+static unsigned
+count_version (struct fixture *f, const char *software)
+{
+  struct servers_query need = { .service = "s", .software = software };
+
+  g_array_set_size (f->replicas, 0);
+  servers_replicas (f->servers, &need, ts_from_ms (0), f->replicas,
+                    &f->ready_at);
+  g_assert_true (servers_has_software (f->servers, "s", software)
+                 == (f->replicas->len > 0));
+  return f->replicas->len;
+}
+
+/* Guards against a server that keeps its former version after an upgrade under
+   the same id, or loses it when a row has none.  */
+static void
+test_versions (void)
+{
+  struct fixture f;
+
+  set_up (&f);
+  g_assert_null (servers_sole_software (f.servers, "s", ts_from_ms (0)));
+  g_assert_true (put_version (&f, "v1"));
+  g_assert_cmpuint (count_version (&f, "v1"), ==, 1);
+  g_assert_cmpuint (count_version (&f, "v2"), ==, 0);
+  g_assert_cmpstr (servers_sole_software (f.servers, "s", ts_from_ms (0)), ==,
+                   "v1");
+  g_assert_false (put_version (&f, NULL));
+  g_assert_cmpuint (count_version (&f, "v1"), ==, 1);
+  g_assert_true (put_version (&f, "v2"));
+  g_assert_cmpuint (count_version (&f, "v1"), ==, 0);
+  g_assert_cmpuint (count_version (&f, "v2"), ==, 1);
+  g_assert_null (servers_sole_software (f.servers, "s", ts_from_ms (0)));
+  tear_down (&f);
+}
+
 /* An entry that differs in its adapters only changes where requests may go,
    one that differs in its sequence only does not.  */
 static void
@@ -388,6 +438,7 @@
   g_test_add_func ("/site/split", test_split);
   g_test_add_func ("/servers/listed", test_listed);
   g_test_add_func ("/servers/listed-adapters", test_listed_adapters);
+  g_test_add_func ("/servers/versions", test_versions);
   g_test_add_func ("/servers/dropped", test_dropped);
   g_test_add_func ("/servers/published", test_published);
   g_test_add_func ("/servers/published-changes", test_published_changes);
