parsleyd: a stream goes on only at the model version that began it

A stream that breaks off after its model was replaced by another version, or while engines hold several, goes on behind the last event at whatever version the next engine has. Change: replicas carry the version of their model, and a stream that has begun uses only those of its version; it is broken off when none has it and the configuration names another. Result: /traffic/resume-version; without the check it fails (the stream ended as complete with events of versions 1 and 2). test_traffic_faults 3 of 3 runs, test_traffic, test_gate, test_resume, prop_dispatch pass. The version of an adapter is not compared yet.

--- a/src/call.c
+++ b/src/call.c
@@ -15,6 +15,7 @@
   for (size_t i = 0; i < call->tried_count; i++)
     route_engine_unref (call->engines[i]);
   route_engine_unref (call->engine);
+  g_free (call->version);
   g_string_free (call->recorded_stream, TRUE);
   api_request_clear (&call->api);
   ck_pr_dec_uint (&call->worker->open);
--- a/src/call_route.c
+++ b/src/call_route.c
@@ -24,6 +24,7 @@
   const struct route_replica *replicas;
   size_t count;
   const char *team;
+  const char *version; /* configured; replicas may have others */
   bool known;
   bool ready;
   bool adapter;
@@ -43,6 +44,7 @@
   if (target == NULL)
     return;
   view->team = target->team;
+  view->version = target->version;
   view->max_waiting = target->max_waiting;
   view->adapter = target->adapter != NULL;
   view->service_s = target->service_s;
@@ -130,6 +132,14 @@
 
 /* Ids, borrowed, of replicas that must not be used now: those already
    tried and those that refuse connections.  */
+/* Whether the call may be sent to REPLICA: what two versions of a model write
+   does not fit together.  */
+static bool
+may_continue_at (const struct call *call, const struct route_replica *replica)
+{
+  return !call->head_sent || g_strcmp0 (replica->version, call->version) == 0;
+}
+
 static GPtrArray *
 excluded_replicas (struct call *call, const struct target_view *view)
 {
@@ -138,8 +148,9 @@
   for (size_t i = 0; i < call->tried_count; i++)
     g_ptr_array_add (ids, (void *)call->tried[i]);
   for (size_t i = 0; i < view->count; i++)
-    if (reach_backing_off (call->worker->reach, view->replicas[i].engine->id,
-                           call_now (call)))
+    if (!may_continue_at (call, &view->replicas[i])
+        || reach_backing_off (call->worker->reach,
+                              view->replicas[i].engine->id, call_now (call)))
       g_ptr_array_add (ids, view->replicas[i].engine->id);
   return ids;
 }
@@ -192,6 +203,11 @@
     return NULL;
   if (!call->explanation.free_slot && view->replicas[index].slots > 0)
     return NULL;
+  if (!call->head_sent)
+    {
+      g_free (call->version);
+      call->version = g_strdup (view->replicas[index].version);
+    }
   return route_engine_ref (view->replicas[index].engine);
 }
 
@@ -448,11 +464,24 @@
 enum route_step
 {
   STEP_UNKNOWN, /* no such target */
+  STEP_VERSION_GONE,
   STEP_SEND,
   STEP_WAIT,
   STEP_REFUSED
 };
 
+/* Whether no replica may continue the stream, and none will.  */
+static bool
+version_is_gone (const struct call *call, const struct target_view *view)
+{
+  if (!call->head_sent || g_strcmp0 (view->version, call->version) == 0)
+    return false;
+  for (size_t i = 0; i < view->count; i++)
+    if (may_continue_at (call, &view->replicas[i]))
+      return false;
+  return true;
+}
+
 static enum route_step
 choose_step (struct call *call, const struct target_view *view,
              bool needs_admission, struct route_engine **engine)
@@ -461,6 +490,8 @@
 
   if (!view->known)
     return STEP_UNKNOWN;
+  if (version_is_gone (call, view))
+    return STEP_VERSION_GONE;
   if (needs_admission)
     outcome = offer_to_admission (call, view, false);
   if (outcome == ADMIT_DISPATCH)
@@ -519,6 +550,9 @@
     }
   else if (step == STEP_UNKNOWN)
     call_refuse (call, 404, "unknown_target", "no such model or service", 0);
+  else if (step == STEP_VERSION_GONE)
+    call_refuse (call, 503, "backend_failed",
+                 "no backend server has the version that began the stream", 0);
   else if (step == STEP_REFUSED)
     refuse_admission (call);
 }
--- a/src/call_state.h
+++ b/src/call_state.h
@@ -62,7 +62,8 @@
   struct route_engine *engine;         /* of the latest attempt */
   struct pick_explanation explanation; /* of the latest choice of a replica */
   uint64_t prefix;
-  uint64_t events;          /* passed on by earlier attempts of a stream */
+  uint64_t events; /* passed on by earlier attempts of a stream */
+  char *version;   /* of the model at ENGINE; only it may continue a stream */
   GString *recorded_stream; /* response body to be recorded */
 };
 
--- a/src/route.c
+++ b/src/route.c
@@ -151,7 +151,10 @@
 free_replicas (struct route_replica *replicas, size_t count)
 {
   for (size_t i = 0; i < count; i++)
-    route_engine_unref (replicas[i].engine);
+    {
+      route_engine_unref (replicas[i].engine);
+      g_free (replicas[i].version);
+    }
   g_free (replicas);
 }
 
--- a/src/route.h
+++ b/src/route.h
@@ -32,6 +32,8 @@
 struct route_replica
 {
   struct route_engine *engine;
+  /* Of the model there, owned by the table; NULL: unknown.  */
+  char *version;
   unsigned slots;   /* concurrent requests */
   unsigned running; /* as last reported, for all nodes */
   unsigned queued;
--- a/src/table.c
+++ b/src/table.c
@@ -76,13 +76,12 @@
   replica->leaving = fleet_leaving (engine);
 }
 
-static bool
-has_version (const struct fleet_engine *engine, const char *model,
-             const char *version)
+static const char *
+model_version (const struct fleet_engine *engine, const char *model)
 {
   const struct fleet_copy *copy = g_hash_table_lookup (engine->models, model);
 
-  return version == NULL || strcmp (copy->version, version) == 0;
+  return copy->version;
 }
 
 static bool
@@ -113,10 +112,12 @@
       struct route_replica *replica;
 
       if (strcmp (engine->pool, model->pool) != 0
-          || !has_version (engine, target->model, version))
+          || (version != NULL
+              && strcmp (model_version (engine, target->model), version) != 0))
         continue;
       replica = &target->replicas[target->replica_count++];
       fill_replica (replica, engine);
+      replica->version = g_strdup (model_version (engine, target->model));
       replica->adapter_loaded = has_adapter (engine, target->adapter);
     }
 }
--- a/tests/test_traffic_faults.c
+++ b/tests/test_traffic_faults.c
@@ -61,6 +61,18 @@
     httpd_stream_abort (request);
 }
 
+/* Leaves the stream open after the first event.  */
+static void
+begin_held (struct fixture *f, struct httpd_request *request)
+{
+  const char *headers[] = { "X-Request-Id", f->last_id, NULL };
+  const char *first = "data: {\"t\":1}\n\n";
+
+  f->held_request = request;
+  httpd_stream_begin (request, 200, "text/event-stream", headers);
+  httpd_stream_write (request, first, strlen (first));
+}
+
 /* Answers only the first request of each connection.  */
 static void
 answer_once_per_connection (struct fixture *f, struct httpd_request *request)
@@ -90,7 +102,10 @@
 static void
 on_engine (struct fixture *f, struct httpd_request *request, const char *body)
 {
-  if (strstr (body, "flood") != NULL)
+  if (strstr (body, "part held") != NULL && f->held_request == NULL
+      && strstr (body, "resume_from") == NULL)
+    begin_held (f, request);
+  else if (strstr (body, "flood") != NULL)
     begin_flood (f, request);
   else if (strstr (body, "part") != NULL)
     answer_one_event (f, request, body);
@@ -120,6 +135,44 @@
   tear_down (&f);
 }
 
+/* Begins a stream at a model with version 1, which is replaced by VERSION
+   before the stream breaks off.  */
+static void
+break_stream (struct fixture *f, const char *version)
+{
+  f->version = "1";
+  publish (f, ROUTE_READY, false);
+  start_request (f, "/v1/completions",
+                 "{\"model\":\"m\",\"prompt\":\"part held\",\"stream\":true}",
+                 NULL);
+  RUN_UNTIL (f, f->held_request != NULL);
+  for (int i = 0; i < 20; i++)
+    loop_run_once (f->loop, 5);
+  f->version = version;
+  publish (f, ROUTE_READY, false);
+  httpd_stream_abort (f->held_request);
+  RUN_UNTIL (f, f->done > 0);
+}
+
+/* Guards against a stream that goes on at another version of its model.  */
+static void
+test_resume_version (void)
+{
+  struct fixture f;
+
+  set_up (&f);
+  break_stream (&f, "1");
+  g_assert_cmpint (f.error, ==, 0);
+  g_assert_cmpstr (f.response_body->str, ==, STREAM);
+  g_assert_cmpint (f.engine_requests, ==, 2);
+  tear_down (&f);
+  set_up (&f);
+  break_stream (&f, "2");
+  g_assert_cmpint (f.error, <, 0);
+  g_assert_cmpint (f.engine_requests, ==, 1);
+  tear_down (&f);
+}
+
 /* A stream that stalls must not hold up its caller either.  The engine of
    this test truncates the stream, as in test_resume; it does not stall.  */
 static void
@@ -477,6 +530,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/traffic/resume", test_resume);
+  g_test_add_func ("/traffic/resume-version", test_resume_version);
   g_test_add_func ("/traffic/stall", test_stall);
   g_test_add_func ("/traffic/no-resume", test_no_resume);
   g_test_add_func ("/traffic/silent", test_stalled_connections);
--- a/tests/traffic_fixture.h
+++ b/tests/traffic_fixture.h
@@ -32,6 +32,7 @@
   size_t sent;                        /* bytes of a long response so far */
   bool new_connections; /* the caller does not reuse connections */
   bool flood;           /* a long response is in progress */
+  const char *version;  /* of the model published next; NULL: unknown */
   unsigned messages_seen[MSG_DRAIN + 1];
   enum msg_verdict verdict;
   struct timespec claim_until;
@@ -118,6 +119,7 @@
   table->targets = g_new0 (struct route_target, 1);
   table->targets[0].name = g_strdup ("m");
   table->targets[0].team = g_strdup ("team");
+  table->targets[0].version = g_strdup (f->version);
   table->targets[0].state = state;
   table->targets[0].non_idempotent = non_idempotent;
   if (state == ROUTE_READY)
@@ -126,6 +128,7 @@
       table->targets[0].replicas = g_new0 (struct route_replica, 1);
       table->targets[0].replicas[0].engine = route_engine_ref (f->replica);
       table->targets[0].replicas[0].slots = 4;
+      table->targets[0].replicas[0].version = g_strdup (f->version);
     }
   route_publish (f->route, table);
   traffic_broadcast (f->traffic, MSG_ROUTES);
