--- a/src/forward_resume.c
+++ b/src/forward_resume.c
@@ -76,7 +76,7 @@
                            - offsetof (struct forward, origin_query));
 
   forward->origin_result = result;
-  if (result == ORIGINS_KNOWN)
+  if (stream != NULL)
     route_to_origin (forward, stream);
   else
     forward_route (forward);
@@ -95,5 +95,8 @@
   else if (id != NULL)
     origins_ask (origins, &forward->origin_query, id, on_answer);
   else
-    on_answer (&forward->origin_query, ORIGINS_UNKNOWN, NULL);
+    {
+      forward->origin_result = ORIGINS_UNKNOWN;
+      forward_route (forward);
+    }
 }
