A stream taken to be of the only version keeps to that version

What callers saw: nothing yet; a test shows 502 for a resumed stream of unknown origin whose first attempt fails after a second version was added, and a move away from a silent server could have gone to the added version. Cause: that a single version serves was checked at each routing, not remembered. Change: the single version becomes the request's version when it is first routed.

--- a/src/forward_resume.c
+++ b/src/forward_resume.c
@@ -34,23 +34,37 @@
 
   g_free (forward->software);
   forward->software = g_strdup (software_of (forward->engine));
-  forward->origin_result = ORIGINS_KNOWN;
   origins_put (forward->gateway->origins, stream_id (forward),
                forward->service->name, forward->software,
                ms - passed_ms + RESUME_MARGIN_MS);
 }
 
+/* The request has not been sent yet.  It may wait, and is counted there by its
+   version.  */
+static void
+set_software (struct forward *forward, const char *software)
+{
+  forward_dequeue (forward);
+  forward->software = g_strdup (software);
+  forward->origin_result = ORIGINS_KNOWN;
+}
+
 bool
 forward_refuse_unknown (struct forward *forward)
 {
   struct servers *servers = listing_servers (forward->gateway->listing);
   const char *service = forward->service->name;
+  const char *sole;
 
   if (forward->origin_result == ORIGINS_KNOWN
-      || servers_sole_software (servers, service, forward_now (forward))
-             != NULL
       || !servers_has_software (servers, service, NULL))
     return false;
+  sole = servers_sole_software (servers, service, forward_now (forward));
+  if (sole != NULL)
+    {
+      set_software (forward, sole);
+      return false;
+    }
   forward_fail (forward, "unknown which version began the stream",
                 forward->origin_result == ORIGINS_NO_ANSWER ? ASK_AGAIN_MS
                                                             : 0);
@@ -63,7 +77,7 @@
 route_to_origin (struct forward *forward, const struct origin_stream *stream)
 {
   if (strcmp (stream->service, forward->service->name) == 0)
-    forward->software = g_strdup (stream->software);
+    set_software (forward, stream->software);
   forward_route (forward);
 }
 
--- a/tests/test_resume.c
+++ b/tests/test_resume.c
@@ -23,8 +23,8 @@
   return atoi (at + strlen (name));
 }
 
-/* "open" leaves a new stream open after its first event, "cut" breaks it
-   off.  */
+/* "open" leaves a new stream open after its first event, "cut" breaks it off,
+   "hold" does not answer the first request.  */
 static void
 handle_at_server (struct fixture *f, struct httpd_request *request)
 {
@@ -32,6 +32,8 @@
 
   if (strcmp (behaviour, "warm") == 0)
     answer (request, 200, "hello");
+  else if (strcmp (behaviour, "hold") == 0 && f->at_server == 1)
+    f->held = request;
   else if (httpd_header (request, "Last-Event-Id") != NULL)
     {
       begin_event_stream (request, EVENT (2));
@@ -106,7 +108,7 @@
 
 /* The caller resumes the stream that began with request BEGUN_AS.  */
 static void
-start_resume (struct fixture *f, const char *begun_as)
+start_resume (struct fixture *f, const char *path, const char *begun_as)
 {
   char *resumes = g_strdup_printf ("Resumes: %s", begun_as);
   const char *headers[]
@@ -114,7 +116,7 @@
 
   f->id = "again";
   f->at_server = 0;
-  start_request (f, "GET", "/long/open", headers);
+  start_request (f, "GET", path, headers);
   f->id = NULL;
   g_free (resumes);
 }
@@ -122,7 +124,7 @@
 static void
 resume_stream (struct fixture *f, const char *begun_as)
 {
-  start_resume (f, begun_as);
+  start_resume (f, "/long/open", begun_as);
   RUN_UNTIL (f, f->done);
 }
 
@@ -421,7 +423,7 @@
   do
     request_and_wait (&f, "GET", "/nowhere/x", NULL);
   while (f.status != 404);
-  start_resume (&f, "unknown");
+  start_resume (&f, "/long/open", "unknown");
   for (int i = 0; i < 20; i++)
     run_once (&f);
   g_assert_false (f.done);
@@ -432,6 +434,34 @@
   tear_down (&f);
 }
 
+/* Guards against a retry at a version that was added after the stream was
+   taken to be of the only one.  */
+static void
+test_version_added (void)
+{
+  for (int i = 0; i < SERVERS; i++)
+    {
+      struct fixture f;
+
+      set_up (&f);
+      put_config (&f, 1);
+      for (int number = 1; number <= SERVERS / 2; number++)
+        list_version (&f, number, version_of (number), "ready");
+      wait_until_used (&f, 1);
+      start_resume (&f, "/long/hold", "unknown");
+      RUN_UNTIL (&f, f.held != NULL);
+      for (int number = SERVERS / 2 + 1; number <= SERVERS; number++)
+        list_version (&f, number, version_of (number), "ready");
+      for (int n = 0; n < 100 && f.held != NULL; n++)
+        run_once (&f);
+      if (f.held != NULL)
+        httpd_drop (f.held);
+      RUN_UNTIL (&f, f.done);
+      check_resumed_at_version (&f, 1);
+      tear_down (&f);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -444,6 +474,7 @@
   g_test_add_func ("/resume/unknown-stream", test_unknown_stream);
   g_test_add_func ("/resume/no-answer", test_no_answer);
   g_test_add_func ("/resume/servers-unknown", test_servers_unknown);
+  g_test_add_func ("/resume/version-added", test_version_added);
   g_test_add_func ("/resume/version-left", test_version_left);
   g_test_add_func ("/resume/single-version", test_single_version);
   return g_test_run ();
