--- a/src/forward.c
+++ b/src/forward.c
@@ -21,6 +21,7 @@
   site_unref (forward->site);
   g_string_free (forward->buffer, TRUE);
   g_free (forward->target);
+  g_free (forward->software);
   forward->gateway->open--;
   g_free (forward);
 }
@@ -37,6 +38,7 @@
 forward_finish (struct forward *forward)
 {
   forward_dequeue (forward);
+  origins_cancel (&forward->origin_query);
   forward->state = FORWARD_DONE;
   loop_timer_clear (forward->gateway->core->loop, &forward->deadline_timer);
   free_if_done (forward);
@@ -238,7 +240,10 @@
   if (forward->target != NULL)
     planners_request_arrived (gateway->planners, forward->service->name,
                               forward->target);
-  forward_route (forward);
+  if (forward->parsed.resumes && forward->route->kind == SITE_STREAM)
+    forward_resume (forward);
+  else
+    forward_route (forward);
 }
 
 void
--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -28,11 +28,12 @@
 
   if (forward->target == NULL)
     return;
-  key = g_strdup_printf ("%s %s", service, forward->target);
+  key = g_strdup_printf ("%s %s\n%s", service, forward->target,
+                         forward->software != NULL ? forward->software : "");
   n = GPOINTER_TO_INT (g_hash_table_lookup (gateway->waiting_for, key))
       + change;
   planners_set_waiting (gateway->planners, service, forward->target,
-                        (unsigned)n, forward->deadline,
+                        forward->software, (unsigned)n, forward->deadline,
                         forward->route->priority);
   if (n > 0)
     g_hash_table_replace (gateway->waiting_for, key, GINT_TO_POINTER (n));
@@ -386,17 +387,29 @@
     forward_fail (forward, "the servers are overloaded", retry_ms);
 }
 
+/* Whether no server may continue the stream, so that waiting is pointless.  */
+static bool
+version_is_gone (const struct forward *forward)
+{
+  return forward->software != NULL
+         && !servers_has_software (listing_servers (forward->gateway->listing),
+                                   forward->service->name, forward->software);
+}
+
 /* The replicas that may take the request, and, if there is none, when the
    first one may, see servers_replicas.  */
 static GArray *
 find_replicas (const struct forward *forward, struct timespec *ready_at)
 {
   GArray *replicas = g_array_new (FALSE, FALSE, sizeof (struct route_replica));
-
-  servers_replicas (
-      listing_servers (forward->gateway->listing), forward->service->name,
-      forward->target != NULL ? forward->parsed.model : NULL,
-      forward->parsed.adapter, forward_now (forward), replicas, ready_at);
+  struct servers_query need
+      = { .service = forward->service->name,
+          .model = forward->target != NULL ? forward->parsed.model : NULL,
+          .adapter = forward->parsed.adapter,
+          .software = forward->software };
+
+  servers_replicas (listing_servers (forward->gateway->listing), &need,
+                    forward_now (forward), replicas, ready_at);
   return replicas;
 }
 
@@ -466,6 +479,11 @@
   struct timespec ready_at;
   GArray *replicas = find_replicas (forward, &ready_at);
 
+  if (forward_refuse_unknown (forward))
+    {
+      g_array_unref (replicas);
+      return;
+    }
   if (replicas->len > 0 && gateway_may_dispatch (gateway))
     engine = pick_engine (forward, replicas);
   g_array_unref (replicas);
@@ -475,6 +493,9 @@
     dispatch_or_reject (forward, engine);
   else if (!gateway_may_dispatch (gateway))
     forward_fail (forward, "stopping", DEFAULT_RETRY_AFTER_MS);
+  else if (version_is_gone (forward))
+    forward_fail (forward, "no server has the version that began the stream",
+                  0);
   else if (left_ms (forward) < ANSWER_MIN_MS)
     forward_fail (forward, "no server is free in time", 0);
   else if (ready_too_late (forward, ready_at))
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -1,5 +1,6 @@
 /* forward_state - state of one request, shared by the modules forward,
-   forward_send, forward_answer and forward_log.  Private to them.  */
+   forward_send, forward_resume, forward_answer and forward_log.  Private to
+   them.  */
 
 #ifndef PARSLEYRILL_FORWARD_STATE_H
 #define PARSLEYRILL_FORWARD_STATE_H
@@ -10,6 +11,7 @@
 #include "attempt.h"
 #include "forward.h"
 #include "log.h"
+#include "origins.h"
 #include "sse.h"
 #include "site.h"
 #include "stall.h"
@@ -66,6 +68,12 @@
   GString *buffer; /* body so far, or an incomplete event */
   bool can_resume; /* LAST_EVENT is valid */
   uint64_t last_event;
+  /* Version of the servers that may continue the stream; NULL: any.  */
+  char *software;
+  struct origins_query origin_query;
+  /* Other than ORIGINS_KNOWN: the request resumes a stream, and the version
+     that began it is not known.  */
+  enum origins_result origin_result;
 };
 
 static inline struct timespec
@@ -113,6 +121,19 @@
 /* The current engine will not be used again for this request.  */
 void forward_mark_tried (struct forward *forward);
 
+/* forward_resume.c */
+
+/* Dispatches a request that resumes a stream to the version that began it,
+   once that is known, or refuses it.  */
+void forward_resume (struct forward *forward);
+/* Refuses the request and returns true if it resumes a stream of which the
+   version is not known and servers of several versions serve or have served
+   recently.  */
+bool forward_refuse_unknown (struct forward *forward);
+/* The current engine begins or continues the stream, and only its version may
+   go on with it.  */
+void forward_record_origin (struct forward *forward);
+
 /* forward_answer.c */
 int64_t forward_on_silence (void *user);
 bool forward_may_reuse (void *user, long status);
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -15,6 +15,7 @@
 #include "links.h"
 #include "listing.h"
 #include "loop.h"
+#include "origins.h"
 #include "pick.h"
 #include "reach.h"
 #include "retry.h"
@@ -33,6 +34,7 @@
   struct listing *listing;
   struct planners *planners;
   struct links *links;
+  struct origins *origins;
   struct httpc *httpc;
   struct httpd *front;
   struct httpd *directory;
@@ -43,7 +45,8 @@
   struct reach *reach;
   struct retry *retry;
   struct forward_list waiting; /* most urgent first */
-  GHashTable *waiting_for;     /* "SERVICE TARGET" -> number of requests */
+  GHashTable
+      *waiting_for; /* "SERVICE TARGET\nSOFTWARE" -> number of requests */
   struct loop_timer dispatch_timer;
   struct loop_timer cleanup_timer;
   struct loop_timer retry_timer;
