A lease of a table that was never restored is acquired at once

What callers would see: no decider for the first 3 s of a system whose store tells its era, as the row of the lease is missing. Cause: after a restore a missing row tells nothing of the holder. Change: in the first era of a store that counts from 0 it does.

--- a/src/lease.c
+++ b/src/lease.c
@@ -199,11 +199,11 @@
          && lease->seen.incarnation < lease->incarnation;
 }
 
-/* Whether the row tells who holds the lease now.  */
+/* Whether the row, or its absence, tells who holds the lease now.  */
 static bool
 row_is_current (const struct lease *lease)
 {
-  return lease->seen.era == lease->era;
+  return lease->era <= 1 || lease->seen.era == lease->era;
 }
 
 /* Whether the lease is known to be free, or held by this node.  */
--- a/src/platform.h
+++ b/src/platform.h
@@ -169,7 +169,8 @@
 struct platform
 {
   const struct platform_ops *ops;
-  uint64_t era; /* 0: not known, or the table is never restored */
+  uint64_t era; /* 0: not known, or the table is never restored; 1: it has not
+                   been restored; from 2: it may have been */
   /* Called when ERA has risen from a known one, before the callback of the
      call that showed it; may be NULL.  */
   void (*restored) (void *user);
