--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -65,7 +65,7 @@
   bool moved;      /* a silent engine was given up, which may be sound */
   bool retry_due;  /* the next dispatch takes a retry from the budget */
   struct sse sse;  /* parser of the current stream */
-  GString *buffer; /* body so far, or an incomplete event */
+  GString *buffer; /* an incomplete event */
   bool can_resume; /* LAST_EVENT is valid */
   uint64_t last_event;
   /* Version of the servers that may continue the stream; NULL: any.  */
@@ -137,7 +137,7 @@
 /* forward_answer.c */
 int64_t forward_on_silence (void *user);
 bool forward_may_reuse (void *user, long status);
-void forward_on_head (void *user, long status, const char *content_type);
+bool forward_on_head (void *user, long status, const char *content_type);
 int forward_on_bytes (void *user, const char *bytes, size_t n);
 void forward_on_done (void *user, const struct httpc_result *result);
 
--- a/src/httpc.c
+++ b/src/httpc.c
@@ -6,7 +6,9 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <unistd.h>
 #include <curl/curl.h>
 #include <glib.h>
 #include "ts.h"
@@ -17,16 +19,34 @@
 #define KEEPALIVE_IDLE_S 2 /* idle time before the first probe */
 #define KEEPALIVE_INTERVAL_S 1
 #define KEEPALIVE_PROBES 3
+#define DRAIN_BYTES (16u << 10) /* read at once */
+/* libcurl reads up to 100 times before it returns to the loop.  */
+#define READ_BYTES 2048L
+#define HEAD_LINE_OVERHEAD 32 /* bytes, as in RFC 9113, section 6.5.2 */
 
 CK_LIST_HEAD (call_list, httpc_call);
 
+struct socket_watch
+{
+  struct loop_watch watch;
+  struct httpc *httpc;
+  struct httpc_call *call; /* that uses the socket; NULL: idle */
+  bool is_connection;      /* owned by httpc->connections */
+  char *path;              /* connection_path; NULL until the first request */
+};
+
 struct httpc
 {
   struct loop *loop;
   CURLM *multi;
   struct loop_timer timer;
   struct call_list calls;
+  GHashTable *connections; /* descriptor to struct socket_watch */
+  GHashTable *broken; /* set of paths of connections that must not be used */
+  struct socket_watch *serving; /* in read_socket, unless removed */
   long max_age_s;
+  size_t collected_max; /* bytes */
+  size_t collected;     /* bytes of all calls */
 };
 
 struct httpc_call
@@ -34,24 +54,38 @@
   CK_LIST_ENTRY (httpc_call) link;
   struct httpc *httpc;
   CURL *easy;
+  struct socket_watch *connection; /* NULL: none */
   struct curl_slist *headers;
   struct httpc_request request;
   struct loop_timer idle_timer;
   char *body;
   GString *collected;
   enum httpc_phase phase;
-  int body_error; /* negative errno from the body callback */
+  size_t head_bytes;   /* received so far, see httpc_request.head_max */
+  int body_error;      /* negative errno from the body callback */
+  bool too_large;      /* the response is over a limit of the request */
+  size_t silent_bytes; /* read since the last callback, at least */
+  bool delivered;      /* the last read of the socket made a callback */
   bool body_started;
+  bool passed_on; /* the body goes to body_cb */
   bool idle_timed_out;
   bool reused;
+  bool broken; /* the connection chosen for reuse is not to be used */
   bool resend_attempted; /* curl tried to send the request again */
 };
 
-struct socket_watch
+/* A connection that a call leaves open is watched: its server has nothing to
+   send until the next request.  */
+static void
+release_connection (struct httpc_call *call)
 {
-  struct loop_watch watch;
-  struct httpc *httpc;
-};
+  struct socket_watch *connection = call->connection;
+
+  if (connection == NULL)
+    return;
+  connection->call = NULL;
+  loop_watch (call->httpc->loop, &connection->watch, EPOLLIN);
+}
 
 static void
 call_free (struct httpc_call *call)
@@ -60,7 +94,9 @@
   CK_LIST_REMOVE (call, link);
   curl_multi_remove_handle (call->httpc->multi, call->easy);
   curl_easy_cleanup (call->easy);
+  release_connection (call);
   curl_slist_free_all (call->headers);
+  call->httpc->collected -= call->collected->len;
   g_string_free (call->collected, TRUE);
   g_free (call->body);
   g_free (call);
@@ -77,14 +113,18 @@
       return -ETIMEDOUT;
     case CURLE_COULDNT_RESOLVE_HOST:
     case CURLE_URL_MALFORMAT:
-    case CURLE_UNSUPPORTED_PROTOCOL:
       return -EINVAL;
+    case CURLE_UNSUPPORTED_PROTOCOL: /* the response is not HTTP/1 */
+    case CURLE_WEIRD_SERVER_REPLY:
+      return -EPROTO;
     case CURLE_GOT_NOTHING:
     case CURLE_RECV_ERROR:
     case CURLE_SEND_ERROR:
       return -ECONNRESET;
     case CURLE_PARTIAL_FILE:
       return -EPIPE;
+    case CURLE_OUT_OF_MEMORY: /* a line is over libcurl's own limit */
+      return -EMSGSIZE;
     default:
       return -EIO;
     }
@@ -106,6 +146,8 @@
 {
   if (code == CURLE_COULDNT_CONNECT)
     return connect_error (call->easy);
+  if (call->too_large)
+    return -EMSGSIZE;
   if (call->body_error != 0)
     return call->body_error;
   if (call->idle_timed_out)
@@ -133,7 +175,7 @@
   result->content_type = type != NULL ? type : "";
   result->phase = call->phase;
   result->reused = call->reused;
-  result->body = call->request.body_cb == NULL ? call->collected->str : NULL;
+  result->body = call->passed_on ? NULL : call->collected->str;
   result->length = call->collected->len;
 }
 
@@ -148,6 +190,18 @@
   call_free (call);
 }
 
+/* Nothing was sent on the connection that was chosen.  */
+static void
+restart_on_new_connection (struct httpc_call *call)
+{
+  CURLM *multi = call->httpc->multi;
+
+  call->broken = false;
+  curl_multi_remove_handle (multi, call->easy);
+  curl_easy_setopt (call->easy, CURLOPT_FRESH_CONNECT, 1L);
+  curl_multi_add_handle (multi, call->easy);
+}
+
 static void
 finish_completed (struct httpc *httpc)
 {
@@ -162,15 +216,24 @@
       if (msg->msg != CURLMSG_DONE)
         continue;
       curl_easy_getinfo (msg->easy_handle, CURLINFO_PRIVATE, &call);
-      finish (call, code);
+      if (call->broken)
+        restart_on_new_connection (call);
+      else
+        finish (call, code);
     }
 }
 
+static size_t
+queued_bytes (int fd)
+{
+  int n = 0;
+
+  return ioctl (fd, FIONREAD, &n) == 0 && n > 0 ? (size_t)n : 1;
+}
+
 static void
-on_socket_ready (struct loop_watch *watch, uint32_t events)
+act_on_socket (struct httpc *httpc, int fd, uint32_t events)
 {
-  struct socket_watch *socket_watch = (struct socket_watch *)watch;
-  struct httpc *httpc = socket_watch->httpc;
   int flags = 0;
   int running;
 
@@ -180,7 +243,66 @@
     flags |= CURL_CSELECT_OUT;
   if (events & (EPOLLERR | EPOLLHUP))
     flags |= CURL_CSELECT_ERR;
-  curl_multi_socket_action (httpc->multi, watch->fd, flags, &running);
+  curl_multi_socket_action (httpc->multi, fd, flags, &running);
+}
+
+/* libcurl skips chunk extensions and surplus CRs between chunks without a
+   callback and without a limit.  The queued bytes are asked for only after a
+   read without a callback.  */
+static void
+read_socket (struct httpc *httpc, struct socket_watch *socket_watch,
+             uint32_t events)
+{
+  struct httpc_call *call = socket_watch->call;
+  int fd = socket_watch->watch.fd;
+  size_t n = call->delivered ? 0 : queued_bytes (fd);
+
+  call->delivered = false;
+  httpc->serving = socket_watch;
+  act_on_socket (httpc, fd, events);
+  if (httpc->serving == NULL)
+    return;
+  httpc->serving = NULL;
+  call->silent_bytes = call->delivered ? 0 : call->silent_bytes + n;
+  if (call->silent_bytes <= call->request.head_max)
+    return;
+  call->too_large = true;
+  finish (call, CURLE_RECV_ERROR);
+}
+
+/* The server has closed an idle connection, or sent bytes that belong to no
+   request and would be taken for the next response.  libcurl notices neither
+   such bytes nor a reset before it uses the connection.  */
+static void
+shut_down_idle (struct socket_watch *connection)
+{
+  struct httpc *httpc = connection->httpc;
+  char bytes[DRAIN_BYTES];
+  int fd = connection->watch.fd;
+
+  loop_unwatch (httpc->loop, &connection->watch);
+  shutdown (fd, SHUT_RDWR);
+  while (recv (fd, bytes, sizeof bytes, MSG_DONTWAIT) > 0)
+    ;
+  if (connection->path != NULL)
+    g_hash_table_add (httpc->broken, g_strdup (connection->path));
+}
+
+static void
+on_socket_ready (struct loop_watch *watch, uint32_t events)
+{
+  struct socket_watch *socket_watch = (struct socket_watch *)watch;
+  struct httpc *httpc = socket_watch->httpc;
+
+  if (socket_watch->call == NULL)
+    {
+      shut_down_idle (socket_watch);
+      return;
+    }
+  if (events & EPOLLIN)
+    read_socket (httpc, socket_watch, events);
+  else
+    act_on_socket (httpc, watch->fd, events);
   finish_completed (httpc);
 }
 
@@ -196,6 +318,43 @@
   return events;
 }
 
+static struct socket_watch *
+socket_watch_new (struct httpc *httpc, int fd)
+{
+  struct socket_watch *socket_watch = g_new0 (struct socket_watch, 1);
+
+  socket_watch->httpc = httpc;
+  socket_watch->watch.fd = fd;
+  socket_watch->watch.ready = on_socket_ready;
+  return socket_watch;
+}
+
+static void
+connection_free (gpointer data)
+{
+  struct socket_watch *connection = data;
+
+  loop_unwatch (connection->httpc->loop, &connection->watch);
+  if (connection->call != NULL && connection->call->connection == connection)
+    connection->call->connection = NULL;
+  if (connection->path != NULL)
+    g_hash_table_remove (connection->httpc->broken, connection->path);
+  g_free (connection->path);
+  g_free (connection);
+}
+
+static void
+stop_watching (struct httpc *httpc, struct socket_watch *socket_watch)
+{
+  if (socket_watch == NULL)
+    return;
+  loop_unwatch (httpc->loop, &socket_watch->watch);
+  if (httpc->serving == socket_watch)
+    httpc->serving = NULL;
+  if (!socket_watch->is_connection)
+    g_free (socket_watch);
+}
+
 static int
 on_socket (CURL *easy, curl_socket_t fd, int what, void *user,
            void *socket_data)
@@ -203,22 +362,22 @@
   struct httpc *httpc = user;
   struct socket_watch *socket_watch = socket_data;
 
-  (void)easy;
   if (what == CURL_POLL_REMOVE)
     {
-      if (socket_watch != NULL)
-        loop_unwatch (httpc->loop, &socket_watch->watch);
-      g_free (socket_watch);
+      stop_watching (httpc, socket_watch);
       return 0;
     }
   if (socket_watch == NULL)
     {
-      socket_watch = g_new0 (struct socket_watch, 1);
-      socket_watch->httpc = httpc;
-      socket_watch->watch.fd = fd;
-      socket_watch->watch.ready = on_socket_ready;
+      socket_watch
+          = g_hash_table_lookup (httpc->connections, GINT_TO_POINTER (fd));
+      if (socket_watch == NULL)
+        socket_watch = socket_watch_new (httpc, fd);
       curl_multi_assign (httpc->multi, fd, socket_watch);
     }
+  curl_easy_getinfo (easy, CURLINFO_PRIVATE, &socket_watch->call);
+  if (socket_watch->is_connection)
+    socket_watch->call->connection = socket_watch;
   loop_watch (httpc->loop, &socket_watch->watch, epoll_events (what));
   return 0;
 }
@@ -258,11 +417,20 @@
   httpc->max_age_s = options->max_connection_age_s;
   if (httpc->max_age_s == 0)
     httpc->max_age_s = DEFAULT_MAX_AGE_S;
+  httpc->collected_max = options->collected_max;
+  if (httpc->collected_max == 0)
+    httpc->collected_max = HTTPC_COLLECTED_MAX;
   httpc->timer.fire = on_multi_timer;
   CK_LIST_INIT (&httpc->calls);
+  httpc->connections = g_hash_table_new_full (g_direct_hash, g_direct_equal,
+                                              NULL, connection_free);
+  httpc->broken
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   httpc->multi = curl_multi_init ();
   if (httpc->multi == NULL)
     {
+      g_hash_table_unref (httpc->connections);
+      g_hash_table_unref (httpc->broken);
       g_free (httpc);
       return NULL;
     }
@@ -300,6 +468,8 @@
       call_free (call);
     }
   curl_multi_cleanup (httpc->multi);
+  g_hash_table_unref (httpc->connections);
+  g_hash_table_unref (httpc->broken);
   loop_timer_clear (httpc->loop, &httpc->timer);
   g_free (httpc);
 }
@@ -335,7 +505,6 @@
   struct httpc_call *call
       = (struct httpc_call *)((char *)timer
                               - offsetof (struct httpc_call, idle_timer));
-
   struct loop *loop = call->httpc->loop;
   int64_t wait_ms = call->request.silent != NULL
                         ? call->request.silent (call->request.user)
@@ -350,6 +519,36 @@
   finish (call, CURLE_OPERATION_TIMEDOUT);
 }
 
+/* Identifies a connection.  */
+static char *
+connection_path (const char *peer, int peer_port, int local_port)
+{
+  return g_strdup_printf ("%s:%d:%d", peer, peer_port, local_port);
+}
+
+static void
+note_path (struct httpc_call *call, char *path)
+{
+  struct socket_watch *connection = call->connection;
+
+  if (connection == NULL)
+    {
+      g_free (path);
+      return;
+    }
+  g_free (connection->path);
+  connection->path = path;
+}
+
+static bool
+is_broken (const struct httpc *httpc, char *path)
+{
+  bool broken = g_hash_table_contains (httpc->broken, path);
+
+  g_free (path);
+  return broken;
+}
+
 /* curl resends a request by itself when a reused connection breaks before the
    first byte of the response, whatever the method.  Only the caller knows
    whether a retry is safe, so the second attempt is aborted here.  */
@@ -359,18 +558,22 @@
   struct httpc_call *call = user;
   long connects = 0;
 
-  (void)peer;
   (void)local;
-  (void)peer_port;
-  (void)local_port;
   if (call->phase != HTTPC_UNSENT)
     {
       call->resend_attempted = true;
       return CURL_PREREQFUNC_ABORT;
     }
-  call->phase = HTTPC_SENT;
   curl_easy_getinfo (call->easy, CURLINFO_NUM_CONNECTS, &connects);
   call->reused = connects == 0;
+  if (!call->reused)
+    note_path (call, connection_path (peer, peer_port, local_port));
+  else if (g_hash_table_size (call->httpc->broken) > 0)
+    call->broken = is_broken (call->httpc,
+                              connection_path (peer, peer_port, local_port));
+  if (call->broken)
+    return CURL_PREREQFUNC_ABORT;
+  call->phase = HTTPC_SENT;
   if (call->reused && call->request.reused_idle_timeout_ms > 0)
     restart_idle_timer (call);
   return CURL_PREREQFUNC_OK;
@@ -388,13 +591,19 @@
     curl_easy_setopt (call->easy, CURLOPT_FORBID_REUSE, 1L);
 }
 
+/* Called for the lines of the head, of interim responses and of trailers.  */
 static size_t
 on_header (char *bytes, size_t size, size_t n, void *user)
 {
   struct httpc_call *call = user;
 
   call->phase = HTTPC_RESPONDING;
+  call->delivered = true;
   restart_idle_timer (call);
+  call->head_bytes += size * n + HEAD_LINE_OVERHEAD;
+  call->too_large = call->head_bytes > call->request.head_max;
+  if (call->too_large)
+    return 0;
   if (size * n > 0 && (*bytes == '\r' || *bytes == '\n'))
     check_reusable (call);
   return size * n;
@@ -412,17 +621,23 @@
   curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
   curl_easy_getinfo (call->easy, CURLINFO_CONTENT_TYPE, &type);
   if (call->request.head != NULL)
-    call->request.head (call->request.user, status, type != NULL ? type : "");
+    call->passed_on = call->request.head (call->request.user, status,
+                                          type != NULL ? type : "");
 }
 
+/* A call may collect as much as is free after it, so that many large bodies
+   leave room for small ones (dynamic thresholds, Choudhury and Hahne).  */
 static size_t
 collect (struct httpc_call *call, const char *bytes, size_t n)
 {
-  if (call->collected->len + n > call->request.body_max)
-    {
-      call->body_error = -EMSGSIZE;
-      return 0;
-    }
+  struct httpc *httpc = call->httpc;
+  size_t length = call->collected->len + n;
+
+  call->too_large = length > call->request.body_max
+                    || length > httpc->collected_max - httpc->collected;
+  if (call->too_large)
+    return 0;
+  httpc->collected += n;
   g_string_append_len (call->collected, bytes, (gssize)n);
   return n;
 }
@@ -452,9 +667,10 @@
 {
   struct httpc_call *call = user;
 
+  call->delivered = true;
   deliver_head (call);
   restart_idle_timer (call);
-  if (call->request.body_cb == NULL)
+  if (!call->passed_on)
     return collect (call, bytes, size * n);
   return deliver_body (call, bytes, size * n);
 }
@@ -499,8 +715,9 @@
   const int interval_s = KEEPALIVE_INTERVAL_S;
   const int probes = KEEPALIVE_PROBES;
   const int one = 1;
+  struct httpc_call *call = user;
+  struct socket_watch *connection;
 
-  (void)user;
   if (type != CURLSOCKTYPE_IPCXN)
     return CURL_SOCKOPT_OK;
   setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms,
@@ -509,9 +726,24 @@
   setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof idle_s);
   setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s, sizeof interval_s);
   setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+  connection = socket_watch_new (call->httpc, fd);
+  connection->is_connection = true;
+  connection->call = call;
+  call->connection = connection;
+  g_hash_table_replace (call->httpc->connections, GINT_TO_POINTER (fd),
+                        connection);
   return CURL_SOCKOPT_OK;
 }
 
+static int
+on_close_socket (void *user, curl_socket_t fd)
+{
+  struct httpc *httpc = user;
+
+  g_hash_table_remove (httpc->connections, GINT_TO_POINTER (fd));
+  return close (fd);
+}
+
 static void
 set_limits (struct httpc_call *call)
 {
@@ -523,9 +755,9 @@
   curl_easy_setopt (call->easy, CURLOPT_CONNECTTIMEOUT_MS, (long)connect_ms);
   curl_easy_setopt (call->easy, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
   curl_easy_setopt (call->easy, CURLOPT_MAXAGE_CONN, call->httpc->max_age_s);
-  curl_easy_setopt (call->easy, CURLOPT_SOCKOPTFUNCTION, on_sockopt);
   curl_easy_setopt (call->easy, CURLOPT_PROTOCOLS_STR, "http,https");
   curl_easy_setopt (call->easy, CURLOPT_PATH_AS_IS, 1L);
+  curl_easy_setopt (call->easy, CURLOPT_BUFFERSIZE, READ_BYTES);
   curl_easy_setopt (call->easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (call->easy, CURLOPT_NOPROXY, "*");
   curl_easy_setopt (call->easy, CURLOPT_HTTP_VERSION,
@@ -538,6 +770,10 @@
 set_callbacks (struct httpc_call *call)
 {
   curl_easy_setopt (call->easy, CURLOPT_PRIVATE, call);
+  curl_easy_setopt (call->easy, CURLOPT_SOCKOPTFUNCTION, on_sockopt);
+  curl_easy_setopt (call->easy, CURLOPT_SOCKOPTDATA, call);
+  curl_easy_setopt (call->easy, CURLOPT_CLOSESOCKETFUNCTION, on_close_socket);
+  curl_easy_setopt (call->easy, CURLOPT_CLOSESOCKETDATA, call->httpc);
   curl_easy_setopt (call->easy, CURLOPT_PREREQFUNCTION, on_prereq);
   curl_easy_setopt (call->easy, CURLOPT_PREREQDATA, call);
   curl_easy_setopt (call->easy, CURLOPT_HEADERFUNCTION, on_header);
@@ -560,7 +796,11 @@
   call->request = *request;
   if (call->request.body_max == 0)
     call->request.body_max = HTTPC_BODY_MAX;
+  if (call->request.head_max == 0)
+    call->request.head_max = HTTPC_HEAD_MAX;
   call->collected = g_string_new (NULL);
+  call->delivered = true;
+  call->passed_on = request->body_cb != NULL && request->head == NULL;
   call->idle_timer.fire = on_idle_timer;
   curl_easy_setopt (easy, CURLOPT_URL, request->url);
   if (request->target != NULL)
--- a/src/httpc.h
+++ b/src/httpc.h
@@ -5,6 +5,10 @@
    httpc_cancel ends a call without one.  A call must not be cancelled from its
    own callbacks; return -ECANCELED from body_cb instead.
 
+   A response over a limit ends the call with -EMSGSIZE (for a single trailer
+   line: -ECONNRESET) and closes the connection.  The limits hold without being
+   set; a body that is passed to body_cb is not limited.
+
    A request is sent at most once.  When a reused connection turns out to be
    broken, the call ends with -ECONNRESET in phase HTTPC_SENT.
 
@@ -34,8 +38,8 @@
   int error;   /* 0, or negative errno (-ETIMEDOUT, -EPIPE...) */
   long status; /* HTTP status; 0 when none was received */
   enum httpc_phase phase;
-  const char *body;         /* collected body, NUL-terminated; NULL when
-                               body_cb is set */
+  const char *body;         /* collected body, NUL-terminated; NULL when it
+                               was passed to body_cb */
   size_t length;            /* bytes */
   double connect_s;         /* time to connect, seconds; 0 when reused */
   const char *content_type; /* "" when none */
@@ -60,6 +64,10 @@
   int64_t connect_timeout_ms;     /* 0: HTTPC_CONNECT_TIMEOUT_MS */
   bool fresh_connection;          /* do not reuse a connection */
   size_t body_max;                /* max collected bytes; 0: HTTPC_BODY_MAX */
+  /* Max bytes of status and header lines, also those of interim responses and
+     of trailers; each line counts 32 bytes more.  Also max bytes between two
+     chunks.  0: HTTPC_HEAD_MAX.  */
+  size_t head_max;
   /* Called when one of the idle timeouts has passed.  Returns 0 to end the
      call with -ETIMEDOUT, or the time, milliseconds, after which it is called
      again if still no byte has come.  NULL: the call ends.  */
@@ -67,24 +75,30 @@
   /* Called at the end of the head; returns whether the connection may be
      reused.  NULL: it may.  */
   bool (*reusable) (void *user, long status);
-  /* Called once, before the first body bytes; may be NULL.  */
-  void (*head) (void *user, long status, const char *content_type);
+  /* Called once, before the first body bytes; may be NULL.  Returns whether
+     the body is to be passed to body_cb; otherwise it is collected.  */
+  bool (*head) (void *user, long status, const char *content_type);
   /* Receives N bytes of the body.  Returns 0, -EAGAIN to pause (the same bytes
      are passed again after httpc_unpause), or -ECANCELED to end the call.
-     NULL: the body is collected.  */
+     NULL: the body is collected; HEAD must then be NULL too.  */
   int (*body_cb) (void *user, const char *bytes, size_t n);
   void (*done) (void *user, const struct httpc_result *result);
   void *user;
 };
 
 #define HTTPC_CONNECT_TIMEOUT_MS 1000
-#define HTTPC_BODY_MAX (16u << 20) /* bytes */
+#define HTTPC_BODY_MAX (16u << 20)      /* bytes */
+#define HTTPC_HEAD_MAX (64u << 10)      /* bytes */
+#define HTTPC_COLLECTED_MAX (64u << 20) /* bytes */
 
 struct httpc_options
 {
   struct loop *loop;
   long max_connections;      /* kept open at once; 0: 256 */
   long max_connection_age_s; /* max idle time of a reused connection; 0: 60 */
+  /* Max bytes of the bodies that all calls are collecting; one call may
+     collect at most half of it.  0: HTTPC_COLLECTED_MAX.  */
+  size_t collected_max;
 };
 
 /* NULL when curl cannot be initialized.  */
