--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -488,7 +488,10 @@
     engine = pick_engine (forward, replicas);
   g_array_unref (replicas);
   if (engine != NULL && !take_due_retry (forward))
-    g_clear_pointer (&engine, route_engine_unref);
+    {
+      route_engine_unref (engine);
+      engine = NULL;
+    }
   if (engine != NULL)
     dispatch_or_reject (forward, engine);
   else if (!gateway_may_dispatch (gateway))
