--- a/tests/test_processes.c
+++ b/tests/test_processes.c
@@ -884,6 +884,25 @@
   run_processes (&options, 6);
 }
 
+/* Guards against requests that are sent again and again to a server that was
+   replaced at its address, until its entry is removed, and use up the
+   retries; the other servers have room.  */
+static void
+test_replaced_servers (void)
+{
+  static const struct process_case options
+      = { .process = { .kill_engine = 8 },
+          .engines = 4,
+          .run_ms = 5000,
+          .slots = 64,
+          .budget_slack = 54,
+          .budget_window_s = BUDGET_WINDOW_S,
+          .pause_ms = 60,
+          .answered_min = 85 };
+
+  run_processes (&options, 8);
+}
+
 /* Guards against an error of a server that has run the request, passed on with
    a status that promises "not run".  */
 static void
@@ -973,6 +992,7 @@
   g_test_add_func ("/processes/late-refusals-at-address",
                    test_late_refusals_at_address);
   g_test_add_func ("/processes/late-responses", test_late_responses);
+  g_test_add_func ("/processes/replaced-servers", test_replaced_servers);
   g_test_add_func ("/processes/errors-after-run", test_errors_after_run);
   g_test_add_func ("/processes/stopped", test_stopped);
   g_test_add_func ("/processes/retries-after-restarts",
