forward: avoid a plain server that was replaced at its address

Retries piled up and callers got 503 while servers had room. Cause: an instance that was replaced at its address stays listed until its entry expires, and takes no requests, so that it looks the least loaded of all. Its successor answers 421; for models that is remembered, for plain services the old id was chosen again for the next request, each time at the price of a retry.

Such a server is now avoided like one that refuses connections: for 100 ms, doubling to 1 s, one request at a time.

--- a/src/forward_answer.c
+++ b/src/forward_answer.c
@@ -185,6 +185,14 @@
          && result->phase < HTTPC_RESPONDING;
 }
 
+/* Whether another instance has answered at the server's address.  A model
+   engine may also lack the model.  */
+static bool
+was_replaced (const struct forward *forward)
+{
+  return forward->answer.not_available && forward->target == NULL;
+}
+
 static void
 update_server_health (struct forward *forward,
                       const struct httpc_result *result, bool refusal)
@@ -201,7 +209,8 @@
       return;
     }
   eject_end (gateway->eject, id, healthy, now);
-  if (result->error != 0 && result->phase == HTTPC_UNSENT)
+  if ((result->error != 0 && result->phase == HTTPC_UNSENT)
+      || (refusal && was_replaced (forward)))
     reach_connect_failed (gateway->reach, id, now);
   else if (result->error == 0)
     reach_answered (gateway->reach, id,
--- a/src/reach.h
+++ b/src/reach.h
@@ -33,7 +33,8 @@
 void reach_answered (struct reach *reach, const char *engine,
                      struct timespec first_byte, struct timespec now);
 
-/* No connection to ENGINE could be established.  */
+/* No connection to ENGINE could be established, or another instance answered
+   at its address.  */
 void reach_connect_failed (struct reach *reach, const char *engine,
                            struct timespec now);
 
