--- /dev/null
+++ b/src/forward_resume.c
@@ -0,0 +1,116 @@
+#include "forward_state.h"
+#include "ts.h"
+
+/* The caller may resume a stream for this long after its deadline, as this
+   node knows it.  */
+#define RESUME_MARGIN_MS 2000
+/* When some nodes did not say whether they know the stream.  */
+#define ASK_AGAIN_MS 300
+
+/* The version is unknown where the platform does not tell it.  */
+static const char *
+software_of (const struct route_engine *engine)
+{
+  return engine->software != NULL ? engine->software : "";
+}
+
+/* The id of the request that got the first event of the stream.  */
+static const char *
+stream_id (const struct forward *forward)
+{
+  const struct caller_request *parsed = &forward->parsed;
+
+  return parsed->resumes && parsed->stream != NULL ? parsed->stream
+                                                   : parsed->id;
+}
+
+void
+forward_record_origin (struct forward *forward)
+{
+  int64_t timeout_ms = ts_to_ms (ts_sub (forward->deadline, forward->arrived));
+  int64_t ms = MAX (forward->parsed.deadline_ms, timeout_ms);
+  int64_t passed_ms
+      = ts_to_ms (ts_sub (forward_now (forward), forward->arrived));
+
+  g_free (forward->software);
+  forward->software = g_strdup (software_of (forward->engine));
+  origins_put (forward->gateway->origins, stream_id (forward),
+               forward->service->name, forward->software,
+               ms - passed_ms + RESUME_MARGIN_MS);
+}
+
+/* The request has not been sent yet.  It may wait, and is counted there by its
+   version.  */
+static void
+set_software (struct forward *forward, const char *software)
+{
+  forward_dequeue (forward);
+  forward->software = g_strdup (software);
+  forward->origin_result = ORIGINS_KNOWN;
+}
+
+bool
+forward_refuse_unknown (struct forward *forward)
+{
+  struct servers *servers = listing_servers (forward->gateway->listing);
+  const char *service = forward->service->name;
+  const char *sole;
+
+  if (forward->origin_result == ORIGINS_KNOWN
+      || !servers_has_software (servers, service, NULL))
+    return false;
+  sole = servers_sole_software (servers, service, forward_now (forward));
+  if (sole != NULL)
+    {
+      set_software (forward, sole);
+      return false;
+    }
+  forward_fail (forward, "unknown which version began the stream",
+                forward->origin_result == ORIGINS_NO_ANSWER ? ASK_AGAIN_MS
+                                                            : 0);
+  return true;
+}
+
+/* Routes the request to the version that began its stream.  Services do not
+   share streams, so a stream of another service sets no version.  */
+static void
+route_to_origin (struct forward *forward, const struct origin_stream *stream)
+{
+  if (strcmp (stream->service, forward->service->name) == 0)
+    set_software (forward, stream->software);
+  forward_route (forward);
+}
+
+static void
+on_answer (struct origins_query *query, enum origins_result result,
+           const struct origin_stream *stream)
+{
+  struct forward *forward
+      = (struct forward *)((char *)query
+                           - offsetof (struct forward, origin_query));
+
+  forward->origin_result = result;
+  if (stream != NULL)
+    route_to_origin (forward, stream);
+  else
+    forward_route (forward);
+}
+
+void
+forward_resume (struct forward *forward)
+{
+  struct origins *origins = forward->gateway->origins;
+  const char *id = forward->parsed.stream;
+  const struct origin_stream *stream
+      = id != NULL ? origins_get (origins, id) : NULL;
+
+  if (stream != NULL)
+    route_to_origin (forward, stream);
+  else if (id != NULL)
+    origins_ask (origins, &forward->origin_query, id, on_answer);
+  else
+    {
+      forward->origin_result = ORIGINS_UNKNOWN;
+      forward_route (forward);
+    }
+}
--- a/src/httpc.c
+++ b/src/httpc.c
@@ -505,7 +505,6 @@
   struct httpc_call *call
       = (struct httpc_call *)((char *)timer
                               - offsetof (struct httpc_call, idle_timer));
-
   struct loop *loop = call->httpc->loop;
   int64_t wait_ms = call->request.silent != NULL
                         ? call->request.silent (call->request.user)
--- a/src/route.c
+++ b/src/route.c
@@ -151,7 +151,10 @@
 free_replicas (struct route_replica *replicas, size_t count)
 {
   for (size_t i = 0; i < count; i++)
-    route_engine_unref (replicas[i].engine);
+    {
+      route_engine_unref (replicas[i].engine);
+      g_free (replicas[i].version);
+    }
   g_free (replicas);
 }
 
@@ -278,5 +281,6 @@
   g_free (engine->address);
   g_free (engine->zone);
   g_free (engine->pool);
+  g_free (engine->software);
   g_free (engine);
 }
--- a/src/route.h
+++ b/src/route.h
@@ -23,6 +23,7 @@
   char *address; /* IP:port */
   char *zone;
   char *pool;
+  char *software;    /* version of its software; NULL: unknown */
   unsigned refs;     /* atomic */
   unsigned inflight; /* atomic: requests of this node in flight there */
   unsigned gone;     /* atomic: 1 once it is no longer in the instance list */
@@ -31,6 +32,8 @@
 struct route_replica
 {
   struct route_engine *engine;
+  /* Of the model there, owned by the table; NULL: unknown.  */
+  char *version;
   unsigned slots;   /* concurrent requests */
   unsigned running; /* as last reported, for all nodes */
   unsigned queued;
