log: framing, events and incomplete events of responses

REQUEST_DONE and ATTEMPT_FAILED did not tell whether a response had a length or chunks, how many events were passed on and how many bytes stood behind the last whole one.

--- a/src/forward_answer.c
+++ b/src/forward_answer.c
@@ -177,7 +177,7 @@
 {
   struct gateway *gateway = forward->gateway;
 
-  forward_log_done (forward, result->status);
+  forward_log_done (forward, result);
   for (size_t i = 0; i < forward->parsed.part_count; i++)
     pick_hint (gateway->pick, forward->engine->id, forward->parsed.parts[i],
                true, forward_now (forward));
--- a/src/forward_log.c
+++ b/src/forward_log.c
@@ -88,8 +88,18 @@
   log_end (&line);
 }
 
+/* How the end of the response was known, and what of it was passed on.  */
+static void
+log_extent (const struct forward *forward, struct log_line *line,
+            const struct httpc_result *result)
+{
+  log_int (line, "until_close", result->until_close);
+  log_int (line, "events", (int64_t)forward->sse.events);
+  log_int (line, "partial", (int64_t)forward->sse.partial);
+}
+
 void
-forward_log_done (struct forward *forward, long status)
+forward_log_done (struct forward *forward, const struct httpc_result *result)
 {
   struct log_line line;
 
@@ -97,10 +107,11 @@
   histo_add (HISTO_TOTAL, ts_sub (forward_now (forward), forward->arrived));
   begin_line (forward, &line, EVENT_REQUEST_DONE);
   log_str (&line, "engine", forward->engine->id);
-  log_int (&line, "status", status);
+  log_int (&line, "status", result->status);
   log_int (&line, "sendings", forward->dispatches);
   log_double (&line, "first_byte_ms",
               to_ms (ts_sub (forward->first_at, forward->sent_at)));
+  log_extent (forward, &line, result);
   log_end (&line);
 }
 
@@ -138,7 +149,7 @@
   log_int (&line, "sent", result->phase != HTTPC_UNSENT);
   log_double (&line, "silent_ms",
               to_ms (ts_sub (forward_now (forward), forward->heard_at)));
-  log_int (&line, "events", (int64_t)forward->sse.events);
+  log_extent (forward, &line, result);
   log_end (&line);
 }
 
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -145,7 +145,8 @@
 /* forward_log.c */
 void forward_log_waiting (struct forward *forward, struct timespec ready_at);
 void forward_log_sent (struct forward *forward);
-void forward_log_done (struct forward *forward, long status);
+void forward_log_done (struct forward *forward,
+                       const struct httpc_result *result);
 void forward_log_refused (struct forward *forward, unsigned status,
                           const char *why, int64_t retry_ms);
 void forward_log_silent (struct forward *forward, enum stall_action action);
--- a/src/httpc.c
+++ b/src/httpc.c
@@ -157,6 +157,33 @@
   return curl_code_to_errno (code);
 }
 
+static bool
+is_chunked (const char *coding)
+{
+  const char *last = coding != NULL ? strrchr (coding, ',') : NULL;
+  char *name = g_strdup (last != NULL ? last + 1 : coding);
+  bool chunked
+      = name != NULL && g_ascii_strcasecmp (g_strstrip (name), "chunked") == 0;
+
+  g_free (name);
+  return chunked;
+}
+
+/* See RFC 9112, section 6.3.  */
+static bool
+has_body_until_close (const struct httpc_call *call, long status)
+{
+  const char *method = call->request.method;
+  curl_off_t length = -1;
+
+  if (status < 200 || status == 204 || status == 304
+      || (method != NULL && strcmp (method, "HEAD") == 0))
+    return false;
+  curl_easy_getinfo (call->easy, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
+  return length < 0
+         && !is_chunked (httpc_response_header (call, "Transfer-Encoding"));
+}
+
 static void
 fill_result (struct httpc_call *call, CURLcode code,
              struct httpc_result *result)
@@ -175,6 +202,7 @@
   result->content_type = type != NULL ? type : "";
   result->phase = call->phase;
   result->reused = call->reused;
+  result->until_close = has_body_until_close (call, result->status);
   result->body = call->passed_on ? NULL : call->collected->str;
   result->length = call->collected->len;
 }
--- a/src/httpc.h
+++ b/src/httpc.h
@@ -45,6 +45,8 @@
   const char *content_type; /* "" when none */
   long retry_after_s;       /* seconds, 0 when none */
   bool reused;              /* the connection had been used before */
+  bool until_close;         /* the body had no length and no chunks: it ended
+                               with the connection */
 };
 
 struct httpc_request
