--- a/tests/flood_server.h
+++ b/tests/flood_server.h
@@ -26,11 +26,15 @@
 {
   const char *name;
   const char *begin;  /* IDENTITY stands for the headers of the attempt */
-  const char *repeat; /* sent again and again; NULL: the connection is reset
-                         after FLOOD_RESET_MS instead */
+  const char *repeat; /* sent again and again; "": the connection is closed
+                         instead; NULL: it is reset after FLOOD_RESET_MS */
 };
 
 #define IDENTITY "@"
+#define FLOOD_OK(version) "HTTP/" version " 200 OK\r\n" IDENTITY
+#define FLOOD_EVENTS "Content-Type: text/event-stream\r\n"
+#define FLOOD_WHOLE "id: 1\ndata: x1\n\nid: 2\ndata: x2\n\nid: 3\ndata: x3\n\n"
+#define FLOOD_PARTIAL "id: 1\ndata: x1\n\nid: 2\ndata: x2\n\nid: 3\ndata: x"
 #define FLOOD_LINE                                                            \
   "X-Line: xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx\r\n"
 
@@ -79,6 +83,29 @@
     "xxxxxxxx" },
   { "reset-after-answer",
     "HTTP/1.1 200 OK\r\n" IDENTITY "Content-Length: 5\r\n\r\nhello", NULL },
+  { "whole", FLOOD_OK ("1.1") FLOOD_EVENTS "\r\n" FLOOD_WHOLE, "" },
+  { "whole-1.0", FLOOD_OK ("1.0") FLOOD_EVENTS "\r\n" FLOOD_WHOLE, "" },
+  { "partial", FLOOD_OK ("1.1") FLOOD_EVENTS "\r\n" FLOOD_PARTIAL, "" },
+  { "partial-1.0", FLOOD_OK ("1.0") FLOOD_EVENTS "\r\n" FLOOD_PARTIAL, "" },
+  { "partial-type",
+    FLOOD_OK ("1.1") "Content-Type: Text/Event-Stream\r\n\r\n" FLOOD_PARTIAL,
+    "" },
+  { "partial-length",
+    FLOOD_OK ("1.1") FLOOD_EVENTS "Content-Length: 45\r\n\r\n" FLOOD_PARTIAL,
+    "" },
+  { "partial-chunks",
+    FLOOD_OK ("1.1") FLOOD_EVENTS
+    "Transfer-Encoding: chunked\r\n\r\n2d\r\n" FLOOD_PARTIAL "\r\n0\r\n\r\n",
+    "" },
+  { "no-event", FLOOD_OK ("1.1") FLOOD_EVENTS "\r\n", "" },
+  { "text", FLOOD_OK ("1.1") "\r\nhello", "" },
+  { "text-1.0", FLOOD_OK ("1.0") "\r\nhello", "" },
+  { "text-reset", FLOOD_OK ("1.1") "\r\nhe", NULL },
+  { "text-short", FLOOD_OK ("1.1") "Content-Length: 5\r\n\r\nhe", "" },
+  { "text-chunks",
+    FLOOD_OK ("1.1") "Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n", "" },
+  { "text-length",
+    FLOOD_OK ("1.1") "Content-Length: 99999999999999999999\r\n\r\nhe", "" },
 };
 
 struct flood_server
@@ -217,9 +244,9 @@
       g_atomic_int_inc (&connection->server->requests);
       if (!flood_begin (connection->fd, flood, head))
         ;
-      else if (flood->repeat != NULL)
+      else if (flood->repeat != NULL && *flood->repeat != '\0')
         flood_repeat (connection, flood->repeat);
-      else
+      else if (flood->repeat == NULL)
         flood_reset (connection->fd);
     }
   close (connection->fd);
