forward: a stream that ends inside an event has been broken off

Cause: the gateway took the end of the framing for the end of the answer. A response without length and chunks ends with its connection, and libcurl reports success for it, so the node logged REQUEST_DONE; end_stream even sent the bytes of the incomplete event and ended the caller's response regularly. The same holds where length or chunks are complete and the last event is not, for HTTP/1.0, and for a type that is written Text/Event-Stream, which was collected and sent with a length.

Now such a response counts as truncated, whatever its framing: it goes on at another server behind the last whole event where the route allows it, and is aborted otherwise.

--- a/src/forward_answer.c
+++ b/src/forward_answer.c
@@ -4,7 +4,6 @@
 #include "forward_state.h"
 #include "ts.h"
 
-#define EVENT_STREAM "text/event-stream"
 #define SILENCE_CHECK_MIN_MS 200 /* between looks for a replacement */
 #define SERVER_ERROR 500         /* lowest status of a server error */
 #define FULL_RETRY_AFTER_MS 200  /* time for a full server to free a slot */
@@ -111,7 +110,7 @@
 
   parse_response_head (forward, status);
   if (status == 200 && is_authentic (forward) && forward->request != NULL
-      && g_str_has_prefix (content_type, EVENT_STREAM))
+      && sse_is_stream (content_type))
     begin_stream (forward, status, content_type);
   return forward->streaming;
 }
@@ -157,8 +156,8 @@
   return err;
 }
 
-/* Bytes after the last complete event are part of the response too.  The
-   stream is aborted if they do not fit into the caller's output buffer.  */
+/* Empty lines after the last event are part of the response too.  The stream
+   is aborted if they do not fit into the caller's output buffer.  */
 static void
 end_stream (struct forward *forward)
 {
@@ -419,10 +418,43 @@
     finish (forward, result, headers);
 }
 
-void
-forward_on_done (void *user, const struct httpc_result *result)
+/* Whether the events of a response with complete framing are not complete.  */
+static bool
+is_stream_truncated (const struct forward *forward,
+                     const struct httpc_result *result)
+{
+  const char *rest = forward->buffer->str;
+  size_t length = forward->buffer->len;
+
+  if (!forward->streaming && result->body != NULL
+      && sse_is_stream (result->content_type))
+    {
+      struct sse sse;
+      int64_t events_length;
+
+      sse_init (&sse);
+      events_length = sse_scan (&sse, result->body, result->length);
+      if (events_length < 0)
+        return true;
+      rest = result->body + events_length;
+      length = result->length - (size_t)events_length;
+    }
+  return sse_is_truncated (rest, length);
+}
+
+/* 0 only for a response that is complete.  */
+static int
+response_error (const struct forward *forward,
+                const struct httpc_result *result)
+{
+  if (result->error == 0 && is_stream_truncated (forward, result))
+    return -EPIPE;
+  return result->error;
+}
+
+static void
+handle_result (struct forward *forward, const struct httpc_result *result)
 {
-  struct forward *forward = user;
   GPtrArray *headers;
   bool refusal;
 
@@ -450,3 +482,13 @@
     retry_or_fail (forward, "no complete response from the server");
   g_ptr_array_unref (headers);
 }
+
+void
+forward_on_done (void *user, const struct httpc_result *result)
+{
+  struct forward *forward = user;
+  struct httpc_result checked = *result;
+
+  checked.error = response_error (forward, result);
+  handle_result (forward, &checked);
+}
--- a/src/sse.c
+++ b/src/sse.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #define DONE_EVENT "data: [DONE]"
+#define EVENT_STREAM "text/event-stream"
 
 void
 sse_init (struct sse *sse)
@@ -12,6 +13,23 @@
   memset (sse, 0, sizeof *sse);
 }
 
+bool
+sse_is_stream (const char *content_type)
+{
+  return g_ascii_strncasecmp (content_type, EVENT_STREAM,
+                              sizeof EVENT_STREAM - 1)
+         == 0;
+}
+
+bool
+sse_is_truncated (const char *rest, size_t length)
+{
+  for (size_t i = 0; i < length; i++)
+    if (rest[i] != '\r' && rest[i] != '\n')
+      return true;
+  return false;
+}
+
 /* Length of the event at BYTES, including its empty line; 0 if incomplete.  */
 static size_t
 event_length (const char *bytes, size_t length, size_t from)
--- a/src/sse.h
+++ b/src/sse.h
@@ -25,6 +25,13 @@
 
 void sse_init (struct sse *sse);
 
+/* Whether CONTENT_TYPE is that of a stream of events.  */
+bool sse_is_stream (const char *content_type);
+
+/* Whether a stream that ends with REST, the bytes behind its last complete
+   event, was truncated.  Empty lines belong to no event.  */
+bool sse_is_truncated (const char *rest, size_t length);
+
 /* BYTES are the bytes kept from before followed by new ones.  Returns how
    many of them to pass on; the caller keeps the rest and supplies it
    again.  -EMSGSIZE when an event is too long, -EPROTO when bytes follow
