forward: a stream of which only the head came is not complete

A server that fails between the head and the first event of a stream without length and chunks closes the connection there; callers got an empty stream, framed as complete.

Now it counts as truncated.

--- a/src/forward_answer.c
+++ b/src/forward_answer.c
@@ -442,12 +442,24 @@
   return sse_is_truncated (rest, length);
 }
 
+/* Whether a stream without length and chunks has no event: its server may have
+   failed before the first one.  */
+static bool
+is_stream_empty (const struct forward *forward,
+                 const struct httpc_result *result)
+{
+  return result->until_close && sse_is_stream (result->content_type)
+         && forward->sse.events == 0 && result->length == 0;
+}
+
 /* 0 only for a response that is complete.  */
 static int
 response_error (const struct forward *forward,
                 const struct httpc_result *result)
 {
-  if (result->error == 0 && is_stream_truncated (forward, result))
+  if (result->error == 0
+      && (is_stream_truncated (forward, result)
+          || is_stream_empty (forward, result)))
     return -EPIPE;
   return result->error;
 }
