--- a/src/httpc.c
+++ b/src/httpc.c
@@ -141,22 +141,6 @@
   return os_error != 0 ? -(int)os_error : -EHOSTUNREACH;
 }
 
-static int
-call_error (const struct httpc_call *call, CURLcode code)
-{
-  if (code == CURLE_COULDNT_CONNECT)
-    return connect_error (call->easy);
-  if (call->too_large)
-    return -EMSGSIZE;
-  if (call->body_error != 0)
-    return call->body_error;
-  if (call->idle_timed_out)
-    return -ETIMEDOUT;
-  if (call->resend_attempted)
-    return -ECONNRESET;
-  return curl_code_to_errno (code);
-}
-
 static bool
 is_chunked (const char *coding)
 {
@@ -169,13 +153,16 @@
   return chunked;
 }
 
-/* See RFC 9112, section 6.3.  */
+/* Whether nothing in the response told the length of its body, so that it
+   ended with the connection, see RFC 9112, section 6.3.  */
 static bool
-has_body_until_close (const struct httpc_call *call, long status)
+has_body_until_close (const struct httpc_call *call)
 {
   const char *method = call->request.method;
   curl_off_t length = -1;
+  long status = 0;
 
+  curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
   if (status < 200 || status == 204 || status == 304
       || (method != NULL && strcmp (method, "HEAD") == 0))
     return false;
@@ -184,6 +171,32 @@
          && !is_chunked (httpc_response_header (call, "Transfer-Encoding"));
 }
 
+/* libcurl ignores a length that it cannot represent.  */
+static bool
+is_length_ignored (const struct httpc_call *call)
+{
+  return has_body_until_close (call)
+         && httpc_response_header (call, "Content-Length") != NULL;
+}
+
+static int
+call_error (const struct httpc_call *call, CURLcode code)
+{
+  if (code == CURLE_COULDNT_CONNECT)
+    return connect_error (call->easy);
+  if (call->too_large)
+    return -EMSGSIZE;
+  if (call->body_error != 0)
+    return call->body_error;
+  if (call->idle_timed_out)
+    return -ETIMEDOUT;
+  if (call->resend_attempted)
+    return -ECONNRESET;
+  if (code == CURLE_OK && is_length_ignored (call))
+    return -EPROTO;
+  return curl_code_to_errno (code);
+}
+
 static void
 fill_result (struct httpc_call *call, CURLcode code,
              struct httpc_result *result)
@@ -202,7 +215,7 @@
   result->content_type = type != NULL ? type : "";
   result->phase = call->phase;
   result->reused = call->reused;
-  result->until_close = has_body_until_close (call, result->status);
+  result->until_close = has_body_until_close (call);
   result->body = call->passed_on ? NULL : call->collected->str;
   result->length = call->collected->len;
 }
