exchange: a service's stream that ends inside an event has been broken off

The stream of a plain service was passed on byte by byte and taken as complete when its framing was, with half an event at its end; a type written in capitals made an engine's stream a collected body as well.

All streams now go through sse, which knows whether its protocol has a closing event; so a gate's engine may send "data: [DONE]" as any other event. /traffic/half-event failed before (f.error 0, not -EPIPE). parsleyd still demands a length, chunks or the closing event: in its protocol the end of a connection proves nothing.

--- a/src/exchange.c
+++ b/src/exchange.c
@@ -7,8 +7,6 @@
 #include "sse.h"
 #include "ts.h"
 
-#define EVENT_STREAM "text/event-stream"
-
 struct exchange
 {
   const struct exchange_ops *ops;
@@ -20,7 +18,6 @@
   struct sse sse;
   GString *buffer; /* an incomplete event */
   bool expects_done_event;
-  bool is_head; /* the request is a HEAD: the response has no body */
   bool streaming;
   bool wrong_id;      /* the response belongs to another attempt */
   GPtrArray *headers; /* of the response: name, value, ..., NULL */
@@ -112,7 +109,7 @@
   exchange->wrong_id = !id_matches (exchange, status);
   if (exchange->wrong_id)
     return true;
-  if (status != 200 || !g_str_has_prefix (content_type, EVENT_STREAM))
+  if (status != 200 || !sse_is_stream (content_type))
     return false;
   exchange->streaming = true;
   result.headers = get_response_headers (exchange);
@@ -128,21 +125,8 @@
   exchange->heard_at = clk_now (exchange->worker->options->clk);
   if (exchange->wrong_id)
     return -ECANCELED;
-  if (exchange->expects_done_event)
-    return sse_forward (&exchange->sse, exchange->buffer, bytes, n,
-                        exchange->ops->bytes, exchange->user);
-  return exchange->ops->bytes (exchange->user, bytes, n);
-}
-
-/* Without a length or chunked encoding, the end of a response cannot be
-   distinguished from a broken connection.  */
-static bool
-has_framing (const struct exchange *exchange, long status)
-{
-  return exchange->is_head || status == 204 || status == 304
-         || httpc_response_header (exchange->http, "Content-Length") != NULL
-         || httpc_response_header (exchange->http, "Transfer-Encoding")
-                != NULL;
+  return sse_forward (&exchange->sse, exchange->buffer, bytes, n,
+                      exchange->ops->bytes, exchange->user);
 }
 
 static int
@@ -155,7 +139,11 @@
     return result->error;
   if (exchange->streaming && exchange->expects_done_event)
     return exchange->sse.complete ? 0 : -EPIPE;
-  return has_framing (exchange, result->status) ? 0 : -EPIPE;
+  if (sse_is_truncated (exchange->buffer->str, exchange->buffer->len))
+    return -EPIPE;
+  /* Nothing distinguishes the end of such a response from the death of the
+     server's process.  */
+  return result->until_close ? -EPIPE : 0;
 }
 
 static void
@@ -207,10 +195,9 @@
   exchange->buffer = g_string_new (NULL);
   exchange->headers = g_ptr_array_new_with_free_func (g_free);
   exchange->expects_done_event = options->expects_done_event;
-  exchange->is_head = strcmp (options->method, "HEAD") == 0;
   exchange->started = clk_now (options->worker->options->clk);
   exchange->heard_at = exchange->started;
-  sse_init (&exchange->sse);
+  sse_init (&exchange->sse, options->expects_done_event);
   ck_pr_inc_uint (&exchange->engine->inflight);
   return exchange;
 }
--- a/src/forward_answer.c
+++ b/src/forward_answer.c
@@ -432,7 +432,7 @@
       struct sse sse;
       int64_t events_length;
 
-      sse_init (&sse);
+      sse_init (&sse, false);
       events_length = sse_scan (&sse, result->body, result->length);
       if (events_length < 0)
         return true;
--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -292,7 +292,7 @@
   forward->suspected = false;
   forward->head_parsed = false;
   forward->streaming = false;
-  sse_init (&forward->sse);
+  sse_init (&forward->sse, false);
   g_string_truncate (forward->buffer, 0);
   attempt_begin (&forward->attempts[forward->count++], forward->dispatches);
   eject_begin (gateway->eject, engine->id, now);
--- a/src/sse.c
+++ b/src/sse.c
@@ -8,9 +8,10 @@
 #define EVENT_STREAM "text/event-stream"
 
 void
-sse_init (struct sse *sse)
+sse_init (struct sse *sse, bool has_closing_event)
 {
   memset (sse, 0, sizeof *sse);
+  sse->has_closing_event = has_closing_event;
 }
 
 bool
@@ -101,7 +102,7 @@
     {
       if (sse->complete)
         return -EPROTO;
-      if (is_done_event (bytes + passed, n))
+      if (sse->has_closing_event && is_done_event (bytes + passed, n))
         sse->complete = true;
       else
         {
--- a/src/sse.h
+++ b/src/sse.h
@@ -1,8 +1,8 @@
 /* sse - checks that a stream of server-sent events is complete.
 
    Bytes are passed on in complete events only, so that a truncated stream
-   ends between two events.  A stream is complete when its last event is
-   "data: [DONE]".  Does no I/O.  */
+   ends between two events.  Where the protocol has a closing event, a stream
+   is complete when its last event is "data: [DONE]".  Does no I/O.  */
 
 #ifndef PARSLEYRILL_SSE_H
 #define PARSLEYRILL_SSE_H
@@ -16,6 +16,7 @@
 
 struct sse
 {
+  bool has_closing_event;
   uint64_t events; /* passed on, not counting the closing one */
   bool complete;   /* the closing event was received */
   size_t partial;  /* bytes of an incomplete event at the end */
@@ -23,7 +24,7 @@
   uint64_t last_id;
 };
 
-void sse_init (struct sse *sse);
+void sse_init (struct sse *sse, bool has_closing_event);
 
 /* Whether CONTENT_TYPE is that of a stream of events.  */
 bool sse_is_stream (const char *content_type);
--- a/tests/fuzz_sse.c
+++ b/tests/fuzz_sse.c
@@ -15,8 +15,8 @@
   int64_t at_once;
   int64_t passed = 0;
 
-  sse_init (&at_once_sse);
-  sse_init (&pieces);
+  sse_init (&at_once_sse, true);
+  sse_init (&pieces, true);
   at_once = sse_scan (&at_once_sse, (const char *)data, size);
   for (size_t i = 0; i < size && passed >= 0; i++)
     {
--- a/tests/prop_sse.cc
+++ b/tests/prop_sse.cc
@@ -70,7 +70,7 @@
         left += closing;
         if (in_range (0, 3) != 0)
           left.resize ((size_t)in_range (0, (int)left.size ()));
-        sse_init (&sse);
+        sse_init (&sse, true);
         RC_ASSERT (feed (&sse, left, held, out));
         RC_ASSERT (expected.compare (0, out.size (), out) == 0);
         received += sse.events;
@@ -91,7 +91,7 @@
     std::string held, out;
     std::string bytes = event (1) + "data: [DONE]\n\n";
 
-    sse_init (&sse);
+    sse_init (&sse, true);
     RC_ASSERT (!feed (&sse, bytes + event (2), held, out));
     RC_ASSERT (bytes.compare (0, out.size (), out) == 0);
   });
--- a/tests/test_traffic_faults.c
+++ b/tests/test_traffic_faults.c
@@ -1,7 +1,9 @@
+#include <errno.h>
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include "doc.h"
 #include "traffic_fixture.h"
 
 #define LONG_ANSWER_BYTES (48u << 20)
@@ -99,6 +101,17 @@
                    strlen (refusal));
 }
 
+static void
+answer_half_event (struct httpd_request *request)
+{
+  const char *headers[]
+      = { "X-Request-Id", httpd_header (request, "X-Request-Id"), NULL };
+
+  httpd_stream_begin (request, 200, "Text/Event-Stream", headers);
+  httpd_stream_write (request, EVENTS "data: ", strlen (EVENTS "data: "));
+  httpd_stream_end (request);
+}
+
 static void
 on_engine (struct fixture *f, struct httpd_request *request, const char *body)
 {
@@ -107,6 +120,8 @@
     begin_held (f, request);
   else if (strstr (body, "flood") != NULL)
     begin_flood (f, request);
+  else if (strstr (body, "half") != NULL)
+    answer_half_event (request);
   else if (strstr (body, "part") != NULL)
     answer_one_event (f, request, body);
   else if (strstr (body, "silent") != NULL)
@@ -190,6 +205,42 @@
   tear_down (&f);
 }
 
+static void
+publish_service (struct fixture *f)
+{
+  static const struct doc_service rules;
+  struct route_table *table = route_table_new ();
+  struct route_service *service = g_new0 (struct route_service, 1);
+
+  table->ready = true;
+  table->services = service;
+  table->service_count = 1;
+  service->name = g_strdup ("s");
+  service->team = g_strdup ("team");
+  service->doc = &rules;
+  service->replicas = g_new0 (struct route_replica, 1);
+  service->replica_count = 1;
+  service->replicas[0].engine = route_engine_ref (f->replica);
+  service->replicas[0].slots = 4;
+  route_publish (f->route, table);
+  traffic_broadcast (f->traffic, MSG_ROUTES);
+}
+
+/* A stream of a plain service that ended inside an event was passed on as
+   complete.  */
+static void
+test_half_event (void)
+{
+  struct fixture f;
+
+  set_up (&f);
+  publish_service (&f);
+  request_and_wait (&f, "/v1/services/s/x", "half", NULL);
+  g_assert_cmpint (f.error, ==, -EPIPE);
+  g_assert_cmpstr (f.response_body->str, ==, EVENTS);
+  tear_down (&f);
+}
+
 /* A non-idempotent stream is not resumed.  */
 static void
 test_no_resume (void)
@@ -529,6 +580,7 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/traffic/half-event", test_half_event);
   g_test_add_func ("/traffic/resume", test_resume);
   g_test_add_func ("/traffic/resume-version", test_resume_version);
   g_test_add_func ("/traffic/stall", test_stall);
