httpd: reset the connection of an HTTP/1.0 caller whose stream is cut

Chunks tell callers of HTTP/1.1 that a stream was cut. HTTP/1.0 has none, and the node shut the socket down, so a cut stream ended like a whole one.

A stream that is cut without chunks now ends with a reset. /gate/cut-http-1.0 failed before (end of file instead of ECONNRESET) and passes now.

--- a/src/httpd.c
+++ b/src/httpd.c
@@ -83,12 +83,27 @@
     httpd->options.writable (httpd->options.user, request);
 }
 
+/* Without chunks a regular end of the connection ends the response, so a
+   truncated one needs a reset.  SO_LINGER would not do: libmicrohttpd shuts
+   sockets down before it closes them.  */
+static void
+reset_connection (int fd)
+{
+  const struct sockaddr none = { .sa_family = AF_UNSPEC };
+
+  if (connect (fd, &none, sizeof none) < 0)
+    shutdown (fd, SHUT_RDWR);
+}
+
 /* libmicrohttpd handles the error only at the next event of the socket; the
    shutdown causes one.  */
 static ssize_t
 abort_stream (const struct httpd_request *request)
 {
-  shutdown (request->disconnect.fd, SHUT_RDWR);
+  if (request->has_chunks)
+    shutdown (request->disconnect.fd, SHUT_RDWR);
+  else
+    reset_connection (request->disconnect.fd);
   return MHD_CONTENT_READER_END_WITH_ERROR;
 }
 
@@ -262,9 +277,9 @@
 
   (void)cls;
   (void)connection;
-  (void)version;
   if (request->stage == STAGE_HEAD)
     {
+      request->has_chunks = strcmp (version, MHD_HTTP_VERSION_1_0) != 0;
       set_request_line (request, url, method);
       return MHD_YES;
     }
--- a/src/httpd_state.h
+++ b/src/httpd_state.h
@@ -34,9 +34,10 @@
   enum stage stage;
   bool suspended; /* libmicrohttpd does not process the connection */
   bool streaming;
-  bool ended;     /* the response ends with the bytes in OUT */
-  bool truncated; /* close after the bytes in OUT, without ending the body */
-  bool aborted;   /* close at once */
+  bool has_chunks; /* HTTP/1.1 or later */
+  bool ended;      /* the response ends with the bytes in OUT */
+  bool truncated;  /* close after the bytes in OUT, without ending the body */
+  bool aborted;    /* close at once */
   bool too_large;
   size_t discarded; /* bytes of a body that is too large */
   unsigned stuck;   /* checks since bytes of the body were read */
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -2,6 +2,7 @@
    backend server simulated by the test.  */
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -331,13 +332,16 @@
   tear_down (&f);
 }
 
-static void
+/* Returns 0 when the connection was closed, or the negative errno that ended
+   it.  */
+static int
 send_raw (struct fixture *f, const char *text, char *got, size_t size)
 {
   struct sockaddr_in address = { .sin_family = AF_INET };
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   size_t n = 0;
   ssize_t read_now = 1;
+  int err = 0;
 
   address.sin_port = htons (gate_port (f->gate));
   address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
@@ -345,15 +349,18 @@
                    ==, 0);
   g_assert_cmpint (send (fd, text, strlen (text), MSG_NOSIGNAL), ==,
                    (ssize_t)strlen (text));
-  while (read_now != 0 && n < size - 1)
+  while (read_now != 0 && err == 0 && n < size - 1)
     {
       run_once (f);
       read_now = recv (fd, got + n, size - 1 - n, MSG_DONTWAIT);
       if (read_now > 0)
         n += (size_t)read_now;
+      else if (read_now < 0 && errno != EAGAIN)
+        err = -errno;
     }
   got[n] = '\0';
   close (fd);
+  return err;
 }
 
 struct raw_case
@@ -400,6 +407,31 @@
   tear_down (&f);
 }
 
+/* A stream that was cut looked complete to callers of HTTP/1.0, where the end
+   of the connection ends a response.  */
+static void
+test_cut_http_1_0 (void)
+{
+  struct fixture f;
+  char got[4096];
+
+  set_up (&f);
+  wait_until_serving (&f);
+  g_assert_cmpint (send_raw (&f,
+                             "GET /cut/events HTTP/1.0\r\n"
+                             "Host: h.example\r\n" ID ": r1\r\n\r\n",
+                             got, sizeof got),
+                   ==, -ECONNRESET);
+  g_assert_true (g_str_has_suffix (got, EVENT (1) EVENT (2)));
+  g_assert_cmpint (send_raw (&f,
+                             "GET /long/events HTTP/1.0\r\n"
+                             "Host: h.example\r\n" ID ": r2\r\n\r\n",
+                             got, sizeof got),
+                   ==, 0);
+  g_assert_true (g_str_has_suffix (got, EVENT (1) EVENT (2) EVENT (3)));
+  tear_down (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -416,5 +448,6 @@
   g_test_add_func ("/gate/leaving", test_draining_server);
   g_test_add_func ("/gate/drain", test_drain);
   g_test_add_func ("/gate/raw", test_malformed);
+  g_test_add_func ("/gate/cut-http-1.0", test_cut_http_1_0);
   return g_test_run ();
 }
