--- a/src/caller.c
+++ b/src/caller.c
@@ -9,5 +9,6 @@
   g_free (request->model);
   g_free (request->adapter);
   g_free (request->stream);
+  g_strfreev (request->shared_parts);
   memset (request, 0, sizeof *request);
 }
--- a/src/caller.h
+++ b/src/caller.h
@@ -37,7 +37,10 @@
   uint64_t parts[CALLER_PARTS_MAX];
   size_t part_count;
   uint64_t shared_tokens; /* of all parts but the last */
-  bool resumes;           /* continues a stream after event RESUME_AFTER */
+  /* Ids of all parts but the last, which is the request's own;
+     NULL-terminated; NULL: none.  */
+  char **shared_parts;
+  bool resumes; /* continues a stream after event RESUME_AFTER */
   uint64_t resume_after;
   /* If RESUMES: id of the request that got the first event of the stream;
      NULL: not given.  */
--- a/src/forward_log.c
+++ b/src/forward_log.c
@@ -133,6 +133,19 @@
   log_end (&line);
 }
 
+/* What the prompt shares with those of other requests.  */
+static void
+log_shared_parts (const struct forward *forward, struct log_line *line)
+{
+  char *parts;
+
+  if (forward->parsed.shared_parts == NULL)
+    return;
+  parts = g_strjoinv (",", forward->parsed.shared_parts);
+  log_str (line, "parts", parts);
+  g_free (parts);
+}
+
 void
 forward_log_failed (struct forward *forward, const struct httpc_result *result)
 {
@@ -150,6 +163,7 @@
   log_double (&line, "silent_ms",
               to_ms (ts_sub (forward_now (forward), forward->heard_at)));
   log_extent (forward, &line, result);
+  log_shared_parts (forward, &line);
   log_end (&line);
 }
 
