--- /dev/null
+++ b/tests/test_gate_quarantine.c
@@ -0,0 +1,172 @@
+/* Tests two gates beside engines that crash on a part of a prompt.  */
+
+#include "gate_fixture.h"
+#include "gate_second.h"
+
+#define EVENT(n) "id: " #n "\ndata: x" #n "\n\n"
+#define ENGINES 6u
+#define CRASHES 5u
+#define STABILITY_MS 3000
+#define REQUESTS_MAX 3u /* that reach engines after that */
+#define REQUESTS 24u    /* of each kind */
+
+static unsigned next_engine; /* number of the next incarnation */
+static GHashTable *crashed;  /* set of ids */
+static unsigned crashes;
+static unsigned at_engines; /* requests with the bad part */
+
+static void
+list_engine (struct fixture *f)
+{
+  char *text = g_strdup_printf (
+      "{\"Service\":\"app\",\"Address\":\"127.0.0.1:%u\",\"Zone\":\"z\","
+      "\"Slots\":8,\"State\":\"ready\",\"Sequence\":1}",
+      httpd_port (f->server));
+  char *key = g_strdup_printf ("servers/e-%u", ++next_engine);
+
+  put_row (f, key, text);
+  g_free (key);
+  g_free (text);
+}
+
+/* The engine is replaced by a new one.  */
+static void
+crash (struct fixture *f, const char *id)
+{
+  char *key = g_strdup_printf ("servers/%s", id);
+
+  crashes++;
+  g_hash_table_add (crashed, g_strdup (id));
+  put_row (f, key, NULL);
+  list_engine (f);
+  g_free (key);
+}
+
+static void
+handle_at_server (struct fixture *f, struct httpd_request *request)
+{
+  const char *id = httpd_header (request, "Parsleyrill-Expect-Instance");
+  const char *prompt = httpd_header (request, "Parsleyrill-Prompt-Prefix");
+  bool bad = prompt != NULL && strstr (prompt, "bad:") != NULL;
+
+  at_engines += bad;
+  if (prompt == NULL)
+    answer (request, 200, "hello");
+  else if (g_hash_table_contains (crashed, id))
+    httpd_drop (request);
+  else if (bad)
+    {
+      httpd_drop (request);
+      crash (f, id);
+    }
+  else
+    {
+      begin_event_stream (request, EVENT (1));
+      httpd_stream_end (request);
+    }
+}
+
+/* A request whose prompt has PART between parts that all requests share and
+   one of its own.  */
+static void
+send_prompt (struct fixture *f, const char *part)
+{
+  static unsigned number;
+  char *prompt = g_strdup_printf (
+      "Parsleyrill-Prompt-Prefix: aa:100,%s:50,%x:10", part, ++number);
+  char *id = g_strdup_printf ("p%u", number);
+  const char *headers[] = { prompt, "Parsleyrill-Deadline-Ms: 2000", NULL };
+
+  f->id = id;
+  request_and_wait (f, "GET", "/long/x", headers);
+  f->id = NULL;
+  g_free (id);
+  g_free (prompt);
+}
+
+static void
+run_for (struct fixture *f, int64_t ms)
+{
+  struct timespec end = ts_add_ms (loop_now (f->loop), ms);
+
+  while (ts_before (loop_now (f->loop), end))
+    run_once (f);
+}
+
+static void
+set_up_engines (struct fixture *f)
+{
+  crashed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  crashes = 0;
+  at_engines = 0;
+  set_up (f);
+  wait_until_serving (f);
+  put_row (f, "servers/i-1", NULL);
+  for (unsigned i = 0; i < ENGINES; i++)
+    list_engine (f);
+}
+
+static void
+tear_down_engines (struct fixture *f)
+{
+  tear_down (f);
+  g_hash_table_unref (crashed);
+}
+
+static void
+wait_until_second_serves (struct fixture *f, struct second *second)
+{
+  struct gate *first = f->gate;
+
+  f->gate = second->gate;
+  do
+    send_prompt (f, "warm");
+  while (f->status != 200);
+  f->gate = first;
+}
+
+/* Requests with one part in their prompts, no two alike, crashed one engine
+   after the other, and sound requests were served no more.  */
+static void
+test_part (void)
+{
+  struct fixture f;
+  struct second second;
+  struct gate *gates[2];
+  unsigned served = 0;
+  unsigned before;
+
+  set_up_engines (&f);
+  start_second (&f, &second);
+  wait_until_second_serves (&f, &second);
+  gates[0] = f.gate;
+  gates[1] = second.gate;
+  for (unsigned i = 0; crashes < CRASHES; i++)
+    {
+      f.gate = gates[i % 2];
+      send_prompt (&f, i % 4 < 2 ? "bad" : "good");
+    }
+  run_for (&f, STABILITY_MS);
+  before = at_engines;
+  for (unsigned i = 0; i < REQUESTS; i++)
+    {
+      f.gate = gates[i % 2];
+      send_prompt (&f, "bad");
+      g_assert_cmpint (f.status, >=, 500);
+      send_prompt (&f, "good");
+      served += f.status == 200;
+    }
+  g_assert_cmpuint (at_engines - before, <=, REQUESTS_MAX);
+  g_assert_cmpuint (served, ==, REQUESTS);
+  f.gate = gates[0];
+  stop_second (&second);
+  tear_down_engines (&f);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/gate-quarantine/part", test_part);
+  return g_test_run ();
+}
