quarantine: reject requests with a feature that crashes servers

Cause: the gateway forgot a crash with the request that was there. Nothing related the failures of different requests; suspect, which does for parsleyd, knows a request by its whole body only.

Change: each node reports what ran on a server when its connections broke before an answer began, and what is answered since. blame looks for the feature, a shared part of the prompt or the whole request, that explains the crashes: it is in all of them and is not answered any more, or never was. Its requests are rejected (503, not run) at all nodes; peers tell each other, a row in the table tells nodes that start or are cut off. A crash is withdrawn when its server answers a later request, so reset connections blame nobody. An answer makes a feature sound again; trials are claimed in the table, one at a time for the fleet.

--- a/src/caller.h
+++ b/src/caller.h
@@ -37,6 +37,7 @@
   uint64_t parts[CALLER_PARTS_MAX];
   size_t part_count;
   uint64_t shared_tokens; /* of all parts but the last */
+  uint64_t prompt;        /* hash of the whole list of parts and the model */
   /* Ids of all parts but the last, which is the request's own;
      NULL-terminated; NULL: none.  */
   char **shared_parts;
--- a/src/forward.c
+++ b/src/forward.c
@@ -20,6 +20,8 @@
   caller_request_clear (&forward->parsed);
   site_unref (forward->site);
   g_string_free (forward->buffer, TRUE);
+  if (forward->features != NULL)
+    g_array_unref (forward->features);
   g_free (forward->target);
   g_free (forward->software);
   forward->gateway->open--;
@@ -237,6 +239,9 @@
       return;
     }
   set_deadline (forward);
+  forward_set_features (forward);
+  if (forward_reject_quarantined (forward))
+    return;
   if (forward->target != NULL)
     planners_request_arrived (gateway->planners, forward->service->name,
                               forward->target);
--- a/src/forward_answer.c
+++ b/src/forward_answer.c
@@ -21,6 +21,7 @@
   gateway->options.caller->ops->interpret (gateway->options.caller,
                                            forward->call, status,
                                            &forward->parsed, &forward->answer);
+  forward_note_alive (forward);
   if (!forward->answer.not_available && !forward->engine->gone)
     listing_server_notice (gateway->listing, forward->engine->id,
                            &forward->answer.notice);
@@ -144,6 +145,7 @@
 forward_on_bytes (void *user, const char *bytes, size_t n)
 {
   struct forward *forward = user;
+  uint64_t before = forward->sse.events;
   int err;
 
   err = sse_forward (&forward->sse, forward->buffer, bytes, n, write_to_caller,
@@ -153,6 +155,8 @@
       forward->can_resume = true;
       forward->last_event = forward->sse.last_id;
     }
+  if (before == 0 && forward->sse.events > 0)
+    forward_note_answer (forward);
   return err;
 }
 
@@ -479,6 +483,7 @@
             && forward->answer.not_run && forward->answer.id_matches;
   attempt_finish (&forward->attempts[forward->count - 1], result, refusal);
   update_server_health (forward, result, refusal);
+  forward_note_end (forward, result, refusal);
   if (result->error != 0 || refusal)
     forward_log_failed (forward, result);
   gateway_dispatch_soon (forward->gateway);
--- /dev/null
+++ b/src/forward_quarantine.c
@@ -0,0 +1,111 @@
+#include <errno.h>
+#include <string.h>
+#include <xxhash.h>
+#include "forward_state.h"
+
+static uint64_t
+hash_text (const char *text, uint64_t seed)
+{
+  return text != NULL ? XXH3_64bits_withSeed (text, strlen (text), seed)
+                      : seed;
+}
+
+/* Of all that a caller repeats when it sends a request again.  */
+static uint64_t
+fingerprint (const struct forward *forward)
+{
+  const struct httpd_request *request = forward->request;
+  size_t length;
+  const void *body = httpd_body (request, &length);
+  uint64_t hash = hash_text (httpd_method (request), forward->parsed.prompt);
+
+  hash = hash_text (httpd_header (request, "Host"), hash);
+  hash = hash_text (httpd_uri (request), hash);
+  hash = hash_text (forward->target, hash);
+  return XXH3_64bits_withSeed (body, length, hash) | 1;
+}
+
+void
+forward_set_features (struct forward *forward)
+{
+  char **part = forward->parsed.shared_parts;
+  uint64_t feature = fingerprint (forward);
+
+  forward->features = g_array_new (FALSE, FALSE, sizeof feature);
+  g_array_append_val (forward->features, feature);
+  for (; part != NULL && *part != NULL
+         && forward->features->len < BLAME_FEATURES_MAX;
+       part++)
+    {
+      feature = hash_text (*part, 0) | 1;
+      g_array_append_val (forward->features, feature);
+    }
+}
+
+static struct blame_request
+request_features (const struct forward *forward)
+{
+  return (struct blame_request){ .features
+                                 = (const uint64_t *)forward->features->data,
+                                 .count = forward->features->len };
+}
+
+bool
+forward_reject_quarantined (struct forward *forward)
+{
+  struct blame_request request = request_features (forward);
+  int64_t retry_ms = 0;
+  int at
+      = quarantines_check (forward->gateway->quarantines, &request, &retry_ms);
+  char *why;
+
+  if (at < 0)
+    return false;
+  why = at == 0
+            ? g_strdup ("the request crashes servers")
+            : g_strdup_printf ("part %d of the prompt crashes servers", at);
+  forward_fail (forward, why, retry_ms);
+  g_free (why);
+  return true;
+}
+
+/* Whether the server may have crashed because of the request, which it has not
+   begun to answer.  */
+static bool
+may_have_crashed (const struct forward *forward,
+                  const struct httpc_result *result)
+{
+  return (result->error == -ECONNRESET || result->error == -EPIPE)
+         && result->phase != HTTPC_UNSENT && forward->replacement == NULL
+         && forward->sse.events == 0;
+}
+
+void
+forward_note_end (struct forward *forward, const struct httpc_result *result,
+                  bool refusal)
+{
+  struct blame_request request = request_features (forward);
+
+  if (may_have_crashed (forward, result))
+    quarantines_crashed (forward->gateway->quarantines, forward->engine->id,
+                         &request);
+  else if (result->error == 0 && !refusal && forward->answer.id_matches
+           && forward->answer.signed_by_server)
+    quarantines_answered (forward->gateway->quarantines, &request);
+}
+
+void
+forward_note_alive (struct forward *forward)
+{
+  if (forward->answer.id_matches && !forward->answer.not_available)
+    quarantines_alive (forward->gateway->quarantines, forward->engine->id,
+                       forward->sent_at);
+}
+
+void
+forward_note_answer (struct forward *forward)
+{
+  struct blame_request request = request_features (forward);
+
+  quarantines_answered (forward->gateway->quarantines, &request);
+}
--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -478,13 +478,11 @@
   struct timespec now = forward_now (forward);
   struct route_engine *engine = NULL;
   struct timespec ready_at;
-  GArray *replicas = find_replicas (forward, &ready_at);
+  GArray *replicas;
 
-  if (forward_refuse_unknown (forward))
-    {
-      g_array_unref (replicas);
-      return;
-    }
+  if (forward_reject_quarantined (forward) || forward_refuse_unknown (forward))
+    return;
+  replicas = find_replicas (forward, &ready_at);
   if (replicas->len > 0 && gateway_may_dispatch (gateway))
     engine = pick_engine (forward, replicas);
   g_array_unref (replicas);
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -1,5 +1,6 @@
 /* forward_state - state of one request, shared by the modules forward,
-   forward_send, forward_resume, forward_answer and forward_log.  Private to
+   forward_send, forward_resume, forward_quarantine, forward_answer and
+   forward_log.  Private to
    them.  */
 
 #ifndef PARSLEYRILL_FORWARD_STATE_H
@@ -58,15 +59,17 @@
   struct timespec heard_at;      /* latest byte, or the dispatch */
   struct caller_response answer; /* of the current attempt */
   bool head_parsed;              /* ANSWER is valid */
-  bool streaming;  /* the current response is passed on as a stream */
-  bool head_sent;  /* the response head was sent to the caller */
-  bool silent;     /* the current engine is being waited for in silence */
-  bool suspected;  /* and counts as failing for that */
-  bool moved;      /* a silent engine was given up, which may be sound */
-  bool retry_due;  /* the next dispatch takes a retry from the budget */
-  struct sse sse;  /* parser of the current stream */
-  GString *buffer; /* an incomplete event */
-  bool can_resume; /* LAST_EVENT is valid */
+  bool streaming; /* the current response is passed on as a stream */
+  bool head_sent; /* the response head was sent to the caller */
+  bool silent;    /* the current engine is being waited for in silence */
+  bool suspected; /* and counts as failing for that */
+  bool moved;     /* a silent engine was given up, which may be sound */
+  bool retry_due; /* the next dispatch takes a retry from the budget */
+  /* Of a request that crashes servers, see blame.h.  */
+  GArray *features; /* uint64_t */
+  struct sse sse;   /* parser of the current stream */
+  GString *buffer;  /* an incomplete event */
+  bool can_resume;  /* LAST_EVENT is valid */
   uint64_t last_event;
   /* Version of the servers that may continue the stream; NULL: any.  */
   char *software;
@@ -134,6 +137,21 @@
    go on with it.  */
 void forward_record_origin (struct forward *forward);
 
+/* forward_quarantine.c */
+
+/* Called once the request was read.  */
+void forward_set_features (struct forward *forward);
+/* Refuses the request and returns true if it is likely to crash the server
+   that it is sent to.  */
+bool forward_reject_quarantined (struct forward *forward);
+/* The current attempt has ended.  */
+void forward_note_end (struct forward *forward,
+                       const struct httpc_result *result, bool refusal);
+/* The current server has responded.  */
+void forward_note_alive (struct forward *forward);
+/* The first event of the current response was passed on.  */
+void forward_note_answer (struct forward *forward);
+
 /* forward_answer.c */
 int64_t forward_on_silence (void *user);
 bool forward_may_reuse (void *user, long status);
--- a/src/frame.c
+++ b/src/frame.c
@@ -111,6 +111,15 @@
 static const struct schema load_schema
     = SCHEMA (struct peer_load, load_fields);
 
+static const struct field quarantine_fields[]
+    = { SCALAR (1, NUMBER, struct peer_quarantine, feature),
+        SCALAR (2, NUMBER, struct peer_quarantine, trials),
+        SCALAR (3, NUMBER, struct peer_quarantine, age_ms),
+        SCALAR (4, FLAG, struct peer_quarantine, known_good),
+        SCALAR (5, FLAG, struct peer_quarantine, released) };
+static const struct schema quarantine_schema
+    = SCHEMA (struct peer_quarantine, quarantine_fields);
+
 /* Key 0 is the type.  */
 static const struct field msg_fields[]
     = { SCALAR (1, NUMBER, struct peer_msg, id),
@@ -140,7 +149,9 @@
         ARRAY (25, struct peer_msg, strikes, strike_count, strike_schema),
         SCALAR (26, FLAG, struct peer_msg, relay),
         ARRAY (27, struct peer_msg, loads, load_count, load_schema),
-        SCALAR (28, NUMBER, struct peer_msg, list_version) };
+        SCALAR (28, NUMBER, struct peer_msg, list_version),
+        ARRAY (29, struct peer_msg, quarantines, quarantine_count,
+               quarantine_schema) };
 static const struct schema msg_schema = SCHEMA (struct peer_msg, msg_fields);
 
 static const void *
--- a/src/frame.h
+++ b/src/frame.h
@@ -47,7 +47,12 @@
                           service NAME and software TEXT; SINCE: time left,
                           ms */
   PEER_ORIGIN_REQUEST, /* which began with request SUBJECT? */
-  PEER_ORIGIN_REPLY    /* as PEER_ORIGIN; no NAME: the stream is unknown */
+  PEER_ORIGIN_REPLY,   /* as PEER_ORIGIN; no NAME: the stream is unknown */
+  PEER_CRASH,     /* an engine crashed: a strike for each feature of a request
+                     that ran there, see blame.h */
+  PEER_ALIVE,     /* the engine of a strike has not crashed */
+  PEER_ANSWERED,  /* a request with the fingerprint of a strike was answered */
+  PEER_QUARANTINE /* features whose requests are rejected, see quarantine.h */
 };
 
 struct peer_member
@@ -117,6 +122,15 @@
   bool cleared;    /* the request completed AGE_MS ago */
 };
 
+struct peer_quarantine
+{
+  uint64_t feature;
+  uint64_t trials;
+  uint64_t age_ms; /* since it was blamed, or the last trial */
+  bool known_good;
+  bool released; /* its requests are not rejected any more */
+};
+
 /* One message.  Only the fields of its type are set.  It owns its strings and
    arrays (g_malloc).  */
 struct peer_msg
@@ -157,6 +171,8 @@
   size_t strike_count;
   struct peer_load *loads;
   size_t load_count;
+  struct peer_quarantine *quarantines;
+  size_t quarantine_count;
 };
 
 /* Frees what MSG owns, not MSG itself.  */
--- a/src/gate.c
+++ b/src/gate.c
@@ -9,6 +9,7 @@
 #include "log.h"
 #include "origins.h"
 #include "planners.h"
+#include "quarantines.h"
 #include "ts.h"
 
 #define DRAIN_CHECK_MS 50
@@ -23,6 +24,7 @@
   struct service *listing;
   struct service *confpeer;
   struct service *origins;
+  struct service *quarantines;
   struct service *planners;
   struct service *gateway;
   struct loop_timer drain_timer;
@@ -59,6 +61,7 @@
   kernel_register (kernel, gate->listing = listing_new (&listing));
   kernel_register (kernel, gate->confpeer = confpeer_new ());
   kernel_register (kernel, gate->origins = origins_new ());
+  kernel_register (kernel, gate->quarantines = quarantines_new ());
   kernel_register (kernel,
                    gate->planners = planners_new (&gate->options.planners));
   kernel_register (kernel,
@@ -189,6 +192,7 @@
   kernel_stop (gate->core.kernel);
   gateway_free (gate->gateway);
   planners_free (gate->planners);
+  quarantines_free (gate->quarantines);
   origins_free (gate->origins);
   confpeer_free (gate->confpeer);
   listing_free (gate->listing);
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -381,6 +381,7 @@
   gateway->listing = listing_find (kernel);
   gateway->planners = planners_find (kernel);
   gateway->origins = origins_find (kernel);
+  gateway->quarantines = quarantines_find (kernel);
   client.loop = gateway->core->loop;
   gateway->httpc = httpc_new (&client);
   if (gateway->httpc == NULL)
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -17,6 +17,7 @@
 #include "loop.h"
 #include "origins.h"
 #include "pick.h"
+#include "quarantines.h"
 #include "reach.h"
 #include "retry.h"
 #include "servers.h"
@@ -35,6 +36,7 @@
   struct planners *planners;
   struct links *links;
   struct origins *origins;
+  struct quarantines *quarantines;
   struct httpc *httpc;
   struct httpd *front;
   struct httpd *directory;
