quarantine: keep evidence in the table, judge known parts later

Moments are now counted from their beginning; a part that had been answered before needs five crashes, not three moments; and a node that sees a second crash within a minute writes the evidence to its row of the table, which nodes read when they start and while they lack links.

--- a/src/blame.c
+++ b/src/blame.c
@@ -31,6 +31,7 @@
   unsigned crashes;
   unsigned moments;
   const struct crash *last; /* counted */
+  struct timespec moment;   /* begin of the last one */
   uint64_t fingerprint;     /* of the first request */
   bool several_requests;
   bool is_part;
@@ -317,10 +318,13 @@
   if (tally->last == crash)
     return;
   tally->crashes++;
-  tally->moments
-      += tally->last == NULL
-         || ts_before (ts_add_ms (tally->last->at, BLAME_SAME_CAUSE_MS),
-                       crash->at);
+  if (tally->last == NULL
+      || !ts_before (crash->at,
+                     ts_add_ms (tally->moment, BLAME_SAME_CAUSE_MS)))
+    {
+      tally->moments++;
+      tally->moment = crash->at;
+    }
   tally->last = crash;
 }
 
@@ -355,6 +359,18 @@
   return a->feature < b->feature;
 }
 
+static bool
+is_guilty (const struct judgment *judgment, const struct tally *tally)
+{
+  struct timespec answered_at
+      = blame_answered_at (judgment->blame, tally->feature);
+
+  if (tally->is_part && !tally->several_requests)
+    return false;
+  return tally->crashes >= BLAME_CRASHES
+         || (ts_is_zero (answered_at) && tally->moments >= BLAME_MOMENTS);
+}
+
 static uint64_t
 most_suspect (const struct judgment *judgment)
 {
@@ -364,8 +380,7 @@
 
   g_hash_table_iter_init (&iter, judgment->tallies);
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&tally))
-    if ((tally->moments >= BLAME_MOMENTS || tally->crashes >= BLAME_CRASHES)
-        && (!tally->is_part || tally->several_requests)
+    if (is_guilty (judgment, tally)
         && (worst == NULL || is_more_suspect (judgment, tally, worst)))
       worst = tally;
   return worst != NULL ? worst->feature : 0;
@@ -407,6 +422,16 @@
       g_ptr_array_remove_index (blame->crashes, i - 1);
 }
 
+size_t
+blame_crashes (const struct blame *blame, struct timespec since)
+{
+  size_t count = 0;
+
+  for (guint i = blame->crashes->len; i > 0; i--)
+    count += !ts_before (crash_at (blame, i - 1)->at, since);
+  return count;
+}
+
 struct timespec
 blame_next (const struct blame *blame, struct timespec now)
 {
--- a/src/blame.h
+++ b/src/blame.h
@@ -11,8 +11,9 @@
      broke), for BLAME_CONFIRM_MS;
    - the feature has not been answered since; and
    - no feature that was blamed before explains it.
-   Crashes within BLAME_SAME_CAUSE_MS may be the network's doing: together they
-   are one of BLAME_MOMENTS reasons, unless there are BLAME_CRASHES of them.
+   A feature that was never answered is blamed for crashes at BLAME_MOMENTS
+   different moments, since crashes within BLAME_SAME_CAUSE_MS may be the
+   network's doing, and any feature for BLAME_CRASHES.
    A part of a prompt is blamed only when different requests crashed with it,
    otherwise the request is.
 
@@ -26,8 +27,8 @@
 #include <stdint.h>
 #include <time.h>
 
-#define BLAME_MOMENTS 3          /* reasons needed, at different moments, */
-#define BLAME_CRASHES 5          /* or crashes needed in all */
+#define BLAME_MOMENTS 3 /* see above */
+#define BLAME_CRASHES 5
 #define BLAME_CONFIRM_MS 1000    /* until a crash counts */
 #define BLAME_SAME_CAUSE_MS 50   /* see above */
 #define BLAME_SAME_CRASH_MS 5000 /* reports on one server are one crash */
@@ -84,8 +85,10 @@
 /* Forgets the crashes that had FEATURE: it is sound again.  */
 void blame_forgive (struct blame *blame, uint64_t feature);
 
-/* When blame_find may give another result without a new event; zero: never.
- */
+/* Number of crashes since SINCE.  */
+size_t blame_crashes (const struct blame *blame, struct timespec since);
+
+/* When the next crash is confirmed; zero: all are.  */
 struct timespec blame_next (const struct blame *blame, struct timespec now);
 
 /* Calls EACH for every request of every crash.  */
--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -17,13 +17,19 @@
 {
   struct blame *blame;
   GHashTable *entries; /* feature -> struct entry */
+  struct timespec judges_from;
+  struct timespec judge_due; /* zero: no crash is left to be confirmed */
+  /* When the evidence of this node is to be stored; zero: it was.  */
+  struct timespec evidence_due;
+  bool evidence_stored; /* some of the last QUARANTINE_EVIDENCE_AGE_MS */
 };
 
 struct quarantine *
-quarantine_new (void)
+quarantine_new (struct timespec now)
 {
   struct quarantine *quarantine = g_new0 (struct quarantine, 1);
 
+  quarantine->judges_from = ts_add_ms (now, QUARANTINE_START_MS);
   quarantine->blame = blame_new ();
   quarantine->entries
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
@@ -188,6 +194,26 @@
       push_answered (quarantine, request->features[i], now, actions);
 }
 
+/* A report on a crash AT was added.  */
+static void
+judge_later (struct quarantine *quarantine, struct timespec at,
+             struct timespec now)
+{
+  struct timespec due = ts_max (now, ts_add_ms (at, BLAME_CONFIRM_MS));
+
+  due = ts_max (due, quarantine->judges_from);
+  if (ts_is_zero (quarantine->judge_due)
+      || ts_before (due, quarantine->judge_due))
+    quarantine->judge_due = due;
+}
+
+static void
+evidence_changed (struct quarantine *quarantine, struct timespec now)
+{
+  if (ts_is_zero (quarantine->evidence_due))
+    quarantine->evidence_due = ts_add_ms (now, QUARANTINE_EVIDENCE_MS);
+}
+
 void
 quarantine_crashed (struct quarantine *quarantine, uint64_t engine,
                     const struct blame_request *request, struct timespec now,
@@ -196,6 +222,8 @@
   if (!blame_crash (quarantine->blame, engine, request, now))
     return;
   set_request (push (actions, QUARANTINE_SEND_CRASH), engine, request);
+  judge_later (quarantine, now, now);
+  evidence_changed (quarantine, now);
   tell_answers (quarantine, request, now, actions);
 }
 
@@ -208,6 +236,8 @@
 
   if (!blame_alive (quarantine->blame, engine, sent_at, now))
     return;
+  if (quarantine->evidence_stored)
+    evidence_changed (quarantine, now);
   action = push (actions, QUARANTINE_SEND_ALIVE);
   action->engine = engine;
   action->age_ms = ts_to_ms (ts_sub (now, sent_at));
@@ -265,9 +295,12 @@
                            const struct blame_request *request, int64_t age_ms,
                            struct timespec now, struct action_list *actions)
 {
-  if (blame_crash (quarantine->blame, engine, request,
-                   ts_add_ms (now, -age_ms)))
-    tell_answers (quarantine, request, now, actions);
+  struct timespec at = ts_add_ms (now, -age_ms);
+
+  if (!blame_crash (quarantine->blame, engine, request, at))
+    return;
+  judge_later (quarantine, at, now);
+  tell_answers (quarantine, request, now, actions);
 }
 
 void
@@ -393,6 +426,39 @@
   return find_entry (user, feature) != NULL;
 }
 
+static void
+store_evidence (struct quarantine *quarantine, struct timespec now,
+                struct action_list *actions)
+{
+  struct timespec since = ts_add_ms (now, -QUARANTINE_EVIDENCE_AGE_MS);
+  bool enough = blame_crashes (quarantine->blame, since)
+                >= QUARANTINE_EVIDENCE_CRASHES;
+
+  if (ts_is_zero (quarantine->evidence_due)
+      || ts_before (now, quarantine->evidence_due))
+    return;
+  quarantine->evidence_due = (struct timespec){ 0 };
+  if (enough || quarantine->evidence_stored)
+    push (actions, QUARANTINE_STORE_EVIDENCE);
+  quarantine->evidence_stored = enough;
+}
+
+void
+quarantine_each_crash (const struct quarantine *quarantine,
+                       void (*each) (void *user, uint64_t engine,
+                                     const struct blame_request *request,
+                                     struct timespec at),
+                       void *user)
+{
+  blame_each (quarantine->blame, each, user);
+}
+
+struct timespec
+quarantine_answered_at (const struct quarantine *quarantine, uint64_t feature)
+{
+  return blame_answered_at (quarantine->blame, feature);
+}
+
 void
 quarantine_tick (struct quarantine *quarantine, struct timespec now,
                  struct action_list *actions)
@@ -400,6 +466,10 @@
   uint64_t feature;
 
   blame_expire (quarantine->blame, now);
+  store_evidence (quarantine, now, actions);
+  if (ts_before (now, quarantine->judges_from))
+    return;
+  quarantine->judge_due = blame_next (quarantine->blame, now);
   while ((feature
           = blame_find (quarantine->blame, is_quarantined, quarantine, now))
          != 0)
@@ -417,7 +487,11 @@
 }
 
 struct timespec
-quarantine_next (const struct quarantine *quarantine, struct timespec now)
+quarantine_next (const struct quarantine *quarantine)
 {
-  return blame_next (quarantine->blame, now);
+  if (ts_is_zero (quarantine->evidence_due))
+    return quarantine->judge_due;
+  if (ts_is_zero (quarantine->judge_due))
+    return quarantine->evidence_due;
+  return ts_min (quarantine->judge_due, quarantine->evidence_due);
 }
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -2,7 +2,9 @@
 
    The feature is found by blame.h from what all nodes see.  Every node judges
    by itself and adopts the judgment of the others.  A quarantined feature is
-   kept in the platform's table, for nodes that start or were cut off.
+   kept in the platform's table, for nodes that start or were cut off.  So is
+   the evidence while there are several crashes: all nodes may die before one
+   has judged, and nodes without links see only a part of it.
 
    A feature becomes sound again when a request with it is answered.  Requests
    that were sent before may do that; otherwise single trials, which a node
@@ -27,6 +29,13 @@
 #define QUARANTINE_TRIAL_MAX_MS 3600000
 #define QUARANTINE_CLAIM_MS 500 /* until a claim is decided */
 #define QUARANTINE_MAX 4096     /* features */
+/* A node that has just started may not know yet what was answered, and adopts
+   only the judgment of others.  */
+#define QUARANTINE_START_MS 2500
+#define QUARANTINE_EVIDENCE_MS 200    /* until evidence is kept */
+#define QUARANTINE_EVIDENCE_CRASHES 2 /* kept if there were so many, within   \
+                                       */
+#define QUARANTINE_EVIDENCE_AGE_MS 60000
 
 struct quarantine;
 
@@ -49,7 +58,8 @@
   QUARANTINE_STORE,         /* write a row unless there is one */
   QUARANTINE_CLAIM,         /* STATE.trials to be raised by one in the row, if
                                it has that value */
-  QUARANTINE_REMOVE         /* remove the row */
+  QUARANTINE_REMOVE,        /* remove the row */
+  QUARANTINE_STORE_EVIDENCE /* write what quarantine_each_crash tells */
 };
 
 /* NODE: recipient, "" for all; of the QUARANTINE_SEND_* actions.  */
@@ -64,7 +74,7 @@
   struct quarantine_state state;
 };
 
-struct quarantine *quarantine_new (void);
+struct quarantine *quarantine_new (struct timespec now);
 void quarantine_free (struct quarantine *quarantine);
 
 /* Index of the feature for which REQUEST must not be sent, or -1 if it may be.
@@ -89,7 +99,7 @@
                           const struct blame_request *request,
                           struct timespec now, struct action_list *actions);
 
-/* Messages from peers.  */
+/* Messages from peers, or rows.  */
 void quarantine_crash_received (struct quarantine *quarantine, uint64_t engine,
                                 const struct blame_request *request,
                                 int64_t age_ms, struct timespec now,
@@ -122,13 +132,23 @@
 void quarantine_store_all (struct quarantine *quarantine,
                            struct action_list *actions);
 
+/* Calls EACH for the requests of recent crashes.  */
+void quarantine_each_crash (const struct quarantine *quarantine,
+                            void (*each) (void *user, uint64_t engine,
+                                          const struct blame_request *request,
+                                          struct timespec at),
+                            void *user);
+
+/* When FEATURE was answered last, see blame_answered_at.  */
+struct timespec quarantine_answered_at (const struct quarantine *quarantine,
+                                        uint64_t feature);
+
 /* Number of quarantined features.  */
 unsigned quarantine_count (const struct quarantine *quarantine);
 
 /* Judges.  Due when a crash was reported, and at quarantine_next.  */
 void quarantine_tick (struct quarantine *quarantine, struct timespec now,
                       struct action_list *actions);
-struct timespec quarantine_next (const struct quarantine *quarantine,
-                                 struct timespec now);
+struct timespec quarantine_next (const struct quarantine *quarantine);
 
 #endif
--- a/src/quarantines.c
+++ b/src/quarantines.c
@@ -16,6 +16,10 @@
 #include "ts.h"
 
 #define TABLE "quarantine"
+/* Rows of evidence, one a node; the others are named by their feature.  */
+#define EVIDENCE_PREFIX "crashes:"
+#define EVIDENCE_CRASHES_MAX 8   /* in a row, the latest */
+#define EVIDENCE_REQUESTS_MAX 16 /* of one crash */
 #define JUDGE_JITTER_MS 200 /* so that one node judges before the others */
 
 struct quarantines
@@ -28,7 +32,7 @@
   struct loop_timer list_timer;
   struct loop_timer store_timer;
   unsigned store_failures;
-  struct timespec judges_from;
+  struct timespec judge_at; /* of JUDGE_TIMER; zero: not set */
   bool listed;
   bool listing; /* a list is in progress */
   unsigned list_failures;
@@ -133,25 +137,35 @@
 }
 
 static void
-write_row (struct call *call, uint64_t version, bool remove,
-           void (*done) (void *user, enum platform_status status,
-                         const struct platform_rows *rows))
+write_text (const struct quarantines *quarantines, const char *key,
+            const char *text, const struct platform_check *check,
+            struct platform_txn_cb cb)
 {
-  struct core *core = call->quarantines->core;
-  char *key = row_key (call->state.feature);
-  char *value = remove ? NULL : row_value (&call->state);
+  struct core *core = quarantines->core;
   char *token = core_unique_id (core);
-  struct platform_check check = { .key = key, .version = version };
-  struct platform_write write = { .key = key, .value = value };
+  struct platform_write write = { .key = key, .value = text };
   struct platform_txn txn = { .token = token,
-                              .checks = &check,
-                              .check_count = remove ? 0 : 1,
+                              .checks = check,
+                              .check_count = check != NULL,
                               .writes = &write,
                               .write_count = 1 };
-  struct platform_txn_cb cb = { .done = done, .user = call };
 
   core->platform->ops->txn (core->platform, &txn, cb);
   g_free (token);
+}
+
+/* Writes the row of the feature if it has VERSION.  */
+static void
+write_row (struct call *call, uint64_t version,
+           void (*done) (void *user, enum platform_status status,
+                         const struct platform_rows *rows))
+{
+  char *key = row_key (call->state.feature);
+  char *value = row_value (&call->state);
+  struct platform_check check = { .key = key, .version = version };
+  struct platform_txn_cb cb = { .done = done, .user = call };
+
+  write_text (call->quarantines, key, value, &check, cb);
   free (value);
   g_free (key);
 }
@@ -214,6 +228,16 @@
   g_free (call);
 }
 
+static void
+remove_row (struct call *call)
+{
+  char *key = row_key (call->state.feature);
+  struct platform_txn_cb cb = { .done = on_removed, .user = call };
+
+  write_text (call->quarantines, key, NULL, NULL, cb);
+  g_free (key);
+}
+
 static void
 on_claimed (void *user, enum platform_status status,
             const struct platform_rows *rows)
@@ -262,7 +286,7 @@
   else
     {
       call->state.trials++;
-      write_row (call, rows->rows[0].version, false, on_claimed);
+      write_row (call, rows->rows[0].version, on_claimed);
     }
 }
 
@@ -278,6 +302,159 @@
   g_free (key);
 }
 
+/* Evidence in the table.  */
+
+static json_t *
+hash_json (uint64_t hash)
+{
+  return json_sprintf ("%016" PRIx64, hash);
+}
+
+static uint64_t
+json_hash (const json_t *json)
+{
+  const char *text = json_string_value (json);
+
+  return text != NULL ? strtoull (text, NULL, 16) : 0;
+}
+
+/* The row in the making: [[ENGINE, AGE_MS, [FEATURE, ...]], ...] and the age
+   of the latest answer to each feature.  */
+struct evidence
+{
+  const struct quarantines *quarantines;
+  json_t *requests;
+  json_t *answered;
+};
+
+static int64_t
+age_ms (const struct quarantines *quarantines, struct timespec at)
+{
+  return ts_to_ms (ts_sub (quarantines_now (quarantines), at));
+}
+
+static void
+add_feature (struct evidence *evidence, json_t *features, uint64_t feature)
+{
+  struct timespec at
+      = quarantine_answered_at (evidence->quarantines->quarantine, feature);
+  json_t *text = hash_json (feature);
+
+  if (!ts_is_zero (at))
+    json_object_set_new (evidence->answered, json_string_value (text),
+                         json_integer (age_ms (evidence->quarantines, at)));
+  json_array_append_new (features, text);
+}
+
+static void
+add_request (void *user, uint64_t engine, const struct blame_request *request,
+             struct timespec at)
+{
+  struct evidence *evidence = user;
+  json_t *features = json_array ();
+
+  for (size_t i = 0; i < request->count; i++)
+    add_feature (evidence, features, request->features[i]);
+  json_array_append_new (
+      evidence->requests,
+      json_pack ("[o, I, o]", hash_json (engine),
+                 (json_int_t)age_ms (evidence->quarantines, at), features));
+  if (json_array_size (evidence->requests) > EVIDENCE_REQUESTS_MAX)
+    json_array_remove (evidence->requests, 0);
+}
+
+static char *
+evidence_key (const struct quarantines *quarantines)
+{
+  return g_strconcat (TABLE "/" EVIDENCE_PREFIX, quarantines->core->node,
+                      NULL);
+}
+
+/* A failure leaves the former row; the next crash writes it again.  */
+static void
+on_evidence_stored (void *user, enum platform_status status,
+                    const struct platform_rows *rows)
+{
+  (void)user;
+  (void)status;
+  (void)rows;
+}
+
+static void
+store_evidence (struct quarantines *quarantines)
+{
+  struct evidence evidence = { .quarantines = quarantines,
+                               .requests = json_array (),
+                               .answered = json_object () };
+  struct platform_txn_cb cb = { .done = on_evidence_stored };
+  char *key = evidence_key (quarantines);
+  json_t *json;
+  char *text;
+
+  quarantine_each_crash (quarantines->quarantine, add_request, &evidence);
+  json = json_pack ("{s:I, s:o, s:o}", "at_ms",
+                    (json_int_t)(ts_to_ns (clk_wall (quarantines->core->clk))
+                                 / TS_NS_PER_MS),
+                    "requests", evidence.requests, "answered",
+                    evidence.answered);
+  text = json_dumps (json, JSON_COMPACT);
+  write_text (quarantines, key, text, NULL, cb);
+  free (text);
+  json_decref (json);
+  g_free (key);
+}
+
+static void
+read_request (struct quarantines *quarantines, const json_t *row,
+              int64_t row_age_ms)
+{
+  uint64_t features[BLAME_FEATURES_MAX];
+  struct blame_request request = { .features = features };
+  const json_t *list = json_array_get (row, 2);
+  int64_t age = row_age_ms + json_integer_value (json_array_get (row, 1));
+  struct action_list actions;
+  const json_t *feature;
+  size_t i;
+
+  json_array_foreach (list, i, feature)
+    {
+      if (request.count < BLAME_FEATURES_MAX && json_hash (feature) != 0)
+        features[request.count++] = json_hash (feature);
+    }
+  if (request.count == 0 || age > QUARANTINE_EVIDENCE_AGE_MS)
+    return;
+  action_list_init (&actions);
+  quarantine_crash_received (quarantines->quarantine,
+                             json_hash (json_array_get (row, 0)), &request,
+                             age, quarantines_now (quarantines), &actions);
+  run_actions (quarantines, &actions);
+}
+
+/* The answers come first: without them the crash would be judged wrongly.  */
+static void
+read_evidence (struct quarantines *quarantines, const struct platform_row *row)
+{
+  json_t *json = json_loads (row->value, 0, NULL);
+  int64_t now_ms = ts_to_ns (clk_wall (quarantines->core->clk)) / TS_NS_PER_MS;
+  int64_t row_age_ms
+      = MAX (now_ms - json_integer_value (json_object_get (json, "at_ms")), 0);
+  json_t *answered = json_object_get (json, "answered");
+  const json_t *value;
+  const char *feature;
+  size_t i;
+
+  json_object_foreach (answered, feature, value)
+    quarantine_answered_received (quarantines->quarantine,
+                                  strtoull (feature, NULL, 16),
+                                  row_age_ms + json_integer_value (value),
+                                  quarantines_now (quarantines));
+  json_array_foreach (json_object_get (json, "requests"), i, value)
+    read_request (quarantines, value, row_age_ms);
+  if (!json_is_object (json))
+    badrow_log (TABLE, row->key, "expected an object");
+  json_decref (json);
+}
+
 /* Whether there is no link to some node, which may know more.  */
 static bool
 is_cut_off (const struct quarantines *quarantines)
@@ -294,6 +471,19 @@
   return false;
 }
 
+static void
+read_any_row (struct quarantines *quarantines, const struct platform_row *row)
+{
+  struct quarantine_state state;
+
+  if (row->value == NULL)
+    return;
+  if (g_str_has_prefix (row->key, EVIDENCE_PREFIX))
+    read_evidence (quarantines, row);
+  else if (read_row (row, &state))
+    adopt (quarantines, "", &state, "table");
+}
+
 static void
 on_list (void *user, enum platform_status status,
          const struct platform_changes *changes)
@@ -301,7 +491,6 @@
   struct quarantines *quarantines = user;
   struct timespec now = quarantines_now (quarantines);
   struct timespec next = ts_add_ms (now, QUARANTINES_POLL_MS);
-  struct quarantine_state state;
 
   quarantines->listing = false;
   quarantines->listed = quarantines->listed || status == PLATFORM_OK;
@@ -311,8 +500,7 @@
     next = backoff_retry_at (quarantines->list_failures++,
                              quarantines->core->rand, now);
   for (size_t i = 0; status == PLATFORM_OK && i < changes->count; i++)
-    if (changes->rows[i].value != NULL && read_row (&changes->rows[i], &state))
-      adopt (quarantines, "", &state, "table");
+    read_any_row (quarantines, &changes->rows[i]);
   loop_timer_set (quarantines->core->loop, &quarantines->list_timer, next);
 }
 
@@ -415,13 +603,16 @@
         log_state (quarantines, EVENT_FEATURE_RELEASED, state, "self");
       break;
     case QUARANTINE_STORE:
-      write_row (call_new (quarantines, state), 0, false, on_stored);
+      write_row (call_new (quarantines, state), 0, on_stored);
       break;
     case QUARANTINE_CLAIM:
       claim (quarantines, state);
       break;
     case QUARANTINE_REMOVE:
-      write_row (call_new (quarantines, state), 0, true, on_removed);
+      remove_row (call_new (quarantines, state));
+      break;
+    case QUARANTINE_STORE_EVIDENCE:
+      store_evidence (quarantines);
       break;
     }
 }
@@ -429,14 +620,15 @@
 static void
 set_judge_timer (struct quarantines *quarantines)
 {
-  struct timespec now = quarantines_now (quarantines);
-  struct timespec next = quarantine_next (quarantines->quarantine, now);
+  struct timespec next = quarantine_next (quarantines->quarantine);
 
-  if (ts_is_zero (next) || quarantines->judge_timer.slot != 0)
+  if (ts_is_zero (next)
+      || (!ts_is_zero (quarantines->judge_at)
+          && ts_before (quarantines->judge_at, next)))
     return;
-  next = ts_max (next, quarantines->judges_from);
   next = ts_add_ms (
       next, g_rand_int_range (quarantines->core->rand, 0, JUDGE_JITTER_MS));
+  quarantines->judge_at = next;
   loop_timer_set (quarantines->core->loop, &quarantines->judge_timer, next);
 }
 
@@ -461,6 +653,7 @@
                                - offsetof (struct quarantines, judge_timer));
   struct action_list list;
 
+  quarantines->judge_at = (struct timespec){ 0 };
   action_list_init (&list);
   quarantine_tick (quarantines->quarantine, quarantines_now (quarantines),
                    &list);
@@ -635,7 +828,7 @@
   quarantines->core = core_find (kernel);
   quarantines->links = links_find (kernel);
   now = quarantines_now (quarantines);
-  quarantines->judges_from = ts_add_ms (now, QUARANTINES_START_MS);
+  quarantines->quarantine = quarantine_new (now);
   quarantines->judge_timer.fire = on_judge_timer;
   quarantines->list_timer.fire = on_list_timer;
   quarantines->store_timer.fire = on_store_timer;
@@ -664,7 +857,6 @@
 
   quarantines->service.ops = &ops;
   quarantines->service.name = QUARANTINES_NAME;
-  quarantines->quarantine = quarantine_new ();
   return &quarantines->service;
 }
 
--- a/src/quarantines.h
+++ b/src/quarantines.h
@@ -14,10 +14,7 @@
 #include "kernel.h"
 
 #define QUARANTINES_NAME "quarantines"
-/* A node that has just started may not know yet what was answered, and adopts
-   only the judgment of others.  */
-#define QUARANTINES_START_MS 2500
-#define QUARANTINES_POLL_MS 2000 /* without links to all nodes */
+#define QUARANTINES_POLL_MS 1000 /* without links to all nodes */
 
 struct quarantines;
 
