--- a/src/blame.c
+++ b/src/blame.c
@@ -21,7 +21,8 @@
 struct answer
 {
   struct timespec at;
-  struct timespec told_at; /* the latest one that all nodes know */
+  struct timespec told_at;    /* the latest one that all nodes know */
+  struct timespec checked_at; /* by blame_tell_absolved */
 };
 
 /* What speaks against one feature.  */
@@ -218,23 +219,41 @@
     answer->told_at = ts_max (answer->told_at, at);
 }
 
-/* Whether some crash with FEATURE lies between the answers.  */
+/* Whether some crash with FEATURE lies after AFTER and not after the answer.
+ */
 static bool
 crashed_between (const struct blame *blame, uint64_t feature,
-                 const struct answer *answer)
+                 struct timespec after, const struct answer *answer)
 {
-  for (guint i = 0; i < blame->crashes->len; i++)
+  for (guint i = blame->crashes->len; i > 0; i--)
     {
-      const struct crash *crash = crash_at (blame, i);
+      const struct crash *crash = crash_at (blame, i - 1);
 
-      if (ts_before (answer->told_at, crash->at)
-          && !ts_before (answer->at, crash->at)
+      if (!ts_before (after, crash->at))
+        return false;
+      if (!ts_before (answer->at, crash->at)
           && crash_has_feature (crash, feature))
         return true;
     }
   return false;
 }
 
+bool
+blame_tell_absolved (struct blame *blame, uint64_t feature)
+{
+  struct answer *answer = g_hash_table_lookup (blame->answered, &feature);
+  bool tell;
+
+  if (answer == NULL)
+    return false;
+  tell = crashed_between (
+      blame, feature, ts_max (answer->told_at, answer->checked_at), answer);
+  answer->checked_at = answer->at;
+  if (tell)
+    answer->told_at = answer->at;
+  return tell;
+}
+
 bool
 blame_tell (struct blame *blame, uint64_t feature)
 {
@@ -242,7 +261,7 @@
 
   if (answer == NULL
       || (!ts_before (ts_add_ms (answer->told_at, BLAME_TELL_MS), answer->at)
-          && !crashed_between (blame, feature, answer)))
+          && !crashed_between (blame, feature, answer->told_at, answer)))
     return false;
   answer->told_at = answer->at;
   return true;
--- a/src/blame.h
+++ b/src/blame.h
@@ -68,9 +68,11 @@
 void blame_answered (struct blame *blame, uint64_t feature, struct timespec at,
                      bool told);
 
-/* Whether the other nodes have to learn when FEATURE was answered: they know
-   of no answer after some crash that had it, or only of one long before.  If
-   so, they count as told.  */
+/* Whether the other nodes have to learn when FEATURE was answered; if so they
+   count as told.  blame_tell_absolved: only if it was answered after a crash,
+   and they know of no answer since.  blame_tell: also if they may not know
+   that it was answered at all, or only long before.  */
+bool blame_tell_absolved (struct blame *blame, uint64_t feature);
 bool blame_tell (struct blame *blame, uint64_t feature);
 
 /* When FEATURE was answered last; zero: not within BLAME_MEMORY_MS.  */
--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -260,7 +260,7 @@
       uint64_t feature = request->features[i];
 
       blame_answered (quarantine->blame, feature, now, false);
-      if (blame_tell (quarantine->blame, feature))
+      if (blame_tell_absolved (quarantine->blame, feature))
         push_answered (quarantine, feature, now, actions);
       if (find_entry (quarantine, feature) == NULL)
         continue;
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -32,9 +32,10 @@
 /* A node that has just started may not know yet what was answered, and adopts
    only the judgment of others.  */
 #define QUARANTINE_START_MS 2500
-#define QUARANTINE_EVIDENCE_MS 200    /* until evidence is kept */
-#define QUARANTINE_EVIDENCE_CRASHES 2 /* kept if there were so many, within   \
-                                       */
+#define QUARANTINE_EVIDENCE_MS 200 /* until evidence is kept */
+#define QUARANTINE_EVIDENCE_CRASHES                                           \
+  2 /* kept if there were so many, within                                     \
+     */
 #define QUARANTINE_EVIDENCE_AGE_MS 60000
 
 struct quarantine;
