tests: a node without links learns of a quarantine from the table

test_gate_quarantine /table: a node that starts with another peer token rejects the bad part at once. gate_second takes the store's address and the token.

--- a/tests/gate_second.h
+++ b/tests/gate_second.h
@@ -6,7 +6,7 @@
 
 #include "gate_fixture.h"
 
-/* A second node, which cannot reach the store.  */
+/* A second node.  */
 struct second
 {
   struct settings settings;
@@ -45,11 +45,14 @@
   return peer;
 }
 
+/* ADDRESS: of the store.  A node with another TOKEN than the fixture's
+   gate gets no link to it.  */
 static void
-start_second (struct fixture *f, struct second *second)
+start_second_at (struct fixture *f, struct second *second, const char *address,
+                 const char *token)
 {
   struct httpc_options http = { .loop = f->loop };
-  struct store_options store = { .address = "127.0.0.1:1" };
+  struct store_options store = { .address = address };
   struct gate_options options = { .clk = clk_monotonic (),
                                   .loop = f->loop,
                                   .settings = &second->settings,
@@ -68,7 +71,7 @@
   second->settings.region = g_strdup ("r");
   second->settings.seeds = peer_address_from_store (f);
   second->settings.peer_address = g_strdup ("127.0.0.1");
-  second->settings.peer_token = g_strdup (f->settings.peer_token);
+  second->settings.peer_token = g_strdup (token);
   second->settings.entry_ttl_s = 1;
   second->settings.loads_at_once = 4;
   options.platform = second->platform;
@@ -82,6 +85,13 @@
   g_assert_cmpint (gate_new (&options, &second->gate), ==, 0);
 }
 
+/* Starts a node that cannot reach the store.  */
+static inline void
+start_second (struct fixture *f, struct second *second)
+{
+  start_second_at (f, second, "127.0.0.1:1", f->settings.peer_token);
+}
+
 static void
 stop_second (struct second *second)
 {
--- a/tests/test_gate_quarantine.c
+++ b/tests/test_gate_quarantine.c
@@ -163,10 +163,47 @@
   tear_down_engines (&f);
 }
 
+/* Guards against nodes that start, or have no link to the others, and crash
+   engines of their own before they know.  */
+static void
+test_table (void)
+{
+  struct fixture f;
+  struct second second;
+  struct gate *first;
+  char *store;
+  unsigned before;
+
+  set_up_engines (&f);
+  store = g_strdup_printf ("127.0.0.1:%u", httpd_port (f.store));
+  while (crashes < CRASHES)
+    {
+      send_prompt (&f, "bad");
+      send_prompt (&f, "good");
+    }
+  run_for (&f, STABILITY_MS);
+  start_second_at (&f, &second, store, "another-secret");
+  wait_until_second_serves (&f, &second);
+  first = f.gate;
+  f.gate = second.gate;
+  before = at_engines;
+  send_prompt (&f, "bad");
+  g_assert_cmpint (f.status, ==, 503);
+  g_assert_nonnull (f.retry_after);
+  send_prompt (&f, "good");
+  g_assert_cmpint (f.status, ==, 200);
+  g_assert_cmpuint (at_engines, ==, before);
+  f.gate = first;
+  stop_second (&second);
+  tear_down_engines (&f);
+  g_free (store);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/gate-quarantine/part", test_part);
+  g_test_add_func ("/gate-quarantine/table", test_table);
   return g_test_run ();
 }
