tests: processes play answers without length, cut streams, bad prompts

The engines of test_processes respond without a length or chunks, end streams inside an event, and end themselves on a part of a prompt; the callers check that a whole stream has its last event, and the record that at most three bad requests are sent late and sound streams are served.

--- a/tests/process_engine.h
+++ b/tests/process_engine.h
@@ -2,7 +2,9 @@
    process of its own, with one thread per connection.
 
    It appends a line to the record for each request that arrives ("A") and for
-   each that it runs ("R"): kind, time in ms, request id, instance id.  */
+   each that it runs ("R"): kind, time in ms, request id, instance id.  A
+   request whose prompt has the part "bad" ends the process when its answer is
+   due, with a line "C".  */
 
 #ifndef PROCESS_ENGINE_H
 #define PROCESS_ENGINE_H
@@ -29,17 +31,20 @@
 /* Percentages of the requests.  */
 struct engine_faults
 {
-  int lose;   /* run, then close the connection without a response */
-  int reset;  /* run, then reset the connection */
-  int full;   /* refuse with 503 */
-  int fail;   /* run, then respond with an error, without saying "not run" */
-  int hang;   /* run for longer than any deadline */
-  int close;  /* close the connection after the response, without notice */
-  int repeat; /* send the last response of the connection once more, just
-                 before the next one */
+  int lose;     /* run, then close the connection without a response */
+  int reset;    /* run, then reset the connection */
+  int full;     /* refuse with 503 */
+  int fail;     /* run, then respond with an error, without saying "not run" */
+  int hang;     /* run for longer than any deadline */
+  int close;    /* close the connection after the response, without notice */
+  int repeat;   /* send the last response of the connection once more, just
+                   before the next one */
+  int unframed; /* respond without a length or chunks */
+  int partial;  /* end a stream inside an event */
 };
 
-#define ENGINE_FAULTS_FORMAT "%d,%d,%d,%d,%d,%d,%d"
+#define ENGINE_FAULTS_FORMAT "%d,%d,%d,%d,%d,%d,%d,%d,%d"
+#define ENGINE_EXIT_CRASH 70
 
 struct engine_process
 {
@@ -68,6 +73,7 @@
   char expected[64];
   unsigned resume_after;
   bool stream;
+  bool bad;
 };
 
 static int64_t
@@ -180,35 +186,68 @@
   request->resume_after = (unsigned)strtoul (text, NULL, 10);
   request->stream
       = strstr (head, " /long/") != NULL || strstr (head, " /cut/") != NULL;
+  request->bad = strstr (head, ",bad:") != NULL;
 }
 
+static bool
+drawn (struct engine_connection *connection, int percent)
+{
+  return rand_r (&connection->seed) % 100 < percent;
+}
+
+/* Returns whether the connection is kept.  */
 static bool
 respond (struct engine_connection *connection,
          const struct engine_request *request, const char *status,
          const char *extra)
 {
+  bool unframed = drawn (connection, connection->engine->faults.unframed);
+  char length[64] = "";
   char text[HEAD_MAX];
-  int n = snprintf (text, sizeof text,
-                    "HTTP/1.1 %s\r\nContent-Length: %zu\r\n%s"
-                    "Parsleyrill-Request-Id: %s\r\n\r\n%s",
-                    status, strlen (request->id), extra, request->id,
-                    request->id);
-
+  int n;
+
+  if (!unframed)
+    snprintf (length, sizeof length, "Content-Length: %zu\r\n",
+              strlen (request->id));
+  n = snprintf (text, sizeof text,
+                "HTTP/1.1 %s\r\n%s%sParsleyrill-Request-Id: %s\r\n\r\n%s",
+                status, length, extra, request->id, request->id);
   if (!send_all (connection->fd, text, (size_t)n))
     return false;
   memcpy (connection->last, text, (size_t)n + 1);
-  return true;
+  return !unframed;
 }
 
+static bool
+send_event (struct engine_connection *connection, const char *event, size_t n,
+            bool unframed)
+{
+  char text[128];
+  int size;
+
+  if (unframed)
+    return send_all (connection->fd, event, n);
+  size = snprintf (text, sizeof text, "%x\r\n%.*s\r\n", (unsigned)n, (int)n,
+                   event);
+  return send_all (connection->fd, text, (size_t)size);
+}
+
+/* Returns whether the connection is kept.  */
 static bool
 respond_events (struct engine_connection *connection,
                 const struct engine_request *request)
 {
+  const struct engine_faults *faults = &connection->engine->faults;
+  bool unframed = drawn (connection, faults->unframed);
+  unsigned last = drawn (connection, faults->partial)
+                      ? 1 + (unsigned)rand_r (&connection->seed) % EVENTS
+                      : 0;
   char text[HEAD_MAX];
   int n = snprintf (text, sizeof text,
                     "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-                    "Transfer-Encoding: chunked\r\nParsleyrill-Response-Seal: "
-                    "s\r\nParsleyrill-Request-Id: %s\r\n\r\n",
+                    "%sParsleyrill-Response-Seal: s\r\n"
+                    "Parsleyrill-Request-Id: %s\r\n\r\n",
+                    unframed ? "" : "Transfer-Encoding: chunked\r\n",
                     request->id);
 
   connection->last[0] = '\0';
@@ -217,20 +256,17 @@
   for (unsigned i = request->resume_after + 1; i <= EVENTS; i++)
     {
       char event[64];
-      int size = snprintf (event, sizeof event, "id: %u\ndata: x\n\n", i);
+      size_t size
+          = (size_t)snprintf (event, sizeof event, "id: %u\ndata: x\n\n", i);
 
-      n = snprintf (text, sizeof text, "%x\r\n%s\r\n", (unsigned)size, event);
-      if (!send_all (connection->fd, text, (size_t)n))
+      if (!send_event (connection, event, i == last ? size - 4 : size,
+                       unframed))
         return false;
+      if (i == last)
+        break;
       sleep_ms (EVENT_INTERVAL_MS);
     }
-  return send_all (connection->fd, "0\r\n\r\n", 5);
-}
-
-static bool
-drawn (struct engine_connection *connection, int percent)
-{
-  return rand_r (&connection->seed) % 100 < percent;
+  return !unframed && send_all (connection->fd, "0\r\n\r\n", 5);
 }
 
 static void
@@ -260,6 +296,12 @@
   record_line (connection->engine->record, 'R', "%s %s", request->id,
                connection->engine->id);
   sleep_ms (5 + rand_r (&connection->seed) % 30);
+  if (request->bad)
+    {
+      record_line (connection->engine->record, 'C', "%s %s", request->id,
+                   connection->engine->id);
+      _exit (ENGINE_EXIT_CRASH);
+    }
   if (drawn (connection, faults->hang))
     sleep_ms (2500);
   if (drawn (connection, faults->lose))
@@ -356,7 +398,7 @@
 
   sscanf (argv[6], ENGINE_FAULTS_FORMAT, &faults->lose, &faults->reset,
           &faults->full, &faults->fail, &faults->hang, &faults->close,
-          &faults->repeat);
+          &faults->repeat, &faults->unframed, &faults->partial);
   for (;;)
     {
       struct engine_connection *connection;
--- a/tests/test_processes.c
+++ b/tests/test_processes.c
@@ -27,6 +27,8 @@
 #define LATE_RUNS_MS 1000
 #define BUDGET_RATIO 0.2
 #define BUDGET_WINDOW_S 10
+#define STABILITY_MS 3000
+#define BAD_LATE_MAX 3 /* requests with the bad part that reach engines */
 
 /* Percentages of the ticks.  */
 struct process_faults
@@ -51,6 +53,9 @@
                           the slack from its start */
   int pause_ms;        /* longest pause of a caller between requests */
   unsigned answered_min; /* percent of the requests */
+  /* Percent of the streams whose prompts have the part that crashes engines.
+   */
+  int bad;
 };
 
 struct child
@@ -245,9 +250,9 @@
   char *port = g_strdup_printf ("%d", ENGINE_PORT);
   char *slots = g_strdup_printf ("%d", p->options->slots);
   char *seed = g_strdup_printf ("%u", g_rand_int (p->rand) % 1000000);
-  char *faults
-      = g_strdup_printf (ENGINE_FAULTS_FORMAT, f->lose, f->reset, f->full,
-                         f->fail, f->hang, f->close, f->repeat);
+  char *faults = g_strdup_printf (ENGINE_FAULTS_FORMAT, f->lose, f->reset,
+                                  f->full, f->fail, f->hang, f->close,
+                                  f->repeat, f->unframed, f->partial);
   char *argv[] = { (char *)program, (char *)"engine",
                    address,         port,
                    child->id,       p->record_path,
@@ -345,9 +350,9 @@
 static const char *const kind_paths[] = { "safe", "once", "cut", "long" };
 
 /* Waits for the response until DEADLINE; returns its status, 0 without
-   one.  */
+   one.  *SHORT_: it is a whole stream that lacks its last event.  */
 static int
-read_response (int fd, int64_t deadline, bool *keep)
+read_response (int fd, int64_t deadline, bool *keep, bool *short_)
 {
   char input[HEAD_MAX];
   size_t length = 0;
@@ -383,6 +388,9 @@
         break;
     }
   *keep = strstr (input, "Connection: close") == NULL;
+  *short_
+      = chunked
+        && strstr (blank, "id: " G_STRINGIFY (EVENTS) "\ndata: x\n\n") == NULL;
   return atoi (input + strlen ("HTTP/1.1 "));
 }
 
@@ -393,16 +401,23 @@
   int deadline_ms = 300 + rand_r (&caller->seed) % 1500;
   bool leaves = rand_r (&caller->seed) % 100 < 5;
   int record = caller->processes->record;
+  bool bad = kind >= KIND_CUT
+             && rand_r (&caller->seed) % 100 < caller->processes->options->bad;
+  bool short_ = false;
   char id[32];
+  char *prompt;
   char *text;
   bool keep;
   int status;
 
-  g_snprintf (id, sizeof id, "%u-%u", caller->number, n);
+  g_snprintf (id, sizeof id, "%s%u-%u", bad ? "bad" : "", caller->number, n);
+  prompt = g_strdup_printf ("Parsleyrill-Prompt-Prefix: aa:9,%s:9,%u:9\r\n",
+                            bad ? "bad" : "bb", n * CALLERS + caller->number);
   text = g_strdup_printf (
       "%s /%s/x HTTP/1.1\r\nHost: h.example\r\nParsleyrill-Request-Id: %s\r\n"
-      "Parsleyrill-Deadline-Ms: %d\r\n%s\r\n%s",
+      "Parsleyrill-Deadline-Ms: %d\r\n%s%s\r\n%s",
       kind == KIND_ONCE ? "POST" : "GET", kind_paths[kind], id, deadline_ms,
+      kind >= KIND_CUT ? prompt : "",
       kind == KIND_ONCE ? "Content-Length: 4\r\n" : "",
       kind == KIND_ONCE ? "body" : "");
   record_line (record, 'S', "%s %d", id, (int)kind);
@@ -410,10 +425,11 @@
     deadline_ms = rand_r (&caller->seed) % 60;
   keep = send_all (caller->fd, text, strlen (text));
   status = keep ? read_response (caller->fd, process_now_ms () + deadline_ms,
-                                 &keep)
+                                 &keep, &short_)
                 : 0;
-  record_line (record, 'E', "%s %d", id, status);
+  record_line (record, short_ ? 'X' : 'E', "%s %d", id, status);
   g_free (text);
+  g_free (prompt);
   if (!keep || status == 0 || rand_r (&caller->seed) % 8 == 0)
     {
       close (caller->fd);
@@ -520,6 +536,9 @@
   struct child *child = &p->engines[i];
 
   resume_child (child, now);
+  if (child->start_at == 0
+      && waitpid (child->pid, NULL, WNOHANG) == child->pid)
+    child->start_at = now + g_rand_int_range (p->rand, 300, 1500);
   if (child->start_at != 0 && now >= child->start_at)
     {
       if (child->remove_at != 0)
@@ -580,6 +599,7 @@
 {
   int kind;
   int status;
+  long long sent; /* ms */
   unsigned arrivals;
   unsigned runs;
 };
@@ -594,8 +614,25 @@
   unsigned refused_runs;
   unsigned double_runs;
   unsigned over_budget; /* most repeats above the limit, in any window */
+  unsigned shortened;   /* whole streams without their last event */
+  unsigned crashes;     /* by the bad part */
+  long long fifth;      /* time of the fifth of these, ms; 0: none */
+  unsigned bad_late;    /* arrivals of bad requests from STABILITY_MS after */
+  unsigned sound;       /* sound streams sent from twice that after */
+  unsigned sound_answered;
 };
 
+static void
+read_bad_line (struct totals *totals, char kind, const char *id,
+               long long time)
+{
+  if (kind == 'C' && ++totals->crashes == 5)
+    totals->fifth = time;
+  if (kind == 'A' && g_str_has_prefix (id, "bad") && totals->fifth != 0
+      && time > totals->fifth + STABILITY_MS)
+    totals->bad_late++;
+}
+
 static void
 read_line (struct totals *totals, const char *line)
 {
@@ -617,10 +654,13 @@
   if (kind == 'S')
     {
       request->kind = value;
+      request->sent = time;
       g_array_append_val (totals->sent, time);
     }
-  if (kind == 'E')
+  if (kind == 'E' || kind == 'X')
     request->status = value;
+  totals->shortened += kind == 'X';
+  read_bad_line (totals, kind, id, time);
   if (kind == 'A' && request->arrivals++ > 0)
     g_array_append_val (totals->repeats, time);
   if (kind == 'R')
@@ -633,6 +673,18 @@
   return status == 429 || status == 503 || status == 408 || status == 421;
 }
 
+static void
+check_sound (const char *id, const struct request_record *request,
+             struct totals *totals)
+{
+  if (request->kind < KIND_CUT || g_str_has_prefix (id, "bad")
+      || totals->fifth == 0
+      || request->sent <= totals->fifth + 2 * STABILITY_MS)
+    return;
+  totals->sound++;
+  totals->sound_answered += request->status == 200;
+}
+
 static void
 check_request (const char *id, const struct request_record *request,
                struct totals *totals)
@@ -641,6 +693,7 @@
     totals->answered++;
   if (promises_not_run (request->status))
     totals->refused++;
+  check_sound (id, request, totals);
   if (request->kind != KIND_ONCE && request->kind != KIND_CUT)
     return;
   if (promises_not_run (request->status) && request->runs > 0)
@@ -691,6 +744,20 @@
     }
 }
 
+static void
+check_bad (const struct processes *p, const struct totals *totals)
+{
+  if (p->options->bad == 0)
+    return;
+  g_test_message ("%u engines crashed, %u bad requests sent late, %u of %u "
+                  "sound streams answered",
+                  totals->crashes, totals->bad_late, totals->sound_answered,
+                  totals->sound);
+  g_assert_cmpuint (totals->crashes, >=, 3);
+  g_assert_cmpuint (totals->bad_late, <=, BAD_LATE_MAX);
+  g_assert_cmpuint (totals->sound_answered * 2, >=, totals->sound);
+}
+
 static void
 check_record (struct processes *p)
 {
@@ -724,6 +791,8 @@
   g_assert_cmpuint (totals.double_runs, ==, 0);
   g_assert_cmpuint (totals.refused_runs, ==, 0);
   g_assert_cmpuint (totals.over_budget, ==, 0);
+  g_assert_cmpuint (totals.shortened, ==, 0);
+  check_bad (p, &totals);
   g_strfreev (lines);
   g_free (text);
   g_array_unref (totals.sent);
@@ -953,12 +1022,45 @@
   run_processes (&options, 4);
 }
 
+/* Guards against streams that end inside an event, and are passed on as whole
+   ones; responses without length and chunks are passed on.  */
+static void
+test_framing (void)
+{
+  static const struct process_case options
+      = { .engine = { .unframed = 30, .partial = 10 },
+          .process = { .kill_engine = 4 },
+          .engines = 4,
+          .run_ms = 4000,
+          .slots = 64,
+          .budget_slack = 54,
+          .pause_ms = 20 };
+
+  run_processes (&options, 9);
+}
+
+/* Guards against a part of prompts that crashes one engine after the other,
+   while nodes restart.  */
+static void
+test_bad_part (void)
+{
+  static const struct process_case options = { .process = { .kill_gate = 2 },
+                                               .engines = 4,
+                                               .run_ms = 12000,
+                                               .slots = 64,
+                                               .budget_slack = 54,
+                                               .pause_ms = 60,
+                                               .bad = 20 };
+
+  run_processes (&options, 10);
+}
+
 /* All faults at once, for runs by hand.  */
 static void
 test_all (void)
 {
   static const struct process_case options
-      = { .engine = { 3, 3, 10, 2, 2, 10, 3 },
+      = { .engine = { 3, 3, 10, 2, 2, 10, 3, 10, 3 },
           .process = { .kill_engine = 4,
                        .stop_engine = 4,
                        .kill_gate = 3,
@@ -970,7 +1072,8 @@
           .slots = 8,
           .budget_slack = 54,
           .budget_window_s = BUDGET_WINDOW_S,
-          .pause_ms = 60 };
+          .pause_ms = 60,
+          .bad = 2 };
   const char *seeds = g_getenv ("PROCESS_SEEDS");
   unsigned count = seeds != NULL ? (unsigned)atoi (seeds) : 0;
 
@@ -997,6 +1100,8 @@
   g_test_add_func ("/processes/stopped", test_stopped);
   g_test_add_func ("/processes/retries-after-restarts",
                    test_retries_after_restarts);
+  g_test_add_func ("/processes/framing", test_framing);
+  g_test_add_func ("/processes/bad-part", test_bad_part);
   g_test_add_func ("/processes/all", test_all);
   return g_test_run ();
 }
