httpc: a body that ends with its connection needs a living server

The kernel ends the connections of a process that dies, so a body without length and chunks looked complete wherever its server was killed.

The client now opens a connection to such a server before it reports the end: if that is refused, or reset and then refused, the call ends with -ECONNRESET.

/gate-framing/server-died failed before (a stream of two events was whole for its caller) and passes now.

--- a/src/httpc.c
+++ b/src/httpc.c
@@ -11,6 +11,7 @@
 #include <unistd.h>
 #include <curl/curl.h>
 #include <glib.h>
+#include "probe.h"
 #include "ts.h"
 
 #define DEFAULT_MAX_CONNECTIONS 256L
@@ -58,6 +59,7 @@
   struct curl_slist *headers;
   struct httpc_request request;
   struct loop_timer idle_timer;
+  struct probe probe; /* of the server, after a body without a length */
   char *body;
   GString *collected;
   enum httpc_phase phase;
@@ -91,6 +93,7 @@
 call_free (struct httpc_call *call)
 {
   loop_timer_clear (call->httpc->loop, &call->idle_timer);
+  probe_cancel (&call->probe);
   CK_LIST_REMOVE (call, link);
   curl_multi_remove_handle (call->httpc->multi, call->easy);
   curl_easy_cleanup (call->easy);
@@ -243,6 +246,32 @@
   curl_multi_add_handle (multi, call->easy);
 }
 
+static void
+on_probed (struct probe *probe, bool refused)
+{
+  struct httpc_call *call
+      = (struct httpc_call *)((char *)probe
+                              - offsetof (struct httpc_call, probe));
+
+  finish (call, refused ? CURLE_RECV_ERROR : CURLE_OK);
+}
+
+/* The kernel also ends the connections of a process that dies, so such a body
+   is complete only if its server is still there.  */
+static void
+probe_server (struct httpc_call *call)
+{
+  struct loop *loop = call->httpc->loop;
+  char *address = NULL;
+  long port = 0;
+
+  loop_timer_clear (loop, &call->idle_timer);
+  curl_easy_getinfo (call->easy, CURLINFO_PRIMARY_IP, &address);
+  curl_easy_getinfo (call->easy, CURLINFO_PRIMARY_PORT, &port);
+  probe_start (&call->probe, loop, address != NULL ? address : "",
+               (uint16_t)port, on_probed);
+}
+
 static void
 finish_completed (struct httpc *httpc)
 {
@@ -259,6 +288,8 @@
       curl_easy_getinfo (msg->easy_handle, CURLINFO_PRIVATE, &call);
       if (call->broken)
         restart_on_new_connection (call);
+      else if (code == CURLE_OK && has_body_until_close (call))
+        probe_server (call);
       else
         finish (call, code);
     }
--- a/src/httpc.h
+++ b/src/httpc.h
@@ -9,6 +9,10 @@
    line: -ECONNRESET) and closes the connection.  The limits hold without being
    set; a body that is passed to body_cb is not limited.
 
+   A body without a length or chunks ends with its connection.  If nobody
+   listens at the server's address then, it died, and the call ends with
+   -ECONNRESET.
+
    A request is sent at most once.  When a reused connection turns out to be
    broken, the call ends with -ECONNRESET in phase HTTPC_SENT.
 
--- a/tests/flood_server.h
+++ b/tests/flood_server.h
@@ -97,6 +97,10 @@
     FLOOD_OK ("1.1") FLOOD_EVENTS
     "Transfer-Encoding: chunked\r\n\r\n2d\r\n" FLOOD_PARTIAL "\r\n0\r\n\r\n",
     "" },
+  { "between",
+    FLOOD_OK ("1.1") FLOOD_EVENTS "\r\nid: 1\ndata: x1\n\nid: 2\ndata: x2\n\n",
+    "" },
+  { "text-begun", FLOOD_OK ("1.1") "\r\nhe", "" },
   { "no-event", FLOOD_OK ("1.1") FLOOD_EVENTS "\r\n", "" },
   { "text", FLOOD_OK ("1.1") "\r\nhello", "" },
   { "text-1.0", FLOOD_OK ("1.0") "\r\nhello", "" },
@@ -115,6 +119,7 @@
   GThread *acceptor;
   GPtrArray *threads; /* GThread */
   size_t bytes_max;   /* sent on one connection */
+  bool dies;          /* it listens no more when it has read a request */
   gint requests;      /* atomic */
   gint exhausted;     /* atomic: connections on which all bytes were sent */
 };
@@ -242,6 +247,8 @@
       const struct flood *flood = flood_find (strchr (head, ' ') + 1);
 
       g_atomic_int_inc (&connection->server->requests);
+      if (connection->server->dies)
+        shutdown (connection->server->fd, SHUT_RDWR);
       if (!flood_begin (connection->fd, flood, head))
         ;
       else if (flood->repeat != NULL && *flood->repeat != '\0')
--- a/tests/test_gate_framing.c
+++ b/tests/test_gate_framing.c
@@ -16,7 +16,7 @@
 };
 
 static void
-check_framing (const struct framing_case *c)
+check_framing (const struct framing_case *c, bool dies)
 {
   struct fixture f;
   struct flood_server server;
@@ -28,6 +28,7 @@
 
   g_test_message ("/%s/%s", c->route, c->name);
   set_up_servers (&f, &server);
+  server.dies = dies;
   before = reach_flood (&f, &server, c->route, c->name, whole);
   g_assert_cmpint (f.error, ==, c->error);
   g_assert_cmpint (f.status, ==, c->status);
@@ -40,7 +41,7 @@
 
 #define CHECK_FRAMING(cases)                                                  \
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)                           \
-  check_framing (&cases[i])
+  check_framing (&cases[i], false)
 
 /* A stream that ended inside an event was passed on as complete.  */
 static void
@@ -120,6 +121,23 @@
   CHECK_FRAMING (cases);
 }
 
+/* A body without length and chunks was passed on as complete when its server
+   died: the kernel ends the connection then.  */
+static void
+test_server_died (void)
+{
+  static const char begun[] = EVENT (1) EVENT (2);
+  static const struct framing_case cases[] = {
+    { "long", "between", 0, 200, events, 1 },
+    { "cut", "between", -EPIPE, 200, begun, 0 },
+    { "safe", "text-begun", 0, 200, "hello", 1 },
+    { "once", "text-begun", 0, 502, NULL, 0 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    check_framing (&cases[i], true);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -129,5 +147,6 @@
   g_test_add_func ("/gate-framing/no-event", test_no_event);
   g_test_add_func ("/gate-framing/length-overflow", test_length_overflow);
   g_test_add_func ("/gate-framing/until-close", test_until_close);
+  g_test_add_func ("/gate-framing/server-died", test_server_died);
   return g_test_run ();
 }
