quarantine: a refused reconnect after a request was sent is a crash

When a reused connection breaks before the response, libcurl opens another one, which a crashed server refuses.

--- a/src/forward_quarantine.c
+++ b/src/forward_quarantine.c
@@ -70,12 +70,14 @@
 }
 
 /* Whether the server may have crashed because of the request, which it has not
-   begun to answer.  */
+   begun to answer.  When a reused connection breaks, libcurl opens another
+   one, which a server that has crashed refuses.  */
 static bool
 may_have_crashed (const struct forward *forward,
                   const struct httpc_result *result)
 {
-  return (result->error == -ECONNRESET || result->error == -EPIPE)
+  return (result->error == -ECONNRESET || result->error == -EPIPE
+          || result->error == -ECONNREFUSED)
          && result->phase != HTTPC_UNSENT && forward->replacement == NULL
          && forward->sse.events == 0;
 }
