quarantines: rows in a module of their own, room for a storm's evidence

quarantine_row formats and parses, without I/O; quarantines_table calls the table, quarantines.c the peers. No other change of behaviour.

--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -1,7 +1,10 @@
 /* Tests what the quarantine blames, and how a feature becomes sound again.  */
 
+#include <stdlib.h>
+#include <string.h>
 #include <glib.h>
 #include "quarantine.h"
+#include "quarantine_row.h"
 #include "ts.h"
 
 enum
@@ -344,6 +347,58 @@
   quarantine_free (quarantine);
 }
 
+/* Guards against evidence that is lost, or too large for a row, when all nodes
+   restart before one has judged.  */
+static void
+test_evidence (void)
+{
+  struct quarantine *before = new_quarantine ();
+  struct quarantine *after = new_quarantine ();
+  struct platform_row row = { 0 };
+  struct action_list actions;
+
+  answer (before, SHARED, OTHER, -500);
+  for (int i = 0; i < 400; i++)
+    crash (before, BAD, SHARED, i * 100);
+  row.key = quarantine_evidence_key ("n1");
+  row.value = quarantine_evidence_text (before, at_ms (40000), 7000);
+  g_assert_true (quarantine_is_evidence (&row));
+  g_assert_cmpuint (strlen (row.value), <, 65536);
+  action_list_init (&actions);
+  quarantine_evidence_read (&row, after, at_ms (90000), 9000, &actions);
+  action_list_clear (&actions);
+  tick (after, 91000);
+  g_assert_true (rejects (after, BAD, 91000));
+  g_assert_false (rejects (after, SHARED, 91000));
+  free (row.value);
+  g_free (row.key);
+  quarantine_free (before);
+  quarantine_free (after);
+}
+
+/* Rows of other writers are ignored.  */
+static void
+test_rows (void)
+{
+  struct quarantine_state state
+      = { .feature = BAD, .trials = 2, .known_good = true };
+  struct quarantine_state read;
+  struct platform_row row = { .key = quarantine_row_key (BAD) };
+
+  row.value = quarantine_row_text (&state);
+  g_assert_true (quarantine_row_read (&row, &read));
+  g_assert_cmpuint (read.feature, ==, BAD);
+  g_assert_cmpuint (read.trials, ==, 2);
+  g_assert_true (read.known_good);
+  g_assert_false (quarantine_is_evidence (&row));
+  free (row.value);
+  row.value = (char *)"[1]";
+  g_assert_false (quarantine_row_read (&row, &read));
+  row.value = (char *)"{";
+  g_assert_false (quarantine_row_read (&row, &read));
+  g_free (row.key);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -357,5 +412,7 @@
   g_test_add_func ("/quarantine/trial", test_trial);
   g_test_add_func ("/quarantine/release", test_release);
   g_test_add_func ("/quarantine/new-node", test_new_node);
+  g_test_add_func ("/quarantine/evidence", test_evidence);
+  g_test_add_func ("/quarantine/rows", test_rows);
   return g_test_run ();
 }
