quarantine: remember answers to fingerprints only after a crash

Each request has a fingerprint of its own, so at 100 requests a second the memory of answers (10 minutes, 65,536 features) would have been emptied every 11 minutes, with what is known of shared parts. A fingerprint is now remembered only if it was in some crash.

--- a/src/blame.c
+++ b/src/blame.c
@@ -219,6 +219,15 @@
     answer->told_at = ts_max (answer->told_at, at);
 }
 
+bool
+blame_suspects (const struct blame *blame, uint64_t feature)
+{
+  for (guint i = 0; i < blame->crashes->len; i++)
+    if (crash_has_feature (crash_at (blame, i), feature))
+      return true;
+  return false;
+}
+
 /* Whether some crash with FEATURE lies after AFTER and not after the answer.
  */
 static bool
--- a/src/blame.h
+++ b/src/blame.h
@@ -68,6 +68,9 @@
 void blame_answered (struct blame *blame, uint64_t feature, struct timespec at,
                      bool told);
 
+/* Whether FEATURE was in some crash.  */
+bool blame_suspects (const struct blame *blame, uint64_t feature);
+
 /* Whether the other nodes have to learn when FEATURE was answered; if so they
    count as told.  blame_tell_absolved: only if it was answered after a crash,
    and they know of no answer since.  blame_tell: also if they may not know
--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -259,7 +259,9 @@
     {
       uint64_t feature = request->features[i];
 
-      blame_answered (quarantine->blame, feature, now, false);
+      /* Most fingerprints never come again.  */
+      if (i > 0 || blame_suspects (quarantine->blame, feature))
+        blame_answered (quarantine->blame, feature, now, false);
       if (blame_tell_absolved (quarantine->blame, feature))
         push_answered (quarantine, feature, now, actions);
       if (find_entry (quarantine, feature) == NULL)
--- a/src/quarantine_row.c
+++ b/src/quarantine_row.c
@@ -190,6 +190,17 @@
                                &request, age, now, actions);
 }
 
+static void
+read_answered (void *item, int64_t row_age_ms, struct quarantine *quarantine,
+               struct timespec now)
+{
+  int64_t age
+      = row_age_ms + json_integer_value (json_object_iter_value (item));
+
+  quarantine_answered_received (
+      quarantine, strtoull (json_object_iter_key (item), NULL, 16), age, now);
+}
+
 /* The answers come first: without them the crashes would be judged wrongly.
  */
 void
@@ -202,16 +213,16 @@
       wall_ms - json_integer_value (json_object_get (json, "at_ms")), 0);
   json_t *answered = json_object_get (json, "answered");
   const json_t *value;
-  const char *feature;
   size_t i;
 
   if (!json_is_object (json))
     badrow_log (QUARANTINE_TABLE, row->key, "expected an object");
-  json_object_foreach (answered, feature, value)
-    quarantine_answered_received (quarantine, strtoull (feature, NULL, 16),
-                                  row_age_ms + json_integer_value (value),
-                                  now);
+  for (void *item = json_object_iter (answered); item != NULL;
+       item = json_object_iter_next (answered, item))
+    read_answered (item, row_age_ms, quarantine, now);
   json_array_foreach (json_object_get (json, "requests"), i, value)
-    read_request (value, row_age_ms, quarantine, now, actions);
+    {
+      read_request (value, row_age_ms, quarantine, now, actions);
+    }
   json_decref (json);
 }
