quarantine: a trial is sent

The request that was let through as a trial was checked again when it was routed, found no trial left and was rejected, so a part never became sound again by a trial.

The verdict now says that it is a trial, and the request stays admitted until it is dispatched once. /gate-quarantine/trial: a part that was sound crashes five engines and is then sound again; with the admission taken out it ends with 503, with it the trial is answered after 3 s and all requests after it.

--- a/src/forward_quarantine.c
+++ b/src/forward_quarantine.c
@@ -54,17 +54,20 @@
 forward_reject_quarantined (struct forward *forward)
 {
   struct blame_request request = request_features (forward);
-  int64_t retry_ms = 0;
-  int at
-      = quarantines_check (forward->gateway->quarantines, &request, &retry_ms);
+  struct quarantine_verdict verdict;
   char *why;
 
-  if (at < 0)
+  if (forward->on_trial)
     return false;
-  why = at == 0
+  verdict = quarantines_check (forward->gateway->quarantines, &request);
+  forward->on_trial = verdict.trial;
+  if (verdict.rejected_for < 0)
+    return false;
+  why = verdict.rejected_for == 0
             ? g_strdup ("the request crashes servers")
-            : g_strdup_printf ("part %d of the prompt crashes servers", at);
-  forward_fail (forward, why, retry_ms);
+            : g_strdup_printf ("part %d of the prompt crashes servers",
+                               verdict.rejected_for);
+  forward_fail (forward, why, verdict.retry_ms);
   g_free (why);
   return true;
 }
--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -277,6 +277,7 @@
   struct timespec now = forward_now (forward);
 
   forward_dequeue (forward);
+  forward->on_trial = false;
   route_engine_unref (forward->engine);
   forward->engine = engine;
   forward->dispatches++;
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -67,6 +67,7 @@
   bool retry_due; /* the next dispatch takes a retry from the budget */
   /* Of a request that crashes servers, see blame.h.  */
   GArray *features; /* uint64_t */
+  bool on_trial;    /* it may be dispatched once, though quarantined */
   struct sse sse;   /* parser of the current stream */
   GString *buffer;  /* an incomplete event */
   bool can_resume;  /* LAST_EVENT is valid */
--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -154,22 +154,28 @@
   return false;
 }
 
-int
+struct quarantine_verdict
 quarantine_check (struct quarantine *quarantine,
                   const struct blame_request *request, struct timespec now,
-                  int64_t *retry_ms, struct action_list *actions)
+                  struct action_list *actions)
 {
+  struct quarantine_verdict verdict = { .rejected_for = -1 };
+
   for (size_t i = 0; i < request->count; i++)
     {
       struct entry *entry = find_entry (quarantine, request->features[i]);
 
-      if (entry == NULL || takes_trial (entry, now, actions))
+      if (entry == NULL)
+        continue;
+      verdict.trial = takes_trial (entry, now, actions);
+      if (verdict.trial)
         continue;
-      *retry_ms = MAX (ts_to_ms (ts_sub (entry->trial_at, now)),
-                       QUARANTINE_CLAIM_MS);
-      return (int)i;
+      verdict.rejected_for = (int)i;
+      verdict.retry_ms = MAX (ts_to_ms (ts_sub (entry->trial_at, now)),
+                              QUARANTINE_CLAIM_MS);
+      break;
     }
-  return -1;
+  return verdict;
 }
 
 static void
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -78,11 +78,17 @@
 struct quarantine *quarantine_new (struct timespec now);
 void quarantine_free (struct quarantine *quarantine);
 
-/* Index of the feature for which REQUEST must not be sent, or -1 if it may be.
- *RETRY_MS is the time until it may be tried again.  */
-int quarantine_check (struct quarantine *quarantine,
-                      const struct blame_request *request, struct timespec now,
-                      int64_t *retry_ms, struct action_list *actions);
+struct quarantine_verdict
+{
+  int rejected_for; /* index of a feature; -1: the request may be sent */
+  bool trial;       /* it may be sent once, as a trial */
+  int64_t retry_ms; /* if it is rejected: time until a trial */
+};
+
+struct quarantine_verdict
+quarantine_check (struct quarantine *quarantine,
+                  const struct blame_request *request, struct timespec now,
+                  struct action_list *actions);
 
 /* REQUEST ran on ENGINE, the hash of a server's id, and its connection broke
    before an answer began.  */
--- a/src/quarantines.c
+++ b/src/quarantines.c
@@ -186,20 +186,18 @@
 
 /* Requests.  */
 
-int
+struct quarantine_verdict
 quarantines_check (struct quarantines *quarantines,
-                   const struct blame_request *request, int64_t *retry_ms)
+                   const struct blame_request *request)
 {
+  struct quarantine_verdict verdict;
   struct action_list list;
-  int at;
 
-  if (quarantine_count (quarantines->quarantine) == 0)
-    return -1;
   action_list_init (&list);
-  at = quarantine_check (quarantines->quarantine, request,
-                         quarantines_now (quarantines), retry_ms, &list);
+  verdict = quarantine_check (quarantines->quarantine, request,
+                              quarantines_now (quarantines), &list);
   quarantines_run (quarantines, &list);
-  return at;
+  return verdict;
 }
 
 void
--- a/src/quarantines.h
+++ b/src/quarantines.h
@@ -12,6 +12,7 @@
 #include <time.h>
 #include "blame.h"
 #include "kernel.h"
+#include "quarantine.h"
 
 #define QUARANTINES_NAME "quarantines"
 #define QUARANTINES_POLL_MS 1000 /* without links to all nodes */
@@ -22,10 +23,10 @@
 void quarantines_free (struct service *service);
 struct quarantines *quarantines_find (struct kernel *kernel);
 
-/* Index of the feature for which REQUEST must not be sent, or -1; see
-   quarantine_check.  */
-int quarantines_check (struct quarantines *quarantines,
-                       const struct blame_request *request, int64_t *retry_ms);
+/* See quarantine_check.  */
+struct quarantine_verdict
+quarantines_check (struct quarantines *quarantines,
+                   const struct blame_request *request);
 
 /* REQUEST was sent to server ID, and its connection broke before an answer
    began.  */
--- a/tests/prop_quarantine.cc
+++ b/tests/prop_quarantine.cc
@@ -374,12 +374,12 @@
     struct blame_request request
         = { run.features.data (), run.features.size () };
     struct action_list list;
-    int64_t retry_ms;
     bool rejected;
 
     action_list_init (&list);
     rejected = quarantine_check (nodes[run.node].quarantine, &request, now (),
-                                 &retry_ms, &list)
+                                 &list)
+                   .rejected_for
                >= 0;
     run_actions (run.node, &list);
     if (rejected)
--- a/tests/test_gate_quarantine.c
+++ b/tests/test_gate_quarantine.c
@@ -2,6 +2,7 @@
 
 #include "gate_fixture.h"
 #include "gate_second.h"
+#include "quarantine.h"
 
 #define EVENT(n) "id: " #n "\ndata: x" #n "\n\n"
 #define ENGINES 6u
@@ -14,6 +15,7 @@
 static GHashTable *crashed;  /* set of ids */
 static unsigned crashes;
 static unsigned at_engines; /* requests with the bad part */
+static bool mended;         /* the bad part crashes no engine now */
 
 static void
 list_engine (struct fixture *f)
@@ -50,6 +52,7 @@
   bool bad = prompt != NULL && strstr (prompt, "bad:") != NULL;
 
   at_engines += bad;
+  bad = bad && !mended;
   if (prompt == NULL)
     answer (request, 200, "hello");
   else if (g_hash_table_contains (crashed, id))
@@ -99,6 +102,7 @@
   crashed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   crashes = 0;
   at_engines = 0;
+  mended = false;
   set_up (f);
   wait_until_serving (f);
   put_row (f, "servers/i-1", NULL);
@@ -199,11 +203,44 @@
   g_free (store);
 }
 
+/* A part that crashes engines no more was rejected for good: the request that
+   was let through as a trial was rejected a moment later.  */
+static void
+test_trial (void)
+{
+  struct timespec end;
+  struct fixture f;
+
+  set_up_engines (&f);
+  mended = true;
+  send_prompt (&f, "bad");
+  g_assert_cmpint (f.status, ==, 200);
+  mended = false;
+  while (crashes < CRASHES)
+    send_prompt (&f, "bad");
+  do
+    send_prompt (&f, "bad");
+  while (f.status != 503);
+  mended = true;
+  end = ts_add_ms (loop_now (f.loop), 2 * QUARANTINE_RETRIAL_MS);
+  do
+    {
+      run_for (&f, 100);
+      send_prompt (&f, "bad");
+    }
+  while (f.status != 200 && ts_before (loop_now (f.loop), end));
+  g_assert_cmpint (f.status, ==, 200);
+  send_prompt (&f, "bad");
+  g_assert_cmpint (f.status, ==, 200);
+  tear_down_engines (&f);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/gate-quarantine/part", test_part);
   g_test_add_func ("/gate-quarantine/table", test_table);
+  g_test_add_func ("/gate-quarantine/trial", test_trial);
   return g_test_run ();
 }
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -52,12 +52,11 @@
 {
   struct blame_request one = { .features = &feature, .count = 1 };
   struct action_list actions;
-  int64_t retry_ms;
   bool rejected;
 
   action_list_init (&actions);
   rejected
-      = quarantine_check (quarantine, &one, at_ms (ms), &retry_ms, &actions)
+      = quarantine_check (quarantine, &one, at_ms (ms), &actions).rejected_for
         >= 0;
   action_list_clear (&actions);
   return rejected;
@@ -252,12 +251,11 @@
   uint64_t feature = BAD;
   struct blame_request one = { .features = &feature, .count = 1 };
   struct action_list actions;
-  int64_t retry_ms;
 
   action_list_init (&actions);
   g_assert_cmpint (
-      quarantine_check (quarantine, &one, at_ms (ms), &retry_ms, &actions), ==,
-      0);
+      quarantine_check (quarantine, &one, at_ms (ms), &actions).rejected_for,
+      ==, 0);
   return count (&actions, QUARANTINE_CLAIM);
 }
 
