--- a/src/forward_log.c
+++ b/src/forward_log.c
@@ -1,3 +1,4 @@
+#include <inttypes.h>
 #include <string.h>
 #include "forward_state.h"
 #include "histo.h"
@@ -146,6 +147,18 @@
   g_free (parts);
 }
 
+/* As in FEATURE_QUARANTINED, of which it is the feature if the whole request
+   crashes servers.  */
+static void
+log_fingerprint (const struct forward *forward, struct log_line *line)
+{
+  char text[17];
+
+  g_snprintf (text, sizeof text, "%016" PRIx64,
+              forward_fingerprint (forward));
+  log_str (line, "fingerprint", text);
+}
+
 void
 forward_log_failed (struct forward *forward, const struct httpc_result *result)
 {
@@ -163,6 +176,7 @@
   log_double (&line, "silent_ms",
               to_ms (ts_sub (forward_now (forward), forward->heard_at)));
   log_extent (forward, &line, result);
+  log_fingerprint (forward, &line);
   log_shared_parts (forward, &line);
   log_end (&line);
 }
--- a/src/forward_quarantine.c
+++ b/src/forward_quarantine.c
@@ -42,6 +42,12 @@
     }
 }
 
+uint64_t
+forward_fingerprint (const struct forward *forward)
+{
+  return g_array_index (forward->features, uint64_t, 0);
+}
+
 static struct blame_request
 request_features (const struct forward *forward)
 {
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -142,6 +142,8 @@
 
 /* Called once the request was read.  */
 void forward_set_features (struct forward *forward);
+/* The feature that stands for the whole request.  */
+uint64_t forward_fingerprint (const struct forward *forward);
 /* Refuses the request and returns true if it is likely to crash the server
    that it is sent to.  */
 bool forward_reject_quarantined (struct forward *forward);
