quarantine: an error of the server does not make a request sound

A request that crashed servers was sent on and on if one of them answered it with status 500 now and then: any signed answer made all features of the request sound, released them, and forgot the crashes before it. A server that fails early has not got to what crashes the others.

Now only an answer below 500 counts. An answer with an error still shows that its server is alive.

--- a/src/forward_answer.c
+++ b/src/forward_answer.c
@@ -5,7 +5,6 @@
 #include "ts.h"
 
 #define SILENCE_CHECK_MIN_MS 200 /* between looks for a replacement */
-#define SERVER_ERROR 500         /* lowest status of a server error */
 #define FULL_RETRY_AFTER_MS 200  /* time for a full server to free a slot */
 
 static void
@@ -394,7 +393,7 @@
 retry_server_error (const struct forward *forward,
                     const struct httpc_result *result)
 {
-  return result->status >= SERVER_ERROR && !forward->head_sent
+  return result->status >= FORWARD_SERVER_ERROR && !forward->head_sent
          && may_retry (forward)
          && retry_withdraw (forward->gateway->retry, forward->service->name);
 }
--- a/src/forward_log.c
+++ b/src/forward_log.c
@@ -154,8 +154,7 @@
 {
   char text[17];
 
-  g_snprintf (text, sizeof text, "%016" PRIx64,
-              forward_fingerprint (forward));
+  g_snprintf (text, sizeof text, "%016" PRIx64, forward_fingerprint (forward));
   log_str (line, "fingerprint", text);
 }
 
--- a/src/forward_quarantine.c
+++ b/src/forward_quarantine.c
@@ -91,6 +91,17 @@
          && forward->sse.events == 0;
 }
 
+/* A server that answers with an error may fail before it gets to what crashes
+   the others.  */
+static bool
+was_answered (const struct forward *forward, const struct httpc_result *result,
+              bool refusal)
+{
+  return result->error == 0 && !refusal
+         && result->status < FORWARD_SERVER_ERROR && forward->answer.id_matches
+         && forward->answer.signed_by_server;
+}
+
 void
 forward_note_end (struct forward *forward, const struct httpc_result *result,
                   bool refusal)
@@ -100,8 +111,7 @@
   if (may_have_crashed (forward, result))
     quarantines_crashed (forward->gateway->quarantines, forward->engine->id,
                          &request);
-  else if (result->error == 0 && !refusal && forward->answer.id_matches
-           && forward->answer.signed_by_server)
+  else if (was_answered (forward, result, refusal))
     quarantines_answered (forward->gateway->quarantines, &request);
 }
 
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -18,6 +18,7 @@
 #include "stall.h"
 
 #define FORWARD_DISPATCHES_MAX 6 /* to servers, including refused ones */
+#define FORWARD_SERVER_ERROR 500 /* lowest status of a server error */
 
 enum forward_state
 {
