quarantine: a request is the same with another query

A request that came with another query each time was never known: 21 sends 3 s after the third crash where 3 are allowed. The users say what a request has in common with its repetitions: path, caller and body.

A request with a query has one more feature: its hash without it. Like a part of a prompt it is blamed only if different requests crashed with it, and it is sound as long as some are answered, so that /list?page=2 costs /list?page=1 nothing.

Crashes of a part are another moment also within 50 ms if one request went on from the first server to the next: one event on the network cannot have broken both connections. Without that, four crashes of two requests were one moment.

--- a/src/blame.c
+++ b/src/blame.c
@@ -105,6 +105,15 @@
   return false;
 }
 
+static bool
+has_request (const struct crash *crash, uint64_t fingerprint)
+{
+  for (guint i = 0; i < crash->requests->len; i++)
+    if (feature_at (request_at (crash, i), 0) == fingerprint)
+      return true;
+  return false;
+}
+
 /* Recording.  */
 
 static struct crash *
@@ -137,16 +146,6 @@
   return crash;
 }
 
-static bool
-is_known_request (const struct crash *crash,
-                  const struct blame_request *request)
-{
-  for (guint i = 0; i < crash->requests->len; i++)
-    if (feature_at (request_at (crash, i), 0) == request->features[0])
-      return true;
-  return false;
-}
-
 bool
 blame_crash (struct blame *blame, uint64_t engine,
              const struct blame_request *request, struct timespec at)
@@ -158,7 +157,7 @@
     return false;
   if (crash == NULL)
     crash = add_crash (blame, engine, at);
-  if (is_known_request (crash, request)
+  if (has_request (crash, request->features[0])
       || crash->requests->len == BLAME_REQUESTS_MAX)
     return false;
   features = g_array_new (FALSE, FALSE, sizeof (uint64_t));
@@ -329,6 +328,32 @@
     tally->several_requests = true;
 }
 
+/* Whether a request with FEATURE went on from BEFORE to the server of CRASH,
+   so that one event on the network cannot have broken both connections.  */
+static bool
+is_sent_on (const struct crash *before, const struct crash *crash,
+            uint64_t feature)
+{
+  for (guint i = 0; i < crash->requests->len; i++)
+    {
+      const GArray *request = request_at (crash, i);
+
+      if (has_feature (request, feature)
+          && has_request (before, feature_at (request, 0)))
+        return true;
+    }
+  return false;
+}
+
+static bool
+is_new_moment (const struct tally *tally, const struct crash *crash)
+{
+  return tally->last == NULL
+         || !ts_before (crash->at,
+                        ts_add_ms (tally->moment, BLAME_SAME_CAUSE_MS))
+         || is_sent_on (tally->last, crash, tally->feature);
+}
+
 static void
 count_feature (struct judgment *judgment, const struct crash *crash,
                const GArray *request, guint position)
@@ -346,9 +371,7 @@
   if (tally->last == crash)
     return;
   tally->crashes++;
-  if (tally->last == NULL
-      || !ts_before (crash->at,
-                     ts_add_ms (tally->moment, BLAME_SAME_CAUSE_MS)))
+  if (is_new_moment (tally, crash))
     {
       tally->moments++;
       tally->moment = crash->at;
--- a/src/blame.h
+++ b/src/blame.h
@@ -1,22 +1,23 @@
 /* blame - finds out what requests had in common that were running on backend
    servers when these crashed.
 
-   A request is known by its features: its fingerprint, and the parts that its
-   prompt shares with others.  A feature that crashes servers is found in the
-   requests of each crash and is never answered, while sound features of the
-   same requests are answered elsewhere.
+   A request is known by its features: its fingerprint, what is left of it
+   without its query, and the parts that its prompt shares with others.  A
+   feature that crashes servers is found in the requests of each crash and is
+   never answered, while sound features of the same requests are answered
+   elsewhere.
 
    A crash is a reason to blame a feature only if
    - the server has not answered a later request since (then only a connection
      broke), for BLAME_CONFIRM_MS;
    - the feature has not been answered since; and
    - no feature that was blamed before explains it.
-   A request is blamed for BLAME_REQUEST_CRASHES.  They may come within a few
-   milliseconds: it is sent on from one server to the next.
+   A request is blamed for BLAME_REQUEST_CRASHES.
    A part of a prompt is blamed only when different requests crashed with it.
    One that was never answered is blamed for crashes at BLAME_MOMENTS different
-   moments, since crashes of many requests within BLAME_SAME_CAUSE_MS may be
-   the network's doing, and any part for BLAME_CRASHES.
+   moments, and any part for BLAME_CRASHES.  Crashes within BLAME_SAME_CAUSE_MS
+   are one moment, since they may be the network's doing, unless one request
+   went on from the first server to the next.
 
    Does no I/O.  One thread.  Copies what it is given.  */
 
@@ -43,8 +44,8 @@
    so much earlier.  */
 #define BLAME_TELL_MS 10000
 
-/* Features of a request, none of them 0: first its fingerprint, then the parts
-   of its prompt from the first to the last shared one.  */
+/* Features of a request, none of them 0: first its fingerprint, then the
+   others, here all called parts, from the most common to the rarest.  */
 struct blame_request
 {
   const uint64_t *features;
--- a/src/forward_quarantine.c
+++ b/src/forward_quarantine.c
@@ -10,17 +10,20 @@
                       : seed;
 }
 
-/* Of all that a caller repeats when it sends a request again.  */
+/* Of all that a caller repeats when it sends a request again, with the query
+   or without.  The id, the deadline and how the body is framed differ.  */
 static uint64_t
-fingerprint (const struct forward *forward)
+hash_request (const struct forward *forward, bool with_query)
 {
   const struct httpd_request *request = forward->request;
+  const char *uri = httpd_uri (request);
+  size_t uri_length = with_query ? strlen (uri) : strcspn (uri, "?");
   size_t length;
   const void *body = httpd_body (request, &length);
   uint64_t hash = hash_text (httpd_method (request), forward->parsed.prompt);
 
   hash = hash_text (httpd_header (request, "Host"), hash);
-  hash = hash_text (httpd_uri (request), hash);
+  hash = XXH3_64bits_withSeed (uri, uri_length, hash);
   hash = hash_text (forward->target, hash);
   return XXH3_64bits_withSeed (body, length, hash) | 1;
 }
@@ -29,10 +32,17 @@
 forward_set_features (struct forward *forward)
 {
   char **part = forward->parsed.shared_parts;
-  uint64_t feature = fingerprint (forward);
+  uint64_t feature = hash_request (forward, true);
 
   forward->features = g_array_new (FALSE, FALSE, sizeof feature);
+  forward->whole_features = 1;
   g_array_append_val (forward->features, feature);
+  if (strchr (httpd_uri (forward->request), '?') != NULL)
+    {
+      feature = hash_request (forward, false);
+      g_array_append_val (forward->features, feature);
+      forward->whole_features++;
+    }
   for (; part != NULL && *part != NULL
          && forward->features->len < BLAME_FEATURES_MAX;
        part++)
@@ -69,10 +79,11 @@
   forward->on_trial = verdict.trial;
   if (verdict.rejected_for < 0)
     return false;
-  why = verdict.rejected_for == 0
+  why = verdict.rejected_for < forward->whole_features
             ? g_strdup ("the request crashes servers")
             : g_strdup_printf ("part %d of the prompt crashes servers",
-                               verdict.rejected_for);
+                               verdict.rejected_for - forward->whole_features
+                                   + 1);
   forward_fail (forward, why, verdict.retry_ms);
   g_free (why);
   return true;
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -67,11 +67,13 @@
   bool moved;     /* a silent engine was given up, which may be sound */
   bool retry_due; /* the next dispatch takes a retry from the budget */
   /* Of a request that crashes servers, see blame.h.  */
-  GArray *features; /* uint64_t */
-  bool on_trial;    /* it may be dispatched once, though quarantined */
-  struct sse sse;   /* parser of the current stream */
-  GString *buffer;  /* an incomplete event */
-  bool can_resume;  /* LAST_EVENT is valid */
+  GArray *features;   /* uint64_t */
+  int whole_features; /* the first of FEATURES, which are no parts of the
+                         prompt */
+  bool on_trial;      /* it may be dispatched once, though quarantined */
+  struct sse sse;     /* parser of the current stream */
+  GString *buffer;    /* an incomplete event */
+  bool can_resume;    /* LAST_EVENT is valid */
   uint64_t last_event;
   /* Version of the servers that may continue the stream; NULL: any.  */
   char *software;
