log: a server's limit for all nodes is read and logged

Server-Limit stands beside Server-Leaving and Retry-After in the notice that a response gives about its server, and is not passed on to callers. A node logs a change of it (313 SERVER_LIMIT). Nothing acts on it yet: what was seen of LIMIT could not be told from the log.

--- a/src/backend.h
+++ b/src/backend.h
@@ -110,9 +110,11 @@
 /* What a response of a server says about the server itself.  */
 struct backend_notice
 {
-  bool leaving;     /* it is about to exit */
-  int64_t pause_ms; /* it wants nothing from this node for so long; 0: not
-                       said */
+  bool leaving;       /* it is about to exit */
+  int64_t pause_ms;   /* it wants nothing from this node for so long; 0: not
+                         said */
+  double limit_per_s; /* requests a second that it takes from all nodes
+                         together; 0: no limit; negative: not known */
 };
 
 struct backend_ops
--- a/src/forward_answer.c
+++ b/src/forward_answer.c
@@ -24,6 +24,9 @@
   if (!forward->answer.not_available && !forward->engine->gone)
     listing_server_notice (gateway->listing, forward->engine->id,
                            &forward->answer.notice);
+  if (forward->answer.id_matches)
+    ratelimits_heard (gateway->ratelimits, forward->engine->id,
+                      &forward->answer.notice);
   if (forward->answer.has_load)
     servers_report_load (listing_servers (gateway->listing),
                          forward->engine->id, forward->answer.running,
--- a/src/gate.c
+++ b/src/gate.c
@@ -10,6 +10,7 @@
 #include "origins.h"
 #include "planners.h"
 #include "quarantines.h"
+#include "ratelimits.h"
 #include "ts.h"
 
 #define DRAIN_CHECK_MS 50
@@ -22,6 +23,7 @@
   struct gate_options options;
   struct service *links;
   struct service *listing;
+  struct service *ratelimits;
   struct service *confpeer;
   struct service *origins;
   struct service *quarantines;
@@ -59,6 +61,7 @@
   core_register (&gate->core);
   kernel_register (kernel, gate->links = links_new ());
   kernel_register (kernel, gate->listing = listing_new (&listing));
+  kernel_register (kernel, gate->ratelimits = ratelimits_new ());
   kernel_register (kernel, gate->confpeer = confpeer_new ());
   kernel_register (kernel, gate->origins = origins_new ());
   kernel_register (kernel, gate->quarantines = quarantines_new ());
@@ -195,6 +198,7 @@
   quarantines_free (gate->quarantines);
   origins_free (gate->origins);
   confpeer_free (gate->confpeer);
+  ratelimits_free (gate->ratelimits);
   listing_free (gate->listing);
   links_free (gate->links);
   kernel_free (gate->core.kernel);
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -379,6 +379,7 @@
   gateway->core = core_find (kernel);
   gateway->links = links_find (kernel);
   gateway->listing = listing_find (kernel);
+  gateway->ratelimits = ratelimits_find (kernel);
   gateway->planners = planners_find (kernel);
   gateway->origins = origins_find (kernel);
   gateway->quarantines = quarantines_find (kernel);
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -22,6 +22,7 @@
 #include "retry.h"
 #include "servers.h"
 #include "planners.h"
+#include "ratelimits.h"
 
 struct forward;
 
@@ -33,6 +34,7 @@
   struct core *core;
   struct gateway_options options;
   struct listing *listing;
+  struct ratelimits *ratelimits;
   struct planners *planners;
   struct links *links;
   struct origins *origins;
--- a/src/planners.c
+++ b/src/planners.c
@@ -345,6 +345,7 @@
   const struct planners *planners = user;
 
   listing_server_notice (planners->listing, engine, notice);
+  ratelimits_heard (planners->ratelimits, engine, notice);
 }
 
 static int
@@ -356,6 +357,7 @@
   planners->core = core_find (kernel);
   planners->links = links_find (kernel);
   planners->listing = listing_find (kernel);
+  planners->ratelimits = ratelimits_find (kernel);
   if (planners->core->backend != NULL)
     {
       planners->core->backend->notice = on_notice;
--- a/src/planners_state.h
+++ b/src/planners_state.h
@@ -15,6 +15,7 @@
 #include "planners.h"
 #include "ts.h"
 #include "demand.h"
+#include "ratelimits.h"
 
 #define PLANNERS_CELL "engines" /* one lease covers all engines */
 #define PLANNERS_REPEAT_MS 500  /* unchanged state is sent this often */
@@ -26,6 +27,7 @@
   struct core *core;
   struct links *links;
   struct listing *listing;
+  struct ratelimits *ratelimits;
   struct lease *lease;
   struct site *site;      /* owned reference; the planners borrow from it */
   GHashTable *by_service; /* service to struct planner; empty: not deciding */
