gateway: requests keep the limits that servers name

Callers saw nothing; engines in need got 12 requests in 4 s where they had named 1 a second and 11 are allowed, from nodes that they had told.

A rate that all nodes share had no place: what a server asks of one node (Retry-After) or says to each (Server-Leaving) is local.

Every dispatch to such a server takes a ticket of ratelimit: first attempts, repeats, replacements of silent attempts and trials. A request that finds none goes to another server, and a ticket is asked for meanwhile; without another server it waits up to 2 s, or is rejected at once with the time of a ticket as Retry-After. Changes are told to all peers (PEER_LIMIT), asks and replies go between two nodes (PEER_LIMIT_ASK, PEER_LIMIT_REPLY).

--- a/src/backend.h
+++ b/src/backend.h
@@ -12,6 +12,7 @@
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <time.h>
 
 struct backend;
 
@@ -110,11 +111,12 @@
 /* What a response of a server says about the server itself.  */
 struct backend_notice
 {
-  bool leaving;       /* it is about to exit */
-  int64_t pause_ms;   /* it wants nothing from this node for so long; 0: not
-                         said */
-  double limit_per_s; /* requests a second that it takes from all nodes
-                         together; 0: no limit; negative: not known */
+  bool leaving;     /* it is about to exit */
+  int64_t pause_ms; /* it wants nothing from this node for so long; 0: not
+                       said */
+  struct timespec sent_at; /* of the request; zero: unknown */
+  double limit_per_s;      /* requests a second that it takes from all nodes
+                              together; 0: no limit; negative: not known */
 };
 
 struct backend_ops
--- a/src/forward.c
+++ b/src/forward.c
@@ -20,6 +20,7 @@
   caller_request_clear (&forward->parsed);
   site_unref (forward->site);
   g_string_free (forward->buffer, TRUE);
+  forward_limits_free (forward);
   if (forward->features != NULL)
     g_array_unref (forward->features);
   g_free (forward->target);
@@ -40,6 +41,7 @@
 forward_finish (struct forward *forward)
 {
   forward_dequeue (forward);
+  forward_limits_unwant (forward);
   origins_cancel (&forward->origin_query);
   forward->state = FORWARD_DONE;
   loop_timer_clear (forward->gateway->core->loop, &forward->deadline_timer);
--- a/src/forward_answer.c
+++ b/src/forward_answer.c
@@ -24,6 +24,7 @@
   if (!forward->answer.not_available && !forward->engine->gone)
     listing_server_notice (gateway->listing, forward->engine->id,
                            &forward->answer.notice);
+  forward->answer.notice.sent_at = forward->sent_at;
   if (forward->answer.id_matches)
     ratelimits_heard (gateway->ratelimits, forward->engine->id,
                       &forward->answer.notice);
@@ -258,7 +259,8 @@
   return (!forward->head_parsed
           || reach_heard_since (forward->gateway->reach, forward->engine->id,
                                 forward->heard_at, forward_now (forward)))
-         && forward_engine_is_replica (forward);
+         && forward_engine_is_replica (forward)
+         && forward_limit_allows (forward, forward->engine->id);
 }
 
 /* Sets forward->replacement unless the attempt is to go on.  */
--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -4,7 +4,6 @@
 #include "forward_state.h"
 #include "ts.h"
 
-#define ANSWER_MIN_MS 60           /* minimum duration of a useful response */
 #define DEFAULT_RETRY_AFTER_MS 300 /* when no better estimate is known */
 /* Share of an engine's queue that is at least as urgent as a request of a
    route with the highest priority, of several.  */
@@ -87,12 +86,6 @@
   add_to_waiting_count (forward, -1);
 }
 
-static int64_t
-left_ms (const struct forward *forward)
-{
-  return ts_to_ms (ts_sub (forward->deadline, forward_now (forward)));
-}
-
 /* Hash of the prefix used for cache affinity: the prompt without its last
    part, the longest prefix that a server may already hold in its cache.  */
 static uint64_t
@@ -127,6 +120,19 @@
   return ids;
 }
 
+/* The engine of the replica that REQUEST goes to, borrowed, or NULL.  */
+static struct route_engine *
+pick_one (struct forward *forward, const struct pick_request *request)
+{
+  ptrdiff_t at = pick_replica (forward->gateway->pick, request,
+                               forward_now (forward), &forward->explanation);
+
+  if (at < 0
+      || !pick_may_send (&forward->explanation, forward->target != NULL))
+    return NULL;
+  return request->replicas[at].engine;
+}
+
 /* A new reference to the engine of the server to use now, or NULL.  */
 static struct route_engine *
 pick_engine (struct forward *forward, const GArray *replicas)
@@ -145,15 +151,21 @@
           = forward->target != NULL ? g_str_hash (forward->parsed.model) : 0,
           .short_prompt = forward->parsed.prompt_tokens <= DELAY_PIECE_TOKENS,
           .adapter = forward->parsed.adapter != NULL };
-  ptrdiff_t at = pick_replica (forward->gateway->pick, &request,
-                               forward_now (forward), &forward->explanation);
+  struct route_engine *engine;
 
+  forward_limits_reset (forward);
+  do
+    {
+      engine = pick_one (forward, &request);
+      if (engine == NULL || forward_limit_allows (forward, engine->id))
+        break;
+      g_ptr_array_add (ids, engine->id);
+      request.tried = (const char *const *)ids->pdata;
+      request.tried_count = ids->len;
+    }
+  while (true);
   g_ptr_array_unref (ids);
-  if (at < 0)
-    return NULL;
-  if (!pick_may_send (&forward->explanation, forward->target != NULL))
-    return NULL;
-  return route_engine_ref (request.replicas[at].engine);
+  return engine != NULL ? route_engine_ref (engine) : NULL;
 }
 
 void
@@ -175,6 +187,13 @@
   forward->tried_count = 0;
 }
 
+void
+forward_wait (struct forward *forward, struct timespec ready_at)
+{
+  clear_tried (forward);
+  enqueue (forward, ready_at);
+}
+
 static unsigned
 compute_urgency (const struct forward *forward)
 {
@@ -190,7 +209,7 @@
       = { .request = &forward->parsed,
           .from = forward->request,
           .server = forward->engine->id,
-          .left_ms = left_ms (forward),
+          .left_ms = forward_left_ms (forward),
           .urgency = compute_urgency (forward),
           .resumes = forward->parsed.resumes,
           .resume_after = forward->parsed.resume_after };
@@ -277,6 +296,8 @@
   struct timespec now = forward_now (forward);
 
   forward_dequeue (forward);
+  forward_limits_unwant (forward);
+  ratelimits_take (gateway->ratelimits, engine->id);
   forward->on_trial = false;
   route_engine_unref (forward->engine);
   forward->engine = engine;
@@ -327,7 +348,8 @@
 ready_too_late (const struct forward *forward, struct timespec ready_at)
 {
   return !ts_is_zero (ready_at)
-         && ts_before (forward->deadline, ts_add_ms (ready_at, ANSWER_MIN_MS));
+         && ts_before (forward->deadline,
+                       ts_add_ms (ready_at, FORWARD_ANSWER_MIN_MS));
 }
 
 /* Whether some route of the service has a lower priority, so that engines
@@ -358,7 +380,7 @@
   double delay_s = forward->explanation.delay_s;
   double limit_s = delay_limit_s (
       (double)forward->route->objective_ms / (double)TS_MS_PER_S,
-      (double)left_ms (forward) / (double)TS_MS_PER_S);
+      (double)forward_left_ms (forward) / (double)TS_MS_PER_S);
 
   if (forward->target == NULL || forward->dispatches > 0 || delay_s <= limit_s)
     return false;
@@ -375,17 +397,21 @@
 static void
 dispatch_or_reject (struct forward *forward, struct route_engine *engine)
 {
-  int64_t delay_ms
-      = ts_to_ms (ts_from_s (forward->explanation.delay_s)) + ANSWER_MIN_MS;
+  int64_t delay_ms = ts_to_ms (ts_from_s (forward->explanation.delay_s))
+                     + FORWARD_ANSWER_MIN_MS;
   int64_t retry_ms;
 
   if (!is_overloaded (forward, &retry_ms))
     {
+      forward_limits_prefetch (forward);
       forward_dispatch (forward, engine);
       return;
     }
   route_engine_unref (engine);
-  if (forward->state != FORWARD_WAITING || left_ms (forward) < delay_ms)
+  if (forward_limits_skipped (forward))
+    forward_wait_for_limit (forward);
+  else if (forward->state != FORWARD_WAITING
+           || forward_left_ms (forward) < delay_ms)
     forward_fail (forward, "the servers are overloaded", retry_ms);
 }
 
@@ -434,7 +460,7 @@
   struct route_engine *engine = NULL;
 
   if (replicas->len > 0 && gateway_may_dispatch (forward->gateway)
-      && left_ms (forward) >= ANSWER_MIN_MS)
+      && forward_left_ms (forward) >= FORWARD_ANSWER_MIN_MS)
     engine = pick_engine (forward, replicas);
   g_array_unref (replicas);
   return engine;
@@ -499,18 +525,17 @@
   else if (version_is_gone (forward))
     forward_fail (forward, "no server has the version that began the stream",
                   0);
-  else if (left_ms (forward) < ANSWER_MIN_MS)
+  else if (forward_left_ms (forward) < FORWARD_ANSWER_MIN_MS)
     forward_fail (forward, "no server is free in time", 0);
   else if (ready_too_late (forward, ready_at))
     forward_fail (forward,
                   forward->target != NULL ? "the model is not loaded in time"
                                           : "no server takes requests in time",
                   ts_to_ms (ts_sub (ready_at, now)));
+  else if (forward_limits_skipped (forward))
+    forward_wait_for_limit (forward);
   else
-    {
-      clear_tried (forward);
-      enqueue (forward, ready_at);
-    }
+    forward_wait (forward, ready_at);
 }
 
 void
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -1,6 +1,6 @@
 /* forward_state - state of one request, shared by the modules forward,
-   forward_send, forward_resume, forward_quarantine, forward_answer and
-   forward_log.  Private to
+   forward_send, forward_limit, forward_resume, forward_quarantine,
+   forward_answer and forward_log.  Private to
    them.  */
 
 #ifndef PARSLEYRILL_FORWARD_STATE_H
@@ -16,8 +16,10 @@
 #include "sse.h"
 #include "site.h"
 #include "stall.h"
+#include "ts.h"
 
 #define FORWARD_DISPATCHES_MAX 6 /* to servers, including refused ones */
+#define FORWARD_ANSWER_MIN_MS 60 /* minimum duration of a useful response */
 #define FORWARD_SERVER_ERROR 500 /* lowest status of a server error */
 
 enum forward_state
@@ -28,6 +30,8 @@
   FORWARD_DONE
 };
 
+struct forward_limits;
+
 struct forward
 {
   TAILQ_ENTRY (forward) link; /* while FORWARD_WAITING */
@@ -72,8 +76,9 @@
                          prompt */
   bool on_trial;      /* it may be dispatched once, though quarantined */
   struct sse sse;     /* parser of the current stream */
-  GString *buffer;    /* an incomplete event */
-  bool can_resume;    /* LAST_EVENT is valid */
+  struct forward_limits *limits; /* see forward_limit.c; NULL: none so far */
+  GString *buffer;               /* an incomplete event */
+  bool can_resume;               /* LAST_EVENT is valid */
   uint64_t last_event;
   /* Version of the servers that may continue the stream; NULL: any.  */
   char *software;
@@ -89,6 +94,12 @@
   return clk_now (forward->gateway->core->clk);
 }
 
+static inline int64_t
+forward_left_ms (const struct forward *forward)
+{
+  return ts_to_ms (ts_sub (forward->deadline, forward_now (forward)));
+}
+
 static inline bool
 forward_not_run (const struct forward *forward)
 {
@@ -112,6 +123,9 @@
 /* Time until some server may take the request; 0: some may now, or it is not
    known.  */
 int64_t forward_ready_in_ms (const struct forward *forward);
+/* Queues the request; READY_AT: when some server may take it, zero if
+   unknown.  */
+void forward_wait (struct forward *forward, struct timespec ready_at);
 /* Removes the request from the waiting list, if it is there.  */
 void forward_dequeue (struct forward *forward);
 /* Cancels the attempt in progress.  Closing its connection ends the work
@@ -128,6 +142,25 @@
 /* The current engine will not be used again for this request.  */
 void forward_mark_tried (struct forward *forward);
 
+/* forward_limit.c: servers that name limits, see ratelimit.h.  */
+
+/* Whether the request may be sent to server ID now.  Otherwise that is
+   noted.  */
+bool forward_limit_allows (struct forward *forward, const char *id);
+/* Forgets what was noted, before another choice.  */
+void forward_limits_reset (struct forward *forward);
+/* Whether a server was left out for its limit.  */
+bool forward_limits_skipped (const struct forward *forward);
+/* Another server than the preferred one takes the request: asks for a ticket
+   for the next.  */
+void forward_limits_prefetch (struct forward *forward);
+/* Queues the request until a server that was left out may take it, or rejects
+   it if none may in time.  */
+void forward_wait_for_limit (struct forward *forward);
+/* The request does not wait for a limit any more.  */
+void forward_limits_unwant (struct forward *forward);
+void forward_limits_free (struct forward *forward);
+
 /* forward_resume.c */
 
 /* Dispatches a request that resumes a stream to the version that began it,
--- a/src/frame.c
+++ b/src/frame.c
@@ -120,6 +120,16 @@
 static const struct schema quarantine_schema
     = SCHEMA (struct peer_quarantine, quarantine_fields);
 
+static const struct field limit_fields[]
+    = { SCALAR (1, TEXT, struct peer_limit, server),
+        SCALAR (2, NUMBER, struct peer_limit, per_1000s),
+        SCALAR (3, NUMBER, struct peer_limit, age_ms),
+        SCALAR (4, NUMBER, struct peer_limit, ask),
+        SCALAR (5, NUMBER, struct peer_limit, wait_ms),
+        SCALAR (6, FLAG, struct peer_limit, rejected) };
+static const struct schema limit_schema
+    = SCHEMA (struct peer_limit, limit_fields);
+
 /* Key 0 is the type.  */
 static const struct field msg_fields[]
     = { SCALAR (1, NUMBER, struct peer_msg, id),
@@ -151,7 +161,8 @@
         ARRAY (27, struct peer_msg, loads, load_count, load_schema),
         SCALAR (28, NUMBER, struct peer_msg, list_version),
         ARRAY (29, struct peer_msg, quarantines, quarantine_count,
-               quarantine_schema) };
+               quarantine_schema),
+        ARRAY (30, struct peer_msg, limits, limit_count, limit_schema) };
 static const struct schema msg_schema = SCHEMA (struct peer_msg, msg_fields);
 
 static const void *
--- a/src/frame.h
+++ b/src/frame.h
@@ -48,11 +48,14 @@
                           ms */
   PEER_ORIGIN_REQUEST, /* which began with request SUBJECT? */
   PEER_ORIGIN_REPLY,   /* as PEER_ORIGIN; no NAME: the stream is unknown */
-  PEER_CRASH,     /* an engine crashed: a strike for each feature of a request
-                     that ran there, see blame.h */
-  PEER_ALIVE,     /* the engine of a strike has not crashed */
-  PEER_ANSWERED,  /* a request with the fingerprint of a strike was answered */
-  PEER_QUARANTINE /* features whose requests are rejected, see quarantine.h */
+  PEER_CRASH,    /* an engine crashed: a strike for each feature of a request
+                    that ran there, see blame.h */
+  PEER_ALIVE,    /* the engine of a strike has not crashed */
+  PEER_ANSWERED, /* a request with the fingerprint of a strike was answered */
+  PEER_QUARANTINE, /* features whose requests are rejected, see quarantine.h */
+  PEER_LIMIT,      /* rates that servers named, see ratelimit.h */
+  PEER_LIMIT_ASK,  /* the same, and the sender asks for a ticket */
+  PEER_LIMIT_REPLY /* the ticket, or a rejection */
 };
 
 struct peer_member
@@ -131,6 +134,16 @@
   bool released; /* its requests are not rejected any more */
 };
 
+struct peer_limit
+{
+  char *server;
+  uint64_t per_1000s; /* requests; 0: no limit */
+  uint64_t age_ms;    /* since it was named */
+  uint64_t ask;       /* its number at the asking node */
+  uint64_t wait_ms;   /* PEER_LIMIT_ASK: the longest that is accepted */
+  bool rejected;
+};
+
 /* One message.  Only the fields of its type are set.  It owns its strings and
    arrays (g_malloc).  */
 struct peer_msg
@@ -173,6 +186,8 @@
   size_t load_count;
   struct peer_quarantine *quarantines;
   size_t quarantine_count;
+  struct peer_limit *limits;
+  size_t limit_count;
 };
 
 /* Frees what MSG owns, not MSG itself.  */
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -417,7 +417,8 @@
   if (event->type == KERNEL_SITE_CHANGED)
     apply_limits (gateway, event->data);
   if (event->type == KERNEL_SERVERS_CHANGED
-      || event->type == KERNEL_SITE_CHANGED)
+      || event->type == KERNEL_SITE_CHANGED
+      || event->type == KERNEL_LIMIT_CHANGED)
     gateway_dispatch_soon (gateway);
   if (event->type != KERNEL_MEMBERS_CHANGED || gateway->retry == NULL)
     return;
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -35,8 +35,10 @@
   KERNEL_SERVERS_CHANGED,  /* the set of usable servers changed: NULL */
   KERNEL_SERVER_LISTED,    /* server listed or changed: struct server_entry */
   KERNEL_SERVER_REMOVED,   /* a server was removed: its id */
-  KERNEL_STORE_RESTORED,   /* the table was restored, see platform.h: NULL */
-  KERNEL_DRAIN_STARTED     /* a graceful shutdown started: NULL */
+  KERNEL_LIMIT_CHANGED,  /* requests that wait for a server's limit may go on:
+                            NULL */
+  KERNEL_STORE_RESTORED, /* the table was restored, see platform.h: NULL */
+  KERNEL_DRAIN_STARTED   /* a graceful shutdown started: NULL */
 };
 
 struct kernel_event
--- a/src/ratelimits.h
+++ b/src/ratelimits.h
@@ -1,12 +1,16 @@
-/* ratelimits - request rates that backend servers name for all nodes together.
+/* ratelimits - request rates that backend servers name for all nodes together:
+   connects struct ratelimit with the other nodes.
 
-   A service of the kernel, "ratelimits".  One thread.  */
+   A service of the kernel, "ratelimits".  Posts KERNEL_LIMIT_CHANGED.  One
+   thread.  */
 
 #ifndef PARSLEYRILL_RATELIMITS_H
 #define PARSLEYRILL_RATELIMITS_H
 
+#include <stdint.h>
 #include "backend.h"
 #include "kernel.h"
+#include "ratelimit.h"
 
 #define RATELIMITS_NAME "ratelimits"
 
@@ -20,4 +24,14 @@
 void ratelimits_heard (struct ratelimits *ratelimits, const char *id,
                        const struct backend_notice *notice);
 
+/* See the functions of ratelimit.h.  */
+struct ratelimit_verdict ratelimits_check (struct ratelimits *ratelimits,
+                                           const char *id, uint64_t ask);
+bool ratelimits_take (struct ratelimits *ratelimits, const char *id);
+uint64_t ratelimits_want (struct ratelimits *ratelimits, const char *id,
+                          int64_t wait_max_ms);
+void ratelimits_unwant (struct ratelimits *ratelimits, const char *id,
+                        uint64_t ask);
+void ratelimits_prefetch (struct ratelimits *ratelimits, const char *id);
+
 #endif
