planner: a replica on an engine short of its limit is not enough

An engine is short if it names a limit below the request rate of the models on it. Requests that wait for a target which only such engines have get it loaded on another one; short engines get no new models or adapters.

--- a/src/planner.c
+++ b/src/planner.c
@@ -139,6 +139,15 @@
     reset_if_restarted (planner, engine, entry->inventory);
 }
 
+void
+planner_set_limit (struct planner *planner, const char *id, double per_s)
+{
+  struct planner_engine *engine = g_hash_table_lookup (planner->engines, id);
+
+  if (engine != NULL)
+    engine->limit_per_s = per_s;
+}
+
 void
 planner_remove_engine (struct planner *planner, const char *id)
 {
--- a/src/planner.h
+++ b/src/planner.h
@@ -73,6 +73,10 @@
                             const struct server_entry *entry);
 void planner_remove_engine (struct planner *planner, const char *id);
 
+/* Engine ID takes PER_S requests a second of all nodes together; 0: any
+   rate.  */
+void planner_set_limit (struct planner *planner, const char *id, double per_s);
+
 /* The requested report of engine ID; INVENTORY is NULL when it did not
    answer.  */
 void planner_report (struct planner *planner, const char *id,
--- a/src/planner_adapter.c
+++ b/src/planner_adapter.c
@@ -66,7 +66,7 @@
 }
 
 /* Number of engines with SOFTWARE, NULL: any version, on which ADAPTER is
-   loaded or being loaded.  */
+   loaded or being loaded, without those that are short.  */
 static unsigned
 adapter_replicas (const struct plan *plan, const char *model,
                   const char *adapter, const char *software)
@@ -80,7 +80,8 @@
     {
       const struct planner_order *order = &engine->order;
 
-      if (engine->leaving || !plan_has_software (engine, software))
+      if (engine->leaving || !plan_has_software (engine, software)
+          || planner_is_short (plan, engine))
         continue;
       n += inventory_has (engine->inventory, model, adapter);
       n += order->stage != STAGE_NONE && order->type == BACKEND_ADAPTER_LOAD
@@ -109,7 +110,8 @@
       if (!planner_can_order (engine, plan->now) || n >= fewest
           || !plan_has_software (engine, software)
           || !inventory_has (engine->inventory, model, NULL)
-          || inventory_has (engine->inventory, model, adapter))
+          || inventory_has (engine->inventory, model, adapter)
+          || planner_is_short (plan, engine))
         continue;
       best = engine;
       fewest = n;
--- a/src/planner_round.c
+++ b/src/planner_round.c
@@ -120,6 +120,53 @@
   model->waiting += entry->waiting;
 }
 
+bool
+planner_is_short (const struct plan *plan, const struct planner_engine *engine)
+{
+  double per_s = 0;
+
+  if (engine->limit_per_s <= 0)
+    return false;
+  for (guint i = 0; i < engine->inventory->models->len; i++)
+    {
+      const struct inventory_model *held
+          = g_ptr_array_index (engine->inventory->models, i);
+      const struct plan_model *model = plan_model (plan, held->name);
+
+      if (model != NULL)
+        per_s += model->per_s / MAX (model->loaded, 1);
+    }
+  return per_s > engine->limit_per_s;
+}
+
+/* Called once the replicas are counted.  */
+static void
+count_unlimited (struct plan *plan)
+{
+  const struct planner_engine *engine;
+  GHashTableIter iter;
+  struct plan_model *model;
+
+  g_hash_table_iter_init (&iter, plan->models);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&model))
+    model->unlimited = model->replicas;
+  g_hash_table_iter_init (&iter, plan->planner->engines);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&engine))
+    {
+      if (engine->leaving || !planner_is_short (plan, engine))
+        continue;
+      for (guint i = 0; i < engine->inventory->models->len; i++)
+        {
+          const struct inventory_model *held
+              = g_ptr_array_index (engine->inventory->models, i);
+
+          model = plan_model (plan, held->name);
+          if (model != NULL && model->unlimited > 0)
+            model->unlimited--;
+        }
+    }
+}
+
 static void
 init_plan (struct plan *plan)
 {
@@ -146,6 +193,7 @@
       mark_local_copies (plan, engine->inventory->in_memory);
       mark_local_copies (plan, engine->inventory->on_disk);
     }
+  count_unlimited (plan);
   g_hash_table_iter_init (&iter, planner->waiting);
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&entry))
     count_waiting (plan, entry);
@@ -334,7 +382,8 @@
 
       if (!engine->has_report || engine->leaving
           || !plan_has_software (engine, software)
-          || inventory_model (engine->inventory, model->name) != NULL)
+          || inventory_model (engine->inventory, model->name) != NULL
+          || planner_is_short (plan, engine))
         continue;
       candidate.busy_s = engine_busy_s (plan, engine);
       candidate.load_s = planner_load_s (engine, model, &candidate.fetches);
@@ -493,7 +542,8 @@
   return models;
 }
 
-/* Loads models that requests wait for.  */
+/* Loads models that requests wait for, because no engine has them or those
+   that do take too few requests.  */
 static void
 load_waiting_models (struct plan *plan, const GPtrArray *models)
 {
@@ -501,7 +551,7 @@
     {
       struct plan_model *model = g_ptr_array_index (models, i);
 
-      if (model->waiting > 0 && model->replicas == 0 && !model->pending)
+      if (model->waiting > 0 && model->unlimited == 0 && !model->pending)
         try_load (plan, model, NULL, WAITING_VALUE * model->waiting, true);
     }
 }
--- a/src/planner_round.h
+++ b/src/planner_round.h
@@ -20,6 +20,7 @@
   double per_s;      /* request rate */
   unsigned replicas; /* loaded or being loaded, on engines that stay */
   unsigned loaded;
+  unsigned unlimited;  /* of REPLICAS, those on engines that are not short */
   unsigned waiting;    /* requests, those for its adapters included */
   unsigned priority;   /* of the most urgent; 0 is the highest */
   bool has_local_copy; /* an engine has its weights in memory or on disk */
@@ -53,6 +54,13 @@
   return software == NULL || strcmp (engine->software, software) == 0;
 }
 
+/* planner_round.c */
+
+/* Whether ENGINE names a limit that is lower than the request rate of the
+   models on it.  */
+bool planner_is_short (const struct plan *plan,
+                       const struct planner_engine *engine);
+
 /* planner_adapter.c */
 
 /* Loads adapters that requests wait for.  */
--- a/src/planner_state.h
+++ b/src/planner_state.h
@@ -52,7 +52,8 @@
   struct planner_order order;
   char *last_loaded;         /* model; NULL: none by this decider */
   struct timespec loaded_at; /* when LAST_LOADED was found to be loaded */
-  char *next_model; /* models are evicted to load this one; NULL: none */
+  char *next_model;   /* models are evicted to load this one; NULL: none */
+  double limit_per_s; /* requests that it takes; 0: any rate */
   struct timespec no_order_before;
   struct timespec adapters_settled_at; /* no adapter is unloaded until then */
 };
--- a/src/planners.c
+++ b/src/planners.c
@@ -54,6 +54,19 @@
   g_ptr_array_unref (names);
 }
 
+static void
+set_limits (const struct planners *planners, struct planner *planner)
+{
+  GHashTableIter iter;
+  const char *id;
+
+  g_hash_table_iter_init (&iter,
+                          servers_all (listing_servers (planners->listing)));
+  while (g_hash_table_iter_next (&iter, (gpointer *)&id, NULL))
+    planner_set_limit (planner, id,
+                       ratelimits_per_s (planners->ratelimits, id));
+}
+
 static void
 tick_planner (struct planners *planners, struct planner *planner,
               struct action_list *out, const void *data)
@@ -61,6 +74,7 @@
   struct timespec now = planners_now (planners);
 
   (void)data;
+  set_limits (planners, planner);
   planner_tick (planner, now, out);
   planners->tick_at
       = ts_min (planners->tick_at, planner_next_tick (planner, now));
--- a/src/ratelimit.c
+++ b/src/ratelimit.c
@@ -205,6 +205,14 @@
   return limit != NULL && limit->per_s > 0 ? limit : NULL;
 }
 
+double
+ratelimit_per_s (const struct ratelimit *ratelimit, const char *server)
+{
+  const struct limit *limit = find_limit (ratelimit, server);
+
+  return limit != NULL ? limit->per_s : 0;
+}
+
 static struct limit *
 add_limit (struct ratelimit *ratelimit, const char *server)
 {
--- a/src/ratelimit.h
+++ b/src/ratelimit.h
@@ -104,6 +104,9 @@
                      const char *server, double per_s, int64_t age_ms,
                      struct timespec now, struct action_list *actions);
 
+/* The latest limit of SERVER, requests a second; 0: none.  */
+double ratelimit_per_s (const struct ratelimit *ratelimit, const char *server);
+
 /* Whether a request may be sent to SERVER.  ASK: of the request, see
    ratelimit_want, or 0.  */
 struct ratelimit_verdict ratelimit_check (struct ratelimit *ratelimit,
--- a/src/ratelimits.c
+++ b/src/ratelimits.c
@@ -159,6 +159,12 @@
   run (ratelimits, &list);
 }
 
+double
+ratelimits_per_s (const struct ratelimits *ratelimits, const char *id)
+{
+  return ratelimit_per_s (ratelimits->ratelimit, id);
+}
+
 struct ratelimit_verdict
 ratelimits_check (struct ratelimits *ratelimits, const char *id, uint64_t ask)
 {
--- a/src/ratelimits.h
+++ b/src/ratelimits.h
@@ -25,6 +25,7 @@
                        const struct backend_notice *notice);
 
 /* See the functions of ratelimit.h.  */
+double ratelimits_per_s (const struct ratelimits *ratelimits, const char *id);
 struct ratelimit_verdict ratelimits_check (struct ratelimits *ratelimits,
                                            const char *id, uint64_t ask);
 bool ratelimits_take (struct ratelimits *ratelimits, const char *id);
--- a/tests/test_planner.c
+++ b/tests/test_planner.c
@@ -57,8 +57,20 @@
   planner_free (f->planner);
 }
 
-/* Engine ID reports the models LOADED in accelerator memory and the weights
-   ON_DISK, names separated by blanks.  */
+/* Adds NAME, "MODEL" or "MODEL/ADAPTER".  */
+static void
+add_loaded (struct inventory *inventory, const char *name)
+{
+  char **parts = g_strsplit (name, "/", 2);
+  struct inventory_model *model = inventory_add (inventory, parts[0]);
+
+  if (parts[1] != NULL)
+    inventory_add_adapter (model, parts[1]);
+  g_strfreev (parts);
+}
+
+/* Engine ID reports the models LOADED in accelerator memory, each with one
+   adapter at most, and the weights ON_DISK, names separated by blanks.  */
 static void
 report (struct fixture *f, const char *id, uint64_t sequence, bool busy,
         const char *loaded, const char *on_disk)
@@ -79,7 +91,7 @@
   inventory->busy = busy;
   for (char **name = names; *name != NULL; name++)
     if (**name != '\0')
-      inventory_add (inventory, *name);
+      add_loaded (inventory, *name);
   for (char **name = weights; *name != NULL; name++)
     g_ptr_array_add (inventory->on_disk, g_strdup (*name));
   planner_update_engine (f->planner, &entry);
@@ -579,6 +591,59 @@
   tear_down (&f);
 }
 
+/* Two engines have m0, its only model; the adapter that requests wait for is
+   at the one that takes PER_S requests a second.  Returns the next order.  */
+static char *
+order_beside_limit (double per_s)
+{
+  struct fixture f;
+  char *order;
+
+  set_up (&f, 1);
+  report (&f, "e1", 1, false, "m0/a1", "");
+  report (&f, "e2", 1, false, "m0", "");
+  planner_set_limit (f.planner, "e1", per_s);
+  planner_request_arrived (f.planner, "m0", 8, ts_from_ms (f.ms));
+  planner_request_arrived (f.planner, "m0/a1", 8, ts_from_ms (f.ms));
+  planner_set_waiting (f.planner, "n1", "m0/a1", 2, 0, ts_from_ms (f.ms));
+  tick (&f, 100);
+  order = next_order (&f);
+  tear_down (&f);
+  return order;
+}
+
+/* Requests for an adapter waited at the only engine that had it, whose limit
+   was lower than their rate.  */
+static void
+test_limited_adapter (void)
+{
+  char *order = order_beside_limit (0.2);
+
+  g_assert_cmpstr (order, ==, "load e2 m0/a1");
+  g_free (order);
+  order = order_beside_limit (1000);
+  g_assert_null (order);
+}
+
+/* The same for a model.  */
+static void
+test_limited_model (void)
+{
+  struct fixture f;
+
+  set_up (&f, 1);
+  report (&f, "e1", 1, false, "m0", "");
+  report (&f, "e2", 1, false, "", "m0");
+  planner_set_limit (f.planner, "e1", 0.2);
+  planner_request_arrived (f.planner, "m0", 8, ts_from_ms (f.ms));
+  tick (&f, 100);
+  check_order (&f, NULL);
+  planner_set_waiting (f.planner, "n1", "m0", 2, 0, ts_from_ms (f.ms));
+  tick (&f, 100);
+  check_order (&f, "load e2 m0");
+  tear_down (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -595,6 +660,8 @@
   g_test_add_func ("/planner/weights-on-busy-engine", test_busy_engine);
   g_test_add_func ("/planner/idle-models-stay", test_idle_models_stay);
   g_test_add_func ("/planner/adapters", test_adapters);
+  g_test_add_func ("/planner/limited-adapter", test_limited_adapter);
+  g_test_add_func ("/planner/limited-model", test_limited_model);
   g_test_add_func ("/planner/adapter-in-use", test_adapter_in_use);
   g_test_add_func ("/planner/engine-down", test_engine_down);
   g_test_add_func ("/planner/lost-answer", test_lost_answer);
