tests: processes play limits and a bad request without parts

/processes/limit and limit-restarts: four engines that name 4 requests a second, three gates as processes of their own, 24 callers that want many times that; nodes that are killed and stopped count as well.

--- a/tests/process_engine.h
+++ b/tests/process_engine.h
@@ -3,8 +3,8 @@
 
    It appends a line to the record for each request that arrives ("A") and for
    each that it runs ("R"): kind, time in ms, request id, instance id.  A
-   request whose prompt has the part "bad" ends the process when its answer is
-   due, with a line "C".  */
+   request whose prompt has the part "bad", or whose path is /safe/crash, ends
+   the process when its answer is due, with a line "C".  */
 
 #ifndef PROCESS_ENGINE_H
 #define PROCESS_ENGINE_H
@@ -41,9 +41,11 @@
                    before the next one */
   int unframed; /* respond without a length or chunks */
   int partial;  /* end a stream inside an event */
+  int limit; /* no percentage: names a limit of so many tenths of a request a
+                second in its responses; 0: none */
 };
 
-#define ENGINE_FAULTS_FORMAT "%d,%d,%d,%d,%d,%d,%d,%d,%d"
+#define ENGINE_FAULTS_FORMAT "%d,%d,%d,%d,%d,%d,%d,%d,%d,%d"
 #define ENGINE_EXIT_CRASH 70
 
 struct engine_process
@@ -186,7 +188,8 @@
   request->resume_after = (unsigned)strtoul (text, NULL, 10);
   request->stream
       = strstr (head, " /long/") != NULL || strstr (head, " /cut/") != NULL;
-  request->bad = strstr (head, ",bad:") != NULL;
+  request->bad = strstr (head, ",bad:") != NULL
+                 || strstr (head, " /safe/crash ") != NULL;
 }
 
 static bool
@@ -195,6 +198,17 @@
   return rand_r (&connection->seed) % 100 < percent;
 }
 
+/* The header that names the limit, "" if there is none.  */
+static void
+limit_header (const struct engine_process *engine, char *out, size_t size)
+{
+  int tenths = engine->faults.limit;
+
+  *out = '\0';
+  if (tenths > 0)
+    snprintf (out, size, "Server-Limit: %d.%d\r\n", tenths / 10, tenths % 10);
+}
+
 /* Returns whether the connection is kept.  */
 static bool
 respond (struct engine_connection *connection,
@@ -203,15 +217,17 @@
 {
   bool unframed = drawn (connection, connection->engine->faults.unframed);
   char length[64] = "";
+  char limit[64];
   char text[HEAD_MAX];
   int n;
 
+  limit_header (connection->engine, limit, sizeof limit);
   if (!unframed)
     snprintf (length, sizeof length, "Content-Length: %zu\r\n",
               strlen (request->id));
   n = snprintf (text, sizeof text,
-                "HTTP/1.1 %s\r\n%s%sParsleyrill-Request-Id: %s\r\n\r\n%s",
-                status, length, extra, request->id, request->id);
+                "HTTP/1.1 %s\r\n%s%s%sParsleyrill-Request-Id: %s\r\n\r\n%s",
+                status, length, extra, limit, request->id, request->id);
   if (!send_all (connection->fd, text, (size_t)n))
     return false;
   memcpy (connection->last, text, (size_t)n + 1);
@@ -242,14 +258,17 @@
   unsigned last = drawn (connection, faults->partial)
                       ? 1 + (unsigned)rand_r (&connection->seed) % EVENTS
                       : 0;
+  char limit[64];
   char text[HEAD_MAX];
-  int n = snprintf (text, sizeof text,
-                    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-                    "%sParsleyrill-Response-Seal: s\r\n"
-                    "Parsleyrill-Request-Id: %s\r\n\r\n",
-                    unframed ? "" : "Transfer-Encoding: chunked\r\n",
-                    request->id);
+  int n;
 
+  limit_header (connection->engine, limit, sizeof limit);
+  n = snprintf (text, sizeof text,
+                "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                "%s%sParsleyrill-Response-Seal: s\r\n"
+                "Parsleyrill-Request-Id: %s\r\n\r\n",
+                unframed ? "" : "Transfer-Encoding: chunked\r\n", limit,
+                request->id);
   connection->last[0] = '\0';
   if (!send_all (connection->fd, text, (size_t)n))
     return false;
@@ -398,7 +417,8 @@
 
   sscanf (argv[6], ENGINE_FAULTS_FORMAT, &faults->lose, &faults->reset,
           &faults->full, &faults->fail, &faults->hang, &faults->close,
-          &faults->repeat, &faults->unframed, &faults->partial);
+          &faults->repeat, &faults->unframed, &faults->partial,
+          &faults->limit);
   for (;;)
     {
       struct engine_connection *connection;
--- a/tests/test_processes.c
+++ b/tests/test_processes.c
@@ -29,7 +29,11 @@
 #define BUDGET_WINDOW_S 10
 #define STABILITY_MS 3000
 #define SOUND_MIN 20   /* streams, to tell whether they are served */
-#define BAD_LATE_MAX 3 /* requests with the bad part that reach engines */
+#define BAD_LATE_MAX 3 /* bad requests that reach engines */
+#define PART_CRASHES 5u
+#define REQUEST_CRASHES 3u
+#define LIMIT_WINDOW_MS 4000
+#define LIMIT_SLACK 5
 
 /* Percentages of the ticks.  */
 struct process_faults
@@ -57,6 +61,9 @@
   /* Percent of the streams whose prompts have the part that crashes engines.
    */
   int bad;
+  /* Percent of the idempotent requests that are one whole request which
+     crashes engines.  */
+  int bad_request;
 };
 
 struct child
@@ -251,9 +258,9 @@
   char *port = g_strdup_printf ("%d", ENGINE_PORT);
   char *slots = g_strdup_printf ("%d", p->options->slots);
   char *seed = g_strdup_printf ("%u", g_rand_int (p->rand) % 1000000);
-  char *faults = g_strdup_printf (ENGINE_FAULTS_FORMAT, f->lose, f->reset,
-                                  f->full, f->fail, f->hang, f->close,
-                                  f->repeat, f->unframed, f->partial);
+  char *faults = g_strdup_printf (
+      ENGINE_FAULTS_FORMAT, f->lose, f->reset, f->full, f->fail, f->hang,
+      f->close, f->repeat, f->unframed, f->partial, f->limit);
   char *argv[] = { (char *)program, (char *)"engine",
                    address,         port,
                    child->id,       p->record_path,
@@ -402,8 +409,10 @@
   int deadline_ms = 300 + rand_r (&caller->seed) % 1500;
   bool leaves = rand_r (&caller->seed) % 100 < 5;
   int record = caller->processes->record;
-  bool bad = kind >= KIND_CUT
-             && rand_r (&caller->seed) % 100 < caller->processes->options->bad;
+  const struct process_case *options = caller->processes->options;
+  bool bad = kind >= KIND_CUT && rand_r (&caller->seed) % 100 < options->bad;
+  bool bad_request = kind == KIND_SAFE && options->bad_request > 0
+                     && rand_r (&caller->seed) % 100 < options->bad_request;
   bool short_ = false;
   char id[32];
   char *prompt;
@@ -411,13 +420,15 @@
   bool keep;
   int status;
 
-  g_snprintf (id, sizeof id, "%s%u-%u", bad ? "bad" : "", caller->number, n);
+  g_snprintf (id, sizeof id, "%s%u-%u", bad || bad_request ? "bad" : "",
+              caller->number, n);
   prompt = g_strdup_printf ("Parsleyrill-Prompt-Prefix: aa:9,%s:9,%u:9\r\n",
                             bad ? "bad" : "bb", n * CALLERS + caller->number);
   text = g_strdup_printf (
-      "%s /%s/x HTTP/1.1\r\nHost: h.example\r\nParsleyrill-Request-Id: %s\r\n"
+      "%s /%s/%s HTTP/1.1\r\nHost: h.example\r\nParsleyrill-Request-Id: %s\r\n"
       "Parsleyrill-Deadline-Ms: %d\r\n%s%s\r\n%s",
-      kind == KIND_ONCE ? "POST" : "GET", kind_paths[kind], id, deadline_ms,
+      kind == KIND_ONCE ? "POST" : "GET", kind_paths[kind],
+      bad_request ? "crash" : "x", id, deadline_ms,
       kind >= KIND_CUT ? prompt : "",
       kind == KIND_ONCE ? "Content-Length: 4\r\n" : "",
       kind == KIND_ONCE ? "body" : "");
@@ -614,27 +625,48 @@
   unsigned refused;     /* with a status that promises "not run" */
   unsigned refused_runs;
   unsigned double_runs;
-  unsigned over_budget; /* most repeats above the limit, in any window */
-  unsigned shortened;   /* whole streams without their last event */
-  unsigned crashes;     /* by the bad part */
-  /* The fifth of these, or the last if there are fewer, ms; 0: none.  */
+  unsigned over_budget;     /* most repeats above the limit, in any window */
+  unsigned shortened;       /* whole streams without their last event */
+  unsigned crashes;         /* by the bad part, or the bad request */
+  unsigned crashes_counted; /* that count: fewer of a whole request */
+  /* The last that counts, so far, ms; 0: none.  */
   long long counted_crash;
   unsigned bad_late; /* arrivals of bad requests from STABILITY_MS after */
   unsigned sound;    /* sound streams sent from twice that after */
   unsigned sound_answered;
+  GHashTable *arrivals; /* engine to GArray of times, ms */
 };
 
 static void
 read_bad_line (struct totals *totals, char kind, const char *id,
                long long time)
 {
-  if (kind == 'C' && ++totals->crashes <= 5)
+  if (kind == 'C' && ++totals->crashes <= totals->crashes_counted)
     totals->counted_crash = time;
-  if (kind == 'A' && g_str_has_prefix (id, "bad") && totals->crashes >= 5
+  if (kind == 'A' && g_str_has_prefix (id, "bad")
+      && totals->crashes >= totals->crashes_counted
       && time > totals->counted_crash + STABILITY_MS)
     totals->bad_late++;
 }
 
+/* For the limits: a line "A" also names the engine.  */
+static void
+read_arrival (struct totals *totals, const char *line, long long time)
+{
+  GArray *times;
+  char engine[32];
+
+  if (sscanf (line, "%*c %*d %*s %31s", engine) != 1)
+    return;
+  times = g_hash_table_lookup (totals->arrivals, engine);
+  if (times == NULL)
+    {
+      times = g_array_new (FALSE, FALSE, sizeof time);
+      g_hash_table_insert (totals->arrivals, g_strdup (engine), times);
+    }
+  g_array_append_val (times, time);
+}
+
 static void
 read_line (struct totals *totals, const char *line)
 {
@@ -644,8 +676,11 @@
   char kind;
   int value = 0;
 
-  if (sscanf (line, "%c %lld %63s %d", &kind, &time, id, &value) < 3
-      || strcmp (id, "warm") == 0)
+  if (sscanf (line, "%c %lld %63s %d", &kind, &time, id, &value) < 3)
+    return;
+  if (kind == 'A')
+    read_arrival (totals, line, time);
+  if (strcmp (id, "warm") == 0)
     return;
   request = g_hash_table_lookup (totals->requests, id);
   if (request == NULL)
@@ -679,8 +714,8 @@
 check_sound (const char *id, const struct request_record *request,
              struct totals *totals)
 {
-  if (request->kind < KIND_CUT || g_str_has_prefix (id, "bad")
-      || totals->counted_crash == 0
+  if ((request->kind < KIND_CUT && totals->crashes_counted == PART_CRASHES)
+      || g_str_has_prefix (id, "bad") || totals->counted_crash == 0
       || request->sent <= totals->counted_crash + 2 * STABILITY_MS)
     return;
   totals->sound++;
@@ -749,10 +784,10 @@
 static void
 check_bad (const struct processes *p, const struct totals *totals)
 {
-  if (p->options->bad == 0)
+  if (p->options->bad == 0 && p->options->bad_request == 0)
     return;
   g_test_message ("%u engines crashed, %u bad requests sent late, %u of %u "
-                  "sound streams answered",
+                  "sound ones answered",
                   totals->crashes, totals->bad_late, totals->sound_answered,
                   totals->sound);
   g_assert_cmpuint (totals->crashes, >=, 3);
@@ -761,6 +796,53 @@
   g_assert_cmpuint (totals->sound_answered * 2, >=, totals->sound);
 }
 
+/* Nodes that restart do not count for LIMIT; they are counted here.  */
+static void
+check_limit (const struct processes *p, const struct totals *totals)
+{
+  double per_s = p->options->engine.limit / 10.0;
+  unsigned allowed
+      = (unsigned)(1.5 * per_s * LIMIT_WINDOW_MS / TS_MS_PER_S) + LIMIT_SLACK;
+  GHashTableIter iter;
+  const GArray *times;
+  unsigned most = 0;
+  unsigned all = 0;
+
+  if (per_s <= 0)
+    return;
+  g_hash_table_iter_init (&iter, totals->arrivals);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&times))
+    {
+      long long binds
+          = g_array_index (times, long long, 0) + STABILITY_MS + LATE_RUNS_MS;
+
+      for (guint i = 0; i < times->len; i++)
+        {
+          long long from = g_array_index (times, long long, i);
+
+          if (from >= binds)
+            most = MAX (most,
+                        count_between (times, from, from + LIMIT_WINDOW_MS));
+          all += from >= binds;
+        }
+    }
+  g_test_message ("at most %u requests in %d ms at an engine, %u allowed; %u "
+                  "in all",
+                  most, LIMIT_WINDOW_MS, allowed, all);
+  g_assert_cmpuint (most, <=, allowed);
+  g_assert_cmpuint (
+      all, >=,
+      (unsigned)(per_s * p->options->engines
+                 * (p->options->run_ms - STABILITY_MS - LATE_RUNS_MS)
+                 / TS_MS_PER_S / 2));
+}
+
+static void
+free_times (gpointer times)
+{
+  g_array_unref (times);
+}
+
 static void
 check_record (struct processes *p)
 {
@@ -773,6 +855,10 @@
 
   totals.requests
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  totals.crashes_counted
+      = p->options->bad_request > 0 ? REQUEST_CRASHES : PART_CRASHES;
+  totals.arrivals
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_times);
   totals.sent = g_array_new (FALSE, FALSE, sizeof (long long));
   totals.repeats = g_array_new (FALSE, FALSE, sizeof (long long));
   g_assert_true (g_file_get_contents (p->record_path, &text, NULL, NULL));
@@ -796,6 +882,8 @@
   g_assert_cmpuint (totals.over_budget, ==, 0);
   g_assert_cmpuint (totals.shortened, ==, 0);
   check_bad (p, &totals);
+  check_limit (p, &totals);
+  g_hash_table_unref (totals.arrivals);
   g_strfreev (lines);
   g_free (text);
   g_array_unref (totals.sent);
@@ -1058,6 +1146,55 @@
   run_processes (&options, 10);
 }
 
+/* Guards against one whole request that crashes one engine after the other,
+   while nodes restart.  */
+static void
+test_bad_request (void)
+{
+  static const struct process_case options = { .process = { .kill_gate = 2 },
+                                               .engines = 4,
+                                               .run_ms = 12000,
+                                               .slots = 64,
+                                               .budget_slack = 54,
+                                               .pause_ms = 60,
+                                               .bad_request = 10 };
+
+  run_processes (&options, 11);
+}
+
+/* Guards against nodes that each send as many requests as an engine takes from
+   all of them.  */
+static void
+test_limit (void)
+{
+  static const struct process_case options = { .engine = { .limit = 40 },
+                                               .engines = 4,
+                                               .run_ms = 12000,
+                                               .slots = 64,
+                                               .budget_slack = 54,
+                                               .pause_ms = 60 };
+
+  run_processes (&options, 12);
+}
+
+/* The same while nodes restart and stand still, and do not reach the one that
+   issues the tickets.  */
+static void
+test_limit_restarts (void)
+{
+  static const struct process_case options
+      = { .engine = { .limit = 40 },
+          .process = { .kill_gate = 3, .stop_gate = 3 },
+          .engines = 4,
+          .run_ms = 15000,
+          .slots = 64,
+          .budget_slack = 54,
+          .budget_window_s = BUDGET_WINDOW_S,
+          .pause_ms = 60 };
+
+  run_processes (&options, 13);
+}
+
 /* All faults at once, for runs by hand.  */
 static void
 test_all (void)
@@ -1104,6 +1241,9 @@
                    test_retries_after_restarts);
   g_test_add_func ("/processes/framing", test_framing);
   g_test_add_func ("/processes/bad-part", test_bad_part);
+  g_test_add_func ("/processes/bad-request", test_bad_request);
+  g_test_add_func ("/processes/limit", test_limit);
+  g_test_add_func ("/processes/limit-restarts", test_limit_restarts);
   g_test_add_func ("/processes/all", test_all);
   return g_test_run ();
 }
