gateway: wait for a busy server rather than fail for another's limit

Seen in reading: a request whose limited servers had rejected it failed, though another server without a limit was only without a free slot. It waits for that one now; and a request that waits for something else no longer holds its place for a ticket.

/gate-limit/elsewhere: with a server beside the limited one all requests are served and the limited one still gets some.

--- a/src/forward_limit.c
+++ b/src/forward_limit.c
@@ -145,7 +145,9 @@
         break;
       note_rejection (limits, id, verdict.wait_ms);
     }
-  if (id == NULL)
+  if (id == NULL && forward->explanation.usable > 0)
+    forward_wait (forward, (struct timespec){ 0 }); /* for a free slot */
+  else if (id == NULL)
     forward_fail (forward, "the limits of the servers are reached",
                   limits->retry_ms);
   else if (verdict.state == RATELIMIT_WAITING)
--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -535,7 +535,10 @@
   else if (forward_limits_skipped (forward))
     forward_wait_for_limit (forward);
   else
-    forward_wait (forward, ready_at);
+    {
+      forward_limits_unwant (forward);
+      forward_wait (forward, ready_at);
+    }
 }
 
 void
--- a/tests/test_gate_limit.c
+++ b/tests/test_gate_limit.c
@@ -7,6 +7,7 @@
 #define WINDOW_MS 4000
 #define SLACK 5 /* requests */
 #define RUN_MS 9000
+#define OTHER_SERVER "i-2" /* names no limit */
 
 /* Of the server.  */
 static const char *limit; /* named in responses; NULL: none */
@@ -24,8 +25,14 @@
   const char *headers[]
       = { ID,  httpd_header (request, ID), SEAL, "seal", "Server-Limit", limit,
           NULL };
+  const char *id = httpd_header (request, "Parsleyrill-Expect-Instance");
   int64_t at = now_ms (f);
 
+  if (g_strcmp0 (id, OTHER_SERVER) == 0)
+    {
+      answer (request, 200, "hello");
+      return;
+    }
   g_array_append_val (arrivals, at);
   if (limit == NULL)
     answer (request, 200, "hello");
@@ -204,6 +211,33 @@
   tear_down (&f);
 }
 
+/* Requests waited or were rejected although another server could take them. */
+static void
+test_elsewhere (void)
+{
+  struct fixture f;
+  int64_t named;
+  char *text;
+
+  set_up_limit (&f, "1");
+  named = now_ms (&f);
+  text = g_strdup_printf (
+      "{\"Service\":\"app\",\"Address\":\"127.0.0.1:%u\",\"Zone\":\"z\","
+      "\"Slots\":8,\"State\":\"ready\",\"Sequence\":1}",
+      httpd_port (f.server));
+  put_row (&f, "servers/" OTHER_SERVER, text);
+  send_for (&f, &f.gate, 1, 1000);
+  for (int64_t end = now_ms (&f) + 6000; now_ms (&f) < end;)
+    {
+      request_and_wait (&f, "GET", "/safe/x", NULL);
+      g_assert_cmpint (f.status, ==, 200);
+    }
+  g_assert_cmpuint (most_in_window (named + STABILITY_MS), <=, allowed (1));
+  g_assert_cmpuint (arrivals->len, >=, 3);
+  tear_down (&f);
+  g_free (text);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -215,6 +249,7 @@
   g_test_add_func ("/gate-limit/below-one", test_below_one);
   g_test_add_func ("/gate-limit/cut-off", test_cut_off);
   g_test_add_func ("/gate-limit/rejected", test_rejected);
+  g_test_add_func ("/gate-limit/elsewhere", test_elsewhere);
   g_test_add_func ("/gate-limit/unnamed", test_unnamed);
   status = g_test_run ();
   g_array_unref (arrivals);
