--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -297,6 +297,8 @@
 
   forward_dequeue (forward);
   forward_limits_unwant (forward);
+  /* Without a ticket only if another request has used it since the server was
+     chosen to replace a silent one.  */
   ratelimits_take (gateway->ratelimits, engine->id);
   forward->on_trial = false;
   route_engine_unref (forward->engine);
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -144,8 +144,8 @@
 
 /* forward_limit.c: servers that name limits, see ratelimit.h.  */
 
-/* Whether the request may be sent to server ID now.  Otherwise that is
-   noted.  */
+/* Whether the request may be sent to server ID now, as far as its limit goes.
+   Otherwise that is noted.  */
 bool forward_limit_allows (struct forward *forward, const char *id);
 /* Forgets what was noted, before another choice.  */
 void forward_limits_reset (struct forward *forward);
--- /dev/null
+++ b/src/homes.h
@@ -0,0 +1,49 @@
+/* homes - which node of the fleet is the home of a key, and which part of the
+   fleet this node sees.
+
+   The home is the node with the highest lookup_weight among those that serve.
+   Nodes cannot tell a node that is gone from one that is cut off, so that a
+   node counts for HOMES_MEMORY_MS after it served last.
+
+   No I/O; one thread.  */
+
+#ifndef PARSLEYRILL_HOMES_H
+#define PARSLEYRILL_HOMES_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <time.h>
+
+#define HOMES_MEMORY_MS 120000
+
+struct homes;
+
+struct homes_node
+{
+  const char *name;
+  bool linked; /* there is a link to it; of this node: true */
+  bool serves; /* it may be a home: neither dead nor leaving */
+};
+
+/* NODE: this node's name, copied.  */
+struct homes *homes_new (const char *node);
+void homes_free (struct homes *homes);
+
+/* All nodes that are listed, this one among them.  */
+void homes_set (struct homes *homes, const struct homes_node *nodes,
+                size_t count, struct timespec now);
+
+/* The home of KEY; borrowed until the next homes_set.  */
+const char *homes_find (const struct homes *homes, const char *key);
+bool homes_is_self (const struct homes *homes, const char *node);
+bool homes_is_linked (const struct homes *homes, const char *node);
+
+/* The share of all nodes that are linked to this one, it included, and that of
+   one node.  */
+double homes_linked_share (const struct homes *homes);
+double homes_own_share (const struct homes *homes);
+
+/* A number from 0 to 1 that differs between nodes.  */
+double homes_phase (const struct homes *homes, const char *key);
+
+#endif
--- a/src/ratelimit.c
+++ b/src/ratelimit.c
@@ -1,9 +1,7 @@
 #include "ratelimit.h"
 
-#include <string.h>
 #include <glib.h>
 #include "bucket.h"
-#include "lookup.h"
 #include "ts.h"
 
 struct ask
@@ -29,19 +27,11 @@
   struct timespec refill_at;    /* no new ask for lapsed ones before */
 };
 
-struct node
-{
-  bool linked;
-  bool serves;
-  struct timespec listed_at;
-};
-
 struct ratelimit
 {
-  char *name;
+  struct homes *homes;
   uint64_t last_ask;
   GHashTable *limits; /* server -> struct limit */
-  GHashTable *nodes;  /* name -> struct node */
   struct timespec ticked_at;
 };
 
@@ -62,11 +52,9 @@
 {
   struct ratelimit *ratelimit = g_new0 (struct ratelimit, 1);
 
-  ratelimit->name = g_strdup (node);
+  ratelimit->homes = homes_new (node);
   ratelimit->limits
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, limit_free);
-  ratelimit->nodes
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return ratelimit;
 }
 
@@ -76,8 +64,7 @@
   if (ratelimit == NULL)
     return;
   g_hash_table_unref (ratelimit->limits);
-  g_hash_table_unref (ratelimit->nodes);
-  g_free (ratelimit->name);
+  homes_free (ratelimit->homes);
   g_free (ratelimit);
 }
 
@@ -102,91 +89,12 @@
                (int)RATELIMIT_READY);
 }
 
-/* Nodes.  */
-
 void
 ratelimit_set_nodes (struct ratelimit *ratelimit,
-                     const struct ratelimit_node *nodes, size_t count,
+                     const struct homes_node *nodes, size_t count,
                      struct timespec now)
 {
-  struct timespec forgotten = ts_add_ms (now, -RATELIMIT_NODE_MEMORY_MS);
-  GHashTableIter iter;
-  struct node *node;
-
-  g_hash_table_iter_init (&iter, ratelimit->nodes);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&node))
-    if (ts_before (node->listed_at, forgotten))
-      g_hash_table_iter_remove (&iter);
-    else
-      node->linked = node->serves = false;
-  for (size_t i = 0; i < count; i++)
-    {
-      node = g_hash_table_lookup (ratelimit->nodes, nodes[i].name);
-      if (node == NULL)
-        {
-          node = g_new0 (struct node, 1);
-          g_hash_table_insert (ratelimit->nodes, g_strdup (nodes[i].name),
-                               node);
-        }
-      node->linked = nodes[i].linked;
-      node->serves = nodes[i].serves;
-      if (node->serves || ts_is_zero (node->listed_at))
-        node->listed_at = now;
-    }
-}
-
-/* The part of the nodes with a link to this one, it included.  */
-static double
-linked_share (const struct ratelimit *ratelimit)
-{
-  GHashTableIter iter;
-  const struct node *node;
-  double linked = 0;
-  double all = 0;
-
-  g_hash_table_iter_init (&iter, ratelimit->nodes);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&node))
-    {
-      all++;
-      linked += node->linked;
-    }
-  return all > 0 ? MAX (linked, 1) / all : 1;
-}
-
-static double
-own_share (const struct ratelimit *ratelimit)
-{
-  return 1.0 / MAX (g_hash_table_size (ratelimit->nodes), 1);
-}
-
-static const char *
-find_home (const struct ratelimit *ratelimit, const char *server)
-{
-  const char *home = ratelimit->name;
-  uint64_t most = 0;
-  GHashTableIter iter;
-  const struct node *node;
-  const char *name;
-
-  g_hash_table_iter_init (&iter, ratelimit->nodes);
-  while (g_hash_table_iter_next (&iter, (gpointer *)&name, (gpointer *)&node))
-    {
-      uint64_t weight = lookup_weight (server, name, 0);
-
-      if (!node->serves || weight < most)
-        continue;
-      home = name;
-      most = weight;
-    }
-  return home;
-}
-
-static bool
-is_linked (const struct ratelimit *ratelimit, const char *name)
-{
-  const struct node *node = g_hash_table_lookup (ratelimit->nodes, name);
-
-  return node != NULL && node->linked;
+  homes_set (ratelimit->homes, nodes, count, now);
 }
 
 /* Statements.  */
@@ -343,7 +251,7 @@
 issue_to_self (const struct ratelimit *ratelimit, struct limit *limit,
                const struct ask *ask, struct timespec now)
 {
-  double per_s = limit->per_s * linked_share (ratelimit);
+  double per_s = limit->per_s * homes_linked_share (ratelimit->homes);
   int64_t wait_ms;
   bool issued
       = bucket_issue (&limit->home, per_s, ask->wait_max_ms, now, &wait_ms);
@@ -357,9 +265,8 @@
 issue_own_part (const struct ratelimit *ratelimit, struct limit *limit,
                 const struct ask *ask, struct timespec now)
 {
-  double per_s = limit->per_s * own_share (ratelimit);
-  double phase = (double)lookup_weight (limit->server, ratelimit->name, 1)
-                 / (double)UINT64_MAX;
+  double per_s = limit->per_s * homes_own_share (ratelimit->homes);
+  double phase = homes_phase (ratelimit->homes, limit->server);
   int64_t wait_ms;
   bool issued = bucket_issue_slot (&limit->own, per_s, phase, ask->wait_max_ms,
                                    now, &wait_ms);
@@ -372,12 +279,12 @@
           const struct ask *ask, struct timespec now,
           struct action_list *actions)
 {
-  const char *home = find_home (ratelimit, limit->server);
+  const char *home = homes_find (ratelimit->homes, limit->server);
   struct ratelimit_action *action;
 
-  if (strcmp (home, ratelimit->name) == 0)
+  if (homes_is_self (ratelimit->homes, home))
     issue_to_self (ratelimit, limit, ask, now);
-  else if (!is_linked (ratelimit, home)
+  else if (!homes_is_linked (ratelimit->homes, home)
            || ts_before (now, limit->silent_until))
     issue_own_part (ratelimit, limit, ask, now);
   else
@@ -530,9 +437,9 @@
   action = push (actions, RATELIMIT_SEND_REPLY, peer, limit, now);
   action->ask = ask;
   if (limit->per_s > 0)
-    action->rejected
-        = !bucket_issue (&limit->home, limit->per_s * linked_share (ratelimit),
-                         wait_max_ms, now, &action->wait_ms);
+    action->rejected = !bucket_issue (
+        &limit->home, limit->per_s * homes_linked_share (ratelimit->homes),
+        wait_max_ms, now, &action->wait_ms);
 }
 
 void
@@ -604,6 +511,12 @@
     ask_for_any (ratelimit, limit, now, actions);
 }
 
+static struct timespec
+lapses_at (const struct limit *limit)
+{
+  return ts_add_ms (limit->heard_at, RATELIMIT_MEMORY_MS);
+}
+
 static gboolean
 is_forgotten (gpointer key, gpointer value, gpointer user)
 {
@@ -611,8 +524,7 @@
   const struct timespec *now = user;
 
   (void)key;
-  return limit->wanted == 0
-         && ts_before (ts_add_ms (limit->heard_at, RATELIMIT_MEMORY_MS), *now);
+  return limit->wanted == 0 && !ts_before (*now, lapses_at (limit));
 }
 
 void
@@ -684,7 +596,9 @@
 
   g_hash_table_iter_init (&iter, ratelimit->limits);
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&limit))
-    if (limit->per_s > 0)
-      next = earlier (next, limit_next (limit, ratelimit->ticked_at));
+    {
+      if (limit->per_s > 0)
+        next = earlier (next, limit_next (limit, ratelimit->ticked_at));
+    }
   return next;
 }
--- a/src/ratelimit.h
+++ b/src/ratelimit.h
@@ -1,17 +1,15 @@
 /* ratelimit - shares the request rates that backend servers name for all nodes
    together.
 
-   For each server one node is the home of its limit: the one with the highest
-   lookup_weight of those that serve.  The other nodes ask it for a ticket for
-   each request.  It issues tickets at the named rate in the order of the asks,
-   some of them for a later time, so that requests queue, and rejects an ask
-   whose time would come too late.
+   For each server one node is the home of its limit, see homes.h.  The others
+   ask it for a ticket for each request.  It issues tickets at the named rate
+   in the order of the asks, some of them for a later time, so that requests
+   queue, and rejects an ask whose time would come too late.
 
    Nodes may be cut off from each other without knowing whether the others are
    alive.  A home therefore issues only the parts of the nodes that it has
    links to, one N-th each, and a node without a link to the home, or a reply,
-   uses its own part.  A node counts for RATELIMIT_NODE_MEMORY_MS after it was
-   last listed.
+   uses its own part.
 
    The latest statement of a server holds: nodes tell each other of changes.
 
@@ -25,25 +23,19 @@
 #include <stdint.h>
 #include <time.h>
 #include "action.h"
+#include "homes.h"
 
-#define RATELIMIT_TICKET_MS 1000 /* an unused ticket lapses after its time */
-#define RATELIMIT_REPLY_MS 250   /* until the home counts as silent */
-#define RATELIMIT_SILENT_MS 1000 /* for so long */
-#define RATELIMIT_RETRY_MS 100   /* until a lapsed ticket is replaced */
-#define RATELIMIT_NODE_MEMORY_MS 120000
+#define RATELIMIT_TICKET_MS 1000   /* an unused ticket lapses after its time */
+#define RATELIMIT_REPLY_MS 250     /* until the home counts as silent */
+#define RATELIMIT_SILENT_MS 1000   /* for so long */
+#define RATELIMIT_RETRY_MS 100     /* until a lapsed ticket is replaced */
 #define RATELIMIT_MEMORY_MS 600000 /* a limit that nobody hears lapses */
 /* A server with a lower limit would not be heard to lift it.  */
 #define RATELIMIT_MIN_PER_S (1.0 / 30)
+#define RATELIMIT_UNITS 1000.0 /* of a rate, in messages */
 
 struct ratelimit;
 
-struct ratelimit_node
-{
-  const char *name;
-  bool linked; /* there is a link to it; of this node: true */
-  bool serves; /* it may be a home: neither dead nor leaving */
-};
-
 enum ratelimit_action_type
 {
   RATELIMIT_SEND_NAMED, /* SERVER named PER_S, AGE_MS ago */
@@ -87,9 +79,9 @@
 struct ratelimit *ratelimit_new (const char *node);
 void ratelimit_free (struct ratelimit *ratelimit);
 
-/* All nodes that are listed, this one among them.  */
+/* See homes_set.  */
 void ratelimit_set_nodes (struct ratelimit *ratelimit,
-                          const struct ratelimit_node *nodes, size_t count,
+                          const struct homes_node *nodes, size_t count,
                           struct timespec now);
 
 /* SERVER named PER_S, 0: none, in its response to a request that was sent at
--- a/src/ratelimits.c
+++ b/src/ratelimits.c
@@ -9,7 +9,6 @@
 #include "ts.h"
 
 #define NODES_REFRESH_MS 100 /* links that break are not reported */
-#define PER_1000S 1000.0
 
 struct ratelimits
 {
@@ -42,12 +41,12 @@
 static void
 set_nodes (struct ratelimits *ratelimits)
 {
-  struct ratelimit_node *nodes;
+  struct homes_node *nodes;
   size_t count;
   const struct member_info *const *members
       = links_members (ratelimits->links, &count);
 
-  nodes = g_new0 (struct ratelimit_node, count);
+  nodes = g_new0 (struct homes_node, count);
   for (size_t i = 0; i < count; i++)
     {
       enum member_state state = members[i]->state;
@@ -79,7 +78,7 @@
 {
   struct peer_limit limit
       = { .server = (char *)action->server,
-          .per_1000s = (uint64_t)lround (action->per_s * PER_1000S),
+          .per_1000s = (uint64_t)lround (action->per_s * RATELIMIT_UNITS),
           .age_ms = (uint64_t)MAX (action->age_ms, 0),
           .ask = action->ask,
           .wait_ms = (uint64_t)MAX (action->wait_ms, 0),
@@ -217,7 +216,7 @@
                struct action_list *list)
 {
   struct timespec now = now_of (ratelimits);
-  double per_s = (double)limit->per_1000s / PER_1000S;
+  double per_s = (double)limit->per_1000s / RATELIMIT_UNITS;
 
   if (type == PEER_LIMIT_REPLY)
     {
--- a/tests/prop_ratelimit.cc
+++ b/tests/prop_ratelimit.cc
@@ -134,7 +134,7 @@
   void
   set_nodes (size_t i)
   {
-    std::vector<struct ratelimit_node> list;
+    std::vector<struct homes_node> list;
 
     for (size_t j = 0; j < nodes.size (); j++)
       list.push_back ({ nodes[j].name.c_str (), linked (i, j), true });
--- a/tests/test_ratelimit.c
+++ b/tests/test_ratelimit.c
@@ -21,7 +21,7 @@
 new_node (const char *name, size_t count, size_t linked, bool others_serve)
 {
   struct ratelimit *ratelimit = ratelimit_new (name);
-  struct ratelimit_node nodes[NODES_MAX];
+  struct homes_node nodes[NODES_MAX];
   char names[NODES_MAX][8];
 
   for (size_t i = 0; i < count; i++)
@@ -30,9 +30,9 @@
 
       g_snprintf (names[i], sizeof names[i], "n%zu", i);
       self = g_str_equal (names[i], name);
-      nodes[i] = (struct ratelimit_node){ .name = names[i],
-                                          .linked = self || i < linked,
-                                          .serves = self || others_serve };
+      nodes[i] = (struct homes_node){ .name = names[i],
+                                      .linked = self || i < linked,
+                                      .serves = self || others_serve };
     }
   ratelimit_set_nodes (ratelimit, nodes, count, at_ms (0));
   return ratelimit;
