ratelimit: a rate is rounded before it is told

Messages carry a rate in thousandths. A limit of 2.71828 was another one for the node that heard it and for those that were told: each response and each message was a change, logged and told to all. Seen in reading.

/ratelimit/rounded fails without the change.

--- a/src/ratelimit.c
+++ b/src/ratelimit.c
@@ -1,5 +1,6 @@
 #include "ratelimit.h"
 
+#include <math.h>
 #include <glib.h>
 #include "bucket.h"
 #include "ts.h"
@@ -135,10 +136,14 @@
   return limit;
 }
 
+/* As it can be told to other nodes.  */
 static double
 effective_rate (double per_s)
 {
-  return per_s > 0 ? MAX (per_s, RATELIMIT_MIN_PER_S) : 0;
+  if (per_s <= 0)
+    return 0;
+  return round (MAX (per_s, RATELIMIT_MIN_PER_S) * RATELIMIT_UNITS)
+         / RATELIMIT_UNITS;
 }
 
 /* Returns whether the limit changes.  */
--- a/tests/test_ratelimit.c
+++ b/tests/test_ratelimit.c
@@ -1,5 +1,6 @@
 /* Tests how tickets for servers with limits are issued.  */
 
+#include <math.h>
 #include <glib.h>
 #include "bucket.h"
 #include "ratelimit.h"
@@ -312,6 +313,34 @@
   ratelimit_free (ratelimit);
 }
 
+/* A rate that messages round was taken for another one, so that nodes told
+   each other again and again.  */
+static void
+test_rounded (void)
+{
+  struct ratelimit *ratelimit = new_node ("n0", 2, 2, false);
+  struct action_list actions;
+  const struct ratelimit_action *told;
+
+  action_list_init (&actions);
+  g_assert_true (ratelimit_heard (ratelimit, SERVER, 2.71828, at_ms (0),
+                                  at_ms (0), &actions));
+  told = (const struct ratelimit_action *)CK_STAILQ_FIRST (&actions);
+  g_assert_cmpfloat (told->per_s * RATELIMIT_UNITS, ==, 2718);
+  g_assert_false (ratelimit_told (ratelimit, "n1", SERVER, 2.718, 0,
+                                  at_ms (10), &actions));
+  g_assert_false (ratelimit_heard (ratelimit, SERVER, 2.71828, at_ms (20),
+                                   at_ms (20), &actions));
+  g_assert_true (ratelimit_heard (ratelimit, SERVER, 0.0001, at_ms (30),
+                                  at_ms (30), &actions));
+  g_assert_false (ratelimit_told (ratelimit, "n1", SERVER,
+                                  round (RATELIMIT_MIN_PER_S * RATELIMIT_UNITS)
+                                      / RATELIMIT_UNITS,
+                                  0, at_ms (40), &actions));
+  action_list_clear (&actions);
+  ratelimit_free (ratelimit);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -325,5 +354,6 @@
   g_test_add_func ("/ratelimit/promises", test_promises);
   g_test_add_func ("/ratelimit/lowered", test_lowered);
   g_test_add_func ("/ratelimit/old-message", test_old_message);
+  g_test_add_func ("/ratelimit/rounded", test_rounded);
   return g_test_run ();
 }
