ratelimit: a limit that nobody hears is forgotten

Limits were forgotten only by a tick, and nothing asked for one once no request waited: those of servers that had gone stayed for good. Seen in reading.

/ratelimit/forgotten fails without the change.

--- a/src/ratelimit.c
+++ b/src/ratelimit.c
@@ -602,6 +602,8 @@
   g_hash_table_iter_init (&iter, ratelimit->limits);
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&limit))
     {
+      if (limit->wanted == 0)
+        next = earlier (next, lapses_at (limit));
       if (limit->per_s > 0)
         next = earlier (next, limit_next (limit, ratelimit->ticked_at));
     }
--- a/tests/test_ratelimit.c
+++ b/tests/test_ratelimit.c
@@ -341,6 +341,24 @@
   ratelimit_free (ratelimit);
 }
 
+/* A limit that nobody heard any more was kept for good.  */
+static void
+test_forgotten (void)
+{
+  struct ratelimit *ratelimit = new_node ("n0", 1, 1, false);
+  struct action_list actions;
+
+  action_list_init (&actions);
+  hear (ratelimit, 1, 0);
+  g_assert_cmpint (
+      ts_cmp (ratelimit_next (ratelimit), at_ms (RATELIMIT_MEMORY_MS)), ==, 0);
+  ratelimit_tick (ratelimit, at_ms (RATELIMIT_MEMORY_MS), &actions);
+  g_assert_true (ts_is_zero (ratelimit_next (ratelimit)));
+  g_assert_cmpfloat (ratelimit_per_s (ratelimit, SERVER), ==, 0);
+  action_list_clear (&actions);
+  ratelimit_free (ratelimit);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -355,5 +373,6 @@
   g_test_add_func ("/ratelimit/lowered", test_lowered);
   g_test_add_func ("/ratelimit/old-message", test_old_message);
   g_test_add_func ("/ratelimit/rounded", test_rounded);
+  g_test_add_func ("/ratelimit/forgotten", test_forgotten);
   return g_test_run ();
 }
