ratelimit: a new home issues no ticket for a second

Logs of the tickets show the cause: a gate that had just started knew no other node, took itself for the home and issued itself 20 tickets at once, for the next 2 s; then the home, new too, issued 20 more for the same time.

A node that becomes a home, or has just started, issues none for the longest time that a ticket may be ahead, now 1 s instead of 2; one that ceases to be the home drops its own, and does not reply to asks.

--- a/src/bucket.c
+++ b/src/bucket.c
@@ -44,6 +44,12 @@
   return true;
 }
 
+void
+bucket_hold (struct bucket *bucket, struct timespec not_before)
+{
+  bucket->next = ts_max (bucket->next, not_before);
+}
+
 bool
 bucket_issue (struct bucket *bucket, double per_s, int64_t wait_max_ms,
               struct timespec now, int64_t *wait_ms)
--- a/src/bucket.h
+++ b/src/bucket.h
@@ -28,9 +28,12 @@
 bool bucket_issue (struct bucket *bucket, double per_s, int64_t wait_max_ms,
                    struct timespec now, int64_t *wait_ms);
 
-/* The same for tickets at fixed times, 1 / PER_S apart, which are lost if they
-   are not issued.  The first one is PHASE, from 0 to 1, of this later than the
-   first call.  */
+/* No ticket is valid before NOT_BEFORE.  */
+void bucket_hold (struct bucket *bucket, struct timespec not_before);
+
+/* The same as bucket_issue for tickets at fixed times, 1 / PER_S apart, which
+   are lost if they are not issued.  The first one is PHASE, from 0 to 1, of
+   this later than the first call.  */
 bool bucket_issue_slot (struct bucket *bucket, double per_s, double phase,
                         int64_t wait_max_ms, struct timespec now,
                         int64_t *wait_ms);
--- a/src/forward_limit.c
+++ b/src/forward_limit.c
@@ -2,8 +2,6 @@
 #include "forward_state.h"
 #include "ts.h"
 
-#define WAIT_MAX_MS 2000 /* for a ticket; later requests are rejected */
-
 /* Which servers a request did not go to because of their limits.  */
 struct forward_limits
 {
@@ -110,8 +108,7 @@
 want (struct forward *forward, const char *id)
 {
   struct forward_limits *limits = forward->limits;
-  int64_t wait_ms
-      = MIN (forward_left_ms (forward) - FORWARD_ANSWER_MIN_MS, WAIT_MAX_MS);
+  int64_t wait_ms = forward_left_ms (forward) - FORWARD_ANSWER_MIN_MS;
 
   if (limits->wanted != NULL && strcmp (limits->wanted, id) == 0)
     return;
--- a/src/homes.c
+++ b/src/homes.c
@@ -10,6 +10,7 @@
 {
   bool linked;
   bool serves;
+  bool served;               /* before the current homes_set */
   struct timespec served_at; /* last */
 };
 
@@ -17,6 +18,7 @@
 {
   char *self;
   GHashTable *nodes; /* name -> struct node */
+  struct timespec changed_at;
 };
 
 struct homes *
@@ -67,7 +69,10 @@
     if (ts_before (node->served_at, forgotten))
       g_hash_table_iter_remove (&iter);
     else
-      node->linked = node->serves = false;
+      {
+        node->served = node->serves;
+        node->linked = node->serves = false;
+      }
   for (size_t i = 0; i < count; i++)
     {
       node = get_node (homes, nodes[i].name, now);
@@ -75,9 +80,17 @@
       node->serves = nodes[i].serves;
       if (node->serves)
         node->served_at = now;
+      if (node->serves != node->served)
+        homes->changed_at = now;
     }
 }
 
+struct timespec
+homes_changed_at (const struct homes *homes)
+{
+  return homes->changed_at;
+}
+
 const char *
 homes_find (const struct homes *homes, const char *key)
 {
--- a/src/homes.h
+++ b/src/homes.h
@@ -33,6 +33,9 @@
 void homes_set (struct homes *homes, const struct homes_node *nodes,
                 size_t count, struct timespec now);
 
+/* When a node last began or ceased to serve, this one included.  */
+struct timespec homes_changed_at (const struct homes *homes);
+
 /* The home of KEY; borrowed until the next homes_set.  */
 const char *homes_find (const struct homes *homes, const char *key);
 bool homes_is_self (const struct homes *homes, const char *node);
--- a/src/ratelimit.c
+++ b/src/ratelimit.c
@@ -18,6 +18,8 @@
   char *server;
   double per_s; /* 0: none */
   struct timespec heard_at;
+  bool is_home; /* this node is the home of SERVER */
+  struct timespec home_since;
   struct bucket home;           /* if this node is the home */
   struct bucket own;            /* if the home cannot be asked */
   GArray *tickets;              /* struct timespec: from when on, ascending */
@@ -90,12 +92,43 @@
                (int)RATELIMIT_READY);
 }
 
+static bool
+is_home (const struct ratelimit *ratelimit, const char *server)
+{
+  return homes_is_self (ratelimit->homes,
+                        homes_find (ratelimit->homes, server));
+}
+
+static void
+update_home (const struct ratelimit *ratelimit, struct limit *limit)
+{
+  bool home = is_home (ratelimit, limit->server);
+
+  if (home && !limit->is_home)
+    limit->home_since = homes_changed_at (ratelimit->homes);
+  /* They are this node's own, or of a former home that has issued others
+   * since.
+   */
+  if (!home && limit->is_home)
+    g_array_set_size (limit->tickets, 0);
+  limit->is_home = home;
+}
+
 void
 ratelimit_set_nodes (struct ratelimit *ratelimit,
                      const struct homes_node *nodes, size_t count,
                      struct timespec now)
 {
+  struct timespec changed_at = homes_changed_at (ratelimit->homes);
+  GHashTableIter iter;
+  struct limit *limit;
+
   homes_set (ratelimit->homes, nodes, count, now);
+  if (ts_cmp (changed_at, homes_changed_at (ratelimit->homes)) == 0)
+    return;
+  g_hash_table_iter_init (&iter, ratelimit->limits);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&limit))
+    update_home (ratelimit, limit);
 }
 
 /* Statements.  */
@@ -133,6 +166,7 @@
   limit->rejected
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   g_hash_table_insert (ratelimit->limits, limit->server, limit);
+  update_home (ratelimit, limit);
   return limit;
 }
 
@@ -252,14 +286,25 @@
                           g_memdup2 (&at, sizeof at));
 }
 
+/* Issues a ticket as the home.  */
+static bool
+issue (const struct ratelimit *ratelimit, struct limit *limit,
+       int64_t wait_max_ms, struct timespec now, int64_t *wait_ms)
+{
+  double per_s = limit->per_s * homes_linked_share (ratelimit->homes);
+
+  bucket_hold (&limit->home,
+               ts_add_ms (limit->home_since, RATELIMIT_WAIT_MAX_MS));
+  return bucket_issue (&limit->home, per_s,
+                       MIN (wait_max_ms, RATELIMIT_WAIT_MAX_MS), now, wait_ms);
+}
+
 static void
 issue_to_self (const struct ratelimit *ratelimit, struct limit *limit,
                const struct ask *ask, struct timespec now)
 {
-  double per_s = limit->per_s * homes_linked_share (ratelimit->homes);
   int64_t wait_ms;
-  bool issued
-      = bucket_issue (&limit->home, per_s, ask->wait_max_ms, now, &wait_ms);
+  bool issued = issue (ratelimit, limit, ask->wait_max_ms, now, &wait_ms);
 
   settle (limit, ask, !issued, wait_ms, now);
 }
@@ -287,7 +332,7 @@
   const char *home = homes_find (ratelimit->homes, limit->server);
   struct ratelimit_action *action;
 
-  if (homes_is_self (ratelimit->homes, home))
+  if (limit->is_home)
     issue_to_self (ratelimit, limit, ask, now);
   else if (!homes_is_linked (ratelimit->homes, home)
            || ts_before (now, limit->silent_until))
@@ -377,8 +422,9 @@
                 struct action_list *actions)
 {
   struct limit *limit = find_named (ratelimit, server);
-  struct ask ask
-      = { .id = ++ratelimit->last_ask, .at = now, .wait_max_ms = wait_max_ms };
+  struct ask ask = { .id = ++ratelimit->last_ask,
+                     .at = now,
+                     .wait_max_ms = MIN (wait_max_ms, RATELIMIT_WAIT_MAX_MS) };
 
   if (limit != NULL)
     {
@@ -437,14 +483,15 @@
   struct limit *limit = find_limit (ratelimit, server);
   struct ratelimit_action *action;
 
-  if (limit == NULL)
+  /* Another node may take this one for the home a moment earlier or longer: it
+     uses its own part as long as it gets no reply.  */
+  if (limit == NULL || !limit->is_home)
     return;
   action = push (actions, RATELIMIT_SEND_REPLY, peer, limit, now);
   action->ask = ask;
   if (limit->per_s > 0)
-    action->rejected = !bucket_issue (
-        &limit->home, limit->per_s * homes_linked_share (ratelimit->homes),
-        wait_max_ms, now, &action->wait_ms);
+    action->rejected
+        = !issue (ratelimit, limit, wait_max_ms, now, &action->wait_ms);
 }
 
 void
--- a/src/ratelimit.h
+++ b/src/ratelimit.h
@@ -25,6 +25,9 @@
 #include "action.h"
 #include "homes.h"
 
+/* Longest time until a ticket is valid.  A node that becomes a home issues
+   none for so long, as those of the former home may still be used.  */
+#define RATELIMIT_WAIT_MAX_MS 1000
 #define RATELIMIT_TICKET_MS 1000   /* an unused ticket lapses after its time */
 #define RATELIMIT_REPLY_MS 250     /* until the home counts as silent */
 #define RATELIMIT_SILENT_MS 1000   /* for so long */
@@ -110,7 +113,8 @@
 bool ratelimit_take (struct ratelimit *ratelimit, const char *server,
                      struct timespec now);
 
-/* A request waits for a ticket of SERVER for a time within WAIT_MAX_MS.
+/* A request waits for a ticket of SERVER for a time within WAIT_MAX_MS, and
+   RATELIMIT_WAIT_MAX_MS.
    Returns a number for ratelimit_check and ratelimit_unwant, never 0.  */
 uint64_t ratelimit_want (struct ratelimit *ratelimit, const char *server,
                          int64_t wait_max_ms, struct timespec now,
--- a/tests/prop_ratelimit.cc
+++ b/tests/prop_ratelimit.cc
@@ -29,6 +29,7 @@
 static const int reply_ms = 30; /* of the server */
 static const int delay_max_ms = 20;
 static const int wait_max_ms = 1000; /* of a request */
+static const int alone_max_ms = 500; /* of a node that has started */
 static const double use_min = 0.7;   /* of the limit, with enough demand */
 
 struct request
@@ -44,7 +45,8 @@
   double per_s = 0; /* demand */
   bool cut = false; /* from the other nodes */
   int64_t frozen_until = 0;
-  int64_t calm_since = 0; /* started or thawed */
+  int64_t calm_since = 0;  /* started or thawed */
+  int64_t alone_until = 0; /* it knows no other node, as it has just started */
   std::vector<request> waiting;
 };
 
@@ -117,10 +119,17 @@
     return ts_from_ms (ms);
   }
 
+  bool
+  alone (size_t i) const
+  {
+    return ms < nodes[i].alone_until;
+  }
+
   bool
   linked (size_t a, size_t b) const
   {
-    return a == b || (!nodes[a].cut && !nodes[b].cut);
+    return a == b
+           || (!nodes[a].cut && !nodes[b].cut && !alone (a) && !alone (b));
   }
 
   bool
@@ -137,7 +146,8 @@
     std::vector<struct homes_node> list;
 
     for (size_t j = 0; j < nodes.size (); j++)
-      list.push_back ({ nodes[j].name.c_str (), linked (i, j), true });
+      if (j == i || !alone (i))
+        list.push_back ({ nodes[j].name.c_str (), linked (i, j), true });
     ratelimit_set_nodes (nodes[i].ratelimit, list.data (), list.size (),
                          now ());
   }
@@ -195,10 +205,12 @@
     run_actions (message.to, &list);
   }
 
+  /* Requests of a node that does not know the limit yet do not count if it has
+     just started.  */
   void
-  dispatch (size_t i)
+  dispatch (size_t i, bool knows)
   {
-    bool counts = nodes[i].calm_since + stability_ms <= ms;
+    bool counts = knows || nodes[i].calm_since + stability_ms <= ms;
 
     ratelimit_take (nodes[i].ratelimit, server, now ());
     requests.push_back ({ ms, counts });
@@ -214,7 +226,7 @@
         = ratelimit_check (ratelimit, server, request.ask, now ());
 
     if (verdict.state == RATELIMIT_NONE || verdict.state == RATELIMIT_OPEN)
-      dispatch (i);
+      dispatch (i, verdict.state == RATELIMIT_OPEN);
     else if (verdict.state == RATELIMIT_REJECTED || request.until <= ms)
       rejected++;
     else
@@ -246,6 +258,7 @@
     struct action_list list;
     struct timespec next = ratelimit_next (nodes[i].ratelimit);
 
+    find_others (i);
     set_nodes (i);
     if (!ts_is_zero (next) && !ts_before (now (), next))
       {
@@ -332,7 +345,16 @@
     nodes[i].ratelimit = ratelimit_new (nodes[i].name.c_str ());
     nodes[i].waiting.clear ();
     nodes[i].calm_since = ms;
+    nodes[i].alone_until = ms + between (0, alone_max_ms);
     set_nodes (i);
+  }
+
+  void
+  find_others (size_t i)
+  {
+    if (nodes[i].alone_until == 0 || alone (i))
+      return;
+    nodes[i].alone_until = 0;
     connect_all (i);
   }
 
--- a/tests/test_processes.c
+++ b/tests/test_processes.c
@@ -1195,6 +1195,28 @@
   run_processes (&options, 13);
 }
 
+/* Guards against nodes that have just started and issue tickets as if they
+   were alone, beside those that were issued before.  */
+static void
+test_limit_starts (void)
+{
+  static const struct process_case options
+      = { .engine = { .limit = 100 },
+          .process = { .kill_engine = 4,
+                       .kill_gate = 3,
+                       .stop_gate = 3,
+                       .kill_all_gates = 1,
+                       .drain_gate = 2 },
+          .engines = 4,
+          .run_ms = 15000,
+          .slots = 64,
+          .budget_slack = 54,
+          .budget_window_s = BUDGET_WINDOW_S,
+          .pause_ms = 60 };
+
+  run_processes (&options, 14);
+}
+
 /* All faults at once, for runs by hand.  */
 static void
 test_all (void)
@@ -1244,6 +1266,7 @@
   g_test_add_func ("/processes/bad-request", test_bad_request);
   g_test_add_func ("/processes/limit", test_limit);
   g_test_add_func ("/processes/limit-restarts", test_limit_restarts);
+  g_test_add_func ("/processes/limit-starts", test_limit_starts);
   g_test_add_func ("/processes/all", test_all);
   return g_test_run ();
 }
--- a/tests/test_ratelimit.c
+++ b/tests/test_ratelimit.c
@@ -7,6 +7,7 @@
 #include "ts.h"
 
 #define SERVER "s"
+#define STARTED_MS (-10000)
 #define NODES_MAX 150
 #define TRY_MS 50
 
@@ -35,7 +36,7 @@
                                       .linked = self || i < linked,
                                       .serves = self || others_serve };
     }
-  ratelimit_set_nodes (ratelimit, nodes, count, at_ms (0));
+  ratelimit_set_nodes (ratelimit, nodes, count, at_ms (STARTED_MS));
   return ratelimit;
 }
 
@@ -286,7 +287,8 @@
   ask = ratelimit_want (ratelimit, SERVER, 2000, at_ms (0), &actions);
   verdict = ratelimit_check (ratelimit, SERVER, ask, at_ms (0));
   g_assert_cmpint (verdict.state, !=, RATELIMIT_NONE);
-  ratelimit_take (ratelimit, SERVER, at_ms (0));
+  while (ratelimit_take (ratelimit, SERVER, at_ms (0)))
+    ;
   verdict = ratelimit_check (ratelimit, SERVER, ask, at_ms (0));
   g_assert_cmpint (verdict.state, ==, RATELIMIT_REJECTED);
   g_assert_cmpint (verdict.wait_ms, >=, 9000);
@@ -313,6 +315,47 @@
   ratelimit_free (ratelimit);
 }
 
+/* A node that had just started, and knew no other yet, issued tickets as if it
+   were alone, beside those of the home before.  */
+static void
+test_just_started (void)
+{
+  struct ratelimit *ratelimit = ratelimit_new ("n0");
+  struct homes_node nodes[] = { { "n0", true, true }, { "n1", true, true } };
+  struct action_list actions;
+
+  action_list_init (&actions);
+  ratelimit_set_nodes (ratelimit, nodes, 1, at_ms (0));
+  hear (ratelimit, 10, 0);
+  g_assert_cmpuint (
+      sent_between (ratelimit, 0, RATELIMIT_WAIT_MAX_MS - TRY_MS), ==, 0);
+  for (int i = 0; i < 5; i++)
+    ratelimit_want (ratelimit, SERVER, 1000, at_ms (100), &actions);
+  /* The home is found.  */
+  nodes[0].serves = false;
+  ratelimit_set_nodes (ratelimit, nodes, 2, at_ms (200));
+  g_assert_cmpint (ratelimit_check (ratelimit, SERVER, 0, at_ms (1900)).state,
+                   ==, RATELIMIT_WAITING);
+  action_list_clear (&actions);
+  ratelimit_free (ratelimit);
+}
+
+/* A node that had been taken for the home issued tickets beside it.  */
+static void
+test_not_home (void)
+{
+  struct ratelimit *ratelimit = ratelimit_new ("n0");
+  struct homes_node nodes[] = { { "n0", true, false }, { "n1", true, true } };
+  struct action_list actions;
+
+  action_list_init (&actions);
+  ratelimit_set_nodes (ratelimit, nodes, 2, at_ms (STARTED_MS));
+  hear (ratelimit, 10, 0);
+  ratelimit_asked (ratelimit, "n2", SERVER, 1, 1000, at_ms (10), &actions);
+  g_assert_cmpuint (count (&actions, RATELIMIT_SEND_REPLY), ==, 0);
+  ratelimit_free (ratelimit);
+}
+
 /* A rate that messages round was taken for another one, so that nodes told
    each other again and again.  */
 static void
@@ -372,6 +415,8 @@
   g_test_add_func ("/ratelimit/promises", test_promises);
   g_test_add_func ("/ratelimit/lowered", test_lowered);
   g_test_add_func ("/ratelimit/old-message", test_old_message);
+  g_test_add_func ("/ratelimit/just-started", test_just_started);
+  g_test_add_func ("/ratelimit/not-home", test_not_home);
   g_test_add_func ("/ratelimit/rounded", test_rounded);
   g_test_add_func ("/ratelimit/forgotten", test_forgotten);
   return g_test_run ();
