planner: engines short of their limits get what no engine has

Seen in reading: where all engines are short, a model or an adapter that none had was loaded nowhere, and its requests waited to the end.

--- a/src/planner_adapter.c
+++ b/src/planner_adapter.c
@@ -66,10 +66,10 @@
 }
 
 /* Number of engines with SOFTWARE, NULL: any version, on which ADAPTER is
-   loaded or being loaded, without those that are short.  */
+   loaded or being loaded.  SHORT_TOO: those that are short count.  */
 static unsigned
 adapter_replicas (const struct plan *plan, const char *model,
-                  const char *adapter, const char *software)
+                  const char *adapter, const char *software, bool short_too)
 {
   const struct planner_engine *engine;
   GHashTableIter iter;
@@ -81,7 +81,7 @@
       const struct planner_order *order = &engine->order;
 
       if (engine->leaving || !plan_has_software (engine, software)
-          || planner_is_short (plan, engine))
+          || (!short_too && planner_is_short (plan, engine)))
         continue;
       n += inventory_has (engine->inventory, model, adapter);
       n += order->stage != STAGE_NONE && order->type == BACKEND_ADAPTER_LOAD
@@ -92,10 +92,10 @@
 }
 
 /* The engine with the fewest adapters among those with SOFTWARE, NULL: any
-   version, that have MODEL but not ADAPTER.  */
+   version, that have MODEL but not ADAPTER, and are short or not.  */
 static struct planner_engine *
-choose_adapter_engine (const struct plan *plan, const char *model,
-                       const char *adapter, const char *software)
+choose_from (const struct plan *plan, const char *model, const char *adapter,
+             const char *software, bool is_short)
 {
   struct planner_engine *best = NULL;
   struct planner_engine *engine;
@@ -111,7 +111,7 @@
           || !plan_has_software (engine, software)
           || !inventory_has (engine->inventory, model, NULL)
           || inventory_has (engine->inventory, model, adapter)
-          || planner_is_short (plan, engine))
+          || planner_is_short (plan, engine) != is_short)
         continue;
       best = engine;
       fewest = n;
@@ -119,6 +119,21 @@
   return best;
 }
 
+/* A short engine is chosen only if no other one can have ADAPTER, and none has
+   it.  */
+static struct planner_engine *
+choose_adapter_engine (const struct plan *plan, const char *model,
+                       const char *adapter, const char *software)
+{
+  struct planner_engine *engine
+      = choose_from (plan, model, adapter, software, false);
+
+  if (engine == NULL
+      && adapter_replicas (plan, model, adapter, software, true) == 0)
+    engine = choose_from (plan, model, adapter, software, true);
+  return engine;
+}
+
 /* Loads ADAPTER on an engine with SOFTWARE, NULL: any version, that has MODEL,
    or, with EVICT, first unloads another adapter there.  */
 static void
@@ -167,7 +182,8 @@
         continue;
       model = g_strndup (entry->target, (gsize)(slash - entry->target));
       if (plan_model (plan, model) != NULL
-          && adapter_replicas (plan, model, slash + 1, entry->software) == 0)
+          && adapter_replicas (plan, model, slash + 1, entry->software, false)
+                 == 0)
         load_adapter (plan, model, slash + 1, entry->software, "waiting",
                       true);
       g_free (model);
@@ -190,7 +206,7 @@
     return;
   model = g_strndup (target, (gsize)(slash - target));
   if (plan_model (plan, model) != NULL
-      && adapter_replicas (plan, model, slash + 1, NULL) < needed)
+      && adapter_replicas (plan, model, slash + 1, NULL, false) < needed)
     load_adapter (plan, model, slash + 1, NULL, "calls", false);
   g_free (model);
 }
--- a/src/planner_round.c
+++ b/src/planner_round.c
@@ -37,6 +37,10 @@
    that wait.  */
 #define WAITING_VALUE 20.0
 
+/* Cost of a replica on an engine that is short of its limit, which a model
+   gets only if it has none: more than most evictions elsewhere.  */
+#define SHORT_COST 100.0
+
 /* A candidate engine for a load.  */
 struct candidate
 {
@@ -371,6 +375,7 @@
                const char *software, bool fetch)
 {
   struct candidate best = { .loss = PINNED_VALUE };
+  unsigned replicas = plan_model (plan, model->name)->replicas;
   struct planner_engine *engine;
   GHashTableIter iter;
   double least = PINNED_VALUE;
@@ -379,11 +384,12 @@
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&engine))
     {
       struct candidate candidate = { .engine = engine };
+      double cost;
 
       if (!engine->has_report || engine->leaving
           || !plan_has_software (engine, software)
           || inventory_model (engine->inventory, model->name) != NULL
-          || planner_is_short (plan, engine))
+          || (replicas > 0 && planner_is_short (plan, engine)))
         continue;
       candidate.busy_s = engine_busy_s (plan, engine);
       candidate.load_s = planner_load_s (engine, model, &candidate.fetches);
@@ -392,9 +398,12 @@
       candidate.loss = eviction_loss (plan, engine, model)
                        + ADAPTER_DELAY_VALUE * candidate.load_s
                              * adapter_request_rate (plan, engine);
-      if (candidate.busy_s + candidate.load_s + candidate.loss >= least)
+      cost = candidate.busy_s + candidate.load_s + candidate.loss;
+      if (planner_is_short (plan, engine))
+        cost += SHORT_COST;
+      if (cost >= least)
         continue;
-      least = candidate.busy_s + candidate.load_s + candidate.loss;
+      least = cost;
       best = candidate;
     }
   return best;
--- a/tests/test_planner.c
+++ b/tests/test_planner.c
@@ -644,6 +644,29 @@
   tear_down (&f);
 }
 
+/* Models and adapters that no engine had were never loaded, since all engines
+   were short of their limits.  */
+static void
+test_limited_everywhere (void)
+{
+  struct fixture f;
+
+  set_up (&f, 2);
+  report (&f, "e1", 1, false, "m0", "m1");
+  planner_set_limit (f.planner, "e1", 0.2);
+  planner_request_arrived (f.planner, "m0", 8, ts_from_ms (f.ms));
+  planner_set_waiting (f.planner, "n1", "m0/a1", 1, 0, ts_from_ms (f.ms));
+  tick (&f, 100);
+  check_order (&f, "load e1 m0/a1");
+  planner_set_waiting (f.planner, "n1", "m0/a1", 0, 0, ts_from_ms (f.ms));
+  planner_order_answered (f.planner, "e1", BACKEND_UNCHANGED,
+                          ts_from_ms (f.ms), &f.list);
+  planner_set_waiting (f.planner, "n1", "m1", 1, 0, ts_from_ms (f.ms));
+  tick (&f, 1000);
+  check_order (&f, "load e1 m1");
+  tear_down (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -662,6 +685,7 @@
   g_test_add_func ("/planner/adapters", test_adapters);
   g_test_add_func ("/planner/limited-adapter", test_limited_adapter);
   g_test_add_func ("/planner/limited-model", test_limited_model);
+  g_test_add_func ("/planner/limited-everywhere", test_limited_everywhere);
   g_test_add_func ("/planner/adapter-in-use", test_adapter_in_use);
   g_test_add_func ("/planner/engine-down", test_engine_down);
   g_test_add_func ("/planner/lost-answer", test_lost_answer);
