log: which version a request without a route was judged by

BAD_REQUEST of an unknown route has the request's id, version, in_force_ms and read_ms; CONFIG_IN_FORCE has the source. No change of what is answered.

--- a/src/forward.c
+++ b/src/forward.c
@@ -164,6 +164,27 @@
                   forward->deadline);
 }
 
+/* The log tells which version of the configuration the request was judged by,
+   and how old that was.  */
+static void
+refuse_unknown_route (struct forward *forward)
+{
+  const struct listing *listing = forward->gateway->listing;
+  struct log_line line;
+
+  counter_add (COUNTER_BAD_INPUT, 1);
+  log_begin (&line, EVENT_BAD_REQUEST);
+  log_str (&line, "method", httpd_method (forward->request));
+  log_str (&line, "path", httpd_path (forward->request));
+  log_str (&line, "why", "no such route");
+  log_str (&line, "request", forward->parsed.id);
+  log_int (&line, "version", (int64_t)forward->site->version);
+  log_int (&line, "in_force_ms", listing_config_in_force_ms (listing));
+  log_int (&line, "read_ms", listing_config_read_ms (listing));
+  log_end (&line);
+  forward_refuse (forward, 404, "no such route", 0);
+}
+
 /* Requests with the same prompt are routed to the same service.  */
 static uint64_t
 affinity_key (const struct forward *forward)
@@ -237,7 +258,7 @@
   forward->route = find_route (forward);
   if (forward->route == NULL || !find_service (forward))
     {
-      refuse_bad_request (forward, 404, "no such route");
+      refuse_unknown_route (forward);
       return;
     }
   set_deadline (forward);
--- a/src/listing.c
+++ b/src/listing.c
@@ -66,6 +66,8 @@
   struct site *site;
   char *config; /* text that SITE was parsed from */
   bool config_from_peer;
+  struct timespec config_at;      /* when SITE was put in force */
+  struct timespec config_read_at; /* last list or watch of the configuration */
   struct servers *servers;
   bool first_list; /* no server was known before the list being applied */
   struct watched_table config_table;
@@ -105,8 +107,10 @@
   g_free (listing->config);
   listing->site = site;
   listing->config = g_strdup (config);
+  listing->config_at = listing_now (listing);
   log_begin (&line, EVENT_CONFIG_IN_FORCE);
   log_int (&line, "version", (int64_t)site->version);
+  log_str (&line, "source", listing->config_from_peer ? "peer" : "store");
   log_int (&line, "routes", site->routes->len);
   log_int (&line, "services", site->services->len);
   log_end (&line);
@@ -152,6 +156,26 @@
   return listing->config_from_peer;
 }
 
+static int64_t
+since_ms (const struct listing *listing, struct timespec at)
+{
+  if (ts_is_zero (at))
+    return -1;
+  return ts_to_ms (ts_sub (listing_now (listing), at));
+}
+
+int64_t
+listing_config_in_force_ms (const struct listing *listing)
+{
+  return since_ms (listing, listing->config_at);
+}
+
+int64_t
+listing_config_read_ms (const struct listing *listing)
+{
+  return since_ms (listing, listing->config_read_at);
+}
+
 static void
 receive_config (struct listing *listing,
                 const struct platform_changes *changes, bool complete)
@@ -453,6 +477,8 @@
   watched->version = changes->version;
   if (watched == &listing->servers_table)
     listing->listed_at = listing_now (listing);
+  else
+    listing->config_read_at = listing_now (listing);
   watched->receive (listing, changes, complete);
   loop_timer_set (listing->core->loop, &watched->timer,
                   ts_add_ms (listing_now (listing),
--- a/src/listing.h
+++ b/src/listing.h
@@ -51,6 +51,11 @@
 void listing_apply_config (struct listing *listing, const char *config);
 /* Whether the configuration in force came from another node.  */
 bool listing_config_from_peer (const struct listing *listing);
+/* Time since the configuration was put in force; -1: none is.  */
+int64_t listing_config_in_force_ms (const struct listing *listing);
+/* Time since the store last answered this node about the configuration; -1: it
+   has not.  */
+int64_t listing_config_read_ms (const struct listing *listing);
 struct servers *listing_servers (const struct listing *listing);
 
 /* A response of server ID to this node said this about the server.  */
