tests: a configuration that comes late while connections are dead, failing

The store's stand-in now ends a watch after WaitMs, as the platform's does; before, each one ran into the client's timeout.

--- a/tests/gate_fixture.h
+++ b/tests/gate_fixture.h
@@ -40,7 +40,9 @@
   GHashTable *rows; /* "TABLE/KEY" to struct row */
   uint64_t version;
   uint64_t era; /* of the store, from 1, told as one less; 0: not told */
-  GPtrArray *waiting_feeds;    /* struct httpd_request: waits for new rows */
+  GPtrArray *waiting_feeds; /* struct httpd_request: waits for new rows */
+  GHashTable *ports; /* clients' ports of connections to the store; value:
+                        whether it is silent, see silence_connections */
   struct httpd_request *held;  /* at the server, not yet answered */
   unsigned at_server;          /* requests that reached the server */
   unsigned finished_at_server; /* requests that ended there, in any way */
@@ -252,18 +254,76 @@
                json_pack ("{s:I}", "Ver", (json_int_t)f->version));
 }
 
+/* Requests on the connections to the store that are open now get no response,
+   and no connection is closed.  New connections work.  */
+static inline void
+silence_connections (struct fixture *f)
+{
+  GHashTableIter iter;
+  gpointer silent;
+
+  g_hash_table_iter_init (&iter, f->ports);
+  while (g_hash_table_iter_next (&iter, NULL, &silent))
+    g_hash_table_iter_replace (&iter, GINT_TO_POINTER (true));
+  g_ptr_array_set_size (f->waiting_feeds, 0);
+}
+
+static bool
+is_silent (struct fixture *f, const struct httpd_request *request)
+{
+  gpointer port = GUINT_TO_POINTER (httpd_peer_port (request));
+
+  if (f->ports == NULL)
+    return false;
+  if (!g_hash_table_contains (f->ports, port))
+    g_hash_table_insert (f->ports, port, GINT_TO_POINTER (false));
+  return GPOINTER_TO_INT (g_hash_table_lookup (f->ports, port));
+}
+
+/* Lets a request wait for new rows for as long as it says.  */
+static void
+hold_feed (struct fixture *f, struct httpd_request *request)
+{
+  const char *wait = httpd_query (request, "WaitMs");
+  int64_t wait_ms = wait != NULL ? strtoll (wait, NULL, 10) : 0;
+  int64_t end_ms = ts_to_ms (clk_now (clk_monotonic ())) + wait_ms;
+
+  httpd_set_user (request, GSIZE_TO_POINTER ((gsize)end_ms));
+  g_ptr_array_add (f->waiting_feeds, request);
+}
+
+/* Answers the requests that have waited long enough.  */
+static void
+end_feeds (struct fixture *f)
+{
+  int64_t now_ms = ts_to_ms (clk_now (clk_monotonic ()));
+
+  for (guint i = f->waiting_feeds->len; i > 0; i--)
+    {
+      struct httpd_request *request
+          = g_ptr_array_index (f->waiting_feeds, i - 1);
+
+      if ((int64_t)GPOINTER_TO_SIZE (httpd_get_user (request)) > now_ms)
+        continue;
+      g_ptr_array_remove_index (f->waiting_feeds, i - 1);
+      answer_rows (f, request, false);
+    }
+}
+
 static void
 on_store (void *user, struct httpd_request *request)
 {
   struct fixture *f = user;
   const char *path = httpd_path (request);
 
+  if (is_silent (f, request))
+    return;
   if (strcmp (path, "/v1/rows-tx") == 0)
     write_rows (f, request);
   else if (read_after (request) > f->version)
     answer_json (f, request, 410, json_object ());
   else if (!answer_rows (f, request, strcmp (path, "/v1/rows-feed") == 0))
-    g_ptr_array_add (f->waiting_feeds, request);
+    hold_feed (f, request);
 }
 
 static void
@@ -352,6 +412,7 @@
 run_once (struct fixture *f)
 {
   loop_run_once (f->loop, 5);
+  end_feeds (f);
 }
 
 #define RUN_UNTIL(f, condition)                                               \
@@ -494,6 +555,7 @@
   f->loop = loop_new (clk_monotonic ());
   f->rows = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, row_free);
   f->waiting_feeds = g_ptr_array_new ();
+  f->ports = g_hash_table_new (NULL, NULL);
   f->last_request = g_string_new (NULL);
   f->received = g_string_new (NULL);
   f->store = start_server (f, on_store, on_store_finished);
@@ -550,6 +612,7 @@
   settings_clear (&f->settings);
   g_hash_table_unref (f->rows);
   g_ptr_array_unref (f->waiting_feeds);
+  g_hash_table_unref (f->ports);
   g_string_free (f->last_request, TRUE);
   g_string_free (f->received, TRUE);
   g_free (f->retry_after);
--- a/tests/test_listing.c
+++ b/tests/test_listing.c
@@ -384,6 +384,25 @@
   tear_down (&f);
 }
 
+/* Guards against a list that counts as fresh because its response was read
+   late: a decider that had been frozen published one that was seconds old.  */
+static void
+test_late_response (void)
+{
+  struct fixture f;
+
+  set_up (&f);
+  while (f.watches->len == 0)
+    {
+      f.clk.at = ts_add_ms (f.clk.at, STEP_MS);
+      loop_run_once (f.core.loop, 0);
+    }
+  f.clk.at = ts_add_ms (f.clk.at, 6000);
+  end_watches (&f);
+  g_assert_cmpint (listing_age_ms (f.listing), >=, 5000);
+  tear_down (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -395,5 +414,6 @@
   g_test_add_func ("/listing/watch-continues", test_watch_continues);
   g_test_add_func ("/listing/announced-version", test_announced_version);
   g_test_add_func ("/listing/older-than-notice", test_list_older_than_notice);
+  g_test_add_func ("/listing/late-response", test_late_response);
   return g_test_run ();
 }
--- a/tests/test_processes.c
+++ b/tests/test_processes.c
@@ -131,7 +131,10 @@
   if (httpd_new (&options, &f.store) < 0)
     return 1;
   for (;;)
-    loop_run_once (f.loop, 1000);
+    {
+      loop_run_once (f.loop, 20);
+      end_feeds (&f);
+    }
 }
 
 /* Starting processes.  */
