--- a/src/httpc.c
+++ b/src/httpc.c
@@ -828,7 +828,10 @@
     connect_ms = HTTPC_CONNECT_TIMEOUT_MS;
   curl_easy_setopt (call->easy, CURLOPT_CONNECTTIMEOUT_MS, (long)connect_ms);
   curl_easy_setopt (call->easy, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
-  curl_easy_setopt (call->easy, CURLOPT_MAXAGE_CONN, call->httpc->max_age_s);
+  curl_easy_setopt (call->easy, CURLOPT_MAXAGE_CONN,
+                    request->max_connection_age_s > 0
+                        ? request->max_connection_age_s
+                        : call->httpc->max_age_s);
   curl_easy_setopt (call->easy, CURLOPT_PROTOCOLS_STR, "http,https");
   curl_easy_setopt (call->easy, CURLOPT_PATH_AS_IS, 1L);
   curl_easy_setopt (call->easy, CURLOPT_BUFFERSIZE, READ_BYTES);
@@ -856,6 +859,12 @@
   curl_easy_setopt (call->easy, CURLOPT_WRITEDATA, call);
 }
 
+struct timespec
+httpc_now (const struct httpc *httpc)
+{
+  return loop_now (httpc->loop);
+}
+
 struct httpc_call *
 httpc_start (struct httpc *httpc, const struct httpc_request *request)
 {
--- a/src/httpc.h
+++ b/src/httpc.h
@@ -24,6 +24,7 @@
 
 #include <stdbool.h>
 #include <stddef.h>
+#include <time.h>
 #include "loop.h"
 
 struct httpc;
@@ -69,6 +70,7 @@
                                      idle_timeout_ms */
   int64_t connect_timeout_ms;     /* 0: HTTPC_CONNECT_TIMEOUT_MS */
   bool fresh_connection;          /* do not reuse a connection */
+  long max_connection_age_s;      /* as in struct httpc_options; 0: as there */
   size_t body_max;                /* max collected bytes; 0: HTTPC_BODY_MAX */
   /* Max bytes of status and header lines, also those of interim responses and
      of trailers; each line counts 32 bytes more.  Also max bytes between two
@@ -113,6 +115,9 @@
 struct httpc *httpc_new (const struct httpc_options *options);
 void httpc_free (struct httpc *httpc);
 
+/* Time of the event loop.  */
+struct timespec httpc_now (const struct httpc *httpc);
+
 /* Starts a call.  Returns NULL only when curl is out of memory.  No callback
    runs before it returns.  */
 struct httpc_call *httpc_start (struct httpc *httpc,
