confwatch: the decider's word on the configuration has its own age

Cause: nodes query nothing while the decider's list of servers is fresh and names no newer configuration. That freshness is the one of another call, on another connection: when the decider's watch of the configuration is dead, it keeps publishing its old version with a fresh list. Class: knowledge that is passed on with the age of something else. The list of servers itself was looked at: its age is its own.

Change: confwatch, a module without network, keeps when this node, or the decider by its own word (config_age_ms), last knew that the store had nothing newer, and decides whether the node reads the store itself. A watch of the configuration takes 0.6 s, 2.5 s only at the nodes of a large fleet that do not decide. The first call without an answer is repeated at once. While deciding, a node ignores nothing less than before.

--- a/Makefile
+++ b/Makefile
@@ -68,9 +68,9 @@
 $(BUILD)/tests/test_%: $(BUILD)/tests/test_%.o $(STANDIN_A) $(PLATFORM_A) $(LIB_A)
 	$(CC) $(LDFLAGS) $^ $(PKG_LIBS) -o $@
 
-$(BUILD)/tests/prop_%: tests/prop_%.cc $(LIB_A)
+$(BUILD)/tests/prop_%: tests/prop_%.cc $(PLATFORM_A) $(LIB_A)
 	@mkdir -p $(@D)
-	$(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -MP $< $(LIB_A) $(LDFLAGS) -lrapidcheck $(PKG_LIBS) -o $@
+	$(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -MP $< $(PLATFORM_A) $(LIB_A) $(LDFLAGS) -lrapidcheck $(PKG_LIBS) -o $@
 
 $(BUILD)/tests/fuzz_%: tests/fuzz_%.c $(wildcard src/*.c)
 	@mkdir -p $(@D)
--- /dev/null
+++ b/src/confwatch.c
@@ -0,0 +1,47 @@
+#include "confwatch.h"
+
+#include "ts.h"
+
+void
+confwatch_answered (struct confwatch *watch, struct timespec made_at)
+{
+  watch->known_at = ts_max (watch->known_at, made_at);
+}
+
+bool
+confwatch_told (struct confwatch *watch, uint64_t version, int64_t age_ms,
+                struct timespec now)
+{
+  bool changed = version != watch->told_version;
+
+  watch->told_at
+      = age_ms > 0 ? ts_add_ms (now, -age_ms) : (struct timespec){ 0 };
+  if (changed)
+    watch->told_from = now;
+  watch->told_version = version;
+  return changed;
+}
+
+void
+confwatch_forget (struct confwatch *watch)
+{
+  watch->told_version = 0;
+  watch->told_at = (struct timespec){ 0 };
+}
+
+bool
+confwatch_relies (const struct confwatch *watch, uint64_t version,
+                  int64_t push_ms, struct timespec now)
+{
+  if (ts_is_zero (watch->told_at)
+      || !ts_before (now, ts_add_ms (watch->told_at, CONFWATCH_TTL_MS)))
+    return false;
+  return (version > 0 && version >= watch->told_version)
+         || ts_before (now, ts_add_ms (watch->told_from, push_ms));
+}
+
+int64_t
+confwatch_age_ms (const struct confwatch *watch, struct timespec now)
+{
+  return ts_to_ms (ts_sub (now, ts_max (watch->known_at, watch->told_at)));
+}
--- /dev/null
+++ b/src/confwatch.h
@@ -0,0 +1,58 @@
+/* confwatch - decides whether a node reads the configuration from the store or
+   relies on the decider, which tells all nodes its version.
+
+   The decider's word is as good as the decider's own knowledge, so it comes
+   with the age of that.  A node that has no fresh word, or that was told of a
+   newer version than it has, reads the store.
+
+   Times are those of the loop's clock.  No I/O; one thread.  */
+
+#ifndef PARSLEYRILL_CONFWATCH_H
+#define PARSLEYRILL_CONFWATCH_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <time.h>
+
+/* Maximum age of the decider's word.  The decider's knowledge is renewed every
+   CONFWATCH_WAIT_MS and CONFWATCH_PAUSE_MS.  */
+#define CONFWATCH_TTL_MS 1400
+/* Duration of a watch, and pause between two.  The duration also bounds the
+   time until a stalled connection is noticed.  */
+#define CONFWATCH_WAIT_MS 600
+#define CONFWATCH_PAUSE_MS 100
+/* The duration at the nodes of a large fleet that do not decide: when the
+   decider is gone, all of them watch.  */
+#define CONFWATCH_WAIT_LARGE_MS 2500
+
+/* All zero is the initial state.  */
+struct confwatch
+{
+  /* When the store last had no version newer than those known here; zero:
+     never.  */
+  struct timespec known_at;
+  uint64_t told_version;     /* that the decider has */
+  struct timespec told_at;   /* the decider's known_at; zero: not told */
+  struct timespec told_from; /* when TOLD_VERSION was told first */
+};
+
+/* The store's response made at MADE_AT was applied.  */
+void confwatch_answered (struct confwatch *watch, struct timespec made_at);
+
+/* The decider has VERSION, and its knowledge is AGE_MS old; 0: unknown.
+   Returns whether VERSION is another one than before.  */
+bool confwatch_told (struct confwatch *watch, uint64_t version, int64_t age_ms,
+                     struct timespec now);
+
+/* Forgets what the decider told.  */
+void confwatch_forget (struct confwatch *watch);
+
+/* Whether this node, which has VERSION, may leave the store alone.  PUSH_MS:
+   how long it waits for a newer version that the decider sends.  */
+bool confwatch_relies (const struct confwatch *watch, uint64_t version,
+                       int64_t push_ms, struct timespec now);
+
+/* Age of what this node knows, from the store or the decider.  */
+int64_t confwatch_age_ms (const struct confwatch *watch, struct timespec now);
+
+#endif
--- a/src/frame.h
+++ b/src/frame.h
@@ -166,7 +166,10 @@
   bool full;             /* PEER_REPLICAS: replaces the whole state */
   bool relay;            /* pass it on, see fanout.h */
   uint64_t list_version; /* PEER_REPLICAS: of the table of servers */
-  uint64_t version;      /* PEER_CONFIG_*: of the document */
+  /* PEER_REPLICAS: age of what the sender knows of the configuration; 0:
+     unknown.  */
+  uint64_t config_age_ms;
+  uint64_t version; /* PEER_CONFIG_*: of the document */
   uint64_t since; /* PEER_CONFIG; PEER_KEEPALIVE: interval, ms; PEER_ORIGIN_*:
                      time left, ms */
   char *name;
--- a/src/listing.c
+++ b/src/listing.c
@@ -4,6 +4,7 @@
 #include <glib.h>
 #include "backoff.h"
 #include "badrow.h"
+#include "confwatch.h"
 #include "core.h"
 #include "links.h"
 #include "log.h"
@@ -15,10 +16,6 @@
    a leaving server must be known within 2 s.  */
 #define SERVERS_WATCH_MS 600
 #define SERVERS_PAUSE_MS 400
-/* The same for the configuration.  The duration also bounds the time until a
-   stalled connection is noticed.  */
-#define CONFIG_WATCH_MS 2500
-#define CONFIG_PAUSE_MS 100
 /* Time for a configuration from the decider to arrive, before the store is
    queried for it.  */
 #define CONFIG_PUSH_WAIT_MS 500
@@ -66,20 +63,19 @@
   struct site *site;
   char *config; /* text that SITE was parsed from */
   bool config_from_peer;
-  struct timespec config_at;      /* when SITE was put in force */
-  struct timespec config_read_at; /* last list or watch of the configuration */
+  struct timespec config_at; /* when SITE was put in force */
+  struct confwatch confwatch;
   struct servers *servers;
   bool first_list; /* no server was known before the list being applied */
   struct watched_table config_table;
   struct watched_table servers_table;
   struct loop_timer expire;
   struct nodetable nodes;
-  struct timespec listed_at;       /* last list or watch of the servers */
-  struct timespec peer_listed_at;  /* the same at the decider, as published */
-  uint64_t peer_version;           /* of the decider's configuration */
-  struct timespec peer_version_at; /* when that was first announced */
-  uint64_t peer_list_version;      /* of the decider's list; 0: unknown */
-  GHashTable *peer_servers;        /* ids in the list that is being received */
+  struct timespec listed_at;      /* last list or watch of the servers */
+  struct timespec peer_listed_at; /* the same at the decider, as published */
+  uint64_t peer_list_version;     /* of the decider's list; 0: unknown */
+  GHashTable *peer_servers;       /* ids in the list that is being received */
+  bool publishing;                /* this node decides */
   /* SERVERS is the decider's list, as of its last message.  */
   bool peer_list_applied;
   struct timespec start_wait_until;
@@ -173,7 +169,7 @@
 int64_t
 listing_config_read_ms (const struct listing *listing)
 {
-  return since_ms (listing, listing->config_read_at);
+  return since_ms (listing, listing->confwatch.known_at);
 }
 
 static void
@@ -408,15 +404,19 @@
 
 /* Watched tables.  */
 
-/* The whole fleet retries at a bounded rate.  */
+/* The whole fleet retries at a bounded rate.  After the first call without an
+   answer perhaps only its connection is dead.  */
 static struct timespec
-retry_at (const struct watched_table *watched, struct timespec now)
+retry_at (const struct watched_table *watched, enum platform_status status,
+          struct timespec now)
 {
   struct listing *listing = watched->listing;
-  struct timespec at = backoff_retry_at (MIN (watched->failures, 1),
-                                         listing->core->rand, now);
+  struct timespec at = now;
   size_t nodes;
 
+  if (status != PLATFORM_UNKNOWN || watched->failures > 0)
+    at = backoff_retry_at (MIN (watched->failures, 1), listing->core->rand,
+                           now);
   links_members (listing->links, &nodes);
   return ts_add_ms (
       at, g_rand_int_range (listing->core->rand, 0,
@@ -438,7 +438,7 @@
     }
   listing->last_outage_at = now;
   loop_timer_set (listing->core->loop, &watched->timer,
-                  retry_at (watched, now));
+                  retry_at (watched, status, now));
   watched->failures++;
 }
 
@@ -459,6 +459,7 @@
   struct listing *listing = watched->listing;
   bool complete = !watched->listed;
   bool stale = watched->stale;
+  struct timespec made_at = listing_now (listing);
 
   watched->pending = false;
   watched->stale = false;
@@ -476,9 +477,9 @@
   watched->listed = true;
   watched->version = changes->version;
   if (watched == &listing->servers_table)
-    listing->listed_at = listing_now (listing);
+    listing->listed_at = made_at;
   else
-    listing->config_read_at = listing_now (listing);
+    confwatch_answered (&listing->confwatch, made_at);
   watched->receive (listing, changes, complete);
   loop_timer_set (listing->core->loop, &watched->timer,
                   ts_add_ms (listing_now (listing),
@@ -496,25 +497,31 @@
              ts_add_ms (listing->peer_listed_at, LISTING_PEER_LIST_TTL_MS));
 }
 
-/* Whether queries of the table are suspended, because the decider's list
-   replaces them.  The configuration is queried until it is as new as the
-   decider's.  */
+/* Whether queries of the table are suspended, because what the decider sends
+   replaces them.  In a large fleet that includes new configurations.  */
 static bool
 is_suspended (const struct watched_table *watched)
 {
   const struct listing *listing = watched->listing;
+  uint64_t version = listing->site != NULL ? listing->site->version : 0;
+  int64_t push_ms
+      = links_has_relays (listing->links) ? CONFIG_PUSH_WAIT_MS : 0;
 
-  if (!peer_list_is_fresh (listing))
-    return false;
-  if (watched != &listing->config_table
-      || (listing->site != NULL
-          && listing->site->version >= listing->peer_version))
-    return true;
-  /* In a large fleet the decider sends the configuration.  */
-  return links_has_relays (listing->links)
-         && ts_before (
-             listing_now (listing),
-             ts_add_ms (listing->peer_version_at, CONFIG_PUSH_WAIT_MS));
+  if (watched != &listing->config_table)
+    return peer_list_is_fresh (listing);
+  return confwatch_relies (&listing->confwatch, version, push_ms,
+                           listing_now (listing));
+}
+
+static int64_t
+watch_duration_ms (const struct watched_table *watched)
+{
+  const struct listing *listing = watched->listing;
+
+  if (watched == &listing->config_table && !listing->publishing
+      && links_has_relays (listing->links))
+    return CONFWATCH_WAIT_LARGE_MS;
+  return watched->watch_ms;
 }
 
 /* Whether this node of a large fleet has just started and leaves it to the
@@ -574,7 +581,7 @@
   watched->pending = true;
   if (watched->listed)
     platform->ops->watch (platform, watched->table, watched->version,
-                          watched->watch_ms, cb);
+                          watch_duration_ms (watched), cb);
   else
     platform->ops->list (platform, watched->table, cb);
 }
@@ -599,9 +606,17 @@
   return ts_to_ms (ts_sub (listing_now (listing), at));
 }
 
+int64_t
+listing_config_age_ms (const struct listing *listing)
+{
+  return confwatch_age_ms (&listing->confwatch, listing_now (listing));
+}
+
 void
-listing_query_store (struct listing *listing)
+listing_start_publishing (struct listing *listing)
 {
+  listing->publishing = true;
+  confwatch_forget (&listing->confwatch);
   listing->peer_listed_at = (struct timespec){ 0 };
   listing->start_wait_until = (struct timespec){ 0 };
   listing->servers_table.relist = true;
@@ -609,25 +624,25 @@
   query_now (&listing->servers_table);
 }
 
-/* Queries the store once for a newly announced version.  The timer of the
-   table repeats that at its own pace.  */
-static void
-set_peer_version (struct listing *listing, uint64_t version)
+void
+listing_stop_publishing (struct listing *listing)
 {
-  if (version == listing->peer_version)
-    return;
-  listing->peer_version = version;
-  listing->peer_version_at = listing_now (listing);
-  if (!is_suspended (&listing->config_table))
-    query_now (&listing->config_table);
+  listing->publishing = false;
 }
 
+/* Queries the store once for a version that is told for the first time.  The
+   timer of the table repeats that at its own pace.  */
 static void
 set_peer_info (struct listing *listing, const struct listing_peer_info *info)
 {
-  listing->peer_listed_at = ts_add_ms (listing_now (listing), -info->age_ms);
+  struct timespec now = listing_now (listing);
+
+  listing->peer_listed_at = ts_add_ms (now, -info->age_ms);
   listing->peer_list_version = info->list_version;
-  set_peer_version (listing, info->config_version);
+  if (confwatch_told (&listing->confwatch, info->config_version,
+                      info->config_age_ms, now)
+      && !is_suspended (&listing->config_table))
+    query_now (&listing->config_table);
 }
 
 void
@@ -789,8 +804,8 @@
   listing->config_table
       = (struct watched_table){ .listing = listing,
                                 .table = options->catalog->config_table,
-                                .watch_ms = CONFIG_WATCH_MS,
-                                .pause_ms = CONFIG_PAUSE_MS,
+                                .watch_ms = CONFWATCH_WAIT_MS,
+                                .pause_ms = CONFWATCH_PAUSE_MS,
                                 .receive = receive_config };
   listing->servers_table
       = (struct watched_table){ .listing = listing,
--- a/src/listing.h
+++ b/src/listing.h
@@ -65,6 +65,8 @@
 /* Age of the list of servers: the store's or the decider's, whichever is
    newer.  */
 int64_t listing_age_ms (const struct listing *listing);
+/* Age of what is known of the configuration, see confwatch.h.  */
+int64_t listing_config_age_ms (const struct listing *listing);
 
 /* Version of the list of servers in the store; 0: unknown.  */
 uint64_t listing_version (const struct listing *listing);
@@ -74,6 +76,7 @@
 {
   int64_t age_ms;
   uint64_t config_version; /* of the decider's configuration */
+  int64_t config_age_ms;   /* of what the decider knows of that; 0: unknown */
   /* Of the list in the store, where this node continues the watch when the
      decider falls silent; 0: unknown.  */
   uint64_t list_version;
@@ -92,8 +95,9 @@
                                const struct listing_peer_info *info);
 void listing_peer_list_remove (struct listing *listing, const char *id);
 
-/* Ignores the decider's list and lists the servers in the store, with what
-   they hold.  For a node that becomes the decider.  */
-void listing_query_store (struct listing *listing);
+/* This node becomes the decider: forgets what the former one told, and lists
+   the servers in the store, with what they hold.  */
+void listing_start_publishing (struct listing *listing);
+void listing_stop_publishing (struct listing *listing);
 
 #endif
--- a/src/planners_lease.c
+++ b/src/planners_lease.c
@@ -25,7 +25,7 @@
   planners->out = replica_sender_new (PLANNERS_CELL, fence);
   planners->compared_at = (struct timespec){ 0 };
   planners_tick_soon (planners);
-  listing_query_store (planners->listing);
+  listing_start_publishing (planners->listing);
   if (listing_site (planners->listing) != NULL)
     planners_configure (planners, listing_site (planners->listing));
 }
@@ -37,6 +37,7 @@
     return;
   log_lease (planners, EVENT_LEASE_LOST, fence);
   planners->deciding = false;
+  listing_stop_publishing (planners->listing);
   g_hash_table_remove_all (planners->by_service);
 }
 
--- a/src/planners_replicas.c
+++ b/src/planners_replicas.c
@@ -15,15 +15,16 @@
   g_array_append_vals (user, replica, 1);
 }
 
-/* Adds the age and version of the server list, and the version of the
-   configuration in force.  */
+/* Adds the age and version of the server list and of the configuration.  */
 static void
-add_list_age (const struct planners *planners, struct peer_msg *msg)
+add_ages (const struct planners *planners, struct peer_msg *msg)
 {
   const struct site *site = listing_site (planners->listing);
 
   msg->since = (uint64_t)MAX (listing_age_ms (planners->listing), 1);
   msg->version = site != NULL ? site->version : 0;
+  msg->config_age_ms
+      = (uint64_t)MAX (listing_config_age_ms (planners->listing), 1);
   msg->list_version = listing_version (planners->listing);
 }
 
@@ -99,6 +100,7 @@
 
   return msg->version != planners->published_version
          || (int64_t)msg->since < planners->published_age_ms
+         || (int64_t)msg->config_age_ms < planners->published_config_age_ms
          || !ts_before (now, repeat_at);
 }
 
@@ -122,7 +124,7 @@
   replica_sender_changes (planners->out, (struct peer_replica *)replicas->data,
                           replicas->len, now, &msg);
   update_own_servers (planners, &msg, replicas);
-  add_list_age (planners, &msg);
+  add_ages (planners, &msg);
   if (msg.replica_count > 0)
     kernel_post (planners->core->kernel, KERNEL_SERVERS_CHANGED, NULL);
   if (msg.replica_count > 0 || is_heartbeat_due (planners, &msg, now))
@@ -132,6 +134,7 @@
       planners->published_at = now;
       planners->published_version = msg.version;
       planners->published_age_ms = (int64_t)msg.since;
+      planners->published_config_age_ms = (int64_t)msg.config_age_ms;
     }
   peer_msg_clear (&msg);
   g_array_unref (replicas);
@@ -147,12 +150,14 @@
   if (planners->deciding)
     {
       replica_sender_full (planners->out, now, &msg);
-      add_list_age (planners, &msg);
+      add_ages (planners, &msg);
     }
   else if (replica_receiver_full (planners->in, PLANNERS_CELL, now, &msg))
     {
       msg.since = (uint64_t)MAX (listing_age_ms (planners->listing), 1);
       msg.version = planners->in_version;
+      msg.config_age_ms
+          = (uint64_t)MAX (listing_config_age_ms (planners->listing), 1);
       msg.list_version = planners->in_list_version;
     }
   else
@@ -198,6 +203,8 @@
 {
   return (struct listing_peer_info){ .age_ms = (int64_t)msg->since,
                                      .config_version = msg->version,
+                                     .config_age_ms
+                                     = (int64_t)msg->config_age_ms,
                                      .list_version = msg->list_version };
 }
 
--- a/src/planners_state.h
+++ b/src/planners_state.h
@@ -46,7 +46,8 @@
   struct timespec published_at;
   uint64_t published_version; /* of the configuration */
   int64_t published_age_ms;   /* of the list of servers, at PUBLISHED_AT */
-  uint64_t in_version;        /* the same in the last message applied */
+  int64_t published_config_age_ms;
+  uint64_t in_version; /* the same in the last message applied */
   uint64_t in_list_version;
   struct timespec requested_at; /* last request for the complete list */
 };
--- a/tests/test_listing.c
+++ b/tests/test_listing.c
@@ -191,8 +191,9 @@
                                  .pool = (char *)"s",
                                  .slots = 8,
                                  .leaving = leaving };
-  struct listing_peer_info info
-      = { .age_ms = age_ms, .config_version = version };
+  struct listing_peer_info info = { .age_ms = age_ms,
+                                    .config_version = version,
+                                    .config_age_ms = age_ms };
 
   listing_peer_list_begin (f->listing, &info);
   listing_peer_list_add (f->listing, &server);
@@ -308,7 +309,8 @@
                                 .address = (char *)"1.2.3.4:6",
                                 .zone = (char *)"z",
                                 .pool = (char *)"s" };
-  struct listing_peer_info info = { .age_ms = 100, .config_version = 7 };
+  struct listing_peer_info info
+      = { .age_ms = 100, .config_version = 7, .config_age_ms = 100 };
 
   set_up (&f);
   for (int i = 0; i < 4; i++)
@@ -333,8 +335,10 @@
 static void
 test_watch_continues (void)
 {
-  struct listing_peer_info info
-      = { .age_ms = 100, .config_version = 7, .list_version = 55 };
+  struct listing_peer_info info = { .age_ms = 100,
+                                    .config_version = 7,
+                                    .config_age_ms = 100,
+                                    .list_version = 55 };
   struct fixture f;
   unsigned before;
 
@@ -353,7 +357,7 @@
   g_assert_nonnull (server (&f, "i1"));
   /* A node that becomes the decider needs what the engines hold, which the
      watch tells only of those that change.  */
-  listing_query_store (f.listing);
+  listing_start_publishing (f.listing);
   advance (&f, 2 * STEP_MS);
   g_assert_cmpuint (f.server_lists, ==, before + 1);
   tear_down (&f);
@@ -384,6 +388,19 @@
   tear_down (&f);
 }
 
+static bool
+watches_servers (const struct fixture *f)
+{
+  for (guint i = 0; i < f->watches->len; i++)
+    {
+      const struct pending *pending = g_ptr_array_index (f->watches, i);
+
+      if (strcmp (pending->table, "servers") == 0)
+        return true;
+    }
+  return false;
+}
+
 /* Guards against a list that counts as fresh because its response was read
    late: a decider that had been frozen published one that was seconds old.  */
 static void
@@ -392,12 +409,13 @@
   struct fixture f;
 
   set_up (&f);
-  while (f.watches->len == 0)
+  while (!watches_servers (&f))
     {
       f.clk.at = ts_add_ms (f.clk.at, STEP_MS);
       loop_run_once (f.core.loop, 0);
     }
   f.clk.at = ts_add_ms (f.clk.at, 6000);
+  loop_run_once (f.core.loop, 0);
   end_watches (&f);
   g_assert_cmpint (listing_age_ms (f.listing), >=, 5000);
   tear_down (&f);
