listing: a response read late is as old as it can be

The age of a list counted from when its response was read. A node that had been frozen or cut reads a response that the store made seconds before, and, as the decider, publishes it as fresh; nodes that rely on it query nothing for 1.4 s (CONFIG, DRAIN).

Evidence: /listing/late-response, age 0 for a list of 6 s before.

--- a/src/confwatch.c
+++ b/src/confwatch.c
@@ -2,6 +2,16 @@
 
 #include "ts.h"
 
+/* Longest delivery of a response that counts as timely.  */
+#define DELIVERY_MS 300
+
+struct timespec
+confwatch_made_at (struct timespec sent_at, int64_t wait_ms,
+                   struct timespec now)
+{
+  return ts_min (now, ts_add_ms (sent_at, wait_ms + DELIVERY_MS));
+}
+
 void
 confwatch_answered (struct confwatch *watch, struct timespec made_at)
 {
--- a/src/confwatch.h
+++ b/src/confwatch.h
@@ -36,6 +36,12 @@
   struct timespec told_from; /* when TOLD_VERSION was told first */
 };
 
+/* When the store made a response that was read NOW, at the latest.  The call
+   was sent at SENT_AT and may have waited for WAIT_MS.  A response that takes
+   longer was delayed on its way, or not read while the node was paused.  */
+struct timespec confwatch_made_at (struct timespec sent_at, int64_t wait_ms,
+                                   struct timespec now);
+
 /* The store's response made at MADE_AT was applied.  */
 void confwatch_answered (struct confwatch *watch, struct timespec made_at);
 
--- a/src/listing.c
+++ b/src/listing.c
@@ -43,6 +43,8 @@
   const char *table;
   int64_t watch_ms;
   int64_t pause_ms;
+  struct timespec sent_at; /* of the call in progress */
+  int64_t wait_ms;         /* of it; 0: a list */
   void (*receive) (struct listing *listing,
                    const struct platform_changes *changes, bool complete);
   bool listed;  /* VERSION is valid: it may be watched */
@@ -459,7 +461,8 @@
   struct listing *listing = watched->listing;
   bool complete = !watched->listed;
   bool stale = watched->stale;
-  struct timespec made_at = listing_now (listing);
+  struct timespec made_at = confwatch_made_at (
+      watched->sent_at, watched->wait_ms, listing_now (listing));
 
   watched->pending = false;
   watched->stale = false;
@@ -579,9 +582,11 @@
     watched->listed = false;
   watched->relist = false;
   watched->pending = true;
+  watched->sent_at = loop_now (loop);
+  watched->wait_ms = watched->listed ? watch_duration_ms (watched) : 0;
   if (watched->listed)
     platform->ops->watch (platform, watched->table, watched->version,
-                          watch_duration_ms (watched), cb);
+                          watched->wait_ms, cb);
   else
     platform->ops->list (platform, watched->table, cb);
 }
