planners: the decider ignores the lists of the former one

A node that was frozen while it decided goes on publishing when it wakes, until it hears of the higher token. Other nodes drop that; its successor did not: the receiver knows the highest token received, not the one this node holds.

Evidence: /gate-config/former-decider fails without the change: a server of the former decider's list is used.

Class: the state of the receiving role is kept while the node has the other one. Looked for in confpull and replica_sync: no further case seen.

--- a/src/gate.c
+++ b/src/gate.c
@@ -207,3 +207,9 @@
   g_free (gate->core.address);
   g_free (gate);
 }
+
+struct service *
+gate_service (const struct gate *gate, const char *name)
+{
+  return kernel_find (gate->core.kernel, name);
+}
--- a/src/gate.h
+++ b/src/gate.h
@@ -54,6 +54,9 @@
 /* The port that callers connect to, in host byte order.  */
 uint16_t gate_port (const struct gate *gate);
 
+/* The service NAME, see kernel.h; NULL if there is none.  */
+struct service *gate_service (const struct gate *gate, const char *name);
+
 /* Adds addresses of peers to connect to: IP:port separated by commas.  */
 void gate_add_seeds (struct gate *gate, const char *seeds);
 
--- a/src/planners_replicas.c
+++ b/src/planners_replicas.c
@@ -278,6 +278,9 @@
   if (strcmp (origin, planners->core->node) == 0)
     return;
   step_down_if_fenced (planners, msg->fence);
+  /* From a former decider that does not know yet.  */
+  if (planners->deciding && msg->fence < lease_fence (planners->lease))
+    return;
   result = replica_receiver_apply (planners->in, origin, msg,
                                    planners_now (planners));
   if (msg->relay && result != REPLICA_SYNC_STALE)
--- a/tests/test_gate_config.c
+++ b/tests/test_gate_config.c
@@ -3,6 +3,7 @@
    dead without having been reset.  */
 
 #include "gate_second.h"
+#include "planners_state.h"
 
 #define CONFIG_MS 2000
 
@@ -119,6 +120,53 @@
   tear_down (&f);
 }
 
+static bool
+watches_servers (const struct fixture *f)
+{
+  for (guint i = 0; i < f->waiting_feeds->len; i++)
+    if (g_strcmp0 (
+            httpd_query (g_ptr_array_index (f->waiting_feeds, i), "Table"),
+            "servers")
+        == 0)
+      return true;
+  return false;
+}
+
+/* Guards against a decider that replaces its list, and relies on the word, of
+   the former one: that was frozen and does not know yet.  */
+static void
+test_former_decider (void)
+{
+  struct peer_replica server = { .engine = (char *)"i-9",
+                                 .address = (char *)"127.0.0.1:9",
+                                 .zone = (char *)"z",
+                                 .pool = (char *)"app",
+                                 .model = (char *)SERVERS_WHOLE_SERVER,
+                                 .slots = 8 };
+  struct peer_msg msg = { .type = PEER_REPLICAS,
+                          .cell = (char *)PLANNERS_CELL,
+                          .node = (char *)"n9",
+                          .seq = 1,
+                          .full = true,
+                          .since = 1,
+                          .config_age_ms = 1,
+                          .version = 1,
+                          .replicas = &server,
+                          .replica_count = 1 };
+  struct fixture f;
+  struct planners *planners;
+
+  set_up (&f);
+  wait_until_serving (&f);
+  planners = (struct planners *)gate_service (f.gate, PLANNERS_NAME);
+  RUN_UNTIL (&f, planners_deciding (planners) && watches_servers (&f));
+  RUN_UNTIL (&f, !watches_servers (&f));
+  run_ms (&f, 150);
+  planners_receive_replicas (planners, "n9", &msg);
+  g_assert_null (servers_find (listing_servers (planners->listing), "i-9"));
+  tear_down (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -126,5 +174,6 @@
   g_test_add_func ("/gate-config/dead-connections", test_dead_connections);
   g_test_add_func ("/gate-config/dead-connections-all",
                    test_dead_connections_all);
+  g_test_add_func ("/gate-config/former-decider", test_former_decider);
   return g_test_run ();
 }
