--- a/Makefile
+++ b/Makefile
@@ -68,6 +68,12 @@
 $(BUILD)/tests/test_%: $(BUILD)/tests/test_%.o $(STANDIN_A) $(PLATFORM_A) $(LIB_A)
 	$(CC) $(LDFLAGS) $^ $(PKG_LIBS) -o $@
 
+$(BUILD)/tests/cut_paths.so: tests/cut_paths.c
+	@mkdir -p $(@D)
+	$(CC) $(filter-out -fsanitize=%,$(CFLAGS)) -fPIC -shared $< -ldl -o $@
+
+$(BUILD)/tests/test_processes: | $(BUILD)/tests/cut_paths.so
+
 $(BUILD)/tests/prop_%: tests/prop_%.cc $(PLATFORM_A) $(LIB_A)
 	@mkdir -p $(@D)
 	$(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -MP $< $(PLATFORM_A) $(LIB_A) $(LDFLAGS) -lrapidcheck $(PKG_LIBS) -o $@
--- a/tests/test_processes.c
+++ b/tests/test_processes.c
@@ -32,6 +32,12 @@
 #define BAD_LATE_MAX 3 /* bad requests that reach engines */
 #define PART_CRASHES 5u
 #define REQUEST_CRASHES 3u
+/* A cut of the paths between nodes and engines.  */
+#define CUT_FROM_MS 2000
+#define CUT_TO_MS 11000
+#define CUT_FAILED_MAX 10 /* requests at the nodes that are cut off */
+#define CUT_FAILED_PERCENT_MAX 2
+#define SINK_HOST 250
 #define LIMIT_WINDOW_MS 4000
 #define LIMIT_SLACK 5
 
@@ -64,6 +70,8 @@
   /* Percent of the idempotent requests that are one whole request which
      crashes engines.  */
   int bad_request;
+  int cut;         /* the first so many gates are cut off from the engines */
+  bool cut_refuse; /* new connections are refused then, others hang */
 };
 
 struct child
@@ -91,6 +99,9 @@
   struct child engines[ENGINES_MAX];
   atomic_bool stopping;
   unsigned seed;
+  int sink;           /* listens at SINK_HOST and answers no connection */
+  long long cut_from; /* ms */
+  long long cut_to;
 };
 
 struct caller_thread
@@ -99,7 +110,8 @@
   pthread_t thread;
   unsigned number;
   unsigned seed;
-  int fd; /* kept connection, or -1 */
+  int fd;   /* kept connection, or -1 */
+  int gate; /* of FD */
 };
 
 static const char *program;
@@ -319,9 +331,25 @@
   char *gate = g_build_filename (dir, "..", "parsley-gate", NULL);
   char *name = g_strdup_printf ("gate-%d.log", i);
   char *argv[] = { gate, (char *)"--settings", settings, NULL };
-  char *environment[] = { (char *)"PARSLEY_PEER_TOKEN=secret-of-nodes", NULL };
+  char *preload = g_strdup_printf ("LD_PRELOAD=%s/cut_paths.so", dir);
+  char *cut_file = g_strdup_printf ("CUT_FILE=%s/cut-%d", p->dir, i);
+  char *cut_port = g_strdup_printf ("CUT_PORT=%d", ENGINE_PORT);
+  char *sink = address_of (p, SINK_HOST);
+  char *cut_sink = g_strdup_printf ("CUT_SINK=%s", sink);
+  char *environment[] = { (char *)"PARSLEY_PEER_TOKEN=secret-of-nodes",
+                          (char *)"ASAN_OPTIONS=verify_asan_link_order=0",
+                          p->options->cut > 0 ? preload : NULL,
+                          cut_file,
+                          cut_port,
+                          p->options->cut_refuse ? NULL : cut_sink,
+                          NULL };
 
   p->gates[i].pid = start_process (p, argv, name, environment);
+  g_free (cut_sink);
+  g_free (sink);
+  g_free (cut_port);
+  g_free (cut_file);
+  g_free (preload);
   g_free (name);
   g_free (gate);
   g_free (dir);
@@ -436,6 +464,8 @@
       kind == KIND_ONCE ? "Content-Length: 4\r\n" : "",
       kind == KIND_ONCE ? "body" : "");
   record_line (record, 'S', "%s %d", id, (int)kind);
+  if (!leaves)
+    record_line (record, 'G', "%s %d", id, caller->gate);
   if (leaves)
     deadline_ms = rand_r (&caller->seed) % 60;
   keep = send_all (caller->fd, text, strlen (text));
@@ -460,11 +490,14 @@
 
   for (unsigned n = 0; !atomic_load (&p->stopping); n++)
     {
-      char *address
-          = address_of (p, GATE_HOST (rand_r (&caller->seed) % GATES));
+      int gate = rand_r (&caller->seed) % GATES;
+      char *address = address_of (p, GATE_HOST (gate));
 
       if (caller->fd < 0)
-        caller->fd = connect_to (address, FRONT_PORT);
+        {
+          caller->fd = connect_to (address, FRONT_PORT);
+          caller->gate = gate;
+        }
       g_free (address);
       if (caller->fd >= 0)
         make_request (caller, n);
@@ -595,13 +628,66 @@
     }
 }
 
+/* Answers no connection once its queue is full.  */
+static void
+open_sink (struct processes *p)
+{
+  struct sockaddr_in sin = { .sin_family = AF_INET };
+  char *address = address_of (p, SINK_HOST);
+
+  sin.sin_port = htons (ENGINE_PORT);
+  inet_pton (AF_INET, address, &sin.sin_addr);
+  p->sink = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  g_assert_cmpint (bind (p->sink, (struct sockaddr *)&sin, sizeof sin), ==, 0);
+  g_assert_cmpint (listen (p->sink, 0), ==, 0);
+  for (int i = 0; i < 2; i++)
+    {
+      int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+
+      connect (fd, (struct sockaddr *)&sin, sizeof sin);
+    }
+  g_free (address);
+}
+
+static void
+set_cut (struct processes *p, bool cut)
+{
+  for (int i = 0; i < p->options->cut; i++)
+    {
+      char *name = g_strdup_printf ("%s/cut-%d", p->dir, i);
+
+      if (cut)
+        g_assert_true (g_file_set_contents (name, "", 0, NULL));
+      else
+        unlink (name);
+      g_free (name);
+    }
+}
+
+static void
+run_cut (struct processes *p, int64_t run_ms)
+{
+  if (p->options->cut > 0 && p->cut_from == 0 && run_ms >= CUT_FROM_MS)
+    {
+      set_cut (p, true);
+      p->cut_from = process_now_ms ();
+    }
+  if (p->cut_from > 0 && p->cut_to == 0 && run_ms >= CUT_TO_MS)
+    {
+      p->cut_to = process_now_ms ();
+      set_cut (p, false);
+    }
+}
+
 static void
 run_faults (struct processes *p)
 {
-  int64_t end = process_now_ms () + p->options->run_ms;
+  int64_t begin = process_now_ms ();
+  int64_t end = begin + p->options->run_ms;
 
   while (process_now_ms () < end)
     {
+      run_cut (p, process_now_ms () - begin);
       restore_processes (p, process_now_ms ());
       inject_faults (p);
       sleep_ms (TICK_MS);
@@ -614,6 +700,7 @@
 {
   int kind;
   int status;
+  int gate;       /* 1 and up; 0: the caller left early */
   long long sent; /* ms */
   unsigned arrivals;
   unsigned runs;
@@ -697,6 +784,8 @@
       request->sent = time;
       g_array_append_val (totals->sent, time);
     }
+  if (kind == 'G')
+    request->gate = value + 1;
   if (kind == 'E' || kind == 'X')
     request->status = value;
   totals->shortened += kind == 'X';
@@ -840,6 +929,48 @@
                  / TS_MS_PER_S / 2));
 }
 
+struct tries
+{
+  unsigned sent;
+  unsigned answered;
+};
+
+/* Callers here send each request once.  Requests whose deadline passes after
+   the cut has ended do not count.  */
+static void
+check_cut (const struct processes *p, const struct totals *totals)
+{
+  const int longest_ms = 1800;
+  struct tries cut = { 0 };
+  struct tries others = { 0 };
+  const struct request_record *request;
+  GHashTableIter iter;
+  unsigned failed;
+
+  if (p->options->cut == 0)
+    return;
+  g_hash_table_iter_init (&iter, totals->requests);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&request))
+    {
+      struct tries *tries = request->gate <= p->options->cut ? &cut : &others;
+
+      if (request->gate == 0 || request->sent < p->cut_from + STABILITY_MS
+          || request->sent > p->cut_to - longest_ms)
+        continue;
+      tries->sent++;
+      tries->answered += request->status == 200;
+    }
+  failed = cut.sent - cut.answered;
+  g_test_message ("while cut: %u of %u answered at nodes that were cut off, "
+                  "%u of %u at the others",
+                  cut.answered, cut.sent, others.answered, others.sent);
+  g_assert_cmpuint (others.answered * 2, >, others.sent);
+  g_assert_true (failed <= CUT_FAILED_MAX
+                               + cut.sent * CUT_FAILED_PERCENT_MAX / 100
+                 || (double)cut.answered / cut.sent
+                        >= 2.0 / 3 * others.answered / others.sent);
+}
+
 static void
 free_times (gpointer times)
 {
@@ -886,6 +1017,7 @@
   g_assert_cmpuint (totals.shortened, ==, 0);
   check_bad (p, &totals);
   check_limit (p, &totals);
+  check_cut (p, &totals);
   g_hash_table_unref (totals.arrivals);
   g_strfreev (lines);
   g_free (text);
@@ -907,6 +1039,7 @@
       = open (p->record_path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
   g_snprintf (p->address, sizeof p->address, "127.%d.%d.",
               1 + (pid >> 8) % 200, pid & 255);
+  open_sink (p);
   start_store (p);
   for (int i = 0; i < p->options->engines; i++)
     start_engine (p, i);
@@ -1220,6 +1353,32 @@
   run_processes (&options, 14);
 }
 
+static const struct process_case cut = { .engines = 4,
+                                         .run_ms = 13000,
+                                         .slots = 64,
+                                         .budget_slack = 54,
+                                         .pause_ms = 60,
+                                         .cut = 1 };
+
+/* Guards against a node that reaches no engine and lets its callers wait,
+   while its peers reach them all: connections hang.  */
+static void
+test_cut (void)
+{
+  run_processes (&cut, 15);
+}
+
+/* The same when most nodes are cut off and new connections are refused.  */
+static void
+test_cut_refused (void)
+{
+  struct process_case options = cut;
+
+  options.cut = 2;
+  options.cut_refuse = true;
+  run_processes (&options, 16);
+}
+
 /* All faults at once, for runs by hand.  */
 static void
 test_all (void)
@@ -1270,6 +1429,8 @@
   g_test_add_func ("/processes/limit", test_limit);
   g_test_add_func ("/processes/limit-restarts", test_limit_restarts);
   g_test_add_func ("/processes/limit-starts", test_limit_starts);
+  g_test_add_func ("/processes/cut", test_cut);
+  g_test_add_func ("/processes/cut-refused", test_cut_refused);
   g_test_add_func ("/processes/all", test_all);
   return g_test_run ();
 }
