forward: what no server here can be sent goes to another node

Requests waited for a connection for 1 s each, then for their deadlines.

Cause: a request could only go to servers. That the fleet hears from a server which one node cannot connect to was known and not used. Class: a failure that is judged by one node's view although the others' is at hand. Looked at for the same: the decider, which went on deciding though its orders and reports failed.

Change: cutoff tells servers that only this node cannot reach from those that are down, by failed connections here and the loads that peers report; it decides on probes, which open a connection and close it. forward_relay passes such requests on to another node over HTTP, one hop, bounded for each node; a node that cannot serve them either says so at once. A decider that is cut off from engines releases the lease. httpc opens connections without a request.

--- a/src/caller.h
+++ b/src/caller.h
@@ -22,6 +22,11 @@
 #include "httpd.h"
 
 #define CALLER_PARTS_MAX 8 /* parts of a prompt that are hashed */
+/* Header of a request that one node passes on to another; its value is the id
+   of the first.  Never sent to backend servers.  In the response of the other,
+   with CALLER_RELAY_UNREACHED: it does not reach the servers either.  */
+#define CALLER_RELAY_HEADER "X-Parsley-Relay"
+#define CALLER_RELAY_UNREACHED "unreached"
 
 struct caller;
 
@@ -55,7 +60,8 @@
 {
   const struct caller_request *request;
   const struct httpd_request *from;
-  const char *server; /* instance id expected at the address */
+  const char *server; /* instance id expected at the address; NULL: another
+                         node of this system gets the request */
   int64_t left_ms;    /* until the deadline */
   unsigned urgency;   /* 0: highest; 9: lowest */
   bool resumes;
--- a/src/forward.c
+++ b/src/forward.c
@@ -52,7 +52,7 @@
 send_refusal (struct forward *forward, unsigned status, const char *why,
               int64_t retry_ms)
 {
-  const char *headers[5] = { NULL };
+  const char *headers[7] = { NULL };
   char seconds[32];
   size_t n = 0;
   char *text = g_strdup_printf ("{\"error\":\"%s\"}\n", why);
@@ -64,6 +64,11 @@
       headers[n++] = "Retry-After";
       headers[n++] = seconds;
     }
+  if (forward->unreached)
+    {
+      headers[n++] = CALLER_RELAY_HEADER;
+      headers[n++] = CALLER_RELAY_UNREACHED;
+    }
   if (forward->gateway->core->draining)
     {
       headers[n++] = "Connection";
@@ -254,6 +259,7 @@
       forward_refuse (forward, 503, "starting", STARTING_RETRY_MS);
       return;
     }
+  forward_set_relayed (forward);
   forward->site = site_ref (listing_site (gateway->listing));
   forward->route = find_route (forward);
   if (forward->route == NULL || !find_service (forward))
@@ -265,7 +271,7 @@
   forward_set_features (forward);
   if (forward_reject_quarantined (forward))
     return;
-  if (forward->target != NULL)
+  if (forward->target != NULL && !forward->relayed)
     planners_request_arrived (gateway->planners, forward->service->name,
                               forward->target);
   if (forward->parsed.resumes && forward->route->kind == SITE_STREAM)
--- a/src/forward_answer.c
+++ b/src/forward_answer.c
@@ -5,6 +5,7 @@
 #include "ts.h"
 
 #define SILENCE_CHECK_MIN_MS 200 /* between looks for a replacement */
+#define RETRY_AFTER_MAX_S 60     /* longer ones of other nodes are cut */
 #define FULL_RETRY_AFTER_MS 200  /* time for a full server to free a slot */
 
 static void
@@ -20,6 +21,10 @@
   gateway->options.caller->ops->interpret (gateway->options.caller,
                                            forward->call, status,
                                            &forward->parsed, &forward->answer);
+  if (forward->to_peer)
+    return;
+  cutoff_heard (forward_cutoff (forward), forward->engine->id,
+                forward->first_at);
   forward_note_alive (forward);
   if (!forward->answer.not_available && !forward->engine->gone)
     listing_server_notice (gateway->listing, forward->engine->id,
@@ -100,7 +105,8 @@
   if (forward->head_sent)
     return;
   forward->head_sent = true;
-  forward_record_origin (forward);
+  if (!forward->to_peer)
+    forward_record_origin (forward);
   headers = copy_response_headers (forward);
   httpd_stream_begin (forward->request, (unsigned)status, type,
                       (const char *const *)headers->pdata);
@@ -137,6 +143,9 @@
 
   forward->heard_at = forward_now (forward);
   reach_heard (gateway->reach, forward->engine->id, forward->heard_at);
+  if (!forward->to_peer)
+    cutoff_heard (forward_cutoff (forward), forward->engine->id,
+                  forward->heard_at);
   forward->silent = false;
   if (!forward->suspected)
     return;
@@ -158,7 +167,7 @@
       forward->can_resume = true;
       forward->last_event = forward->sse.last_id;
     }
-  if (before == 0 && forward->sse.events > 0)
+  if (before == 0 && forward->sse.events > 0 && !forward->to_peer)
     forward_note_answer (forward);
   return err;
 }
@@ -184,7 +193,7 @@
   struct gateway *gateway = forward->gateway;
 
   forward_log_done (forward, result);
-  for (size_t i = 0; i < forward->parsed.part_count; i++)
+  for (size_t i = 0; !forward->to_peer && i < forward->parsed.part_count; i++)
     pick_hint (gateway->pick, forward->engine->id, forward->parsed.parts[i],
                true, forward_now (forward));
   if (forward->request != NULL && forward->streaming)
@@ -222,7 +231,8 @@
   struct gateway *gateway = forward->gateway;
   struct timespec now = forward_now (forward);
   const char *id = forward->engine->id;
-  bool healthy = refusal || (result->error == 0 && is_authentic (forward));
+  bool healthy = refusal || (result->error == 0 && is_authentic (forward))
+                 || (result->error == 0 && forward->to_peer);
 
   if (connection_stalled (forward, result))
     {
@@ -231,6 +241,11 @@
       return;
     }
   eject_end (gateway->eject, id, healthy, now);
+  if (result->error != 0 && result->phase == HTTPC_UNSENT && !forward->to_peer)
+    {
+      cutoff_failed (forward_cutoff (forward), id, forward->sent_at);
+      gateway_check_cutoff (gateway, forward->service->name);
+    }
   if ((result->error != 0 && result->phase == HTTPC_UNSENT)
       || (refusal && was_replaced (forward)))
     reach_connect_failed (gateway->reach, id, now);
@@ -263,6 +278,24 @@
          && forward_limit_allows (forward, forward->engine->id);
 }
 
+/* A server, or a node if this one cannot reach any.  */
+static struct route_engine *
+pick_other (struct forward *forward)
+{
+  const struct cutoff *cutoff = forward_cutoff (forward);
+  bool cut_off = cutoff_all (cutoff, forward_now (forward));
+  struct route_engine *other = NULL;
+
+  if (!cut_off)
+    other = forward_pick_other (forward);
+  if (other == NULL
+      && (cut_off
+          || cutoff_server (cutoff, forward->engine->id,
+                            forward_now (forward))))
+    other = forward_pick_peer (forward);
+  return other;
+}
+
 /* Sets forward->replacement unless the attempt is to go on.  */
 static enum stall_action
 replace_silent (struct forward *forward)
@@ -272,8 +305,7 @@
   struct stall stall
       = { .may_retry
           = may_retry (forward) && retry_available (gateway->retry, service) };
-  struct route_engine *other
-      = stall.may_retry ? forward_pick_other (forward) : NULL;
+  struct route_engine *other = stall.may_retry ? pick_other (forward) : NULL;
   enum stall_action action;
 
   stall.other_ready = other != NULL;
@@ -416,7 +448,7 @@
   else if (forward->answer.implies_not_run)
     retry_or_fail (forward,
                    "the status says \"not run\", the server does not");
-  else if (retry_server_error (forward, result))
+  else if (!forward->to_peer && retry_server_error (forward, result))
     {
       counter_add (COUNTER_RETRIES, 1);
       forward_mark_tried (forward);
@@ -472,22 +504,45 @@
   return result->error;
 }
 
+/* Of a response that a node has made itself.  */
+static struct forward_peer_answer
+read_peer_answer (const struct forward *forward,
+                  const struct httpc_result *result)
+{
+  struct forward_peer_answer answer = { .status = result->status };
+  const char *text;
+
+  if (result->status == 0)
+    return answer;
+  text = httpc_response_header (forward->call, "Retry-After");
+  if (text != NULL)
+    answer.retry_ms = ts_to_ms (
+        ts_from_s (CLAMP (g_ascii_strtod (text, NULL), 0, RETRY_AFTER_MAX_S)));
+  text = httpc_response_header (forward->call, CALLER_RELAY_HEADER);
+  answer.unreached = g_strcmp0 (text, CALLER_RELAY_UNREACHED) == 0;
+  return answer;
+}
+
 static void
 handle_result (struct forward *forward, const struct httpc_result *result)
 {
   GPtrArray *headers;
+  struct forward_peer_answer peer_answer;
   bool refusal;
 
   if (result->status != 0)
     parse_response_head (forward, result->status);
   headers = copy_response_headers (forward);
+  peer_answer = read_peer_answer (forward, result);
   forward->call = NULL;
-  forward->engine->inflight--;
+  forward_end_in_flight (forward);
   refusal = result->error == 0 && forward->head_parsed
-            && forward->answer.not_run && forward->answer.id_matches;
+            && forward->answer.not_run && forward->answer.id_matches
+            && !forward->to_peer;
   attempt_finish (&forward->attempts[forward->count - 1], result, refusal);
   update_server_health (forward, result, refusal);
-  forward_note_end (forward, result, refusal);
+  if (!forward->to_peer)
+    forward_note_end (forward, result, refusal);
   if (result->error != 0 || refusal)
     forward_log_failed (forward, result);
   gateway_dispatch_soon (forward->gateway);
@@ -497,6 +552,8 @@
     retry_refused (forward, "no server has room");
   else if (result->error != 0 && result->phase == HTTPC_UNSENT)
     retry_unsent (forward);
+  else if (result->error == 0 && forward->to_peer && !is_authentic (forward))
+    forward_on_peer_answer (forward, &peer_answer);
   else if (result->error == 0)
     handle_complete_answer (forward, result, headers);
   else
--- a/src/forward_log.c
+++ b/src/forward_log.c
@@ -25,6 +25,8 @@
   if (forward->route != NULL)
     log_str (line, "route", forward->route->name);
   log_str (line, "target", forward->target);
+  if (forward->relayed)
+    log_int (line, "relayed", 1);
   log_double (line, "age_ms", age_ms (forward));
 }
 
--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -13,6 +13,7 @@
 #define URGENCY_BASE 2         /* of route priority 0 */
 /* A stream without an event for this many target gaps is considered dead.  */
 #define STREAM_IDLE_GAPS 4
+#define PEER_CONNECT_TIMEOUT_MS 300 /* nodes are near each other */
 #define STREAM_IDLE_MIN_MS 1500 /* sound servers pause for a second or so */
 
 /* Adds CHANGE to the number of requests that wait for the target, and
@@ -99,7 +100,8 @@
 }
 
 /* Ids, borrowed, of servers that must not be used now: those already tried,
-   those that refuse connections, and the one of the attempt in progress.  */
+   those that refuse connections or are cut off from this node, and the one of
+   the attempt in progress.  */
 static GPtrArray *
 excluded_replicas (struct forward *forward, const GArray *replicas)
 {
@@ -113,8 +115,9 @@
     {
       char *id = g_array_index (replicas, struct route_replica, i).engine->id;
 
-      if (reach_backing_off (forward->gateway->reach, id,
-                             forward_now (forward)))
+      if (cutoff_server (forward_cutoff (forward), id, forward_now (forward))
+          || reach_backing_off (forward->gateway->reach, id,
+                                forward_now (forward)))
         g_ptr_array_add (ids, id);
     }
   return ids;
@@ -208,7 +211,7 @@
   struct caller_backend_request send
       = { .request = &forward->parsed,
           .from = forward->request,
-          .server = forward->engine->id,
+          .server = forward->to_peer ? NULL : forward->engine->id,
           .left_ms = forward_left_ms (forward),
           .urgency = compute_urgency (forward),
           .resumes = forward->parsed.resumes,
@@ -221,6 +224,9 @@
       send.resume_after = forward->last_event;
     }
   gateway->options.caller->ops->head (gateway->options.caller, &send, headers);
+  if (forward->to_peer)
+    g_ptr_array_add (headers, g_strdup_printf (CALLER_RELAY_HEADER ": %s",
+                                               gateway->core->node));
   g_ptr_array_add (headers, NULL);
   return headers;
 }
@@ -284,11 +290,35 @@
   if (idempotent && forward->route->kind == SITE_STREAM)
     request.body_idle_timeout_ms
         = MAX (STREAM_IDLE_GAPS * forward->route->gap_ms, STREAM_IDLE_MIN_MS);
+  if (forward->to_peer)
+    request.connect_timeout_ms = PEER_CONNECT_TIMEOUT_MS;
+  else if (cutoff_suspected (forward_cutoff (forward), forward_now (forward)))
+    request.connect_timeout_ms = CUTOFF_CONNECT_MS;
   forward->call = httpc_start (forward->gateway->httpc, &request);
   g_ptr_array_unref (headers);
   g_free (url);
 }
 
+static void
+begin_in_flight (struct forward *forward)
+{
+  struct gateway *gateway = forward->gateway;
+
+  forward->engine->inflight++;
+  if (forward->to_peer)
+    return;
+  cutoff_begin (forward_cutoff (forward), forward_now (forward));
+  gateway_probe_soon (gateway);
+}
+
+void
+forward_end_in_flight (struct forward *forward)
+{
+  forward->engine->inflight--;
+  if (!forward->to_peer)
+    cutoff_end (forward_cutoff (forward));
+}
+
 void
 forward_dispatch (struct forward *forward, struct route_engine *engine)
 {
@@ -297,16 +327,20 @@
 
   forward_dequeue (forward);
   forward_limits_unwant (forward);
+  forward->to_peer = forward_is_peer (forward, engine);
   /* Without a ticket only if another request has used it since the server was
      chosen to replace a silent one.  */
-  ratelimits_take (gateway->ratelimits, engine->id);
+  if (!forward->to_peer)
+    ratelimits_take (gateway->ratelimits, engine->id);
   forward->on_trial = false;
   route_engine_unref (forward->engine);
   forward->engine = engine;
   forward->dispatches++;
-  if (!forward->deposited)
-    retry_deposit (gateway->retry, forward->service->name);
-  forward->deposited = true;
+  if (!forward->deposited && !forward->to_peer)
+    {
+      retry_deposit (gateway->retry, forward->service->name);
+      forward->deposited = true;
+    }
   forward->sent_to[forward->dispatches - 1] = g_str_hash (engine->address);
   forward->state = FORWARD_SENT;
   forward->sent_at = now;
@@ -320,12 +354,12 @@
   g_string_truncate (forward->buffer, 0);
   attempt_begin (&forward->attempts[forward->count++], forward->dispatches);
   eject_begin (gateway->eject, engine->id, now);
-  engine->inflight++;
+  begin_in_flight (forward);
   forward_log_sent (forward);
   start_http_call (forward);
   if (forward->call != NULL)
     return;
-  engine->inflight--;
+  forward_end_in_flight (forward);
   forward->count--;
   eject_abandon (gateway->eject, engine->id);
   forward_fail (forward, "no memory for a connection", DEFAULT_RETRY_AFTER_MS);
@@ -340,7 +374,7 @@
                   httpc_phase (forward->call));
   httpc_cancel (forward->call);
   forward->call = NULL;
-  forward->engine->inflight--;
+  forward_end_in_flight (forward);
   eject_abandon (forward->gateway->eject, forward->engine->id);
 }
 
@@ -500,6 +534,22 @@
   return true;
 }
 
+static bool
+is_cut_off (const struct forward *forward, const GArray *replicas)
+{
+  for (guint i = 0; i < replicas->len; i++)
+    {
+      const struct route_replica *replica
+          = &g_array_index (replicas, struct route_replica, i);
+
+      if (!replica->leaving
+          && cutoff_server (forward_cutoff (forward), replica->engine->id,
+                            forward_now (forward)))
+        return true;
+    }
+  return false;
+}
+
 void
 forward_route (struct forward *forward)
 {
@@ -508,13 +558,20 @@
   struct route_engine *engine = NULL;
   struct timespec ready_at;
   GArray *replicas;
+  bool cut_off;
 
   if (forward_reject_quarantined (forward) || forward_refuse_unknown (forward))
     return;
+  if (cutoff_all (forward_cutoff (forward), now)
+      && gateway_may_dispatch (gateway) && forward_relay (forward))
+    return;
   replicas = find_replicas (forward, &ready_at);
   if (replicas->len > 0 && gateway_may_dispatch (gateway))
     engine = pick_engine (forward, replicas);
+  cut_off = engine == NULL && is_cut_off (forward, replicas);
   g_array_unref (replicas);
+  if (cut_off && gateway_may_dispatch (gateway) && forward_relay (forward))
+    return;
   if (engine != NULL && !take_due_retry (forward))
     {
       route_engine_unref (engine);
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -69,6 +69,9 @@
   bool silent;    /* the current engine is being waited for in silence */
   bool suspected; /* and counts as failing for that */
   bool moved;     /* a silent engine was given up, which may be sound */
+  bool to_peer;   /* ENGINE is a node, which the request was passed on to */
+  bool relayed;   /* another node passed the request on to this one */
+  bool unreached; /* rejected as this node does not reach its servers */
   bool retry_due; /* the next dispatch takes a retry from the budget */
   /* Of a request that crashes servers, see blame.h.  */
   GArray *features;   /* uint64_t */
@@ -128,6 +131,8 @@
 void forward_wait (struct forward *forward, struct timespec ready_at);
 /* Removes the request from the waiting list, if it is there.  */
 void forward_dequeue (struct forward *forward);
+/* The attempt in progress has ended.  */
+void forward_end_in_flight (struct forward *forward);
 /* Cancels the attempt in progress.  Closing its connection ends the work
    at the server.  */
 void forward_cancel (struct forward *forward);
@@ -161,6 +166,31 @@
 void forward_limits_unwant (struct forward *forward);
 void forward_limits_free (struct forward *forward);
 
+/* forward_relay.c: requests passed on to other nodes, see cutoff.h.  */
+
+/* Reads whether another node passed the request on.  */
+void forward_set_relayed (struct forward *forward);
+/* A new reference to a node that may take the request, or NULL.  */
+struct route_engine *forward_pick_peer (struct forward *forward);
+/* Passes the request on, or rejects it if all nodes that might take it have
+   rejected it.  False if this is the only node.  */
+bool forward_relay (struct forward *forward);
+/* What is known of the paths to the servers of the request's service.  */
+struct cutoff *forward_cutoff (const struct forward *forward);
+/* Whether ENGINE is a node.  */
+bool forward_is_peer (const struct forward *forward,
+                      const struct route_engine *engine);
+/* A node has answered the request itself: with no response of a server.  */
+struct forward_peer_answer
+{
+  long status;
+  int64_t retry_ms; /* Retry-After; 0: none */
+  bool unreached;   /* the node does not reach the servers either */
+};
+
+void forward_on_peer_answer (struct forward *forward,
+                             const struct forward_peer_answer *answer);
+
 /* forward_resume.c */
 
 /* Dispatches a request that resumes a stream to the version that began it,
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -367,6 +367,7 @@
   loop_timer_clear (gateway->core->loop, &gateway->dispatch_timer);
   loop_timer_clear (gateway->core->loop, &gateway->cleanup_timer);
   loop_timer_clear (gateway->core->loop, &gateway->retry_timer);
+  gateway_probe_stop (gateway);
 }
 
 static int
@@ -389,6 +390,7 @@
     return -ENOMEM;
   start_retry_window (gateway);
   create_policies (gateway);
+  gateway_probe_start (gateway);
   gateway->dispatch_timer.fire = on_dispatch_timer;
   gateway->cleanup_timer.fire = on_cleanup_timer;
   loop_timer_set (gateway->core->loop, &gateway->cleanup_timer,
@@ -414,6 +416,10 @@
 
   if (event->type == KERNEL_DRAIN_STARTED)
     gateway->drain_started_at = clk_now (gateway->core->clk);
+  if (event->type == KERNEL_SERVER_HEARD)
+    gateway_server_heard (gateway, event->data);
+  if (event->type == KERNEL_SERVER_REMOVED)
+    gateway_server_removed (gateway, event->data);
   if (event->type == KERNEL_SITE_CHANGED)
     apply_limits (gateway, event->data);
   if (event->type == KERNEL_SERVERS_CHANGED
@@ -429,6 +435,12 @@
 static const struct service_ops gateway_ops
     = { gateway_start, gateway_stop, gateway_event };
 
+static void
+unref_peer (gpointer peer)
+{
+  route_engine_unref (peer);
+}
+
 struct service *
 gateway_new (const struct gateway_options *options)
 {
@@ -438,6 +450,8 @@
   gateway->service.name = "gateway";
   gateway->options = *options;
   TAILQ_INIT (&gateway->waiting);
+  gateway->peers
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, unref_peer);
   gateway->waiting_for
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   return &gateway->service;
@@ -455,6 +469,9 @@
   reach_free (gateway->reach);
   retry_free (gateway->retry);
   g_hash_table_unref (gateway->waiting_for);
+  g_hash_table_unref (gateway->peers);
+  if (gateway->services != NULL)
+    g_hash_table_unref (gateway->services);
   g_free (gateway);
 }
 
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -11,6 +11,7 @@
 #include "eject.h"
 #include "gateway.h"
 #include "httpc.h"
+#include "cutoff.h"
 #include "kernel.h"
 #include "links.h"
 #include "listing.h"
@@ -28,6 +29,14 @@
 
 TAILQ_HEAD (forward_list, forward);
 
+/* What this node knows of the paths to a service's servers.  */
+struct gateway_service
+{
+  char *name;
+  struct cutoff *cutoff;
+  bool cut_off; /* as last told to the other services of the kernel */
+};
+
 struct gateway
 {
   struct service service; /* must be first */
@@ -47,6 +56,9 @@
   struct pick *pick;
   struct eject *eject;
   struct reach *reach;
+  GHashTable *services; /* name to struct gateway_service */
+  struct loop_timer probe_timer;
+  GHashTable *peers; /* id to struct route_engine: nodes that take requests */
   struct retry *retry;
   struct forward_list waiting; /* most urgent first */
   GHashTable
@@ -65,6 +77,22 @@
 bool gateway_accepts (const struct gateway *gateway);
 bool gateway_may_dispatch (const struct gateway *gateway);
 
+/* gateway_probe.c: whether servers are cut off from this node, see cutoff.h.
+ */
+
+void gateway_probe_start (struct gateway *gateway);
+void gateway_probe_stop (struct gateway *gateway);
+/* Probes may become due.  */
+void gateway_probe_soon (struct gateway *gateway);
+/* Created when first asked for; borrowed.  */
+struct cutoff *gateway_cutoff (struct gateway *gateway, const char *name);
+/* Tells the other services of the kernel whether service NAME is cut off, if
+   that has changed.  */
+void gateway_check_cutoff (struct gateway *gateway, const char *name);
+/* Another node hears from server ID.  */
+void gateway_server_heard (struct gateway *gateway, const char *id);
+void gateway_server_removed (struct gateway *gateway, const char *id);
+
 /* Schedules a dispatch round for waiting requests: in the next iteration
    of the event loop, or after the usual interval.  */
 void gateway_dispatch_soon (struct gateway *gateway);
--- a/src/httpc.c
+++ b/src/httpc.c
@@ -841,6 +841,8 @@
                     (long)CURL_HTTP_VERSION_1_1);
   if (request->fresh_connection)
     curl_easy_setopt (call->easy, CURLOPT_FRESH_CONNECT, 1L);
+  if (request->connect_only)
+    curl_easy_setopt (call->easy, CURLOPT_CONNECT_ONLY, 1L);
 }
 
 static void
--- a/src/httpc.h
+++ b/src/httpc.h
@@ -70,8 +70,9 @@
                                      idle_timeout_ms */
   int64_t connect_timeout_ms;     /* 0: HTTPC_CONNECT_TIMEOUT_MS */
   bool fresh_connection;          /* do not reuse a connection */
-  long max_connection_age_s;      /* as in struct httpc_options; 0: as there */
-  size_t body_max;                /* max collected bytes; 0: HTTPC_BODY_MAX */
+  bool connect_only;         /* open a connection, send nothing and close it */
+  long max_connection_age_s; /* as in struct httpc_options; 0: as there */
+  size_t body_max;           /* max collected bytes; 0: HTTPC_BODY_MAX */
   /* Max bytes of status and header lines, also those of interim responses and
      of trailers; each line counts 32 bytes more.  Also max bytes between two
      chunks.  0: HTTPC_HEAD_MAX.  */
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -35,6 +35,9 @@
   KERNEL_SERVERS_CHANGED,  /* the set of usable servers changed: NULL */
   KERNEL_SERVER_LISTED,    /* server listed or changed: struct server_entry */
   KERNEL_SERVER_REMOVED,   /* a server was removed: its id */
+  KERNEL_SERVER_HEARD,     /* by another node: its id */
+  KERNEL_SERVICE_CUT_OFF,  /* this node no longer reaches the servers of a
+                              service, or again: struct cutoff_change */
   KERNEL_LIMIT_CHANGED,  /* requests that wait for a server's limit may go on:
                             NULL */
   KERNEL_STORE_RESTORED, /* the table was restored, see platform.h: NULL */
--- a/src/planners.c
+++ b/src/planners.c
@@ -2,6 +2,7 @@
 
 #include <limits.h>
 #include <string.h>
+#include "cutoff.h"
 #include "planners_state.h"
 
 /* Lease duration, which is the minimum time between orders of two successive
@@ -203,6 +204,26 @@
   planners_set_timer (planners);
 }
 
+/* A node that does not reach the engines of a service can neither order nor
+   hear what they hold.  */
+static bool
+is_cut_off (const struct planners *planners)
+{
+  GHashTableIter iter;
+  const char *name;
+
+  g_hash_table_iter_init (&iter, planners->cut_off);
+  while (g_hash_table_iter_next (&iter, (gpointer *)&name, NULL))
+    {
+      const struct site_service *service
+          = site_service (listing_site (planners->listing), name);
+
+      if (service != NULL && service->engines)
+        return true;
+    }
+  return false;
+}
+
 /* The candidates are the live nodes, ordered by id.  The holder of the lease
    ranks first and is not counted by the others, so that the next node by id
    succeeds it.  */
@@ -220,7 +241,7 @@
         && strcmp (members[i]->id, planners->core->node) < 0
         && g_strcmp0 (members[i]->id, holder) != 0)
       rank++;
-  if (planners->core->draining)
+  if (planners->core->draining || is_cut_off (planners))
     rank = UINT_MAX;
   lease_set_rank (planners->lease, planners->deciding ? 0 : rank,
                   planners_now (planners));
@@ -299,6 +320,19 @@
   planners_set_timer (planners);
 }
 
+static void
+set_cut_off (struct planners *planners, const struct cutoff_change *change)
+{
+  if (change->cut_off)
+    g_hash_table_add (planners->cut_off, g_strdup (change->service));
+  else
+    g_hash_table_remove (planners->cut_off, change->service);
+  if (planners->deciding && is_cut_off (planners))
+    release_lease (planners);
+  planners_rank (planners);
+  planners_set_timer (planners);
+}
+
 static void
 enter_era (struct planners *planners)
 {
@@ -348,6 +382,9 @@
     case KERNEL_DRAIN_STARTED:
       release_lease (planners);
       break;
+    case KERNEL_SERVICE_CUT_OFF:
+      set_cut_off (planners, event->data);
+      break;
     default:
       break;
     }
@@ -426,6 +463,8 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_planner);
   planners->in = replica_receiver_new ();
   planners->demand = demand_new ();
+  planners->cut_off
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   return &planners->service;
 }
 
@@ -440,6 +479,7 @@
   replica_sender_free (planners->out);
   replica_receiver_free (planners->in);
   demand_free (planners->demand);
+  g_hash_table_unref (planners->cut_off);
   lease_free (planners->lease);
   site_unref (planners->site);
   g_free (planners);
--- a/src/planners_loads.c
+++ b/src/planners_loads.c
@@ -37,7 +37,11 @@
     links_relay (planners->links, from, msg);
   for (size_t i = 0; i < msg->load_count; i++)
     if (msg->loads[i].server != NULL)
-      servers_apply_load (servers, msg->loads[i].server,
-                          (unsigned)msg->loads[i].running,
-                          (unsigned)msg->loads[i].queued, now);
+      {
+        servers_apply_load (servers, msg->loads[i].server,
+                            (unsigned)msg->loads[i].running,
+                            (unsigned)msg->loads[i].queued, now);
+        kernel_post (planners->core->kernel, KERNEL_SERVER_HEARD,
+                     msg->loads[i].server);
+      }
 }
--- a/src/planners_state.h
+++ b/src/planners_state.h
@@ -32,6 +32,8 @@
   struct site *site;      /* owned reference; the planners borrow from it */
   GHashTable *by_service; /* service to struct planner; empty: not deciding */
   bool deciding;          /* this node holds the lease, as far as is known */
+  GHashTable *cut_off;    /* names of services whose engines this node does
+                             not reach, while others do */
   uint64_t term;          /* counts the times that this node won the lease */
   struct replica_sender *out;  /* NULL before the first term */
   struct replica_receiver *in; /* replicas published by another node */
--- a/tests/gate_second.h
+++ b/tests/gate_second.h
@@ -45,6 +45,17 @@
   return peer;
 }
 
+/* A node tells the others its port before it listens.  */
+static uint16_t
+free_port (struct fixture *f)
+{
+  struct httpd *httpd = start_server (f, on_server, on_server_finished);
+  uint16_t port = httpd_port (httpd);
+
+  httpd_free (httpd);
+  return port;
+}
+
 /* ADDRESS: of the store.  A node with another TOKEN than the fixture's
    gate gets no link to it.  */
 static void
@@ -78,6 +89,7 @@
   options.backend = second->backend;
   options.gateway.caller = callers ();
   options.gateway.front.address = "127.0.0.1";
+  options.gateway.front.port = free_port (f);
   options.gateway.zone = "z";
   options.gateway.max_connections = 100;
   options.gateway.retry_share = 1.0;
