brittle: servers that fall over when they reject get less

Each node has its part of a brittle server's slots in flight there, and pauses after a rejection. A server that has just started is what the last one of its service said.

--- a/src/backend.h
+++ b/src/backend.h
@@ -117,6 +117,9 @@
   struct timespec sent_at; /* of the request; zero: unknown */
   double limit_per_s;      /* requests a second that it takes from all nodes
                               together; 0: no limit; negative: not known */
+  double brittle_per_s;    /* it falls over when it has to reject more requests
+                              a second; 0: it is not brittle; negative: not
+                              known */
 };
 
 struct backend_ops
--- a/src/forward_answer.c
+++ b/src/forward_answer.c
@@ -8,6 +8,21 @@
 #define RETRY_AFTER_MAX_S 60     /* longer ones of other nodes are cut */
 #define FULL_RETRY_AFTER_MS 200  /* time for a full server to free a slot */
 
+static void
+note_brittle (struct forward *forward)
+{
+  struct gateway *gateway = forward->gateway;
+  const struct caller_response *answer = &forward->answer;
+  struct brittle_server server
+      = { .id = forward->engine->id, .service = forward->service->name };
+  size_t nodes;
+
+  links_members (gateway->links, &nodes);
+  brittle_heard (gateway->brittle, &server, answer->notice.brittle_per_s,
+                 answer->not_run && !answer->not_available, nodes,
+                 forward->first_at);
+}
+
 static void
 parse_response_head (struct forward *forward, long status)
 {
@@ -30,6 +45,8 @@
     listing_server_notice (gateway->listing, forward->engine->id,
                            &forward->answer.notice);
   forward->answer.notice.sent_at = forward->sent_at;
+  if (forward->answer.id_matches)
+    note_brittle (forward);
   if (forward->answer.id_matches)
     ratelimits_heard (gateway->ratelimits, forward->engine->id,
                       &forward->answer.notice);
--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -99,26 +99,45 @@
   return parsed->parts[parsed->part_count > 1 ? parsed->part_count - 2 : 0];
 }
 
+/* Whether a server is not to get a request now, other than for its limit.  */
+static bool
+is_excluded (struct forward *forward, const struct route_replica *replica,
+             size_t nodes)
+{
+  const struct gateway *gateway = forward->gateway;
+  const struct route_engine *engine = replica->engine;
+  struct timespec now = forward_now (forward);
+  struct brittle_server server = { .id = engine->id,
+                                   .service = forward->service->name,
+                                   .slots = replica->slots,
+                                   .in_flight = engine->inflight };
+
+  return cutoff_server (forward_cutoff (forward), engine->id, now)
+         || !brittle_may_send (gateway->brittle, &server, nodes, now)
+         || reach_backing_off (gateway->reach, engine->id, now);
+}
+
 /* Ids, borrowed, of servers that must not be used now: those already tried,
-   those that refuse connections or are cut off from this node, and the one of
-   the attempt in progress.  */
+   those that refuse connections or are cut off from this node, brittle ones
+   that have enough, and the one of the attempt in progress.  */
 static GPtrArray *
 excluded_replicas (struct forward *forward, const GArray *replicas)
 {
   GPtrArray *ids = g_ptr_array_new ();
+  size_t nodes;
 
+  links_members (forward->gateway->links, &nodes);
   if (forward->call != NULL)
     g_ptr_array_add (ids, forward->engine->id);
   for (size_t i = 0; i < forward->tried_count; i++)
     g_ptr_array_add (ids, (gpointer)forward->tried[i]);
   for (guint i = 0; i < replicas->len; i++)
     {
-      char *id = g_array_index (replicas, struct route_replica, i).engine->id;
+      const struct route_replica *replica
+          = &g_array_index (replicas, struct route_replica, i);
 
-      if (cutoff_server (forward_cutoff (forward), id, forward_now (forward))
-          || reach_backing_off (forward->gateway->reach, id,
-                                forward_now (forward)))
-        g_ptr_array_add (ids, id);
+      if (is_excluded (forward, replica, nodes))
+        g_ptr_array_add (ids, replica->engine->id);
     }
   return ids;
 }
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -348,6 +348,7 @@
   pick.seed = (uint32_t)gateway->core->incarnation;
   gateway->pick = pick_new (&pick);
   gateway->eject = eject_new ();
+  gateway->brittle = brittle_new ();
   gateway->reach = reach_new ();
   gateway->retry = retry_new_per_target (&retry);
 }
@@ -419,7 +420,10 @@
   if (event->type == KERNEL_SERVER_HEARD)
     gateway_server_heard (gateway, event->data);
   if (event->type == KERNEL_SERVER_REMOVED)
-    gateway_server_removed (gateway, event->data);
+    {
+      gateway_server_removed (gateway, event->data);
+      brittle_forget (gateway->brittle, event->data);
+    }
   if (event->type == KERNEL_SITE_CHANGED)
     apply_limits (gateway, event->data);
   if (event->type == KERNEL_SERVERS_CHANGED
@@ -466,6 +470,7 @@
     return;
   pick_free (gateway->pick);
   eject_free (gateway->eject);
+  brittle_free (gateway->brittle);
   reach_free (gateway->reach);
   retry_free (gateway->retry);
   g_hash_table_unref (gateway->waiting_for);
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -6,6 +6,7 @@
 
 #include <sys/queue.h>
 #include <glib.h>
+#include "brittle.h"
 #include "caller.h"
 #include "core.h"
 #include "eject.h"
@@ -56,6 +57,7 @@
   struct pick *pick;
   struct eject *eject;
   struct reach *reach;
+  struct brittle *brittle;
   GHashTable *services; /* name to struct gateway_service */
   struct loop_timer probe_timer;
   GHashTable *peers; /* id to struct route_engine: nodes that take requests */
