--- a/src/cutoff.h
+++ b/src/cutoff.h
@@ -61,20 +61,18 @@
 void cutoff_begin (struct cutoff *cutoff, struct timespec now);
 void cutoff_end (struct cutoff *cutoff);
 
-/* SERVER sent bytes, or accepted a connection.  */
-void cutoff_heard (struct cutoff *cutoff, const char *server,
-                   struct timespec now);
-/* No connection to SERVER could be established by an attempt that began at
+/* Server ID sent bytes, or accepted a connection.  */
+void cutoff_heard (struct cutoff *cutoff, const char *id, struct timespec now);
+/* No connection to server ID could be established by an attempt that began at
    BEGAN_AT.  */
-void cutoff_failed (struct cutoff *cutoff, const char *server,
+void cutoff_failed (struct cutoff *cutoff, const char *id,
                     struct timespec began_at);
-/* Another node says that it heard from SERVER.  */
-void cutoff_told (struct cutoff *cutoff, const char *server,
-                  struct timespec now);
-/* SERVER is not listed any more.  */
-void cutoff_forget (struct cutoff *cutoff, const char *server);
+/* Another node says that it heard from server ID.  */
+void cutoff_told (struct cutoff *cutoff, const char *id, struct timespec now);
+/* Server ID is not listed any more.  */
+void cutoff_forget (struct cutoff *cutoff, const char *id);
 
-bool cutoff_server (const struct cutoff *cutoff, const char *server,
+bool cutoff_server (const struct cutoff *cutoff, const char *id,
                     struct timespec now);
 bool cutoff_all (const struct cutoff *cutoff, struct timespec now);
 
