--- a/Makefile
+++ b/Makefile
@@ -112,7 +112,7 @@
 	clang-format -i $(C_FILES) $(filter %.h,$(H_FILES)) $(CC_FILES)
 
 # Words of the platform's protocol, which only platform/ and its tests know.
-PLATFORM_WORDS = Parsleyrill-|Store-Era|Server-Leaving|Server-Limit|rows-(tx|get|feed|parts)|blob-(put|get|drop|list)|/v1/(order|report|resolve|ready|hold-|kv-)|FencingToken|WeightsMb|TargetLatencyMs|TrafficSplit|"PARSLEYRILL_SETTINGS
+PLATFORM_WORDS = Parsleyrill-|Store-Era|Server-Leaving|Server-Limit|Server-Brittle|rows-(tx|get|feed|parts)|blob-(put|get|drop|list)|/v1/(order|report|resolve|ready|hold-|kv-)|FencingToken|WeightsMb|TargetLatencyMs|TrafficSplit|"PARSLEYRILL_SETTINGS
 
 lint:
 	! grep -rnE '$(PLATFORM_WORDS)' src daemons standins bench
