--- a/tests/test_processes.c
+++ b/tests/test_processes.c
@@ -101,6 +101,7 @@
   atomic_bool stopping;
   unsigned seed;
   int sink;           /* listens at SINK_HOST and answers no connection */
+  int sink_queue[2];  /* connections that fill its queue */
   long long cut_from; /* ms */
   long long cut_to;
 };
@@ -639,21 +640,31 @@
 {
   struct sockaddr_in sin = { .sin_family = AF_INET };
   char *address = address_of (p, SINK_HOST);
+  int one = 1;
 
   sin.sin_port = htons (ENGINE_PORT);
   inet_pton (AF_INET, address, &sin.sin_addr);
   p->sink = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  setsockopt (p->sink, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
   g_assert_cmpint (bind (p->sink, (struct sockaddr *)&sin, sizeof sin), ==, 0);
   g_assert_cmpint (listen (p->sink, 0), ==, 0);
   for (int i = 0; i < 2; i++)
     {
-      int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-
-      connect (fd, (struct sockaddr *)&sin, sizeof sin);
+      p->sink_queue[i]
+          = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+      connect (p->sink_queue[i], (struct sockaddr *)&sin, sizeof sin);
     }
   g_free (address);
 }
 
+static void
+close_sink (struct processes *p)
+{
+  close (p->sink_queue[0]);
+  close (p->sink_queue[1]);
+  close (p->sink);
+}
+
 static void
 set_cut (struct processes *p, bool cut)
 {
@@ -1101,6 +1112,7 @@
   char *command = g_strdup_printf ("rm -rf '%s'", p->dir);
 
   close (p->record);
+  close_sink (p);
   if (g_getenv ("PROCESS_KEEP") != NULL)
     g_test_message ("kept %s", p->dir);
   else if (system (command) != 0)
