listing: a version of the list has its era

A node continues the watch of the servers where the decider's list ended. After the store was restored from a copy that version may have been given out anew; a node that knew, with a decider that did not yet, went on from it and missed what lay below, a leaving server for one (DRAIN). Found by reading.

The decider tells the era of its list; another one is listed anew. /listing/other-era fails without the check: the watch goes on after 55.

--- a/src/frame.c
+++ b/src/frame.c
@@ -163,7 +163,8 @@
         ARRAY (29, struct peer_msg, quarantines, quarantine_count,
                quarantine_schema),
         ARRAY (30, struct peer_msg, limits, limit_count, limit_schema),
-        SCALAR (31, NUMBER, struct peer_msg, config_age_ms) };
+        SCALAR (31, NUMBER, struct peer_msg, config_age_ms),
+        SCALAR (32, NUMBER, struct peer_msg, list_era) };
 static const struct schema msg_schema = SCHEMA (struct peer_msg, msg_fields);
 
 static const void *
--- a/src/frame.h
+++ b/src/frame.h
@@ -166,6 +166,7 @@
   bool full;             /* PEER_REPLICAS: replaces the whole state */
   bool relay;            /* pass it on, see fanout.h */
   uint64_t list_version; /* PEER_REPLICAS: of the table of servers */
+  uint64_t list_era;     /* of LIST_VERSION, see struct platform; 0: unknown */
   /* PEER_REPLICAS: age of what the sender knows of the configuration; 0:
      unknown.  */
   uint64_t config_age_ms;
--- a/src/listing.c
+++ b/src/listing.c
@@ -643,7 +643,10 @@
   struct timespec now = listing_now (listing);
 
   listing->peer_listed_at = ts_add_ms (now, -info->age_ms);
-  listing->peer_list_version = info->list_version;
+  /* After the store was restored, versions of former eras mean nothing.  */
+  listing->peer_list_version = info->list_era == listing->core->platform->era
+                                   ? info->list_version
+                                   : 0;
   if (confwatch_told (&listing->confwatch, info->config_version,
                       info->config_age_ms, now)
       && !is_suspended (&listing->config_table))
--- a/src/listing.h
+++ b/src/listing.h
@@ -80,6 +80,7 @@
   /* Of the list in the store, where this node continues the watch when the
      decider falls silent; 0: unknown.  */
   uint64_t list_version;
+  uint64_t list_era; /* of the store, when the decider read that version */
 };
 
 /* The list of servers published by the decider: begin, each server, end.  */
--- a/src/planners_replicas.c
+++ b/src/planners_replicas.c
@@ -26,6 +26,7 @@
   msg->config_age_ms
       = (uint64_t)MAX (listing_config_age_ms (planners->listing), 1);
   msg->list_version = listing_version (planners->listing);
+  msg->list_era = planners->core->platform->era;
 }
 
 /* Appends each listed server, as a replica of SERVERS_WHOLE_SERVER.  */
@@ -159,6 +160,7 @@
       msg.config_age_ms
           = (uint64_t)MAX (listing_config_age_ms (planners->listing), 1);
       msg.list_version = planners->in_list_version;
+      msg.list_era = planners->in_list_era;
     }
   else
     return;
@@ -205,7 +207,8 @@
                                      .config_version = msg->version,
                                      .config_age_ms
                                      = (int64_t)msg->config_age_ms,
-                                     .list_version = msg->list_version };
+                                     .list_version = msg->list_version,
+                                     .list_era = msg->list_era };
 }
 
 /* Applies all replicas as received so far.  */
@@ -291,6 +294,7 @@
     {
       planners->in_version = msg->version;
       planners->in_list_version = msg->list_version;
+      planners->in_list_era = msg->list_era;
       apply_changes (planners, msg);
       if (msg->replica_count > 0)
         kernel_post (planners->core->kernel, KERNEL_SERVERS_CHANGED, NULL);
--- a/src/planners_state.h
+++ b/src/planners_state.h
@@ -51,6 +51,7 @@
   int64_t published_config_age_ms;
   uint64_t in_version; /* the same in the last message applied */
   uint64_t in_list_version;
+  uint64_t in_list_era;
   struct timespec requested_at; /* last request for the complete list */
 };
 
--- a/tests/test_listing.c
+++ b/tests/test_listing.c
@@ -363,6 +363,33 @@
   tear_down (&f);
 }
 
+/* Guards against a watch that goes on from a version of the store before it
+   was restored, and misses what was written under that version anew: the
+   decider has not noticed yet.  */
+static void
+test_other_era (void)
+{
+  struct listing_peer_info info
+      = { .age_ms = 100, .list_version = 55, .list_era = 1 };
+  struct fixture f;
+  unsigned before;
+
+  set_up (&f);
+  f.platform.era = 2;
+  for (int i = 0; i < 4; i++)
+    {
+      publish (&f, "i1", false, 100, 7);
+      listing_peer_list_update (f.listing, &info);
+      advance (&f, 500);
+    }
+  before = f.server_lists;
+  f.servers_watched_after = 0;
+  advance (&f, LISTING_PEER_LIST_TTL_MS - 300);
+  g_assert_cmpuint (f.servers_watched_after, !=, 55);
+  g_assert_cmpuint (f.server_lists, >, before);
+  tear_down (&f);
+}
+
 /* A version that the store does not deliver is queried for at the pace of the
    table's retries, however often the decider announces it: in a fleet of 117
    nodes, whose store refused a third of them, each had queried it 13 times a
@@ -432,6 +459,7 @@
   g_test_add_func ("/listing/watch-continues", test_watch_continues);
   g_test_add_func ("/listing/announced-version", test_announced_version);
   g_test_add_func ("/listing/older-than-notice", test_list_older_than_notice);
+  g_test_add_func ("/listing/other-era", test_other_era);
   g_test_add_func ("/listing/late-response", test_late_response);
   return g_test_run ();
 }
