--- a/src/cutoff.c
+++ b/src/cutoff.c
@@ -276,13 +276,14 @@
 {
   bool quiet = may_probe_quiet (cutoff, now);
   bool suspicious = quiet || any_cut_off (cutoff, now);
+  size_t max = cutoff->failing > 0 ? CUTOFF_PROBES : 1;
   size_t count = 0;
 
   if (cutoff->failing == 0 && !quiet)
     return 0;
   if (quiet)
     cutoff->quiet_probed_at = now;
-  while (count < CUTOFF_PROBES)
+  while (count < max)
     {
       struct server *server
           = next_candidate (cutoff, suspicious, now, &servers[count]);
--- a/src/cutoff.h
+++ b/src/cutoff.h
@@ -23,15 +23,15 @@
 
 /* Silence of all servers, with a request in flight, before a probe, and before
    the next one if that found nothing.  */
-#define CUTOFF_QUIET_MS 400
-#define CUTOFF_QUIET_INTERVAL_MS 1000
+#define CUTOFF_QUIET_MS 700
+#define CUTOFF_QUIET_INTERVAL_MS 1500
 /* Time for a probe's connection; a live server takes milliseconds.  */
 #define CUTOFF_CONNECT_MS 300
 /* Between probes of one server that is cut off, or of one that fails and may
    be down.  */
 #define CUTOFF_CUT_INTERVAL_MS 500
 #define CUTOFF_DOWN_INTERVAL_MS 2000
-#define CUTOFF_PROBES 2 /* at a time */
+#define CUTOFF_PROBES 2 /* at a time; one while nothing has failed */
 /* What another node heard may be this old when this node is told, and may be
    this node's own report that comes back.  */
 #define CUTOFF_TOLD_DELAY_MS 500
