httpc: a call that ends leaves a connection alone that is no longer its own

A call kept a pointer to its connection until it was freed; that is cleared when the connection is closed only if the connection still refers to the call. The call may have ended in curl before, and the connection have been given to another one, or closed for it.

Now the connection is looked up by its descriptor, and has to be the call's own.

--- a/src/httpc.c
+++ b/src/httpc.c
@@ -56,6 +56,7 @@
   struct httpc *httpc;
   CURL *easy;
   struct socket_watch *connection; /* NULL: none */
+  int connection_fd;               /* of CONNECTION */
   struct curl_slist *headers;
   struct httpc_request request;
   struct loop_timer idle_timer;
@@ -77,13 +78,16 @@
 };
 
 /* A connection that a call leaves open is watched: its server has nothing to
-   send until the next request.  */
+   send until the next request.  Another call may have taken it over, or curl
+   closed it for that one, before this call ends.  */
 static void
 release_connection (struct httpc_call *call)
 {
-  struct socket_watch *connection = call->connection;
+  struct socket_watch *connection = g_hash_table_lookup (
+      call->httpc->connections, GINT_TO_POINTER (call->connection_fd));
 
-  if (connection == NULL)
+  if (connection == NULL || connection != call->connection
+      || connection->call != call)
     return;
   connection->call = NULL;
   loop_watch (call->httpc->loop, &connection->watch, EPOLLIN);
@@ -449,7 +453,10 @@
     }
   curl_easy_getinfo (easy, CURLINFO_PRIVATE, &socket_watch->call);
   if (socket_watch->is_connection)
-    socket_watch->call->connection = socket_watch;
+    {
+      socket_watch->call->connection = socket_watch;
+      socket_watch->call->connection_fd = fd;
+    }
   loop_watch (httpc->loop, &socket_watch->watch, epoll_events (what));
   return 0;
 }
@@ -804,6 +811,7 @@
   connection->is_connection = true;
   connection->call = call;
   call->connection = connection;
+  call->connection_fd = fd;
   g_hash_table_replace (call->httpc->connections, GINT_TO_POINTER (fd),
                         connection);
   return CURL_SOCKOPT_OK;
