planners: the decider's list is passed on with its own age

A node that has a gap asks a peer for the complete list. The age of the configuration came with confwatch, the one of the list was older.

--- a/src/confwatch.c
+++ b/src/confwatch.c
@@ -53,5 +53,13 @@
 int64_t
 confwatch_age_ms (const struct confwatch *watch, struct timespec now)
 {
-  return ts_to_ms (ts_sub (now, ts_max (watch->known_at, watch->told_at)));
+  return ts_to_ms (ts_sub (now, watch->known_at));
+}
+
+int64_t
+confwatch_told_age_ms (const struct confwatch *watch, struct timespec now)
+{
+  if (ts_is_zero (watch->told_at))
+    return 0;
+  return ts_to_ms (ts_sub (now, watch->told_at));
 }
--- a/src/confwatch.h
+++ b/src/confwatch.h
@@ -58,7 +58,10 @@
 bool confwatch_relies (const struct confwatch *watch, uint64_t version,
                        int64_t push_ms, struct timespec now);
 
-/* Age of what this node knows, from the store or the decider.  */
+/* Age of what this node knows from the store.  */
 int64_t confwatch_age_ms (const struct confwatch *watch, struct timespec now);
+/* Age of the decider's word; 0: unknown.  */
+int64_t confwatch_told_age_ms (const struct confwatch *watch,
+                               struct timespec now);
 
 #endif
--- a/src/listing.c
+++ b/src/listing.c
@@ -617,6 +617,18 @@
   return confwatch_age_ms (&listing->confwatch, listing_now (listing));
 }
 
+int64_t
+listing_peer_age_ms (const struct listing *listing)
+{
+  return ts_to_ms (ts_sub (listing_now (listing), listing->peer_listed_at));
+}
+
+int64_t
+listing_peer_config_age_ms (const struct listing *listing)
+{
+  return confwatch_told_age_ms (&listing->confwatch, listing_now (listing));
+}
+
 void
 listing_start_publishing (struct listing *listing)
 {
--- a/src/listing.h
+++ b/src/listing.h
@@ -65,8 +65,13 @@
 /* Age of the list of servers: the store's or the decider's, whichever is
    newer.  */
 int64_t listing_age_ms (const struct listing *listing);
-/* Age of what is known of the configuration, see confwatch.h.  */
+/* Age of what the store told this node of the configuration, see
+   confwatch.h.  */
 int64_t listing_config_age_ms (const struct listing *listing);
+/* Ages of the decider's list and of its word on the configuration, for a node
+   that passes them on.  */
+int64_t listing_peer_age_ms (const struct listing *listing);
+int64_t listing_peer_config_age_ms (const struct listing *listing);
 
 /* Version of the list of servers in the store; 0: unknown.  */
 uint64_t listing_version (const struct listing *listing);
--- a/src/planners_replicas.c
+++ b/src/planners_replicas.c
@@ -155,10 +155,10 @@
     }
   else if (replica_receiver_full (planners->in, PLANNERS_CELL, now, &msg))
     {
-      msg.since = (uint64_t)MAX (listing_age_ms (planners->listing), 1);
+      msg.since = (uint64_t)MAX (listing_peer_age_ms (planners->listing), 1);
       msg.version = planners->in_version;
       msg.config_age_ms
-          = (uint64_t)MAX (listing_config_age_ms (planners->listing), 1);
+          = (uint64_t)listing_peer_config_age_ms (planners->listing);
       msg.list_version = planners->in_list_version;
       msg.list_era = planners->in_list_era;
     }
--- a/tests/test_listing.c
+++ b/tests/test_listing.c
@@ -428,6 +428,23 @@
   return false;
 }
 
+/* Guards against a node that passes on the list and the word of a decider that
+   has fallen silent with the age of what it read itself.  */
+static void
+test_passed_on_age (void)
+{
+  struct fixture f;
+
+  set_up (&f);
+  publish (&f, "i1", false, 100, 7);
+  advance (&f, 5000);
+  g_assert_cmpint (listing_age_ms (f.listing), <, 2000);
+  g_assert_cmpint (listing_peer_age_ms (f.listing), >=, 5000);
+  g_assert_cmpint (listing_config_age_ms (f.listing), <, 2000);
+  g_assert_cmpint (listing_peer_config_age_ms (f.listing), >=, 5000);
+  tear_down (&f);
+}
+
 /* Guards against a list that counts as fresh because its response was read
    late: a decider that had been frozen published one that was seconds old.  */
 static void
@@ -459,6 +476,7 @@
   g_test_add_func ("/listing/watch-continues", test_watch_continues);
   g_test_add_func ("/listing/announced-version", test_announced_version);
   g_test_add_func ("/listing/older-than-notice", test_list_older_than_notice);
+  g_test_add_func ("/listing/passed-on-age", test_passed_on_age);
   g_test_add_func ("/listing/other-era", test_other_era);
   g_test_add_func ("/listing/late-response", test_late_response);
   return g_test_run ();
