--- a/src/forward_answer.c
+++ b/src/forward_answer.c
@@ -46,10 +46,11 @@
                            &forward->answer.notice);
   forward->answer.notice.sent_at = forward->sent_at;
   if (forward->answer.id_matches)
-    note_brittle (forward);
-  if (forward->answer.id_matches)
-    ratelimits_heard (gateway->ratelimits, forward->engine->id,
-                      &forward->answer.notice);
+    {
+      note_brittle (forward);
+      ratelimits_heard (gateway->ratelimits, forward->engine->id,
+                        &forward->answer.notice);
+    }
   if (forward->answer.has_load)
     servers_report_load (listing_servers (gateway->listing),
                          forward->engine->id, forward->answer.running,
@@ -248,8 +249,9 @@
   struct gateway *gateway = forward->gateway;
   struct timespec now = forward_now (forward);
   const char *id = forward->engine->id;
-  bool healthy = refusal || (result->error == 0 && is_authentic (forward))
-                 || (result->error == 0 && forward->to_peer);
+  bool healthy = refusal
+                 || (result->error == 0
+                     && (is_authentic (forward) || forward->to_peer));
 
   if (connection_stalled (forward, result))
     {
--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -13,8 +13,8 @@
 #define URGENCY_BASE 2         /* of route priority 0 */
 /* A stream without an event for this many target gaps is considered dead.  */
 #define STREAM_IDLE_GAPS 4
-#define PEER_CONNECT_TIMEOUT_MS 300 /* nodes are near each other */
 #define STREAM_IDLE_MIN_MS 1500 /* sound servers pause for a second or so */
+#define PEER_CONNECT_TIMEOUT_MS 300 /* nodes are near each other */
 
 /* Adds CHANGE to the number of requests that wait for the target, and
    informs the planners.  */
--- a/tests/test_processes.c
+++ b/tests/test_processes.c
@@ -995,6 +995,7 @@
       tries->sent++;
       tries->answered += request->status == 200;
     }
+  g_assert_cmpuint (cut.sent, >=, SOUND_MIN);
   failed = cut.sent - cut.answered;
   g_test_message ("while cut: %u of %u answered at nodes that were cut off, "
                   "%u of %u at the others",
