forward, relay: the first node owns the attempts of a request passed on

Cause: a node that gets a passed-on request began its attempts anew, knew of no server that had failed it, and paid for its retries from its own budget, to which it also added the request a second time.

Change: the node that got the request from its caller owns the attempts. The second one may make one that runs, and tells with any response how many did, how often it sent the request and which servers it tried; the first one decides on the next attempt and pays for it. So an answer 500 that came by way of a node is retried by the first one, also a stream that broke off there. The peer protocol's number rises to 2: nodes of protocol 1 get only what was not sent anywhere yet, and it is not sent again.

An older second node is played by no test.

--- a/src/forward.c
+++ b/src/forward.c
@@ -23,6 +23,7 @@
   forward_limits_free (forward);
   if (forward->features != NULL)
     g_array_unref (forward->features);
+  forward_relay_free (forward);
   g_free (forward->target);
   g_free (forward->software);
   forward->gateway->open--;
@@ -55,6 +56,9 @@
   const char *headers[7] = { NULL };
   char seconds[32];
   size_t n = 0;
+  char *relay = forward->unreached || forward_tells_origin (forward)
+                    ? forward_relay_answer (forward)
+                    : NULL;
   char *text = g_strdup_printf ("{\"error\":\"%s\"}\n", why);
 
   if (retry_ms > 0)
@@ -64,10 +68,10 @@
       headers[n++] = "Retry-After";
       headers[n++] = seconds;
     }
-  if (forward->unreached)
+  if (relay != NULL)
     {
       headers[n++] = CALLER_RELAY_HEADER;
-      headers[n++] = CALLER_RELAY_UNREACHED;
+      headers[n++] = relay;
     }
   if (forward->gateway->core->draining)
     {
@@ -77,6 +81,7 @@
   httpd_respond (forward->request, status, "application/json", headers, text,
                  strlen (text));
   g_free (text);
+  g_free (relay);
 }
 
 void
--- a/src/forward_answer.c
+++ b/src/forward_answer.c
@@ -37,7 +37,10 @@
                                            forward->call, status,
                                            &forward->parsed, &forward->answer);
   if (forward->to_peer)
-    return;
+    {
+      forward_note_relayed (forward);
+      return;
+    }
   cutoff_heard (forward_cutoff (forward), forward->engine->id,
                 forward->first_at);
   forward_note_alive (forward);
@@ -82,7 +85,7 @@
 struct header_copy
 {
   struct forward *forward;
-  GPtrArray *headers; /* name, value, ..., NULL; borrowed */
+  GPtrArray *headers; /* name, value, ..., NULL; owned */
 };
 
 static void
@@ -105,6 +108,11 @@
 
   header_copy.headers = g_ptr_array_new_with_free_func (g_free);
   httpc_each_header (forward->call, copy_header, &header_copy);
+  if (forward_tells_origin (forward))
+    {
+      g_ptr_array_add (header_copy.headers, g_strdup (CALLER_RELAY_HEADER));
+      g_ptr_array_add (header_copy.headers, forward_relay_answer (forward));
+    }
   if (forward->gateway->core->draining)
     {
       g_ptr_array_add (header_copy.headers, g_strdup ("Connection"));
@@ -276,9 +284,9 @@
 static bool
 may_retry (const struct forward *forward)
 {
-  if (forward->request == NULL || forward->count >= ATTEMPT_MAX
-      || forward->count >= MAX (forward->route->max_attempts, 1)
-      || forward->dispatches >= FORWARD_DISPATCHES_MAX)
+  if (forward->request == NULL || forward->attempts_unknown
+      || forward->count >= forward_attempts_max (forward)
+      || forward_sendings (forward) >= FORWARD_DISPATCHES_MAX)
     return false;
   if (!site_idempotent (forward->route))
     return false;
@@ -386,6 +394,7 @@
 {
   forward->count--;
   forward->dispatches--;
+  forward->attempts_unknown = false;
   if (forward->request == NULL)
     forward_finish (forward);
   else
@@ -408,14 +417,14 @@
     forward_mark_tried (forward);
   if (forward->request == NULL)
     forward_finish (forward);
-  else if (forward->dispatches < FORWARD_DISPATCHES_MAX
+  else if (forward_sendings (forward) < FORWARD_DISPATCHES_MAX
            && retry_withdraw (gateway->retry, forward->service->name))
     {
       counter_add (COUNTER_RETRIES, 1);
       forward_route (forward);
     }
-  else if (forward->dispatches < FORWARD_DISPATCHES_MAX && forward->moved
-           && forward->head_sent)
+  else if (forward_sendings (forward) < FORWARD_DISPATCHES_MAX
+           && forward->moved && forward->head_sent)
     {
       /* The stream's former server may be sound: it is not cut for want of
          budget.  */
@@ -427,8 +436,16 @@
                   MAX (forward_ready_in_ms (forward), FULL_RETRY_AFTER_MS));
 }
 
+/* A node that has responded is sound, whatever its server did.  */
 static void
-retry_or_fail (struct forward *forward, const char *why)
+mark_failed (struct forward *forward)
+{
+  if (!forward->to_peer || !forward->head_parsed)
+    forward_mark_tried (forward);
+}
+
+void
+forward_retry_or_fail (struct forward *forward, const char *why)
 {
   struct gateway *gateway = forward->gateway;
 
@@ -436,7 +453,7 @@
       && retry_withdraw (gateway->retry, forward->service->name))
     {
       counter_add (COUNTER_RETRIES, 1);
-      forward_mark_tried (forward);
+      mark_failed (forward);
       forward_route (forward);
     }
   else
@@ -459,18 +476,18 @@
                         const struct httpc_result *result, GPtrArray *headers)
 {
   if (!is_authentic (forward))
-    retry_or_fail (forward,
-                   "the response is unsigned or belongs to another request");
+    forward_retry_or_fail (
+        forward, "the response is unsigned or belongs to another request");
   else if (forward->head_sent && !forward->streaming)
-    retry_or_fail (forward,
-                   "the response to the resumed request is not a stream");
+    forward_retry_or_fail (
+        forward, "the response to the resumed request is not a stream");
   else if (forward->answer.implies_not_run)
-    retry_or_fail (forward,
-                   "the status says \"not run\", the server does not");
-  else if (!forward->to_peer && retry_server_error (forward, result))
+    forward_retry_or_fail (forward,
+                           "the status says \"not run\", the server does not");
+  else if (retry_server_error (forward, result))
     {
       counter_add (COUNTER_RETRIES, 1);
-      forward_mark_tried (forward);
+      mark_failed (forward);
       forward_route (forward);
     }
   else
@@ -537,8 +554,6 @@
   if (text != NULL)
     answer.retry_ms = ts_to_ms (
         ts_from_s (CLAMP (g_ascii_strtod (text, NULL), 0, RETRY_AFTER_MAX_S)));
-  text = httpc_response_header (forward->call, CALLER_RELAY_HEADER);
-  answer.unreached = g_strcmp0 (text, CALLER_RELAY_UNREACHED) == 0;
   return answer;
 }
 
@@ -576,7 +591,7 @@
   else if (result->error == 0)
     handle_complete_answer (forward, result, headers);
   else
-    retry_or_fail (forward, "no complete response from the server");
+    forward_retry_or_fail (forward, "no complete response from the server");
   g_ptr_array_unref (headers);
 }
 
--- a/src/forward_log.c
+++ b/src/forward_log.c
@@ -111,7 +111,7 @@
   begin_line (forward, &line, EVENT_REQUEST_DONE);
   log_str (&line, "engine", forward->engine->id);
   log_int (&line, "status", result->status);
-  log_int (&line, "sendings", forward->dispatches);
+  log_int (&line, "sendings", forward_sendings (forward));
   log_double (&line, "first_byte_ms",
               to_ms (ts_sub (forward->first_at, forward->sent_at)));
   log_extent (forward, &line, result);
@@ -130,7 +130,7 @@
   log_str (&line, "why", why);
   log_int (&line, "not_run", forward_not_run (forward));
   log_int (&line, "cut", forward->head_sent);
-  log_int (&line, "sendings", forward->dispatches);
+  log_int (&line, "sendings", forward_sendings (forward));
   log_delay (forward, &line);
   log_int (&line, "retry_after_ms", retry_ms);
   log_end (&line);
@@ -203,6 +203,6 @@
   struct log_line line;
 
   begin_line (forward, &line, EVENT_CALLER_GONE);
-  log_int (&line, "sendings", forward->dispatches);
+  log_int (&line, "sendings", forward_sendings (forward));
   log_end (&line);
 }
--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -131,6 +131,10 @@
     g_ptr_array_add (ids, forward->engine->id);
   for (size_t i = 0; i < forward->tried_count; i++)
     g_ptr_array_add (ids, (gpointer)forward->tried[i]);
+  for (guint i = 0;
+       forward->tried_elsewhere != NULL && i < forward->tried_elsewhere->len;
+       i++)
+    g_ptr_array_add (ids, g_ptr_array_index (forward->tried_elsewhere, i));
   for (guint i = 0; i < replicas->len; i++)
     {
       const struct route_replica *replica
@@ -207,6 +211,7 @@
   for (size_t i = 0; i < forward->tried_count; i++)
     route_engine_unref (forward->engines[i]);
   forward->tried_count = 0;
+  g_clear_pointer (&forward->tried_elsewhere, g_ptr_array_unref);
 }
 
 void
@@ -244,8 +249,7 @@
     }
   gateway->options.caller->ops->head (gateway->options.caller, &send, headers);
   if (forward->to_peer)
-    g_ptr_array_add (headers, g_strdup_printf (CALLER_RELAY_HEADER ": %s",
-                                               gateway->core->node));
+    g_ptr_array_add (headers, forward_relay_header (forward));
   g_ptr_array_add (headers, NULL);
   return headers;
 }
@@ -338,6 +342,14 @@
     cutoff_end (forward_cutoff (forward));
 }
 
+static void
+count_attempt (struct forward *forward)
+{
+  if (forward->to_peer && !forward_peer_counts (forward))
+    forward->attempts_unknown = true;
+  attempt_begin (&forward->attempts[forward->count++], forward->dispatches);
+}
+
 void
 forward_dispatch (struct forward *forward, struct route_engine *engine)
 {
@@ -355,7 +367,7 @@
   route_engine_unref (forward->engine);
   forward->engine = engine;
   forward->dispatches++;
-  if (!forward->deposited && !forward->to_peer)
+  if (!forward->deposited && forward_deposits (forward))
     {
       retry_deposit (gateway->retry, forward->service->name);
       forward->deposited = true;
@@ -368,10 +380,11 @@
   forward->silent = false;
   forward->suspected = false;
   forward->head_parsed = false;
+  relay_clear (&forward->peer_note);
   forward->streaming = false;
   sse_init (&forward->sse, false);
   g_string_truncate (forward->buffer, 0);
-  attempt_begin (&forward->attempts[forward->count++], forward->dispatches);
+  count_attempt (forward);
   eject_begin (gateway->eject, engine->id, now);
   begin_in_flight (forward);
   forward_log_sent (forward);
@@ -569,6 +582,14 @@
   return false;
 }
 
+/* Whether another node got the request, or it was rejected.  */
+static bool
+relay_request (struct forward *forward)
+{
+  return gateway_may_dispatch (forward->gateway) && take_due_retry (forward)
+         && forward_relay (forward);
+}
+
 void
 forward_route (struct forward *forward)
 {
@@ -581,15 +602,14 @@
 
   if (forward_reject_quarantined (forward) || forward_refuse_unknown (forward))
     return;
-  if (cutoff_all (forward_cutoff (forward), now)
-      && gateway_may_dispatch (gateway) && forward_relay (forward))
+  if (cutoff_all (forward_cutoff (forward), now) && relay_request (forward))
     return;
   replicas = find_replicas (forward, &ready_at);
   if (replicas->len > 0 && gateway_may_dispatch (gateway))
     engine = pick_engine (forward, replicas);
   cut_off = engine == NULL && is_cut_off (forward, replicas);
   g_array_unref (replicas);
-  if (cut_off && gateway_may_dispatch (gateway) && forward_relay (forward))
+  if (cut_off && relay_request (forward))
     return;
   if (engine != NULL && !take_due_retry (forward))
     {
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -13,6 +13,7 @@
 #include "forward.h"
 #include "log.h"
 #include "origins.h"
+#include "relay.h"
 #include "sse.h"
 #include "site.h"
 #include "stall.h"
@@ -63,6 +64,7 @@
   struct timespec first_at;      /* first byte of the response; zero: none */
   struct timespec heard_at;      /* latest byte, or the dispatch */
   struct caller_response answer; /* of the current attempt */
+  struct relay_note peer_note;   /* of the current attempt, if TO_PEER */
   bool head_parsed;              /* ANSWER is valid */
   bool streaming; /* the current response is passed on as a stream */
   bool head_sent; /* the response head was sent to the caller */
@@ -71,8 +73,14 @@
   bool moved;     /* a silent engine was given up, which may be sound */
   bool to_peer;   /* ENGINE is a node, which the request was passed on to */
   bool relayed;   /* another node passed the request on to this one */
-  bool unreached; /* rejected as this node does not reach its servers */
-  bool retry_due; /* the next dispatch takes a retry from the budget */
+  struct relay_note origin_note; /* what that node has told, if RELAYED */
+  /* At other nodes: sendings beyond the dispatches counted here, and ids of
+     the servers that failed the request, see relay.h; NULL: none.  */
+  unsigned sendings_elsewhere;
+  GPtrArray *tried_elsewhere;
+  bool attempts_unknown; /* an older node may have made any number */
+  bool unreached;        /* rejected as this node does not reach its servers */
+  bool retry_due;        /* the next dispatch takes a retry from the budget */
   /* Of a request that crashes servers, see blame.h.  */
   GArray *features;   /* uint64_t */
   int whole_features; /* the first of FEATURES, which are no parts of the
@@ -168,8 +176,9 @@
 
 /* forward_relay.c: requests passed on to other nodes, see cutoff.h.  */
 
-/* Reads whether another node passed the request on.  */
+/* Reads whether another node passed the request on, and what it tells.  */
 void forward_set_relayed (struct forward *forward);
+void forward_relay_free (struct forward *forward);
 /* A new reference to a node that may take the request, or NULL.  */
 struct route_engine *forward_pick_peer (struct forward *forward);
 /* Passes the request on, or rejects it if all nodes that might take it have
@@ -180,12 +189,29 @@
 /* Whether ENGINE is a node.  */
 bool forward_is_peer (const struct forward *forward,
                       const struct route_engine *engine);
+/* Attempts that may run by way of this node.  */
+size_t forward_attempts_max (const struct forward *forward);
+/* To servers, by all nodes.  */
+unsigned forward_sendings (const struct forward *forward);
+/* Whether the node ENGINE, which gets the request, counts attempts.  */
+bool forward_peer_counts (const struct forward *forward);
+/* Whether this node has to add the request to the retry budget: one node does,
+   for all its sendings.  */
+bool forward_deposits (const struct forward *forward);
+/* The header for the node ENGINE, which gets the request; freed with g_free.
+ */
+char *forward_relay_header (const struct forward *forward);
+/* Whether the node that passed the request on is told what was done here.  */
+bool forward_tells_origin (const struct forward *forward);
+/* What it is told, with any response; freed with g_free.  */
+char *forward_relay_answer (const struct forward *forward);
+/* The response to an attempt at a node has begun.  */
+void forward_note_relayed (struct forward *forward);
 /* A node has answered the request itself: with no response of a server.  */
 struct forward_peer_answer
 {
   long status;
   int64_t retry_ms; /* Retry-After; 0: none */
-  bool unreached;   /* the node does not reach the servers either */
 };
 
 void forward_on_peer_answer (struct forward *forward,
@@ -225,6 +251,9 @@
 int64_t forward_on_silence (void *user);
 bool forward_may_reuse (void *user, long status);
 bool forward_on_head (void *user, long status, const char *content_type);
+/* Sends the request again after a failed attempt, if it may be, or fails it.
+ */
+void forward_retry_or_fail (struct forward *forward, const char *why);
 void forward_on_received (void *user);
 int forward_on_bytes (void *user, const char *bytes, size_t n);
 void forward_on_done (void *user, const struct httpc_result *result);
--- a/src/frame.h
+++ b/src/frame.h
@@ -19,7 +19,9 @@
 /* The limit until the peer has authenticated.  */
 #define FRAME_MAX_UNAUTHENTICATED_BYTES (1u << 10)
 #define FRAME_LIST_MAX 65536 /* elements of one list */
-#define FRAME_PROTOCOL 1     /* highest version supported */
+/* The highest version supported.  2: counts the attempts of requests that are
+   passed on, see relay.h.  */
+#define FRAME_PROTOCOL 2
 #define FRAME_PROTOCOL_MIN 1 /* lowest version supported */
 
 enum peer_msg_type
--- a/src/links.c
+++ b/src/links.c
@@ -209,6 +209,12 @@
   return peer_connected (links->peer, node);
 }
 
+uint64_t
+links_protocol (const struct links *links, const char *node)
+{
+  return peer_protocol (links->peer, node);
+}
+
 static bool
 is_linked (void *user, const char *node)
 {
--- a/src/links.h
+++ b/src/links.h
@@ -50,6 +50,9 @@
 /* Whether there is a link to NODE.  */
 bool links_connected (const struct links *links, const char *node);
 
+/* See peer_protocol.  */
+uint64_t links_protocol (const struct links *links, const char *node);
+
 /* -ENOTCONN if there is no link to NODE.  */
 int links_send (struct links *links, const char *node,
                 const struct peer_msg *msg);
--- a/src/peer.c
+++ b/src/peer.c
@@ -180,6 +180,7 @@
   link->node = g_strdup (msg->node);
   link->peer_nonce = g_strdup (msg->nonce);
   link->incarnation = msg->incarnation;
+  link->protocol = msg->protocol;
   answer.proof = compute_proof (link->peer, link->peer->node, link->dialled,
                                 link->nonce, link->peer_nonce);
   peerlink_send (link, &answer);
@@ -664,3 +665,11 @@
 {
   return find_link (peer, node) != NULL;
 }
+
+uint64_t
+peer_protocol (const struct peer *peer, const char *node)
+{
+  const struct peerlink *link = find_link (peer, node);
+
+  return link != NULL ? link->protocol : 0;
+}
--- a/src/peer.h
+++ b/src/peer.h
@@ -71,5 +71,7 @@
 /* Sends MSG on all authenticated links; returns their number.  */
 unsigned peer_broadcast (struct peer *peer, const struct peer_msg *msg);
 bool peer_connected (const struct peer *peer, const char *node);
+/* The highest version of the protocol that NODE supports; 0: no link to it. */
+uint64_t peer_protocol (const struct peer *peer, const char *node);
 
 #endif
--- a/src/peerlink.h
+++ b/src/peerlink.h
@@ -30,8 +30,9 @@
   char *address;      /* of the peer, if dialled */
   char *node;         /* id from the peer's hello */
   uint64_t incarnation;
-  char *nonce;      /* sent by this node */
-  char *peer_nonce; /* NULL until the peer's hello */
+  uint64_t protocol; /* highest version that the peer supports */
+  char *nonce;       /* sent by this node */
+  char *peer_nonce;  /* NULL until the peer's hello */
   GByteArray *in;
   GByteArray *out;
   struct timespec created_at;
--- a/tests/test_processes.c
+++ b/tests/test_processes.c
@@ -37,6 +37,7 @@
 #define CUT_TO_MS 11000
 #define CUT_FAILED_MAX 10 /* requests at the nodes that are cut off */
 #define CUT_FAILED_PERCENT_MAX 2
+#define ATTEMPTS 2 /* that the routes of gate_fixture.h allow */
 #define SINK_HOST 250
 #define FALLS_MAX 2 /* of brittle engines, and a tenth of their number */
 #define LIMIT_WINDOW_MS 4000
@@ -731,6 +732,7 @@
   unsigned refused;     /* with a status that promises "not run" */
   unsigned refused_runs;
   unsigned double_runs;
+  unsigned over_attempts;   /* requests that ran more often than ATTEMPTS */
   unsigned over_budget;     /* most repeats above the limit, in any window */
   unsigned shortened;       /* whole streams without their last event */
   unsigned crashes;         /* by the bad part, or the bad request */
@@ -848,6 +850,11 @@
   if (promises_not_run (request->status))
     totals->refused++;
   check_sound (id, request, totals);
+  if (request->runs > ATTEMPTS)
+    {
+      totals->over_attempts++;
+      g_test_message ("run %u times: %s", request->runs, id);
+    }
   if (request->kind != KIND_ONCE && request->kind != KIND_CUT)
     return;
   if (promises_not_run (request->status) && request->runs > 0)
@@ -995,6 +1002,7 @@
       tries->sent++;
       tries->answered += request->status == 200;
     }
+  g_assert_cmpuint (totals->over_attempts, ==, 0);
   g_assert_cmpuint (cut.sent, >=, SOUND_MIN);
   failed = cut.sent - cut.answered;
   g_test_message ("while cut: %u of %u answered at nodes that were cut off, "
@@ -1435,6 +1443,17 @@
   run_processes (&options, 16);
 }
 
+/* Guards against attempts that are counted anew by the node that a request is
+   passed on to: engines fail many.  */
+static void
+test_cut_failing (void)
+{
+  struct process_case options = cut;
+
+  options.engine.fail = 30;
+  run_processes (&options, 18);
+}
+
 /* All faults at once, for runs by hand.  */
 static void
 test_all (void)
@@ -1488,6 +1507,7 @@
   g_test_add_func ("/processes/brittle", test_brittle);
   g_test_add_func ("/processes/cut", test_cut);
   g_test_add_func ("/processes/cut-refused", test_cut_refused);
+  g_test_add_func ("/processes/cut-failing", test_cut_failing);
   g_test_add_func ("/processes/all", test_all);
   return g_test_run ();
 }
--- /dev/null
+++ b/tests/test_relay.c
@@ -0,0 +1,89 @@
+/* What nodes tell each other of a request that one has passed on.  */
+
+#include <glib.h>
+#include "relay.h"
+
+static void
+test_round_trip (void)
+{
+  struct relay_note note = {
+    .node = (char *)"n;1,%", .counts = true, .attempts = 1, .sendings = 3
+  };
+  struct relay_note read;
+  char *text;
+
+  relay_add_tried (&note.tried, "i-1");
+  relay_add_tried (&note.tried, "a,b;c=d e\xc3\xa9");
+  relay_add_tried (&note.tried, "i-1");
+  text = relay_format (&note);
+  relay_parse (text, &read);
+  g_assert_cmpstr (read.node, ==, note.node);
+  g_assert_true (read.counts);
+  g_assert_false (read.unreached);
+  g_assert_cmpuint (read.attempts, ==, 1);
+  g_assert_cmpuint (read.sendings, ==, 3);
+  g_assert_cmpuint (read.tried->len, ==, 2);
+  g_assert_cmpstr (g_ptr_array_index (read.tried, 1), ==, "a,b;c=d e\xc3\xa9");
+  g_free (text);
+  relay_clear (&read);
+  g_ptr_array_unref (note.tried);
+}
+
+/* Nodes of older releases tell their id alone, or "unreached".  */
+static void
+test_older (void)
+{
+  struct relay_note note;
+  char *text;
+
+  relay_parse ("gate-1", &note);
+  g_assert_false (note.counts);
+  relay_clear (&note);
+  relay_parse (NULL, &note);
+  g_assert_false (note.counts);
+  relay_clear (&note);
+  note.unreached = true;
+  text = relay_format (&note);
+  g_assert_cmpstr (text, ==, "unreached");
+  relay_parse (text, &note);
+  g_assert_true (note.unreached);
+  g_free (text);
+}
+
+/* Anything that is not a count is not taken for one: a missing count is not
+   zero.  */
+static void
+test_malformed (void)
+{
+  static const char *const texts[] = { "node=n1;attempts=1",
+                                       "node=n1;sendings=1",
+                                       "node=n1;attempts=;sendings=1",
+                                       "node=n1;attempts=-1;sendings=1",
+                                       "node=n1;attempts=1x;sendings=1",
+                                       "attempts=1,sendings=1",
+                                       ";;;=;tried=" };
+  struct relay_note note;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
+    {
+      relay_parse (texts[i], &note);
+      g_assert_false (note.counts);
+      relay_clear (&note);
+    }
+  relay_parse ("attempts=99999999999999999999;sendings=5;more=x;tried=%zz,a",
+               &note);
+  g_assert_true (note.counts);
+  g_assert_cmpuint (note.attempts, <=, 1000);
+  g_assert_cmpuint (note.tried->len, ==, 1);
+  relay_clear (&note);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/relay/round-trip", test_round_trip);
+  g_test_add_func ("/relay/older", test_older);
+  g_test_add_func ("/relay/malformed", test_malformed);
+  return g_test_run ();
+}
