--- a/src/forward_relay.c
+++ b/src/forward_relay.c
@@ -279,7 +279,10 @@
     peer = forward_pick_peer (forward);
   if (peer != NULL && forward->peer_note.sendings > 0
       && !retry_withdraw (gateway->retry, forward->service->name))
-    g_clear_pointer (&peer, route_engine_unref);
+    {
+      route_engine_unref (peer);
+      peer = NULL;
+    }
   if (peer != NULL)
     forward_dispatch (forward, peer);
   else
--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -211,7 +211,9 @@
   for (size_t i = 0; i < forward->tried_count; i++)
     route_engine_unref (forward->engines[i]);
   forward->tried_count = 0;
-  g_clear_pointer (&forward->tried_elsewhere, g_ptr_array_unref);
+  if (forward->tried_elsewhere != NULL)
+    g_ptr_array_unref (forward->tried_elsewhere);
+  forward->tried_elsewhere = NULL;
 }
 
 void
