planner: values and the choice of an engine are modules of their own

Change: planner_value and planner_choice; code moved and renamed, none changed. The unit of values stands in planner_value.h.

Conclusion: no change of behaviour.

--- a/src/planner_round.c
+++ b/src/planner_round.c
@@ -1,56 +1,19 @@
+#include "planner_round.h"
+
 #include <math.h>
 #include <string.h>
-#include "planner_round.h"
+#include "planner_choice.h"
+#include "planner_value.h"
 #include "ts.h"
 
-/* The value of a replica is the estimated total delay of requests, in seconds,
-   that its eviction causes.  */
-#define HORIZON_S 10.0 /* arrivals in this time are delayed by a reload */
 #define PRIOR_RATE_PER_S 0.03 /* rate assumed for a model never requested */
-/* Minimum value of a replica that is not surplus, whatever its request rate:
-   its reload occupies the engine and may delay other loads.  */
-#define BASE_VALUE 0.3
-#define PRELOAD_MAX_TRIES 16 /* per round: each examines every engine */
-#define IDLE_VALUE 0.01      /* of a loaded model without requests */
-#define SURPLUS_VALUE 0.05   /* of a replica beyond the number needed */
-#define START_REPLICAS 3     /* kept per model while rates are unknown */
-/* From the first request until request rates are known.  */
-#define RATES_LEARNING_S 10.0
-/* Time until an engine accepts an order while it evicts models for another
-   load, and after a single order.  */
-#define MAKE_ROOM_S 1.5
-#define SETTLE_S 0.3
-/* Cost of each second of a model load for each request a second whose adapter
-   may have to wait for it.  */
-#define ADAPTER_DELAY_VALUE 0.3
-/* A request that arrived within this time may not run yet.  An unload waits
-   only for running requests, so that this one would be rejected.  */
-#define STARTING_S 1.5
-#define STARTING_VALUE 3.0
-#define PINNED_VALUE 1e6 /* never evicted */
-/* A model is not evicted soon after it has been loaded, unless for many
-   requests: a load takes longer than what it was for.  */
-#define RECENT_S 4.0
-#define RECENT_VALUE 30.0
+#define PRELOAD_MAX_TRIES 16  /* per round: each examines every engine */
+#define IDLE_VALUE 0.01       /* of a loaded model without requests */
 /* Delay that a request saves which waits for a model on no engine: it is
    rejected otherwise.  So no model with many requests is evicted for a few
    that wait.  */
 #define WAITING_VALUE 20.0
 
-/* Cost of a replica on an engine that is short of its limit, which a model
-   gets only if it has none: more than most evictions elsewhere.  */
-#define SHORT_COST 100.0
-
-/* A candidate engine for a load.  */
-struct candidate
-{
-  struct planner_engine *engine;
-  double busy_s; /* until the engine accepts an order */
-  double load_s;
-  double loss; /* value of the replicas to evict, and delay of adapters */
-  bool fetches;
-};
-
 /* Counts the replicas on ENGINE for each model.  */
 static void
 count_engine (struct plan *plan, const struct planner_engine *engine)
@@ -124,25 +87,6 @@
   model->waiting += entry->waiting;
 }
 
-bool
-planner_is_short (const struct plan *plan, const struct planner_engine *engine)
-{
-  double per_s = 0;
-
-  if (engine->limit_per_s <= 0)
-    return false;
-  for (guint i = 0; i < engine->inventory->models->len; i++)
-    {
-      const struct inventory_model *held
-          = g_ptr_array_index (engine->inventory->models, i);
-      const struct plan_model *model = plan_model (plan, held->name);
-
-      if (model != NULL)
-        per_s += model->per_s / MAX (model->loaded, 1);
-    }
-  return per_s > engine->limit_per_s;
-}
-
 /* Called once the replicas are counted.  */
 static void
 count_unlimited (struct plan *plan)
@@ -203,212 +147,6 @@
     count_waiting (plan, entry);
 }
 
-/* Whether request rates are not known yet.  */
-static bool
-rates_unknown (const struct plan *plan)
-{
-  const struct planner *planner = plan->planner;
-
-  return ts_is_zero (planner->first_request_at)
-         || ts_to_s (ts_sub (plan->now, planner->first_request_at))
-                < RATES_LEARNING_S;
-}
-
-/* Number of replicas that the request rate of MODEL needs.  */
-static unsigned
-needed_replicas (const struct plan *plan, const struct plan_model *model)
-{
-  unsigned n = (unsigned)ceil (model->per_s * PLANNER_REQUEST_S
-                               / PLANNER_MAX_UTILIZATION);
-
-  if (rates_unknown (plan))
-    n = MAX (n, MIN (model->loaded, START_REPLICAS));
-  return n;
-}
-
-static double
-compute_value (const struct plan *plan, const struct plan_model *model,
-               double reload_s)
-{
-  /* Other replicas take over a part of the requests.  */
-  double delay_value
-      = model->per_s * HORIZON_S * reload_s / MAX (model->loaded, 1);
-
-  if (model->waiting > 0
-      || rates_idle_s (plan->planner->dispatched, model->site->name, plan->now)
-             < STARTING_S)
-    return PINNED_VALUE;
-  if (model->loaded > 1 && model->loaded > needed_replicas (plan, model))
-    return SURPLUS_VALUE * (1.0 + model->per_s);
-  if (rates_idle_s (plan->planner->arrivals, model->site->name, plan->now)
-      < STARTING_S)
-    return STARTING_VALUE + delay_value;
-  return BASE_VALUE + delay_value;
-}
-
-/* Value lost when the model NAME is evicted from ENGINE.  */
-static double
-replica_value (const struct plan *plan, const struct planner_engine *engine,
-               const char *name)
-{
-  struct plan_model *model = plan_model (plan, name);
-  double value;
-
-  if (model == NULL)
-    return 0;
-  if (!model->values_known)
-    {
-      model->value_if_in_memory
-          = compute_value (plan, model, model->site->memory_s);
-      model->value_if_on_disk
-          = compute_value (plan, model, model->site->disk_s);
-      model->values_known = true;
-    }
-  value = inventory_name_listed (engine->inventory->in_memory, name)
-              ? model->value_if_in_memory
-              : model->value_if_on_disk;
-  if (g_strcmp0 (engine->last_loaded, name) == 0
-      && ts_to_s (ts_sub (plan->now, engine->loaded_at)) < RECENT_S)
-    value += RECENT_VALUE;
-  return value;
-}
-
-/* The least valuable model on ENGINE that is not in EXCLUDED; NULL when none
-   may be evicted.  */
-static const char *
-choose_victim (const struct plan *plan, const struct planner_engine *engine,
-               const GPtrArray *excluded, double *value)
-{
-  const char *victim = NULL;
-
-  *value = PINNED_VALUE;
-  for (guint i = 0; i < engine->inventory->models->len; i++)
-    {
-      const struct inventory_model *held
-          = g_ptr_array_index (engine->inventory->models, i);
-      double v = replica_value (plan, engine, held->name);
-
-      if (v >= *value
-          || (excluded != NULL
-              && inventory_name_listed (excluded, held->name)))
-        continue;
-      *value = v;
-      victim = held->name;
-    }
-  return victim;
-}
-
-/* Value of the replicas that ENGINE must evict to load MODEL; PINNED_VALUE
-   when there is no way to make room.  */
-static double
-eviction_loss (const struct plan *plan, const struct planner_engine *engine,
-               const struct site_model *model)
-{
-  int64_t left = planner_free_mb (plan->planner, engine);
-  GPtrArray *excluded;
-  double loss = 0;
-
-  if (left >= (int64_t)model->memory_mb)
-    return 0;
-  excluded = g_ptr_array_new ();
-  while (left < (int64_t)model->memory_mb)
-    {
-      double value;
-      const char *victim = choose_victim (plan, engine, excluded, &value);
-      const struct plan_model *evicted;
-
-      if (victim == NULL)
-        {
-          loss = PINNED_VALUE;
-          break;
-        }
-      evicted = plan_model (plan, victim);
-      left += evicted != NULL ? (int64_t)evicted->site->memory_mb
-                              : (int64_t)plan->planner->service->memory_mb;
-      loss += value;
-      g_ptr_array_add (excluded, (gpointer)victim);
-    }
-  g_ptr_array_unref (excluded);
-  return loss;
-}
-
-/* Seconds until ENGINE accepts an order for another model.  */
-static double
-engine_busy_s (const struct plan *plan, const struct planner_engine *engine)
-{
-  const struct planner_order *order = &engine->order;
-  double left_s = 0;
-
-  if (planner_can_order (engine, plan->now) && engine->next_model == NULL)
-    return 0;
-  if (order->stage == STAGE_RUNNING)
-    left_s = ts_to_s (ts_sub (order->ready_at, plan->now));
-  return MAX (left_s, 0)
-         + (engine->next_model != NULL ? MAKE_ROOM_S : SETTLE_S);
-}
-
-/* Request rate of the models on ENGINE that have adapters: the engine cannot
-   exchange adapters while it loads a model.  */
-static double
-adapter_request_rate (const struct plan *plan,
-                      const struct planner_engine *engine)
-{
-  double per_s = 0;
-
-  for (guint i = 0; i < engine->inventory->models->len; i++)
-    {
-      const struct inventory_model *held
-          = g_ptr_array_index (engine->inventory->models, i);
-      const struct plan_model *model = plan_model (plan, held->name);
-
-      if (model != NULL && model->site->adapters > 0)
-        per_s += model->per_s / MAX (model->loaded, 1);
-    }
-  return per_s;
-}
-
-/* The engine with the least sum of waiting time, load time and loss for MODEL,
-   busy engines included.  SOFTWARE: only engines with that version, NULL: all.
-   FETCH: loads from the weight store are allowed.  */
-static struct candidate
-choose_engine (const struct plan *plan, const struct site_model *model,
-               const char *software, bool fetch)
-{
-  struct candidate best = { .loss = PINNED_VALUE };
-  unsigned replicas = plan_model (plan, model->name)->replicas;
-  struct planner_engine *engine;
-  GHashTableIter iter;
-  double least = PINNED_VALUE;
-
-  g_hash_table_iter_init (&iter, plan->planner->engines);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&engine))
-    {
-      struct candidate candidate = { .engine = engine };
-      double cost;
-
-      if (!engine->has_report || engine->leaving
-          || !plan_has_software (engine, software)
-          || inventory_model (engine->inventory, model->name) != NULL
-          || (replicas > 0 && planner_is_short (plan, engine)))
-        continue;
-      candidate.busy_s = engine_busy_s (plan, engine);
-      candidate.load_s = planner_load_s (engine, model, &candidate.fetches);
-      if (candidate.fetches && !fetch)
-        continue;
-      candidate.loss = eviction_loss (plan, engine, model)
-                       + ADAPTER_DELAY_VALUE * candidate.load_s
-                             * adapter_request_rate (plan, engine);
-      cost = candidate.busy_s + candidate.load_s + candidate.loss;
-      if (planner_is_short (plan, engine))
-        cost += SHORT_COST;
-      if (cost >= least)
-        continue;
-      least = cost;
-      best = candidate;
-    }
-  return best;
-}
-
 static void
 issue_load (struct plan *plan, struct planner_engine *engine, const char *name,
             const char *cause)
@@ -483,7 +221,7 @@
       g_clear_pointer (&engine->next_model, g_free);
       return;
     }
-  victim = choose_victim (plan, engine, NULL, &value);
+  victim = planner_choose_victim (plan, engine, NULL, &value);
   if (victim == NULL)
     g_clear_pointer (&engine->next_model, g_free);
   else
@@ -493,7 +231,7 @@
 /* Starts to load MODEL on the engine of CANDIDATE.  */
 static void
 start_loading (struct plan *plan, struct plan_model *model,
-               const struct candidate *candidate)
+               const struct planner_candidate *candidate)
 {
   candidate->engine->next_model = g_strdup (model->site->name);
   model->pending = true;
@@ -506,11 +244,11 @@
 try_load (struct plan *plan, struct plan_model *model, const char *software,
           double benefit, bool fetch)
 {
-  struct candidate candidate;
+  struct planner_candidate candidate;
 
   if (fetch)
     fetch = budget_allows_fetch (plan, 0);
-  candidate = choose_engine (plan, model->site, software, fetch);
+  candidate = planner_choose_engine (plan, model->site, software, fetch);
   if (candidate.engine == NULL || candidate.loss >= benefit
       || candidate.busy_s > 0)
     return false;
@@ -676,7 +414,7 @@
       struct plan_model *model = g_ptr_array_index (models, i);
 
       if (!model->pending && model->replicas > 0
-          && model->replicas < needed_replicas (plan, model))
+          && model->replicas < planner_needed_replicas (plan, model))
         g_ptr_array_add (short_of, model);
     }
   g_ptr_array_sort (short_of, compare_load);
@@ -685,7 +423,7 @@
       struct plan_model *model = g_ptr_array_index (short_of, i);
 
       try_load (plan, model, NULL,
-                model->per_s * PLANNER_REQUEST_S * HORIZON_S, true);
+                model->per_s * PLANNER_REQUEST_S * PLANNER_HORIZON_S, true);
     }
   g_ptr_array_unref (short_of);
 }
@@ -707,11 +445,11 @@
     {
       guint at = (i + plan->planner->preload_offset) % models->len;
       struct plan_model *model = g_ptr_array_index (models, at);
-      double value
-          = IDLE_VALUE + model->per_s * HORIZON_S * model->site->disk_s;
+      double value = IDLE_VALUE
+                     + model->per_s * PLANNER_HORIZON_S * model->site->disk_s;
 
       if (!model->has_local_copy)
-        value = MAX (model->per_s, PRIOR_RATE_PER_S) * HORIZON_S
+        value = MAX (model->per_s, PRIOR_RATE_PER_S) * PLANNER_HORIZON_S
                 * model->site->load_s;
       if (model->replicas > 0 || model->pending)
         continue;
@@ -740,7 +478,7 @@
     {
       const struct plan_model *model = g_ptr_array_index (models, i);
       const struct site_model *site = model->site;
-      double ready_s = MAKE_ROOM_S + site->disk_s;
+      double ready_s = PLANNER_MAKE_ROOM_S + site->disk_s;
       struct timespec *at;
 
       if (model->waiting == 0 || model->replicas > 0)
--- a/src/planner_round.h
+++ b/src/planner_round.h
@@ -1,5 +1,6 @@
 /* planner_round - state of one round of planning, shared by the modules
-   planner_round and planner_adapter.  Private to them.  */
+   planner_round, planner_value, planner_choice and planner_adapter.  Private
+   to them.  */
 
 #ifndef PARSLEYRILL_PLANNER_ROUND_H
 #define PARSLEYRILL_PLANNER_ROUND_H
@@ -54,7 +55,7 @@
   return software == NULL || strcmp (engine->software, software) == 0;
 }
 
-/* planner_round.c */
+/* planner_choice.c */
 
 /* Whether ENGINE names a limit that is lower than the request rate of the
    models on it.  */
