planner: replicas by what requests were seen to take of an engine

Cause: a request was taken for 0.12 s of an engine's time, which holds for prompts of 9,000 tokens. Here it is 0.035 s: 700 tokens, and an answer of 1.6 s in one of 32 slots.

Hypothesis: with the time that requests are seen to take, hot models leave their places to rarely used ones.

Change: reqtime, the mean over the last 400 requests at a node of the larger of reading time and duration by slots; the decider uses what its own node saw.

--- a/src/forward_answer.c
+++ b/src/forward_answer.c
@@ -212,6 +212,24 @@
     httpd_stream_end (forward->request);
 }
 
+/* What the request took of the engine's time.  */
+static void
+note_request_time (const struct forward *forward)
+{
+  struct gateway *gateway = forward->gateway;
+  const struct server *server
+      = servers_find (listing_servers (gateway->listing), forward->engine->id);
+  struct reqtime_sample sample
+      = { .prompt_tokens = forward->parsed.prompt_tokens,
+          .duration_s
+          = ts_to_s (ts_sub (forward_now (forward), forward->sent_at)),
+          .slots = server != NULL ? server->slots : 0 };
+
+  if (forward->target != NULL && !forward->to_peer)
+    planners_request_ended (gateway->planners, forward->service->name,
+                            &sample);
+}
+
 static void
 finish (struct forward *forward, const struct httpc_result *result,
         GPtrArray *headers)
@@ -219,6 +237,7 @@
   struct gateway *gateway = forward->gateway;
 
   forward_log_done (forward, result);
+  note_request_time (forward);
   for (size_t i = 0; !forward->to_peer && i < forward->parsed.part_count; i++)
     pick_hint (gateway->pick, forward->engine->id, forward->parsed.parts[i],
                true, forward_now (forward));
--- a/src/planner.c
+++ b/src/planner.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 #include "planner_state.h"
+#include "reqtime.h"
 #include "ts.h"
 
 static void
@@ -38,6 +39,7 @@
   struct planner *planner = g_new0 (struct planner, 1);
 
   planner->loads_at_once = options->loads_at_once;
+  planner->request_s = REQTIME_DEFAULT_S;
   planner->engines
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, engine_free);
   planner->models = g_hash_table_new (g_str_hash, g_str_equal);
@@ -148,6 +150,12 @@
     engine->limit_per_s = per_s;
 }
 
+void
+planner_set_request_time (struct planner *planner, double request_s)
+{
+  planner->request_s = request_s;
+}
+
 void
 planner_remove_engine (struct planner *planner, const char *id)
 {
--- a/src/planner.h
+++ b/src/planner.h
@@ -77,6 +77,10 @@
    rate.  */
 void planner_set_limit (struct planner *planner, const char *id, double per_s);
 
+/* A request takes REQUEST_S of an engine's time, in the mean; see
+   reqtime.h.  */
+void planner_set_request_time (struct planner *planner, double request_s);
+
 /* The requested report of engine ID; INVENTORY is NULL when it did not
    answer.  */
 void planner_report (struct planner *planner, const char *id,
--- a/src/planner_adapter.c
+++ b/src/planner_adapter.c
@@ -198,8 +198,8 @@
   struct plan *plan = user;
   const char *slash = strchr (target, '/');
   unsigned needed
-      = (unsigned)ceil (count / RATES_TIME_CONSTANT_S * PLANNER_REQUEST_S
-                        / PLANNER_MAX_UTILIZATION);
+      = (unsigned)ceil (count / RATES_TIME_CONSTANT_S
+                        * plan->planner->request_s / PLANNER_MAX_UTILIZATION);
   char *model;
 
   if (slash == NULL || needed < 2)
--- a/src/planner_round.c
+++ b/src/planner_round.c
@@ -423,7 +423,8 @@
       struct plan_model *model = g_ptr_array_index (short_of, i);
 
       try_load (plan, model, NULL,
-                model->per_s * PLANNER_REQUEST_S * PLANNER_HORIZON_S, true);
+                model->per_s * plan->planner->request_s * PLANNER_HORIZON_S,
+                true);
     }
   g_ptr_array_unref (short_of);
 }
--- a/src/planner_round.h
+++ b/src/planner_round.h
@@ -8,10 +8,8 @@
 #include <string.h>
 #include "planner_state.h"
 
-/* Mean engine time of a request, prompt and answer, and the maximum share of
-   an engine's time that requests for one model may use.  Both hold for engines
-   that process 38,700 prompt tokens a second.  */
-#define PLANNER_REQUEST_S 0.12
+/* The maximum share of an engine's time that requests for one model may
+   use.  */
 #define PLANNER_MAX_UTILIZATION 0.4
 
 /* A model in this round.  */
--- a/src/planner_state.h
+++ b/src/planner_state.h
@@ -80,6 +80,7 @@
   GHashTable *waiting;         /* "NODE TARGET", for one version followed by
                                   "\nSOFTWARE", to struct planner_waiting */
   struct budget budget;
+  double request_s; /* mean share of an engine that a request takes */
   /* Name of a model that requests wait for and no engine is loading, to struct
      timespec: when it is estimated to be loaded.  */
   GHashTable *expected_ready;
--- a/src/planner_value.c
+++ b/src/planner_value.c
@@ -35,7 +35,7 @@
 planner_needed_replicas (const struct plan *plan,
                          const struct plan_model *model)
 {
-  unsigned n = (unsigned)ceil (model->per_s * PLANNER_REQUEST_S
+  unsigned n = (unsigned)ceil (model->per_s * plan->planner->request_s
                                / PLANNER_MAX_UTILIZATION);
 
   if (rates_unknown (plan))
--- a/src/planners.c
+++ b/src/planners.c
@@ -144,6 +144,22 @@
     }
 }
 
+/* Of SERVICE; created when first asked for; borrowed.  */
+static struct reqtime *
+request_time (struct planners *planners, const char *service)
+{
+  struct reqtime *time
+      = g_hash_table_lookup (planners->request_times, service);
+
+  if (time == NULL)
+    {
+      time = g_new (struct reqtime, 1);
+      reqtime_init (time);
+      g_hash_table_insert (planners->request_times, g_strdup (service), time);
+    }
+  return time;
+}
+
 static void
 update_planners (struct planners *planners, struct site *site)
 {
@@ -165,6 +181,8 @@
       if (planner == NULL)
         {
           planner = planner_new (&options);
+          planner_set_request_time (
+              planner, request_time (planners, service->name)->mean_s);
           g_hash_table_insert (planners->by_service, g_strdup (service->name),
                                planner);
         }
@@ -463,6 +481,8 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_planner);
   planners->in = replica_receiver_new ();
   planners->demand = demand_new ();
+  planners->request_times
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   planners->cut_off
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   return &planners->service;
@@ -479,12 +499,26 @@
   replica_sender_free (planners->out);
   replica_receiver_free (planners->in);
   demand_free (planners->demand);
+  g_hash_table_unref (planners->request_times);
   g_hash_table_unref (planners->cut_off);
   lease_free (planners->lease);
   site_unref (planners->site);
   g_free (planners);
 }
 
+void
+planners_request_ended (struct planners *planners, const char *service,
+                        const struct reqtime_sample *sample)
+{
+  struct reqtime *time = request_time (planners, service);
+  struct planner *planner
+      = g_hash_table_lookup (planners->by_service, service);
+
+  reqtime_add (time, sample);
+  if (planner != NULL)
+    planner_set_request_time (planner, time->mean_s);
+}
+
 bool
 planners_deciding (const struct planners *planners)
 {
--- a/src/planners.h
+++ b/src/planners.h
@@ -13,6 +13,7 @@
 #include <stdbool.h>
 #include <time.h>
 #include "kernel.h"
+#include "reqtime.h"
 
 #define PLANNERS_NAME "stocker"
 
@@ -34,6 +35,10 @@
 void planners_request_arrived (struct planners *planners, const char *service,
                                const char *target);
 
+/* A request for a target of SERVICE has ended at an engine.  */
+void planners_request_ended (struct planners *planners, const char *service,
+                             const struct reqtime_sample *sample);
+
 /* WAITING requests at this node wait for TARGET now; with SOFTWARE those that
    only servers with that version may serve, otherwise NULL.  PRIORITY, 0 being
    the highest, and DEADLINE are those of the most urgent one.  */
--- a/src/planners_state.h
+++ b/src/planners_state.h
@@ -38,12 +38,13 @@
   struct replica_sender *out;  /* NULL before the first term */
   struct replica_receiver *in; /* replicas published by another node */
   struct demand_table *demand; /* of this node */
-  struct loop_timer timer;     /* of the lease and the planners */
-  struct loop_timer flush;     /* of DEMAND */
-  struct loop_timer loads;     /* of the loads of servers */
-  struct timespec tick_at;     /* next tick of the planners */
-  struct throttle throttle;    /* of ticks */
-  struct timespec repeat_at;   /* when all demand is sent again */
+  GHashTable *request_times; /* service to struct reqtime, seen by this node */
+  struct loop_timer timer;   /* of the lease and the planners */
+  struct loop_timer flush;   /* of DEMAND */
+  struct loop_timer loads;   /* of the loads of servers */
+  struct timespec tick_at;   /* next tick of the planners */
+  struct throttle throttle;  /* of ticks */
+  struct timespec repeat_at; /* when all demand is sent again */
   struct timespec compared_at; /* last search for changes to publish */
   struct timespec published_at;
   uint64_t published_version; /* of the configuration */
--- a/src/reqtime.h
+++ b/src/reqtime.h
@@ -2,8 +2,8 @@
    the engine's time, as observed.
 
    An engine reads one prompt after the other, and generates the answers of as
-   many requests at once as it has slots.  What a request takes is the larger of
-   the time to read its prompt and its duration divided by the slots.
+   many requests at once as it has slots.  What a request takes is the larger
+   of the time to read its prompt and its duration divided by the slots.
 
    A mean over the last REQTIME_WINDOW requests or so.  Until there are many, a
    default counts too.  Pure; one thread.  */
--- a/tests/test_planner.c
+++ b/tests/test_planner.c
@@ -667,6 +667,26 @@
   tear_down (&f);
 }
 
+/* A model with many short requests beside rarely used ones, whose places it
+   would take: as many replicas as its requests need of the engines' time.  */
+static void
+test_short_requests (void)
+{
+  struct fixture f;
+
+  set_up (&f, 4);
+  planner_set_request_time (f.planner, 0.03);
+  report (&f, "e1", 3, false, "m0 m1", "m0 m1 m2 m3");
+  report (&f, "e2", 3, false, "m2 m3", "m0 m1 m2 m3");
+  planner_request_arrived (f.planner, "m0", 60, ts_from_ms (f.ms));
+  tick (&f, 100);
+  check_order (&f, NULL);
+  planner_set_request_time (f.planner, 0.12);
+  tick (&f, 100);
+  check_order (&f, "unload e2 m2");
+  tear_down (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -692,6 +712,7 @@
   g_test_add_func ("/planner/busy-models-stay", test_busy_models_stay);
   g_test_add_func ("/planner/busiest-replicas-first",
                    test_busiest_replicas_first);
+  g_test_add_func ("/planner/short-requests", test_short_requests);
   g_test_add_func ("/planner/recent-load-stays", test_recent_load_stays);
   return g_test_run ();
 }
