planner: engines with a copy of the weights go before the weight store

Cause: the engine with the least sum of waiting, loading and loss was taken among all. Where the engines with a copy had just been sent requests, one without was cheaper by that sum at that moment.

Change: engines with a copy are chosen among first; weights are fetched only if that takes no longer, or after 1.5 s of waiting, when recent requests at those engines have ended. Copies on engines that leave do not count.

Tests: /planner/copy-first and /planner/copy-not-free, failing before.

--- a/src/planner.c
+++ b/src/planner.c
@@ -237,6 +237,7 @@
              unsigned priority, struct timespec now)
 {
   struct planner_waiting *entry = g_hash_table_lookup (planner->waiting, key);
+  struct timespec since;
 
   /* Requests that no longer wait have just been dispatched to an engine.  They
      were counted on arrival, so only the time is recorded, with a count
@@ -249,7 +250,9 @@
       g_free (key);
       return;
     }
+  since = entry != NULL ? entry->since : now;
   entry = g_new0 (struct planner_waiting, 1);
+  entry->since = since;
   entry->node = g_strdup (node);
   entry->target = g_strdup (target);
   entry->software = g_strdup (software);
--- a/src/planner_round.c
+++ b/src/planner_round.c
@@ -13,6 +13,10 @@
    rejected otherwise.  So no model with many requests is evicted for a few
    that wait.  */
 #define WAITING_VALUE 20.0
+/* Requests wait this long for an engine with a copy of the weights before
+   these are fetched for another one: until recent requests there have ended.
+ */
+#define COPY_WAIT_S 1.5
 
 /* Counts the replicas on ENGINE for each model.  */
 static void
@@ -85,6 +89,8 @@
   if (model->waiting == 0 || entry->priority < model->priority)
     model->priority = entry->priority;
   model->waiting += entry->waiting;
+  model->waited_s
+      = MAX (model->waited_s, ts_to_s (ts_sub (plan->now, entry->since)));
 }
 
 /* Called once the replicas are counted.  */
@@ -138,6 +144,8 @@
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&engine))
     {
       count_engine (plan, engine);
+      if (engine->leaving)
+        continue;
       mark_local_copies (plan, engine->inventory->in_memory);
       mark_local_copies (plan, engine->inventory->on_disk);
     }
@@ -238,17 +246,33 @@
   continue_loading (plan, candidate->engine);
 }
 
+/* The engine to load MODEL: one with a copy of its weights, unless that takes
+   longer than to fetch them, or requests have waited for it.  */
+static struct planner_candidate
+choose_engine (const struct plan *plan, const struct plan_model *model,
+               const char *software, double benefit, bool fetch)
+{
+  struct planner_candidate candidate
+      = planner_choose_engine (plan, model->site, software, false);
+  bool slow = candidate.engine == NULL || candidate.loss >= benefit
+              || candidate.busy_s + candidate.load_s >= model->site->load_s;
+  bool patient = model->has_local_copy && model->waiting > 0
+                 && model->waited_s <= COPY_WAIT_S;
+
+  if (fetch && slow && !patient && budget_allows_fetch (plan, 0))
+    candidate = planner_choose_engine (plan, model->site, software, true);
+  return candidate;
+}
+
 /* Starts to load MODEL if an idle engine is the best choice and the loss there
-   is less than BENEFIT.  SOFTWARE and FETCH as for choose_engine.  */
+   is less than BENEFIT.  SOFTWARE and FETCH as for planner_choose_engine.  */
 static bool
 try_load (struct plan *plan, struct plan_model *model, const char *software,
           double benefit, bool fetch)
 {
-  struct planner_candidate candidate;
+  struct planner_candidate candidate
+      = choose_engine (plan, model, software, benefit, fetch);
 
-  if (fetch)
-    fetch = budget_allows_fetch (plan, 0);
-  candidate = planner_choose_engine (plan, model->site, software, fetch);
   if (candidate.engine == NULL || candidate.loss >= benefit
       || candidate.busy_s > 0)
     return false;
--- a/src/planner_round.h
+++ b/src/planner_round.h
@@ -21,8 +21,10 @@
   unsigned loaded;
   unsigned unlimited;  /* of REPLICAS, those on engines that are not short */
   unsigned waiting;    /* requests, those for its adapters included */
+  double waited_s;     /* since the first of them began to wait */
   unsigned priority;   /* of the most urgent; 0 is the highest */
-  bool has_local_copy; /* an engine has its weights in memory or on disk */
+  bool has_local_copy; /* an engine that stays has its weights in memory or on
+                          disk */
   bool pending;        /* an engine evicts models to load it */
   bool values_known;   /* the next two have been computed */
   /* Value of a replica on an engine that has the weights in host memory, and
--- a/src/planner_state.h
+++ b/src/planner_state.h
@@ -63,9 +63,10 @@
 {
   char *node;
   char *target;
-  char *software;    /* only engines with this version serve them; NULL: any */
-  unsigned waiting;  /* number of requests */
-  unsigned priority; /* of the most urgent; 0 is the highest */
+  char *software;   /* only engines with this version serve them; NULL: any */
+  unsigned waiting; /* number of requests */
+  struct timespec since; /* when the first of them began to wait */
+  unsigned priority;     /* of the most urgent; 0 is the highest */
 };
 
 struct planner
--- a/tests/test_planner.c
+++ b/tests/test_planner.c
@@ -667,6 +667,55 @@
   tear_down (&f);
 }
 
+/* A model without a replica whose weights are on the disk of one engine, where
+   requests have just been sent: the engine loads it a moment later, in a third
+   of the time that another one takes to fetch it.  */
+static void
+test_copy_first (void)
+{
+  struct fixture f;
+
+  set_up (&f, 5);
+  report (&f, "e1", 3, false, "m0 m1", "m0 m1 m4");
+  report (&f, "e2", 3, false, "m2 m3", "m2 m3");
+  for (int i = 0; i < 2; i++)
+    {
+      planner_set_waiting (f.planner, "n", f.names[i], 1, 0,
+                           ts_from_ms (f.ms));
+      planner_set_waiting (f.planner, "n", f.names[i], 0, 0,
+                           ts_from_ms (f.ms));
+    }
+  f.ms += 400;
+  planner_set_waiting (f.planner, "n", "m4", 1, 0, ts_from_ms (f.ms));
+  tick (&f, 0);
+  check_order (&f, NULL);
+  tick (&f, 1000);
+  check_order (&f, NULL);
+  tick (&f, 200);
+  check_order (&f, "unload e1 m0");
+  tear_down (&f);
+}
+
+/* The same, and requests go on at that engine: the weights are fetched after
+   all.  */
+static void
+test_copy_not_free (void)
+{
+  struct fixture f;
+
+  set_up (&f, 5);
+  report (&f, "e1", 3, false, "m0 m1", "m0 m1 m4");
+  report (&f, "e2", 3, false, "m2 m3", "m2 m3");
+  planner_set_waiting (f.planner, "n", "m4", 1, 0, ts_from_ms (f.ms));
+  planner_set_waiting (f.planner, "n", "m0", 1, 0, ts_from_ms (f.ms));
+  planner_set_waiting (f.planner, "n", "m1", 1, 0, ts_from_ms (f.ms));
+  tick (&f, 1000);
+  check_order (&f, NULL);
+  tick (&f, 600);
+  check_order (&f, "unload e2 m2");
+  tear_down (&f);
+}
+
 /* A model with many short requests beside rarely used ones, whose places it
    would take: as many replicas as its requests need of the engines' time.  */
 static void
@@ -712,6 +761,8 @@
   g_test_add_func ("/planner/busy-models-stay", test_busy_models_stay);
   g_test_add_func ("/planner/busiest-replicas-first",
                    test_busiest_replicas_first);
+  g_test_add_func ("/planner/copy-first", test_copy_first);
+  g_test_add_func ("/planner/copy-not-free", test_copy_not_free);
   g_test_add_func ("/planner/short-requests", test_short_requests);
   g_test_add_func ("/planner/recent-load-stays", test_recent_load_stays);
   return g_test_run ();
