planner: loads that nobody waits for evict only surplus replicas

Change: preload takes free room, or the place of a surplus replica.

Test: /planner/rare-models-in-turn, failing before.

--- a/src/planner_round.c
+++ b/src/planner_round.c
@@ -13,6 +13,9 @@
    rejected otherwise.  So no model with many requests is evicted for a few
    that wait.  */
 #define WAITING_VALUE 20.0
+/* A load that no request waits for evicts only surplus replicas: while the
+   engine makes room and loads, the place serves no model.  */
+#define PRELOAD_LOSS_MAX 0.3
 /* Requests wait this long for an engine with a copy of the weights before
    these are fetched for another one: until recent requests there have ended.
  */
@@ -453,7 +456,8 @@
   g_ptr_array_unref (short_of);
 }
 
-/* Loads models that are on no engine ahead of requests.  The benefit follows
+/* Loads models that are on no engine ahead of requests, where there is room or
+   a surplus replica.  The benefit follows
    the request rate; for a model without a local copy of its weights, whose
    first requests would wait longest, at least PRIOR_RATE_PER_S is assumed.
    One fetch is left for waiting requests.  Each round continues where the
@@ -480,7 +484,7 @@
         continue;
       tries++;
       next = at + 1;
-      if (!try_load (plan, model, NULL, value,
+      if (!try_load (plan, model, NULL, MIN (value, PRELOAD_LOSS_MAX),
                      fetch && !model->has_local_copy))
         continue;
       fetch = budget_allows_fetch (plan, 1);
--- a/tests/test_planner.c
+++ b/tests/test_planner.c
@@ -716,6 +716,25 @@
   tear_down (&f);
 }
 
+/* Rarely used models on full engines, asked for in turn: none is loaded ahead
+   of requests in the place of another one, which may be asked for next.  */
+static void
+test_rare_models_in_turn (void)
+{
+  struct fixture f;
+
+  set_up (&f, 3);
+  report (&f, "e1", 3, false, "m0 m1", "m0 m1 m2");
+  for (int i = 0; i < 30; i++)
+    {
+      planner_request_arrived (f.planner, f.names[i % 3], 1,
+                               ts_from_ms (f.ms));
+      tick (&f, 1000);
+      check_order (&f, NULL);
+    }
+  tear_down (&f);
+}
+
 /* A model with many short requests beside rarely used ones, whose places it
    would take: as many replicas as its requests need of the engines' time.  */
 static void
@@ -763,6 +782,7 @@
                    test_busiest_replicas_first);
   g_test_add_func ("/planner/copy-first", test_copy_first);
   g_test_add_func ("/planner/copy-not-free", test_copy_not_free);
+  g_test_add_func ("/planner/rare-models-in-turn", test_rare_models_in_turn);
   g_test_add_func ("/planner/short-requests", test_short_requests);
   g_test_add_func ("/planner/recent-load-stays", test_recent_load_stays);
   return g_test_run ();
