forward, patience: what cannot start before callers leave is rejected at once

Callers leave after four times the route's objective, long before the deadline that they state; until then they waited for models whose load could not end before.

Cause: a node compared the estimated end of a load with the stated deadline.

Change: patience learns, route by route, how long callers wait: if six of the last eight that left did so after the same time (5 %), and nobody who was served within two minutes had waited longer. A request whose model is expected later is rejected at once, not run, with the time at which it is.

--- a/src/forward.c
+++ b/src/forward.c
@@ -123,6 +123,17 @@
                     0);
 }
 
+static void
+note_gone (struct forward *forward)
+{
+  struct timespec now = forward_now (forward);
+
+  if (forward->route != NULL && !forward->relayed && !forward->head_sent
+      && !forward->head_parsed)
+    patience_left (gateway_patience (forward->gateway, forward->route->name),
+                   ts_sub (now, forward->arrived), now);
+}
+
 void
 forward_caller_gone (struct forward *forward)
 {
@@ -130,6 +141,7 @@
   if (forward->state != FORWARD_DONE)
     {
       forward_log_gone (forward);
+      note_gone (forward);
       forward_cancel (forward);
       forward_finish (forward);
     }
--- a/src/forward_answer.c
+++ b/src/forward_answer.c
@@ -33,6 +33,9 @@
   forward->head_parsed = true;
   forward->first_at = forward_now (forward);
   forward->heard_at = forward->first_at;
+  patience_served (gateway_patience (gateway, forward->route->name),
+                   ts_sub (forward->first_at, forward->arrived),
+                   forward->first_at);
   gateway->options.caller->ops->interpret (gateway->options.caller,
                                            forward->call, status,
                                            &forward->parsed, &forward->answer);
--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -412,13 +412,26 @@
   eject_abandon (forward->gateway->eject, forward->engine->id);
 }
 
-/* Whether the model will be ready too late for the deadline, so that waiting
-   is pointless.  */
+/* When the caller is likely to be gone if it has got nothing.  */
+static struct timespec
+leaves_at (const struct forward *forward)
+{
+  struct timespec patience = patience_estimate (
+      gateway_patience (forward->gateway, forward->route->name),
+      forward_now (forward));
+
+  if (ts_is_zero (patience))
+    return forward->deadline;
+  return ts_min (forward->deadline, ts_add (forward->arrived, patience));
+}
+
+/* Whether the model will be ready too late for the caller, so that waiting is
+   pointless.  */
 static bool
 ready_too_late (const struct forward *forward, struct timespec ready_at)
 {
   return !ts_is_zero (ready_at)
-         && ts_before (forward->deadline,
+         && ts_before (leaves_at (forward),
                        ts_add_ms (ready_at, FORWARD_ANSWER_MIN_MS));
 }
 
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -211,6 +211,19 @@
   return (double)passed_ms < share * (double)gateway->options.drain_ms;
 }
 
+struct patience *
+gateway_patience (struct gateway *gateway, const char *name)
+{
+  struct patience *patience = g_hash_table_lookup (gateway->patience, name);
+
+  if (patience == NULL)
+    {
+      patience = g_new0 (struct patience, 1);
+      g_hash_table_insert (gateway->patience, g_strdup (name), patience);
+    }
+  return patience;
+}
+
 bool
 gateway_accepts (const struct gateway *gateway)
 {
@@ -454,6 +467,8 @@
   gateway->service.name = "gateway";
   gateway->options = *options;
   TAILQ_INIT (&gateway->waiting);
+  gateway->patience
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   gateway->peers
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, unref_peer);
   gateway->waiting_for
@@ -474,6 +489,7 @@
   reach_free (gateway->reach);
   retry_free (gateway->retry);
   g_hash_table_unref (gateway->waiting_for);
+  g_hash_table_unref (gateway->patience);
   g_hash_table_unref (gateway->peers);
   if (gateway->services != NULL)
     g_hash_table_unref (gateway->services);
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -18,6 +18,7 @@
 #include "listing.h"
 #include "loop.h"
 #include "origins.h"
+#include "patience.h"
 #include "pick.h"
 #include "quarantines.h"
 #include "reach.h"
@@ -60,6 +61,7 @@
   struct brittle *brittle;
   GHashTable *services; /* name to struct gateway_service */
   struct loop_timer probe_timer;
+  GHashTable *patience; /* route to struct patience */
   GHashTable *peers; /* id to struct route_engine: nodes that take requests */
   struct retry *retry;
   struct forward_list waiting; /* most urgent first */
@@ -95,6 +97,10 @@
 void gateway_server_heard (struct gateway *gateway, const char *id);
 void gateway_server_removed (struct gateway *gateway, const char *id);
 
+/* How long callers of route NAME wait; created when first asked for;
+   borrowed.  */
+struct patience *gateway_patience (struct gateway *gateway, const char *name);
+
 /* Schedules a dispatch round for waiting requests: in the next iteration
    of the event loop, or after the usual interval.  */
 void gateway_dispatch_soon (struct gateway *gateway);
