--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -1,7 +1,6 @@
 /* forward_state - state of one request, shared by the modules forward,
-   forward_send, forward_limit, forward_resume, forward_quarantine,
-   forward_answer and forward_log.  Private to
-   them.  */
+   forward_send, forward_limit, forward_relay, forward_resume,
+   forward_quarantine, forward_answer and forward_log.  Private to them.  */
 
 #ifndef PARSLEYRILL_FORWARD_STATE_H
 #define PARSLEYRILL_FORWARD_STATE_H
