--- a/src/forward.c
+++ b/src/forward.c
@@ -123,7 +123,7 @@
                     0);
 }
 
-/* What a relayed request's caller does is seen by the node that relayed it.  */
+/* What a relayed request's caller does is seen by the node that relayed it. */
 static void
 note_gone (struct forward *forward)
 {
