versionlog: versions that have just left are known after all nodes restart

Cause: a resumed stream of unknown origin goes to the only version that serves, if no other served lately. What served lately is the memory of a node, and of its peers; when all restart, it is gone, and the version that is listed looks like the only one there was. Class: absence from a fresh memory taken for evidence.

Change: the decider keeps a row for each version of each service while servers with it are listed and for two minutes after; each node reads the rows when it starts. Until then it resumes no stream of unknown origin (503, come back in 0.3 s).

Tests: /resume/left-before-start, 200 for 503 with the recall taken out; /resume/single-before-start guards streams where one version has served.

A version that serves for less than a second, or while the store is down all along, is still missed.

--- a/src/forward_resume.c
+++ b/src/forward_resume.c
@@ -4,7 +4,8 @@
 /* The caller may resume a stream for this long after its deadline, as this
    node knows it.  */
 #define RESUME_MARGIN_MS 2000
-/* When some nodes did not say whether they know the stream.  */
+/* When some nodes did not say whether they know the stream, or the former
+   versions have not been read.  */
 #define ASK_AGAIN_MS 300
 
 /* The version is unknown where the platform does not tell it.  */
@@ -54,20 +55,22 @@
 {
   struct servers *servers = listing_servers (forward->gateway->listing);
   const char *service = forward->service->name;
+  bool read = versionlog_is_read (forward->gateway->versionlog);
   const char *sole;
 
   if (forward->origin_result == ORIGINS_KNOWN
       || !servers_has_software (servers, service, NULL))
     return false;
-  sole = servers_sole_software (servers, service, forward_now (forward));
+  sole = read ? servers_sole_software (servers, service, forward_now (forward))
+              : NULL;
   if (sole != NULL)
     {
       set_software (forward, sole);
       return false;
     }
-  forward_fail (forward, "unknown which version began the stream",
-                forward->origin_result == ORIGINS_NO_ANSWER ? ASK_AGAIN_MS
-                                                            : 0);
+  forward_fail (
+      forward, "unknown which version began the stream",
+      !read || forward->origin_result == ORIGINS_NO_ANSWER ? ASK_AGAIN_MS : 0);
   return true;
 }
 
--- a/src/gate.c
+++ b/src/gate.c
@@ -9,6 +9,7 @@
 #include "log.h"
 #include "origins.h"
 #include "planners.h"
+#include "versionlog.h"
 #include "quarantines.h"
 #include "ratelimits.h"
 #include "ts.h"
@@ -28,6 +29,7 @@
   struct service *origins;
   struct service *quarantines;
   struct service *planners;
+  struct service *versionlog;
   struct service *gateway;
   struct loop_timer drain_timer;
   struct timespec drain_started_at;
@@ -67,6 +69,7 @@
   kernel_register (kernel, gate->quarantines = quarantines_new ());
   kernel_register (kernel,
                    gate->planners = planners_new (&gate->options.planners));
+  kernel_register (kernel, gate->versionlog = versionlog_new ());
   kernel_register (kernel,
                    gate->gateway = gateway_new (&gate->options.gateway));
 }
@@ -194,6 +197,7 @@
   gate->options.close (gate->options.user);
   kernel_stop (gate->core.kernel);
   gateway_free (gate->gateway);
+  versionlog_free (gate->versionlog);
   planners_free (gate->planners);
   quarantines_free (gate->quarantines);
   origins_free (gate->origins);
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -397,6 +397,7 @@
   gateway->ratelimits = ratelimits_find (kernel);
   gateway->planners = planners_find (kernel);
   gateway->origins = origins_find (kernel);
+  gateway->versionlog = versionlog_find (kernel);
   gateway->quarantines = quarantines_find (kernel);
   client.loop = gateway->core->loop;
   gateway->httpc = httpc_new (&client);
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -26,6 +26,7 @@
 #include "servers.h"
 #include "planners.h"
 #include "ratelimits.h"
+#include "versionlog.h"
 
 struct forward;
 
@@ -49,6 +50,7 @@
   struct planners *planners;
   struct links *links;
   struct origins *origins;
+  struct versionlog *versionlog;
   struct quarantines *quarantines;
   struct httpc *httpc;
   struct httpd *front;
--- a/src/servers.c
+++ b/src/servers.c
@@ -644,6 +644,20 @@
   return false;
 }
 
+void
+servers_recall_software (struct servers *servers, const char *service,
+                         const char *software, struct timespec now)
+{
+  versions_recall (servers->versions, service, software, now);
+}
+
+bool
+servers_remembers_software (const struct servers *servers, const char *service,
+                            const char *software, struct timespec now)
+{
+  return versions_remembers (servers->versions, service, software, now);
+}
+
 const char *
 servers_sole_software (struct servers *servers, const char *service,
                        struct timespec now)
--- a/src/servers.h
+++ b/src/servers.h
@@ -188,6 +188,13 @@
 bool servers_has_software (const struct servers *servers, const char *service,
                            const char *software);
 
+/* See versions_recall and versions_remembers.  */
+void servers_recall_software (struct servers *servers, const char *service,
+                              const char *software, struct timespec now);
+bool servers_remembers_software (const struct servers *servers,
+                                 const char *service, const char *software,
+                                 struct timespec now);
+
 /* See versions_sole.  */
 const char *servers_sole_software (struct servers *servers,
                                    const char *service, struct timespec now);
--- a/src/versions.c
+++ b/src/versions.c
@@ -63,9 +63,10 @@
   return NULL;
 }
 
-void
-versions_add (struct versions *versions, const char *service,
-              const char *software)
+/* Created with no servers when first asked for.  */
+static struct version *
+get_version (struct versions *versions, const char *service,
+             const char *software)
 {
   GPtrArray *list = g_hash_table_lookup (versions->by_service, service);
   struct version *version;
@@ -82,7 +83,21 @@
       version->software = g_strdup (software);
       g_ptr_array_add (list, version);
     }
-  version->servers++;
+  return version;
+}
+
+void
+versions_add (struct versions *versions, const char *service,
+              const char *software)
+{
+  get_version (versions, service, software)->servers++;
+}
+
+void
+versions_recall (struct versions *versions, const char *service,
+                 const char *software, struct timespec now)
+{
+  get_version (versions, service, software)->gone_at = now;
 }
 
 void
@@ -103,6 +118,16 @@
          && !ts_before (now, ts_add_ms (version->gone_at, VERSIONS_MEMORY_MS));
 }
 
+bool
+versions_remembers (const struct versions *versions, const char *service,
+                    const char *software, struct timespec now)
+{
+  const GPtrArray *list = g_hash_table_lookup (versions->by_service, service);
+  const struct version *version = find_version (list, software);
+
+  return version != NULL && !is_forgotten (version, now);
+}
+
 const char *
 versions_sole (struct versions *versions, const char *service,
                struct timespec now)
--- a/src/versions.h
+++ b/src/versions.h
@@ -6,6 +6,7 @@
 #ifndef PARSLEYRILL_VERSIONS_H
 #define PARSLEYRILL_VERSIONS_H
 
+#include <stdbool.h>
 #include <time.h>
 
 /* How long a version is remembered after its last server was removed: at least
@@ -23,6 +24,15 @@
 void versions_remove (struct versions *versions, const char *service,
                       const char *software, struct timespec now);
 
+/* Servers of SERVICE with SOFTWARE may have served until NOW, if none does. */
+void versions_recall (struct versions *versions, const char *service,
+                      const char *software, struct timespec now);
+
+/* Whether servers of SERVICE have SOFTWARE now or had it within
+   VERSIONS_MEMORY_MS.  */
+bool versions_remembers (const struct versions *versions, const char *service,
+                         const char *software, struct timespec now);
+
 /* The only version that servers of SERVICE have now or had within
    VERSIONS_MEMORY_MS; NULL if there are none or several.  Borrowed until the
    next call.  */
--- a/tests/test_resume.c
+++ b/tests/test_resume.c
@@ -329,6 +329,82 @@
   tear_down (&f);
 }
 
+static void
+run_ms (struct fixture *f, int64_t ms)
+{
+  int64_t end_ms = ts_to_ms (clk_now (clk_monotonic ())) + ms;
+
+  while (ts_to_ms (clk_now (clk_monotonic ())) < end_ms)
+    run_once (f);
+}
+
+/* All nodes, here one, are killed and start again, with no memory.  */
+static void
+restart_all (struct fixture *f)
+{
+  struct httpc_options http = { .loop = f->loop };
+  char *address = g_strdup_printf ("127.0.0.1:%u", httpd_port (f->store));
+  struct store_options store = { .address = address };
+
+  gate_free (f->gate);
+  store_free (f->platform);
+  engine_free (f->backend);
+  f->upstream = httpc_new (&http);
+  store.httpc = f->upstream;
+  f->platform = store_new (&store);
+  f->backend = engine_new (f->upstream);
+  start_gate (f);
+  g_free (address);
+}
+
+/* Guards against a stream joined from two versions: the servers of the one
+   that began it leave, and all nodes restart, so that only another version is
+   known.  */
+static void
+test_left_before_start (void)
+{
+  struct fixture f;
+
+  set_up (&f);
+  put_config (&f, 1);
+  list_version (&f, 1, "v1", "ready");
+  wait_until_used (&f, 1);
+  begin_stream (&f, "s");
+  RUN_UNTIL (&f, g_hash_table_contains (f.rows, "versions/app/v1"));
+  list_version (&f, 2, "v2", "ready");
+  wait_until_used (&f, 2);
+  put_row (&f, "servers/i-1", NULL);
+  run_ms (&f, 100);
+  restart_all (&f);
+  wait_until_used (&f, 2);
+  run_ms (&f, 100);
+  f.at_server = 0;
+  resume_stream (&f, "s");
+  check_refused (&f);
+  tear_down (&f);
+}
+
+/* Guards against the refusal of all streams after a restart of all nodes where
+   only one version has served.  */
+static void
+test_single_before_start (void)
+{
+  struct fixture f;
+
+  set_up (&f);
+  put_config (&f, 1);
+  list_version (&f, 1, "v1", "ready");
+  wait_until_used (&f, 1);
+  begin_stream (&f, "s");
+  RUN_UNTIL (&f, g_hash_table_contains (f.rows, "versions/app/v1"));
+  restart_all (&f);
+  wait_until_used (&f, 1);
+  run_ms (&f, 100);
+  resume_stream (&f, "s");
+  check_resumed_at_version (&f, 1);
+  tear_down (&f);
+}
+
 /* A member that answers no message, as when its machine is frozen.  */
 struct silent
 {
@@ -477,5 +553,7 @@
   g_test_add_func ("/resume/version-added", test_version_added);
   g_test_add_func ("/resume/version-left", test_version_left);
   g_test_add_func ("/resume/single-version", test_single_version);
+  g_test_add_func ("/resume/left-before-start", test_left_before_start);
+  g_test_add_func ("/resume/single-before-start", test_single_before_start);
   return g_test_run ();
 }
