--- a/src/relay.h
+++ b/src/relay.h
@@ -3,10 +3,9 @@
 
    The first node owns the attempts of the request.  It tells the second one
    how many may run there, how often the request was sent before and which
-   servers failed it; the second one tells the same of itself.  Nodes of
-   releases before 0.1.0's protocol 2 (frame.h) put their id alone into a
-   request, and at most "unreached" into a response; unknown fields are
-   ignored.
+   servers failed it; the second one tells the same of itself.  Nodes of peer
+   protocol 1 (frame.h) put their id alone into a request, and at most
+   "unreached" into a response; unknown fields are ignored.
 
    Pure functions, any thread.  */
 
