--- a/tests/test_gate_relay.c
+++ b/tests/test_gate_relay.c
@@ -410,7 +410,7 @@
 }
 
 /* A first node of an older release tells only its id: then this node makes the
-   attempts, and adds nothing to the response.  */
+   attempts.  */
 static void
 test_older_first (void)
 {
