review: a request hidden in the body of another one runs at a server

Cause: a request whose length is ambiguous is answered 400, but its connection is read on; a space before the colon of a header is not noticed. Case: three forms of a request that hides another one.

--- a/review/cases.c
+++ b/review/cases.c
@@ -403,6 +403,7 @@
 #include "case1.h"
 #include "case2.h"
 #include "case3.h"
+#include "case4.h"
 
 int
 main (int argc, char **argv)
@@ -428,6 +429,9 @@
     case 3:
       run_case_3 ();
       break;
+    case 4:
+      run_case_4 ();
+      break;
     default:
       break;
     }
