forward, exchange: a refusal without an id ends the use of its connection

Cause: a refusal that names no request was believed and its connection used again. A late copy of it, written by a faulty server, was then believed for the next request, which the server ran.

Change: a connection is used again only after a response that names its request, once. Each refusal without an id is then the first one on its connection and can still be believed and retried.

Conclusion: one connection a refusal is the price; no refusal of a sound server is lost for a retry.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -110,8 +110,8 @@
   attempt_event (attempt, ATTEMPT_EV_CANCEL);
 }
 
-static bool
-is_refusal_status (long status)
+bool
+attempt_may_be_refusal (long status)
 {
   return status == 404 || status == 429 || status == 503;
 }
@@ -123,7 +123,7 @@
   bool refused;
 
   if (result->error != 0 || result->phase != HTTPC_COMPLETE
-      || !is_refusal_status (result->status) || result->body == NULL)
+      || !attempt_may_be_refusal (result->status) || result->body == NULL)
     return false;
   json = json_loadb (result->body, result->length, 0, NULL);
   refused = json_is_true (
--- a/src/attempt.h
+++ b/src/attempt.h
@@ -78,6 +78,10 @@
 /* Call before httpc_cancel, with the httpc_phase of the call.  */
 void attempt_cancel (struct attempt *attempt, enum httpc_phase phase);
 
+/* Whether a response with STATUS may be one for which attempt_refusal is
+   true.  */
+bool attempt_may_be_refusal (long status);
+
 /* Whether RESULT is a complete response in which the backend server says
    that it refused the request before running it: status 404, 429 or 503
    with {"error":{"not_run":true}} in a JSON body.  */
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -4,9 +4,12 @@
 #include <string.h>
 #include <ck_pr.h>
 #include <glib.h>
+#include "attempt.h"
 #include "sse.h"
 #include "ts.h"
 
+#define ID_HEADER "X-Request-Id" /* of the attempt */
+
 struct exchange
 {
   const struct exchange_ops *ops;
@@ -50,18 +53,36 @@
   g_free (exchange);
 }
 
+static bool
+has_id (const struct exchange *exchange)
+{
+  const char *echo = httpc_response_header (exchange->http, ID_HEADER);
+
+  return echo != NULL && strcmp (echo, exchange->id) == 0
+         && httpc_response_header_count (exchange->http, ID_HEADER) == 1;
+}
+
 /* A successful response must echo the attempt id.  An error response may
    omit it.  Neither may carry another id.  */
 static bool
 id_matches (const struct exchange *exchange, long status)
 {
-  const char *echo = httpc_response_header (exchange->http, "X-Request-Id");
-
   if (!exchange->expects_done_event)
     return true;
-  if (echo == NULL)
+  if (httpc_response_header_count (exchange->http, ID_HEADER) == 0)
     return status != 200;
-  return strcmp (echo, exchange->id) == 0;
+  return has_id (exchange);
+}
+
+/* A late copy of a refusal without an id would be taken for the response to
+   the next request on its connection.  Plain services never tell ids.  */
+static bool
+may_reuse (void *user, long status)
+{
+  const struct exchange *exchange = user;
+
+  return exchange->expects_done_event ? has_id (exchange)
+                                      : !attempt_may_be_refusal (status);
 }
 
 static void
@@ -218,6 +239,7 @@
           .body_idle_timeout_ms = options->body_idle_timeout_ms,
           .fresh_connection = options->new_connection,
           .silent = on_silent,
+          .reusable = may_reuse,
           .head = on_head,
           .body_cb = on_bytes,
           .done = on_done,
--- a/src/forward_answer.c
+++ b/src/forward_answer.c
@@ -64,7 +64,9 @@
 }
 
 /* After a response to another request, the response to this one is still due
-   on the connection.  */
+   on the connection.  A refusal without an id is believed, but a late copy of
+   it would be taken for the response to the next request; if its connection is
+   not used again, each such refusal is the first one on its own.  */
 bool
 forward_may_reuse (void *user, long status)
 {
@@ -74,7 +76,7 @@
 
   caller->ops->interpret (caller, forward->call, status, &forward->parsed,
                           &answer);
-  return answer.id_matches;
+  return answer.names_request;
 }
 
 /* Whether the server itself generated the response, for this request.  Only
--- a/src/httpc.c
+++ b/src/httpc.c
@@ -938,6 +938,17 @@
   return header->value;
 }
 
+size_t
+httpc_response_header_count (const struct httpc_call *call, const char *name)
+{
+  struct curl_header *header = NULL;
+
+  if (curl_easy_header (call->easy, name, 0, CURLH_HEADER, -1, &header)
+      != CURLHE_OK)
+    return 0;
+  return header->amount;
+}
+
 void
 httpc_each_header (const struct httpc_call *call,
                    void (*visit) (void *user, const char *name,
--- a/src/httpc.h
+++ b/src/httpc.h
@@ -133,6 +133,9 @@
    valid until the next call.  */
 const char *httpc_response_header (const struct httpc_call *call,
                                    const char *name);
+/* How many headers with NAME the response has.  */
+size_t httpc_response_header_count (const struct httpc_call *call,
+                                    const char *name);
 void httpc_each_header (const struct httpc_call *call,
                         void (*visit) (void *user, const char *name,
                                        const char *value),
