httpd: unread bytes are discarded only after a complete response

Cause: a connection that libmicrohttpd does not read from is shut down to end it. Discarding its bytes before the close left the kernel nothing to reset it for, and since it was shut down no new window was announced either: the client waited for its own probe, over 2 s.

Change: the bytes are discarded only where a complete response could be lost.

--- a/src/httpd.c
+++ b/src/httpd.c
@@ -384,18 +384,18 @@
 {
   struct httpd *httpd = cls;
   struct httpd_request *request = *con_cls;
+  bool complete = code == MHD_REQUEST_TERMINATED_COMPLETED_OK;
 
   if (request == NULL)
     return;
   *con_cls = NULL;
-  if (request->closes)
+  if (request->closes && complete)
     discard_unread_bytes (request);
   httpd_conn_start_timer (get_conn (connection));
   if (request->stage > STAGE_BODY)
     {
       httpd->open_requests--;
-      httpd->options.gone (httpd->options.user, request,
-                           code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
+      httpd->options.gone (httpd->options.user, request, complete);
     }
   request_free (request);
 }
