httpc: a response that can be read in two ways ends its call

What callers could see: of a response with two lengths, "he" instead of "hello", with status 200; the rest stayed on the connection for the next request.

Cause: the one of hidden requests, on the other side: libcurl repairs heads that RFC 9112 says to reject, and what it made of them was believed.

Change: httpc_head checks each line of a head, of servers, nodes and platform alike; a faulty one ends the call with -EPROTO and closes the connection. What it shares with httpd_head is in field.

Conclusion: a faulty response is an attempt of unknown outcome, not a success.

--- a/src/httpc.c
+++ b/src/httpc.c
@@ -11,6 +11,7 @@
 #include <unistd.h>
 #include <curl/curl.h>
 #include <glib.h>
+#include "httpc_head.h"
 #include "probe.h"
 #include "ts.h"
 
@@ -64,11 +65,13 @@
   char *body;
   GString *collected;
   enum httpc_phase phase;
-  size_t head_bytes;   /* received so far, see httpc_request.head_max */
-  int body_error;      /* negative errno from the body callback */
-  bool too_large;      /* the response is over a limit of the request */
-  size_t silent_bytes; /* read since the last callback, at least */
-  bool delivered;      /* the last read of the socket made a callback */
+  size_t head_bytes;      /* received so far, see httpc_request.head_max */
+  struct httpc_head head; /* of the response */
+  bool ambiguous;         /* the head can be read in two ways */
+  int body_error;         /* negative errno from the body callback */
+  bool too_large;         /* the response is over a limit of the request */
+  size_t silent_bytes;    /* read since the last callback, at least */
+  bool delivered;         /* the last read of the socket made a callback */
   bool body_started;
   bool passed_on; /* the body goes to body_cb */
   bool idle_timed_out;
@@ -193,6 +196,8 @@
     return connect_error (call->easy);
   if (call->too_large)
     return -EMSGSIZE;
+  if (call->ambiguous)
+    return -EPROTO;
   if (call->body_error != 0)
     return call->body_error;
   if (call->idle_timed_out)
@@ -681,7 +686,8 @@
   restart_idle_timer (call);
   call->head_bytes += size * n + HEAD_LINE_OVERHEAD;
   call->too_large = call->head_bytes > call->request.head_max;
-  if (call->too_large)
+  call->ambiguous = !httpc_head_line (&call->head, bytes, size * n);
+  if (call->too_large || call->ambiguous)
     return 0;
   if (size * n > 0 && (*bytes == '\r' || *bytes == '\n'))
     check_reusable (call);
--- a/src/httpc.h
+++ b/src/httpc.h
@@ -9,6 +9,9 @@
    line: -ECONNRESET) and closes the connection.  The limits hold without being
    set; a body that is passed to body_cb is not limited.
 
+   A response whose head can be read in two ways (httpc_head.h) ends the call
+   with -EPROTO and closes the connection.
+
    A body without a length or chunks ends with its connection.  If nobody
    listens at the server's address then, it died, and the call ends with
    -ECONNRESET.
--- a/src/httpd_head.c
+++ b/src/httpd_head.c
@@ -4,9 +4,9 @@
 #include <stdint.h>
 #include <string.h>
 #include <glib.h>
+#include "field.h"
 
 #define LINE_END 2 /* bytes of CR LF */
-#define LENGTH_DIGITS_MAX 18
 
 /* A head that is being walked through.  */
 struct walk
@@ -19,36 +19,6 @@
   bool version_1_0;
 };
 
-/* RFC 9110, section 5.6.2.  */
-static bool
-is_token (const char *text, size_t length)
-{
-  for (size_t i = 0; i < length; i++)
-    if (!g_ascii_isalnum (text[i])
-        && (text[i] == '\0' || strchr ("!#$%&'*+-.^_`|~", text[i]) == NULL))
-      return false;
-  return length > 0;
-}
-
-/* Control characters other than the tab.  */
-static bool
-has_control (const char *text, size_t length)
-{
-  for (size_t i = 0; i < length; i++)
-    if (g_ascii_iscntrl (text[i]) && text[i] != '\t')
-      return true;
-  return false;
-}
-
-static bool
-is_digits (const char *text, size_t length)
-{
-  for (size_t i = 0; i < length; i++)
-    if (!g_ascii_isdigit (text[i]))
-      return false;
-  return length > 0 && length <= LENGTH_DIGITS_MAX;
-}
-
 /* RFC 3986, sections 3.2.2 and 3.2.3, without user information.  */
 static bool
 is_host (const char *text, size_t length)
@@ -61,13 +31,6 @@
   return true;
 }
 
-static bool
-equals (const char *text, size_t length, const char *name)
-{
-  return length == strlen (name)
-         && g_ascii_strncasecmp (text, name, length) == 0;
-}
-
 static bool
 has_space_or_control (const char *text)
 {
@@ -83,7 +46,7 @@
   size_t method_length = strlen (line->method);
   size_t version_length = strlen (line->version);
 
-  if (!is_token (line->method, method_length))
+  if (!field_is_token (line->method, method_length))
     return "the method is no token";
   if (line->path != line->method + method_length + 1
       || line->version != line->path + strlen (line->target) + 1
@@ -101,19 +64,19 @@
 framing_fault (struct walk *walk, const char *name, size_t name_length,
                const char *value, size_t length)
 {
-  if (equals (name, name_length, "Content-Length"))
+  if (field_equals (name, name_length, "Content-Length"))
     {
       walk->lengths++;
-      if (!is_digits (value, length))
+      if (!field_is_length (value, length))
         return "the Content-Length is no number";
     }
-  else if (equals (name, name_length, "Transfer-Encoding"))
+  else if (field_equals (name, name_length, "Transfer-Encoding"))
     {
       walk->codings++;
-      if (!equals (value, length, "chunked"))
+      if (!field_equals (value, length, "chunked"))
         return "unknown transfer coding";
     }
-  else if (equals (name, name_length, "Host"))
+  else if (field_equals (name, name_length, "Host"))
     {
       walk->hosts++;
       if (!is_host (value, length))
@@ -126,9 +89,9 @@
 field_fault (const char *name, size_t name_length, const char *value,
              size_t length)
 {
-  if (!is_token (name, name_length))
+  if (!field_is_token (name, name_length))
     return "a header's name is no token";
-  if (has_control (value, length))
+  if (field_has_control (value, length))
     return "a header has a control character";
   return NULL;
 }
@@ -206,9 +169,9 @@
 static bool
 may_be_trailer (const char *name, size_t length)
 {
-  return !equals (name, length, "Content-Length")
-         && !equals (name, length, "Transfer-Encoding")
-         && !equals (name, length, "Host");
+  return !field_equals (name, length, "Content-Length")
+         && !field_equals (name, length, "Transfer-Encoding")
+         && !field_equals (name, length, "Host");
 }
 
 struct trailer_walk
--- a/tests/flood_server.h
+++ b/tests/flood_server.h
@@ -110,6 +110,29 @@
     FLOOD_OK ("1.1") "Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n", "" },
   { "text-length",
     FLOOD_OK ("1.1") "Content-Length: 99999999999999999999\r\n\r\nhe", "" },
+  { "two-lengths",
+    FLOOD_OK ("1.1") "Content-Length: 5\r\nContent-Length: 2\r\n\r\nhe", "" },
+  { "same-lengths",
+    FLOOD_OK ("1.1") "Content-Length: 2\r\nContent-Length: 2\r\n\r\nhe", "" },
+  { "length-list", FLOOD_OK ("1.1") "Content-Length: 2, 2\r\n\r\nhe", "" },
+  { "length-and-chunks",
+    FLOOD_OK ("1.1") "Content-Length: 9\r\n"
+                     "Transfer-Encoding: chunked\r\n\r\n"
+                     "2\r\nhe\r\n0\r\n\r\n",
+    "" },
+  { "unknown-coding", FLOOD_OK ("1.1") "Transfer-Encoding: xchunked\r\n\r\nhe",
+    "" },
+  { "space-before-colon", FLOOD_OK ("1.1") "Content-Length : 2\r\n\r\nhe",
+    "" },
+  { "folded-line",
+    FLOOD_OK ("1.1") "X: y\r\n z\r\nContent-Length: 2\r\n\r\nhe", "" },
+  { "lf-alone", FLOOD_OK ("1.1") "X: y\nContent-Length: 2\r\n\r\nhe", "" },
+  { "cr-alone", FLOOD_OK ("1.1") "X: y\rz\r\nContent-Length: 2\r\n\r\nhe",
+    "" },
+  { "length-in-trailers",
+    FLOOD_OK ("1.1") "Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n0\r\n"
+                     "Content-Length: 9\r\n\r\n",
+    "" },
 };
 
 struct flood_server
--- a/tests/test_gate_framing.c
+++ b/tests/test_gate_framing.c
@@ -100,6 +100,28 @@
   CHECK_FRAMING (cases);
 }
 
+/* A response that another reader would frame differently was passed on as
+   complete, and what follows it was left to the next request.  */
+static void
+test_ambiguous_head (void)
+{
+  static const char *const names[]
+      = { "two-lengths",       "same-lengths",   "length-list",
+          "length-and-chunks", "unknown-coding", "space-before-colon",
+          "folded-line",       "lf-alone",       "cr-alone",
+          "length-in-trailers" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    {
+      const struct framing_case safe
+          = { "safe", names[i], 0, 200, "hello", 1 };
+      const struct framing_case once = { "once", names[i], 0, 502, NULL, 0 };
+
+      check_framing (&safe, false);
+      check_framing (&once, false);
+    }
+}
+
 /* Guards against taking sound responses that end with their connection for
    broken ones, and broken ones for sound.  */
 static void
@@ -146,6 +168,7 @@
   g_test_add_func ("/gate-framing/continued", test_continued);
   g_test_add_func ("/gate-framing/no-event", test_no_event);
   g_test_add_func ("/gate-framing/length-overflow", test_length_overflow);
+  g_test_add_func ("/gate-framing/ambiguous-head", test_ambiguous_head);
   g_test_add_func ("/gate-framing/until-close", test_until_close);
   g_test_add_func ("/gate-framing/server-died", test_server_died);
   return g_test_run ();
