callers, worker: a header that the node acts on may not be repeated

What callers could see: a request with two deadlines, models or ids was routed by the first and passed on with both; one whose Connection header named the model or the id reached its server without it. Only the first Connection header was looked at.

Cause: as for lengths, two readers of one head act on different values.

Conclusion: node and server act on the same values.

--- a/src/httpd.h
+++ b/src/httpd.h
@@ -91,6 +91,9 @@
                          const char *name);
 const char *httpd_header (const struct httpd_request *request,
                           const char *name);
+/* How many header lines have NAME.  */
+unsigned httpd_header_count (const struct httpd_request *request,
+                             const char *name);
 void httpd_each_header (const struct httpd_request *request,
                         void (*visit) (void *user, const char *name,
                                        const char *value),
--- a/src/httpd_request.c
+++ b/src/httpd_request.c
@@ -34,6 +34,34 @@
                                       name);
 }
 
+struct header_counter
+{
+  const char *name;
+  unsigned count;
+};
+
+static enum MHD_Result
+count_header (void *cls, enum MHD_ValueKind kind, const char *name,
+              const char *value)
+{
+  struct header_counter *counter = cls;
+
+  (void)kind;
+  (void)value;
+  counter->count += g_ascii_strcasecmp (name, counter->name) == 0;
+  return MHD_YES;
+}
+
+unsigned
+httpd_header_count (const struct httpd_request *request, const char *name)
+{
+  struct header_counter counter = { .name = name };
+
+  MHD_get_connection_values (request->connection, MHD_HEADER_KIND,
+                             count_header, &counter);
+  return counter.count;
+}
+
 struct header_visitor
 {
   void (*visit) (void *user, const char *name, const char *value);
--- a/src/worker.c
+++ b/src/worker.c
@@ -171,6 +171,19 @@
   return NULL;
 }
 
+/* Two readers could act on different values.  */
+static bool
+has_repeated_header (const struct httpd_request *request)
+{
+  static const char *const names[]
+      = { "Idempotency-Key", "X-Deadline-Ms", "X-Priority", "Authorization" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    if (httpd_header_count (request, names[i]) > 1)
+      return true;
+  return false;
+}
+
 static void
 on_request (void *user, struct httpd_request *request)
 {
@@ -178,7 +191,10 @@
   const char *path = httpd_path (request);
   const struct endpoint *endpoint = find_endpoint (path);
 
-  if (g_str_has_prefix (path, SERVICE_ROOT))
+  if (has_repeated_header (request))
+    refuse (request, 400, "bad_request",
+            "a header that may occur once is repeated", NULL);
+  else if (g_str_has_prefix (path, SERVICE_ROOT))
     handle_service (worker, request);
   else if (g_str_has_prefix (path, ADMIN_ROOT))
     handle_admin (worker, request);
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -446,6 +446,46 @@
   tear_down (&f);
 }
 
+/* The server could act on another value of a header than the node did.  */
+static void
+test_repeated_headers (void)
+{
+#define BEGIN "GET /safe/x HTTP/1.1\r\nHost: h.example\r\n" ID ": r\r\n"
+#define END "Connection: close\r\n\r\n"
+  static const char *const cases[] = {
+    BEGIN ID ": r\r\n" END,
+    BEGIN "Parsleyrill-Model: a\r\nParsleyrill-Model: b\r\n" END,
+    BEGIN "Parsleyrill-Deadline-Ms: 1000\r\n"
+          "Parsleyrill-Deadline-Ms: 2000\r\n" END,
+    BEGIN "Last-Event-Id: 1\r\nLast-Event-Id: 2\r\n" END,
+    BEGIN "Parsleyrill-Model: a\r\n"
+          "Connection: close, parsleyrill-model\r\n\r\n",
+    BEGIN "Connection: " ID "\r\n" END,
+    BEGIN "Connection: host\r\n" END,
+  };
+  struct fixture f;
+  char got[4096];
+
+  set_up (&f);
+  wait_until_serving (&f);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_test_message ("%s", cases[i] + strlen (BEGIN));
+      send_raw (&f, cases[i], got, sizeof got);
+      g_assert_true (g_str_has_prefix (got, "HTTP/1.1 400 "));
+    }
+  g_assert_cmpuint (f.at_server, ==, 0);
+  send_raw (&f,
+            BEGIN "Connection: X-First\r\nX-First: 1\r\nX-Second: 2\r\n"
+                  "Connection: close, X-Second\r\nX-Third: 3\r\n\r\n",
+            got, sizeof got);
+  g_assert_cmpuint (f.at_server, ==, 1);
+  g_assert_null (strstr (f.last_request->str, "X-First"));
+  g_assert_null (strstr (f.last_request->str, "X-Second"));
+  g_assert_nonnull (strstr (f.last_request->str, "X-Third"));
+  tear_down (&f);
+}
+
 /* A stream that was cut looked complete to callers of HTTP/1.0, where the end
    of the connection ends a response.  */
 static void
@@ -488,6 +528,7 @@
   g_test_add_func ("/gate/drain", test_drain);
   g_test_add_func ("/gate/raw", test_malformed);
   g_test_add_func ("/gate/hidden-requests", test_hidden_requests);
+  g_test_add_func ("/gate/repeated-headers", test_repeated_headers);
   g_test_add_func ("/gate/cut-http-1.0", test_cut_http_1_0);
   return g_test_run ();
 }
--- a/tests/test_traffic_faults.c
+++ b/tests/test_traffic_faults.c
@@ -447,6 +447,12 @@
   { "POST /v1/completions HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
     "Content-Length: -1\r\n\r\n",
     0, "400" },
+  { "POST /v1/completions HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+    "X-Deadline-Ms: 1\r\nX-Deadline-Ms: 2\r\nContent-Length: 0\r\n\r\n",
+    0, "400" },
+  { "GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+    "Idempotency-Key: a\r\nIdempotency-Key: b\r\n\r\n",
+    0, "400" },
 };
 
 static void
