forward: the node that passed a stream on learns which version began it

Cause: only a node that has a server's own response recorded which version began a stream. For a stream that came by way of another node the version was unset, and unset meant any.

Change: the response to a request that was passed on tells the version; the first node binds the rest of the stream to it. Older nodes tell none: then the origin is unknown, as for a resume that nobody knows.

Conclusion: unknown is never any, also between nodes.

--- a/src/forward_answer.c
+++ b/src/forward_answer.c
@@ -136,8 +136,7 @@
   if (forward->head_sent)
     return;
   forward->head_sent = true;
-  if (!forward->to_peer)
-    forward_record_origin (forward);
+  forward_record_origin (forward);
   headers = copy_response_headers (forward);
   httpd_stream_begin (forward->request, (unsigned)status, type,
                       (const char *const *)headers->pdata);
@@ -151,7 +150,7 @@
 
   parse_response_head (forward, status);
   if (status == 200 && is_authentic (forward) && forward->request != NULL
-      && sse_is_stream (content_type))
+      && sse_is_stream (content_type) && forward_continues_origin (forward))
     begin_stream (forward, status, content_type);
   return forward->streaming;
 }
--- a/src/forward_relay.c
+++ b/src/forward_relay.c
@@ -122,7 +122,8 @@
   struct relay_note note = { .unreached = forward->unreached,
                              .counts = forward_tells_origin (forward),
                              .attempts = forward_not_run (forward) ? 0 : 1,
-                             .sendings = forward->dispatches };
+                             .sendings = forward->dispatches,
+                             .software = g_strdup (forward->software) };
   char *text;
 
   if (note.counts)
--- a/src/forward_resume.c
+++ b/src/forward_resume.c
@@ -25,6 +25,14 @@
                                                    : parsed->id;
 }
 
+/* The version that begins the stream; NULL: it is not known.  */
+static const char *
+beginning_software (const struct forward *forward)
+{
+  return forward->to_peer ? forward->peer_note.software
+                          : software_of (forward->engine);
+}
+
 void
 forward_record_origin (struct forward *forward)
 {
@@ -32,14 +40,28 @@
   int64_t ms = MAX (forward->parsed.deadline_ms, timeout_ms);
   int64_t passed_ms
       = ts_to_ms (ts_sub (forward_now (forward), forward->arrived));
+  const char *software = beginning_software (forward);
 
+  if (software == NULL && forward->software == NULL)
+    forward->origin_result = ORIGINS_UNKNOWN;
+  if (software == NULL)
+    return;
   g_free (forward->software);
-  forward->software = g_strdup (software_of (forward->engine));
+  forward->software = g_strdup (software);
   origins_put (forward->gateway->origins, stream_id (forward),
                forward->service->name, forward->software,
                ms - passed_ms + RESUME_MARGIN_MS);
 }
 
+bool
+forward_continues_origin (const struct forward *forward)
+{
+  const char *software = beginning_software (forward);
+
+  return !forward->head_sent || forward->software == NULL || software == NULL
+         || strcmp (forward->software, software) == 0;
+}
+
 /* The request has not been sent yet.  It may wait, and is counted there by its
    version.  */
 static void
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -226,8 +226,11 @@
    recently.  */
 bool forward_refuse_unknown (struct forward *forward);
 /* The current engine begins or continues the stream, and only its version may
-   go on with it.  */
+   go on with it.  If that is not known, as an older node does not tell it, the
+   stream is resumed like one of unknown origin.  */
 void forward_record_origin (struct forward *forward);
+/* Whether the current response may continue the stream, as far as is known. */
+bool forward_continues_origin (const struct forward *forward);
 
 /* forward_quarantine.c */
 
--- a/src/relay.c
+++ b/src/relay.c
@@ -10,6 +10,7 @@
 #define KEY_ATTEMPTS "attempts="
 #define KEY_SENDINGS "sendings="
 #define KEY_TRIED "tried="
+#define KEY_SOFTWARE "software="
 #define COUNT_MAX 1000 /* larger numbers are cut to this */
 
 void
@@ -75,6 +76,11 @@
       if (note->tried != NULL && note->tried->len > 0)
         append_tried (text, note->tried);
     }
+  if (note->software != NULL)
+    {
+      append_field (text, KEY_SOFTWARE);
+      append_escaped (text, note->software);
+    }
   return g_string_free (text, FALSE);
 }
 
@@ -139,6 +145,9 @@
         has_sendings = parse_number (value, &note->sendings);
       else if ((value = field_value (*field, KEY_TRIED)) != NULL)
         parse_tried (value, &note->tried);
+      else if ((value = field_value (*field, KEY_SOFTWARE)) != NULL
+               && note->software == NULL)
+        note->software = g_uri_unescape_string (value, NULL);
     }
   note->counts = has_attempts && has_sendings;
   g_strfreev (fields);
@@ -148,6 +157,7 @@
 relay_clear (struct relay_note *note)
 {
   g_free (note->node);
+  g_free (note->software);
   if (note->tried != NULL)
     g_ptr_array_unref (note->tried);
   *note = (struct relay_note){ 0 };
--- a/src/relay.h
+++ b/src/relay.h
@@ -27,6 +27,9 @@
                         run there */
   unsigned sendings; /* rejected ones too, that the sender knows of */
   GPtrArray *tried;  /* ids of servers, owned; NULL: none */
+  /* Of a response: version of the software of the server that made it, ""
+     where the platform tells none; NULL: not told.  */
+  char *software;
 };
 
 /* Freed with g_free.  */
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -6,9 +6,11 @@
 static void
 test_round_trip (void)
 {
-  struct relay_note note = {
-    .node = (char *)"n;1,%", .counts = true, .attempts = 1, .sendings = 3
-  };
+  struct relay_note note = { .node = (char *)"n;1,%",
+                             .counts = true,
+                             .attempts = 1,
+                             .sendings = 3,
+                             .software = (char *)"v;1 %" };
   struct relay_note read;
   char *text;
 
@@ -24,6 +26,7 @@
   g_assert_cmpuint (read.sendings, ==, 3);
   g_assert_cmpuint (read.tried->len, ==, 2);
   g_assert_cmpstr (g_ptr_array_index (read.tried, 1), ==, "a,b;c=d e\xc3\xa9");
+  g_assert_cmpstr (read.software, ==, note.software);
   g_free (text);
   relay_clear (&read);
   g_ptr_array_unref (note.tried);
@@ -38,6 +41,7 @@
 
   relay_parse ("gate-1", &note);
   g_assert_false (note.counts);
+  g_assert_null (note.software);
   relay_clear (&note);
   relay_parse (NULL, &note);
   g_assert_false (note.counts);
--- a/tests/test_resume.c
+++ b/tests/test_resume.c
@@ -3,12 +3,14 @@
 
 #include "gate_fixture.h"
 #include "gate_second.h"
+#include "gateway_state.h"
 #include "origins.h"
 #include "peer.h"
 
 #define EVENT(n) "id: " #n "\ndata: x" #n "\n\n"
 #define SERVERS 6 /* half of them of each version */
 #define STREAMS 20
+#define LINK_MS 2000 /* until nodes are linked and know the same servers */
 
 static int began_at; /* number of the server of the last new stream */
 
@@ -538,6 +540,61 @@
     }
 }
 
+static struct cutoff *
+cutoff_of (const struct fixture *f)
+{
+  return gateway_cutoff ((struct gateway *)gate_service (f->gate, "gateway"),
+                         "app");
+}
+
+/* The node does not reach server i-1.  */
+static void
+cut_off (const struct fixture *f)
+{
+  struct cutoff *cutoff = cutoff_of (f);
+  struct timespec now = clk_now (clk_monotonic ());
+
+  cutoff_failed (
+      cutoff, "i-1",
+      ts_add_ms (now, -CUTOFF_TOLD_DELAY_MS - CUTOFF_TOLD_AGAIN_MS - 50));
+  cutoff_told (cutoff, "i-1", ts_add_ms (now, -CUTOFF_TOLD_AGAIN_MS));
+  cutoff_told (cutoff, "i-1", now);
+  g_assert_true (cutoff_all (cutoff, now));
+}
+
+/* A stream that came by way of another node went on at another version when
+   that node ended.  */
+static void
+test_relayed_stream (void)
+{
+  struct fixture f;
+  struct second second;
+  char *address;
+
+  set_up (&f);
+  put_config (&f, 1);
+  list_version (&f, 1, "v1", "ready");
+  wait_until_used (&f, 1);
+  address = g_strdup_printf ("127.0.0.1:%u", httpd_port (f.store));
+  start_second_at (&f, &second, address, f.settings.peer_token);
+  g_free (address);
+  run_ms (&f, LINK_MS);
+  cut_off (&f);
+  f.at_server = 0;
+  start_request (&f, "GET", "/long/open", NULL);
+  RUN_UNTIL (&f, f.held != NULL && httpc_phase (f.call) == HTTPC_RESPONDING);
+  list_version (&f, SERVERS, "v2", "ready");
+  list_version (&f, 1, "v1", "draining");
+  run_ms (&f, LINK_MS);
+  cutoff_heard (cutoff_of (&f), "i-1", clk_now (clk_monotonic ()));
+  f.at_server = 0;
+  stop_second (&second);
+  RUN_UNTIL (&f, f.done);
+  g_assert_cmpint (f.error, !=, 0);
+  g_assert_cmpuint (f.at_server, ==, 0);
+  tear_down (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -553,6 +610,7 @@
   g_test_add_func ("/resume/version-added", test_version_added);
   g_test_add_func ("/resume/version-left", test_version_left);
   g_test_add_func ("/resume/single-version", test_single_version);
+  g_test_add_func ("/resume/relayed", test_relayed_stream);
   g_test_add_func ("/resume/left-before-start", test_left_before_start);
   g_test_add_func ("/resume/single-before-start", test_single_before_start);
   return g_test_run ();
