listing: a node's own pause is no outage of the store

Cause: a node that wakes finds its calls to the store timed out. It took that for an outage, kept servers that had left for REREGISTRATION_MS, and told the others of them when it became the decider.

Change: loop tells when its thread last went on after a pause; a call that was sent before that and failed says nothing of the store.

Evidence: /listing/own-pause fails without was_paused, passes now; /base/.../woke-at.

--- a/src/listing.c
+++ b/src/listing.c
@@ -31,6 +31,8 @@
 #define START_DELAY_MS 30
 /* Between checks of whether the decider's list is still fresh.  */
 #define SUSPENDED_CHECK_MS 150
+/* The store is called at least this often while it does not answer.  */
+#define OUTAGE_RECENT_MS 3000
 /* After an outage of the store, live servers register again within this
    time.  */
 #define REREGISTRATION_MS 2500
@@ -425,6 +427,15 @@
                             (gint32)nodes * RETRY_SPREAD_MS_PER_NODE + 1));
 }
 
+/* Whether this node stood still during the call, so that it may have failed
+   for that.  */
+static bool
+was_paused (const struct watched_table *watched)
+{
+  return ts_before (watched->sent_at,
+                    loop_woke_at (watched->listing->core->loop));
+}
+
 static void
 on_query_failed (struct watched_table *watched, enum platform_status status)
 {
@@ -438,7 +449,8 @@
       loop_timer_set (listing->core->loop, &watched->timer, now);
       return;
     }
-  listing->last_outage_at = now;
+  if (!was_paused (watched))
+    listing->last_outage_at = now;
   loop_timer_set (listing->core->loop, &watched->timer,
                   retry_at (watched, status, now));
   watched->failures++;
@@ -603,12 +615,31 @@
 
 /* The list published by the decider.  */
 
+/* When the list of servers was made.  */
+static struct timespec
+made_at (const struct listing *listing)
+{
+  return ts_max (listing->listed_at, listing->peer_listed_at);
+}
+
 int64_t
 listing_age_ms (const struct listing *listing)
 {
-  struct timespec at = ts_max (listing->listed_at, listing->peer_listed_at);
+  return ts_to_ms (ts_sub (listing_now (listing), made_at (listing)));
+}
 
-  return ts_to_ms (ts_sub (listing_now (listing), at));
+bool
+listing_is_complete (const struct listing *listing, struct timespec since)
+{
+  return !ts_before (made_at (listing), since);
+}
+
+bool
+listing_store_is_away (const struct listing *listing)
+{
+  return !ts_is_zero (listing->last_outage_at)
+         && ts_before (listing_now (listing),
+                       ts_add_ms (listing->last_outage_at, OUTAGE_RECENT_MS));
 }
 
 int64_t
--- a/src/listing.h
+++ b/src/listing.h
@@ -65,6 +65,11 @@
 /* Age of the list of servers: the store's or the decider's, whichever is
    newer.  */
 int64_t listing_age_ms (const struct listing *listing);
+/* Whether the list of servers has all that were there at SINCE.  */
+bool listing_is_complete (const struct listing *listing,
+                          struct timespec since);
+/* Whether the store did not answer this node lately, while the node ran.  */
+bool listing_store_is_away (const struct listing *listing);
 /* Age of what the store told this node of the configuration, see
    confwatch.h.  */
 int64_t listing_config_age_ms (const struct listing *listing);
--- a/src/loop.c
+++ b/src/loop.c
@@ -21,8 +21,9 @@
   struct loop_watch stop_watch;
   unsigned stopping;
   struct timespec now;
-  uint64_t serial; /* number of timer settings so far */
-  GPtrArray *heap; /* borrowed timers, a min-heap by time */
+  struct timespec woke_at; /* see loop_woke_at */
+  uint64_t serial;         /* number of timer settings so far */
+  GPtrArray *heap;         /* borrowed timers, a min-heap by time */
   struct prepare_list prepares;
   struct epoll_event batch[LOOP_BATCH]; /* of this iteration */
   int batch_count;
@@ -276,13 +277,25 @@
     }
 }
 
+/* BEFORE: when epoll_wait had returned last.  */
+static void
+note_pause (struct loop *loop, struct timespec before, int sleep_ms)
+{
+  if (sleep_ms >= 0
+      && ts_before (ts_add_ms (before, (int64_t)sleep_ms + LOOP_PAUSE_MS),
+                    loop->now))
+    loop->woke_at = loop->now;
+}
+
 /* Returns whether more descriptors may be ready.  */
 static bool
 poll_once (struct loop *loop, int sleep_ms)
 {
+  struct timespec before = loop->now;
   int n = epoll_wait (loop->epoll_fd, loop->batch, LOOP_BATCH, sleep_ms);
 
   loop->now = clk_now (loop->clk);
+  note_pause (loop, before, sleep_ms);
   loop->batch_count = n > 0 ? n : 0;
   dispatch_events (loop);
   return n == LOOP_BATCH;
@@ -301,6 +314,12 @@
   fire_timers (loop);
 }
 
+struct timespec
+loop_woke_at (const struct loop *loop)
+{
+  return loop->woke_at;
+}
+
 void
 loop_run (struct loop *loop)
 {
--- a/src/loop.h
+++ b/src/loop.h
@@ -15,6 +15,8 @@
 #include <ck_queue.h>
 #include "clk.h"
 
+#define LOOP_PAUSE_MS 500
+
 struct loop;
 
 struct loop_watch
@@ -64,6 +66,11 @@
 /* The time at which epoll_wait last returned; does not read the clock.  */
 struct timespec loop_now (const struct loop *loop);
 
+/* When the thread went on after it had not run for LOOP_PAUSE_MS although a
+   timer was due or a handler was running, for example because its process was
+   stopped; zero: never.  */
+struct timespec loop_woke_at (const struct loop *loop);
+
 /* Runs until loop_stop.  */
 void loop_run (struct loop *loop);
 
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -253,6 +253,25 @@
   loop_free (loop);
 }
 
+/* A thread that sleeps for as long as it may has not been paused.  */
+static void
+test_woke_at (void)
+{
+  struct clk_manual manual;
+  struct loop *loop;
+
+  clk_manual_init (&manual, ts_from_ms (1000));
+  loop = loop_new (&manual.clk);
+  loop_run_once (loop, 0);
+  manual.at = ts_from_ms (1000 + LOOP_PAUSE_MS - 1);
+  loop_run_once (loop, 0);
+  g_assert_true (ts_is_zero (loop_woke_at (loop)));
+  manual.at = ts_add_ms (manual.at, LOOP_PAUSE_MS + 1);
+  loop_run_once (loop, 0);
+  g_assert_cmpint (ts_to_ms (loop_woke_at (loop)), ==, ts_to_ms (manual.at));
+  loop_free (loop);
+}
+
 struct repeating
 {
   struct loop_timer timer;
@@ -537,6 +556,7 @@
   g_test_add_func ("/http/idle-timeout", test_http_idle_timeout);
   g_test_add_func ("/http/large-body", test_http_large_body);
   g_test_add_func ("/loop/timers", test_timers);
+  g_test_add_func ("/loop/woke-at", test_woke_at);
   g_test_add_func ("/loop/reschedule", test_timer_reschedules);
   g_test_add_func ("/loop/bytes-before-timers", test_bytes_before_timers);
   g_test_add_func ("/ring/senders", test_ring);
--- a/tests/test_listing.c
+++ b/tests/test_listing.c
@@ -465,6 +465,51 @@
   tear_down (&f);
 }
 
+/* All watches get no answer.  */
+static void
+fail_watches (struct fixture *f)
+{
+  struct platform_changes nothing = { 0 };
+
+  while (f->watches->len > 0)
+    {
+      struct pending *pending = g_ptr_array_index (f->watches, 0);
+      struct platform_changes_cb cb = pending->cb;
+
+      g_ptr_array_remove_index (f->watches, 0);
+      cb.done (cb.user, PLATFORM_UNKNOWN, &nothing);
+    }
+}
+
+static bool
+is_away_after_failure (int64_t pause_ms)
+{
+  struct fixture f;
+  bool away;
+
+  set_up (&f);
+  while (!watches_servers (&f))
+    {
+      f.clk.at = ts_add_ms (f.clk.at, STEP_MS);
+      loop_run_once (f.core.loop, 0);
+    }
+  f.clk.at = ts_add_ms (f.clk.at, pause_ms);
+  loop_run_once (f.core.loop, 0);
+  fail_watches (&f);
+  away = listing_store_is_away (f.listing);
+  tear_down (&f);
+  return away;
+}
+
+/* A node that had stood still took its calls that timed out meanwhile for an
+   outage of the store, and kept servers that had left.  */
+static void
+test_own_pause (void)
+{
+  g_assert_false (is_away_after_failure (3000));
+  g_assert_true (is_away_after_failure (STEP_MS));
+}
+
 int
 main (int argc, char **argv)
 {
@@ -479,5 +524,6 @@
   g_test_add_func ("/listing/passed-on-age", test_passed_on_age);
   g_test_add_func ("/listing/other-era", test_other_era);
   g_test_add_func ("/listing/late-response", test_late_response);
+  g_test_add_func ("/listing/own-pause", test_own_pause);
   return g_test_run ();
 }
