forward: a node that is out of step does not guess which version began a stream

What callers saw, as another operator tells: during a release one node was cut off from the others or stood still while engines of a new version joined. Streams that began there by way of other nodes were taken up at that node and went on at an engine of the old version.

Cause: where no node that was asked knows a stream, the only version on this node's list counted as the only one that could have begun it, however old the list was and however few nodes could be asked.

Change: the list must be newer than the take-up of a stream that its caller names, and not out of step (LISTING_PEER_LIST_TTL_MS) otherwise; the request waits for a newer list for that long and is rejected with Retry-After then. While the store is away nobody can have a newer list; that counts only for a node that is linked to half of the others.

--- a/src/forward_resume.c
+++ b/src/forward_resume.c
@@ -72,12 +72,52 @@
   forward->origin_result = ORIGINS_KNOWN;
 }
 
+/* Whether this node knows all versions that may have begun the stream.  Its
+   list of servers must be newer than that; callers that do not name the
+   stream can't be told from ones of a service with a single version, so for
+   them it is enough that the node is not out of step with the others.  While
+   the store is away, no other node can have a newer list.  */
+static bool
+knows_versions (const struct forward *forward)
+{
+  const struct listing *listing = forward->gateway->listing;
+  bool named = forward->parsed.stream != NULL;
+  struct timespec since = forward->arrived;
+
+  if (forward->head_sent)
+    since = forward->heard_at;
+  else if (!named)
+    since = ts_add_ms (since, -LISTING_PEER_LIST_TTL_MS);
+  if (listing_is_complete (listing, since))
+    return true;
+  return listing_store_is_away (listing)
+         && !origins_isolated (forward->gateway->origins)
+         && (!named || forward->origin_result == ORIGINS_UNKNOWN);
+}
+
+/* Waits for a list of servers that is new enough, if one may come.  */
+static bool
+wait_for_list (struct forward *forward)
+{
+  struct timespec end
+      = ts_add_ms (forward->head_sent ? forward->heard_at : forward->arrived,
+                   LISTING_PEER_LIST_TTL_MS);
+
+  if (listing_store_is_away (forward->gateway->listing)
+      || !ts_before (forward_now (forward), end)
+      || forward_left_ms (forward) < FORWARD_ANSWER_MIN_MS)
+    return false;
+  forward_wait (forward, (struct timespec){ 0 });
+  return true;
+}
+
 bool
 forward_refuse_unknown (struct forward *forward)
 {
   struct servers *servers = listing_servers (forward->gateway->listing);
   const char *service = forward->service->name;
   bool read = versionlog_is_read (forward->gateway->versionlog);
+  bool out_of_step = false;
   const char *sole;
 
   if (forward->origin_result == ORIGINS_KNOWN
@@ -86,13 +126,19 @@
   sole = read ? servers_sole_software (servers, service, forward_now (forward))
               : NULL;
   if (sole != NULL)
+    out_of_step = !knows_versions (forward);
+  if (sole != NULL && !out_of_step)
     {
       set_software (forward, sole);
       return false;
     }
-  forward_fail (
-      forward, "unknown which version began the stream",
-      !read || forward->origin_result == ORIGINS_NO_ANSWER ? ASK_AGAIN_MS : 0);
+  if (out_of_step && wait_for_list (forward))
+    return true;
+  forward_fail (forward, "unknown which version began the stream",
+                !read || out_of_step
+                        || forward->origin_result == ORIGINS_NO_ANSWER
+                    ? ASK_AGAIN_MS
+                    : 0);
   return true;
 }
 
--- a/src/origins.c
+++ b/src/origins.c
@@ -51,6 +51,24 @@
   return nodes;
 }
 
+bool
+origins_isolated (const struct origins *origins)
+{
+  GArray *linked = linked_nodes (origins, true);
+  size_t others = 0;
+  size_t count;
+  const struct member_info *const *members
+      = links_members (origins->links, &count);
+  bool isolated;
+
+  for (size_t i = 0; i < count; i++)
+    others += members[i]->state != MEMBER_DEAD
+              && strcmp (members[i]->id, origins->core->node) != 0;
+  isolated = linked->len * 2 < others;
+  g_array_unref (linked);
+  return isolated;
+}
+
 /* Sends MSG to up to MAX of NODES.  Returns the number of those it was sent
    to.  */
 static unsigned
--- a/src/origins.h
+++ b/src/origins.h
@@ -9,6 +9,7 @@
 #ifndef PARSLEYRILL_ORIGINS_H
 #define PARSLEYRILL_ORIGINS_H
 
+#include <stdbool.h>
 #include <stdint.h>
 #include <sys/queue.h>
 #include <time.h>
@@ -71,6 +72,9 @@
                                 enum origins_result result,
                                 const struct origin_stream *stream));
 
+/* Whether this node has links to less than half of the others.  */
+bool origins_isolated (const struct origins *origins);
+
 /* Ends QUERY without calling DONE; no effect if it is not in progress.  */
 void origins_cancel (struct origins_query *query);
 
--- a/tests/test_resume.c
+++ b/tests/test_resume.c
@@ -547,6 +547,36 @@
                          "app");
 }
 
+/* Lists server i-NUMBER without telling those that wait for new rows.  */
+static void
+list_version_silently (struct fixture *f, int number, const char *software)
+{
+  GPtrArray *waiting = f->waiting_feeds;
+
+  f->waiting_feeds = g_ptr_array_new ();
+  list_version (f, number, software, "ready");
+  g_ptr_array_unref (f->waiting_feeds);
+  f->waiting_feeds = waiting;
+}
+
+/* A node that had not heard yet of servers of another version, nor of a stream
+   that began there, went on with it at the version that it knew.  */
+static void
+test_out_of_step (void)
+{
+  struct fixture f;
+
+  set_up (&f);
+  put_config (&f, 1);
+  list_version (&f, 1, "v1", "ready");
+  wait_until_used (&f, 1);
+  run_ms (&f, LINK_MS);
+  list_version_silently (&f, SERVERS, "v2");
+  resume_stream (&f, "began-at-v2");
+  check_refused (&f);
+  tear_down (&f);
+}
+
 /* The node does not reach server i-1.  */
 static void
 cut_off (const struct fixture *f)
@@ -611,6 +641,7 @@
   g_test_add_func ("/resume/version-left", test_version_left);
   g_test_add_func ("/resume/single-version", test_single_version);
   g_test_add_func ("/resume/relayed", test_relayed_stream);
+  g_test_add_func ("/resume/out-of-step", test_out_of_step);
   g_test_add_func ("/resume/left-before-start", test_left_before_start);
   g_test_add_func ("/resume/single-before-start", test_single_before_start);
   return g_test_run ();
