document, peeraddr, platform_http: an odd entry names nothing

What another operator saw: one entry with a number too large or a port out of range ended the machines that read it, or kept them from the list.

--- a/src/listing.c
+++ b/src/listing.c
@@ -7,6 +7,7 @@
 #include "confwatch.h"
 #include "core.h"
 #include "links.h"
+#include "netaddr.h"
 #include "log.h"
 #include "nodetable.h"
 #include "ts.h"
@@ -729,7 +730,7 @@
 
   g_hash_table_add (listing->peer_servers, g_strdup (server->engine));
   if (!peer_list_applies (listing) || entry.address == NULL
-      || entry.service == NULL)
+      || entry.service == NULL || !netaddr_is_server (entry.address))
     return;
   if (entry.zone == NULL)
     entry.zone = (char *)"";
--- a/src/peeraddr.c
+++ b/src/peeraddr.c
@@ -6,9 +6,17 @@
 #include <sys/socket.h>
 #include <unistd.h>
 #include <glib.h>
+#include "netaddr.h"
 
 #define BACKLOG 64
 
+/* 0, which leaves the choice to the kernel, is one to listen on.  */
+static bool
+is_port (const char *text)
+{
+  return strcmp (text, "0") == 0 || netaddr_is_port (text);
+}
+
 /* Parses a numeric IP:port or [IP]:port; free with freeaddrinfo.  NULL if
    invalid.  */
 static struct addrinfo *
@@ -21,7 +29,8 @@
   char *host;
   size_t length;
 
-  if (colon == NULL)
+  /* getaddrinfo cuts larger ports to 16 bits.  */
+  if (colon == NULL || !is_port (colon + 1))
     return NULL;
   length = (size_t)(colon - address);
   host = address[0] == '[' && length > 2 ? g_strndup (address + 1, length - 2)
--- a/src/platform_http.c
+++ b/src/platform_http.c
@@ -6,8 +6,10 @@
 #include <ck_queue.h>
 #include <glib.h>
 #include <jansson.h>
+#include "badrow.h"
 #include "counter.h"
 #include "log.h"
+#include "netaddr.h"
 
 CK_LIST_HEAD (call_list, call);
 
@@ -280,6 +282,19 @@
   return (char *)(text != NULL ? text : "");
 }
 
+/* Returns NULL, or why INSTANCE names no instance.  */
+static const char *
+instance_fault (const struct platform_instance *instance)
+{
+  const char *colon = strrchr (instance->address, ':');
+
+  if (*instance->id == '\0')
+    return "expected an object with an id";
+  return colon != NULL && netaddr_is_port (colon + 1)
+             ? NULL
+             : "expected an address with a port";
+}
+
 static bool
 decode_instances (const json_t *json, struct platform_instances *list)
 {
@@ -289,11 +304,12 @@
 
   if (!json_is_array (array))
     return false;
-  list->count = json_array_size (array);
-  list->instances = g_new0 (struct platform_instance, list->count);
+  list->instances
+      = g_new0 (struct platform_instance, MAX (json_array_size (array), 1));
   json_array_foreach (array, i, item)
     {
-      struct platform_instance *instance = &list->instances[i];
+      struct platform_instance *instance = &list->instances[list->count];
+      const char *fault;
 
       instance->id = string_member (item, "id");
       instance->address = string_member (item, "address");
@@ -301,6 +317,11 @@
       instance->region = string_member (item, "region");
       instance->pool = string_member (item, "pool");
       instance->leaving = json_is_true (json_object_get (item, "leaving"));
+      fault = instance_fault (instance);
+      if (fault == NULL)
+        list->count++;
+      else
+        badrow_log ("instances", instance->id, fault);
     }
   return true;
 }
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -7,6 +7,7 @@
 #include <glib.h>
 #include "counter.h"
 #include "peer.h"
+#include "peeraddr.h"
 #include "ts.h"
 
 #define TURNS 2000 /* of the loop, at most, until a condition holds */
@@ -227,6 +228,21 @@
   g_free (path);
 }
 
+/* getaddrinfo cut a port out of range to another one.  */
+static void
+test_addresses (void)
+{
+  static const char *const invalid[]
+      = { "127.0.0.1:65536", "127.0.0.1:99999", "127.0.0.1:4294967297",
+          "127.0.0.1:-1",    "127.0.0.1:+1",    "127.0.0.1: 1",
+          "127.0.0.1:",      "127.0.0.1",       "" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (invalid); i++)
+    g_assert_false (peeraddr_valid (invalid[i]));
+  g_assert_true (peeraddr_valid ("127.0.0.1:65535"));
+  g_assert_true (peeraddr_valid ("[::1]:1"));
+}
+
 int
 main (int argc, char **argv)
 {
@@ -235,6 +251,7 @@
   g_test_init (&argc, &argv, NULL);
   loop = loop_new (clk_monotonic ());
   generator = g_rand_new_with_seed (1);
+  g_test_add_func ("/peer/addresses", test_addresses);
   g_test_add_func ("/peer/both-ways", test_both_ways);
   g_test_add_func ("/peer/wrong-token", test_wrong_token);
   g_test_add_func ("/peer/many-links", test_many_links);
--- a/tests/test_platform_http.c
+++ b/tests/test_platform_http.c
@@ -268,7 +268,9 @@
 test_instances (void)
 {
   static const char list[]
-      = "{\"instances\":[{\"id\":\"e1\",\"address\":\"10.0.0.1:80\","
+      = "{\"instances\":[7,{\"id\":\"e0\",\"address\":\"10.0.0.1:80080\"},"
+        "{\"address\":\"10.0.0.1:80\"},{\"id\":\"e1\",\"address\":\"10.0.0.1:"
+        "80\","
         "\"pool\":\"p\",\"leaving\":true}]}";
   struct fixture f;
   struct httpc_request request = { .body = list, .length = sizeof list - 1 };
