lease: it is released when no order of its token can arrive any more

Cause: the row was released while an order was on its way. Only an expiring lease kept a margin for that.

Change: the lease counts its unanswered orders; on release it stops sending at once, and the row changes once they are answered or the margin has passed. For both programs; nothing waits where engines check tokens.

--- a/src/cell_order.c
+++ b/src/cell_order.c
@@ -62,7 +62,12 @@
   struct cell *cell = cell_of_pending_call (call);
 
   if (cell != NULL)
-    order_answered (cell, call->order_id, status, why);
+    {
+      if (status != BACKEND_UNKNOWN)
+        lease_order_answered (cell->lease, call->attempt, cell_now (cell));
+      order_answered (cell, call->order_id, status, why);
+      cell_set_timer (cell);
+    }
   cell_pending_call_free (call);
 }
 
@@ -105,8 +110,10 @@
   sent->pending_calls++;
   fenced.fence = lease_fence (cell->lease);
   count_order (order);
-  backend->ops->order (backend, &fenced, on_order,
-                       cell_pending_call_new (cell, 0, order->order_id));
+  lease_order_sent (cell->lease, cell_now (cell));
+  backend->ops->order (
+      backend, &fenced, on_order,
+      cell_pending_call_new (cell, fenced.fence, order->order_id));
 }
 
 static void
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -46,7 +46,7 @@
 struct pending_call
 {
   struct cell *cell;
-  uint64_t attempt;
+  uint64_t attempt; /* of the lease; for an order: its fencing token */
   char *order_id;
 };
 
--- a/src/lease.c
+++ b/src/lease.c
@@ -68,7 +68,9 @@
   uint64_t version;     /* of the row of the held lease; 0: none */
   uint64_t fence_floor; /* highest fencing token known to be used */
   struct timespec valid_until;
-  uint64_t era; /* of the table; 0: not known */
+  unsigned orders;          /* sent with FENCE and not answered */
+  struct timespec quiet_at; /* none of them can arrive after that */
+  uint64_t era;             /* of the table; 0: not known */
   /* Until then this node may acquire the lease again that it held when the era
      began.  */
   struct timespec reclaim_until;
@@ -296,11 +298,25 @@
     lease->next = ts_min (lease->next, acquire_at (lease, now));
 }
 
+/* Where engines do not check the fencing token, an order that arrives after
+   one of the next holder would be carried out.  */
+static bool
+has_orders_in_flight (const struct lease *lease, struct timespec now)
+{
+  return !lease->checks_fence && lease->orders > 0
+         && ts_before (now, lease->quiet_at);
+}
+
 static void
 begin_release (struct lease *lease, struct timespec now,
                struct action_list *out)
 {
   lease->state = LEASE_RELEASING;
+  if (has_orders_in_flight (lease, now))
+    {
+      lease->next = lease->quiet_at;
+      return;
+    }
   begin_attempt (lease, RELEASE, lease->version, lease->fence, now, out);
 }
 
@@ -343,7 +359,10 @@
     }
   lease->state = LEASE_HELD;
   if (won)
-    lease->rank_since = now;
+    {
+      lease->rank_since = now;
+      lease->orders = 0;
+    }
   push (lease, won ? LEASE_WON : LEASE_RENEWED, out);
   lease->next = backoff_jitter ((double)ts_to_ms (lease->duration)
                                     / RENEWALS_PER_LEASE,
@@ -556,6 +575,24 @@
     begin_release (lease, now, out);
 }
 
+void
+lease_order_sent (struct lease *lease, struct timespec now)
+{
+  lease->orders++;
+  lease->quiet_at = ts_add (now, lease->margin);
+}
+
+void
+lease_order_answered (struct lease *lease, uint64_t fence, struct timespec now)
+{
+  if (fence != lease->fence || lease->orders == 0)
+    return;
+  lease->orders--;
+  if (lease->orders == 0 && lease->state == LEASE_RELEASING
+      && !lease->attempt.open)
+    lease->next = now;
+}
+
 void
 lease_hint (struct lease *lease, struct timespec now, struct action_list *out)
 {
--- a/src/lease.h
+++ b/src/lease.h
@@ -105,8 +105,17 @@
                      const struct platform_row *row, struct timespec now,
                      struct action_list *out);
 
+/* An order was sent at NOW with the fencing token of the held lease.  */
+void lease_order_sent (struct lease *lease, struct timespec now);
+/* The engine has answered an order that was sent with FENCE, or nothing of it
+   was sent.  Orders without an answer are not reported: they may arrive until
+   the margin of struct lease_options has passed.  */
+void lease_order_answered (struct lease *lease, uint64_t fence,
+                           struct timespec now);
+
 /* Releases the lease, on shutdown or for a better candidate.  No order may be
-   sent afterwards.  */
+   sent afterwards.  Where engines do not check the fencing token, the row
+   changes once no order can arrive any more.  */
 void lease_release (struct lease *lease, struct timespec now,
                     struct action_list *out);
 
--- a/src/planners_order.c
+++ b/src/planners_order.c
@@ -94,6 +94,12 @@
 
   if (status != BACKEND_ACCEPTED && status != BACKEND_UNCHANGED)
     log_refused (rpc, status, why);
+  if (rpc->fence != 0 && status != BACKEND_UNKNOWN)
+    {
+      lease_order_answered (planners->lease, rpc->fence,
+                            planners_now (planners));
+      planners_set_timer (planners);
+    }
   action_list_init (&list);
   if (planner != NULL)
     {
@@ -142,6 +148,8 @@
       return;
     }
   order.fence = lease_fence (planners->lease);
+  rpc->fence = order.fence;
+  lease_order_sent (planners->lease, planners_now (planners));
   counter_add (
       is_load (action->type) ? COUNTER_LOAD_ORDERS : COUNTER_UNLOAD_ORDERS, 1);
   backend->ops->order (backend, &order, on_order_response, rpc);
--- a/src/planners_state.h
+++ b/src/planners_state.h
@@ -63,6 +63,7 @@
   struct planners *planners;
   uint64_t term;
   uint64_t attempt; /* of a lease transaction */
+  uint64_t fence;   /* of an order that was sent; 0: none */
   char *service;
   char *engine;
 };
--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -4,6 +4,7 @@
 
 #define STEP_MS 10
 #define PHASES 40
+#define ANSWER_MS 300 /* of an order */
 
 static const double rates[CELL_NODES] = { 1.0, 1.009, 0.991 };
 
@@ -114,6 +115,48 @@
   cell_clear (&cell);
 }
 
+/* A lease was released while an order was in flight, which arrived after the
+   next holder's.  */
+static void
+check_order_in_flight (bool checks_fence, bool answered)
+{
+  struct cell cell;
+  struct lease *lease;
+  struct cell_node *first;
+  int64_t sent_ns;
+
+  cell_init (&cell, 3, checks_fence, rates);
+  first = &cell.nodes[0];
+  lease = first->lease;
+  until_active (&cell, 0, 5000);
+  run (&cell, 3000);
+  sent_ns = cell.ns;
+  lease_order_sent (lease, cell_now (&cell, first));
+  cell_step (&cell, CELL_RELEASE, 0);
+  g_assert_false (lease_may_send (lease, cell_now (&cell, first)));
+  lease_set_rank (lease, G_MAXUINT, cell_now (&cell, first));
+  lease_set_rank (cell.nodes[1].lease, 0, cell_now (&cell, &cell.nodes[1]));
+  run (&cell, ANSWER_MS);
+  g_assert_cmpint (lease_state (lease), ==,
+                   checks_fence ? LEASE_WATCHING : LEASE_RELEASING);
+  if (answered)
+    lease_order_answered (lease, lease_fence (lease), cell_now (&cell, first));
+  until_active (&cell, 1, 5000);
+  if (!checks_fence && !answered)
+    g_assert_cmpint (cell.ns - sent_ns, >=, LEASE_MARGIN_MS * TS_NS_PER_MS);
+  if (answered)
+    g_assert_cmpint (cell.ns - sent_ns, <, 1500 * TS_NS_PER_MS);
+  cell_clear (&cell);
+}
+
+static void
+test_order_in_flight (void)
+{
+  check_order_in_flight (false, false);
+  check_order_in_flight (false, true);
+  check_order_in_flight (true, false);
+}
+
 /* The first candidate cannot acquire the lease: the second, which holds it,
    must offer it from time to time, but not at every renewal.  */
 static void
@@ -299,6 +342,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/lease/take-over", test_take_over);
   g_test_add_func ("/lease/hand-over", test_hand_over);
+  g_test_add_func ("/lease/order-in-flight", test_order_in_flight);
   g_test_add_func ("/lease/offer", test_offer);
   g_test_add_func ("/lease/own-previous-incarnation",
                    test_own_previous_incarnation);
