httpd: rejections are a module of their own

Cause: httpd had grown to over 660 lines with the checks of requests.

Change: httpd_reject has the responses to requests that are not passed on and the discarding of unread bytes; struct httpd is in httpd_state. No change of behaviour.

Conclusion: each part can be read alone.

--- a/src/httpd.c
+++ b/src/httpd.c
@@ -11,6 +11,7 @@
 #include <glib.h>
 #include "httpd_conn.h"
 #include "httpd_head.h"
+#include "httpd_reject.h"
 #include "httpd_state.h"
 #include "listen.h"
 #include "ts.h"
@@ -20,24 +21,7 @@
 #define REQUEST_TIMEOUT_FACTOR 2 /* times the idle timeout */
 #define STUCK_CHECK_MS 50
 #define STUCK_CHECKS 2 /* in succession, until a connection is closed */
-#define DISCARD_BLOCK_BYTES 4096
-#define DISCARD_UNREAD_MAX (256u << 10) /* bytes, before a close */
-#define STREAM_BLOCK_BYTES (16u << 10)  /* passed to libmicrohttpd at once */
-
-CK_LIST_HEAD (request_list, httpd_request);
-
-struct httpd
-{
-  struct httpd_options options;
-  struct request_list requests;
-  struct MHD_Daemon *daemon;
-  struct loop_watch watch;
-  struct loop_prepare prepare;
-  unsigned open_requests;
-  uint16_t port;
-  bool run_pending; /* call MHD_run before the loop sleeps */
-  struct timespec stuck_checked_at;
-};
+#define STREAM_BLOCK_BYTES (16u << 10) /* passed to libmicrohttpd at once */
 
 static void
 resume (struct httpd_request *request)
@@ -179,57 +163,6 @@
     g_string_append_len (request->body, data, (gssize)n);
 }
 
-static void
-report_rejection (const struct httpd *httpd, enum httpd_reject why,
-                  const char *fault)
-{
-  if (httpd->options.rejected != NULL)
-    httpd->options.rejected (httpd->options.user, why, fault);
-}
-
-static enum MHD_Result
-reject_with (struct httpd_request *request, unsigned status,
-             struct MHD_Response *response)
-{
-  enum MHD_Result result;
-
-  request->closes = true;
-  MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE,
-                           "application/json");
-  MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
-  result = MHD_queue_response (request->connection, status, response);
-  MHD_destroy_response (response);
-  return result;
-}
-
-static enum MHD_Result
-reject_large_body (struct httpd_request *request)
-{
-  static const char text[]
-      = "{\"error\":{\"type\":\"body_too_large\",\"not_run\":true}}\n";
-
-  report_rejection (request->httpd, HTTPD_REJECT_BODY_TOO_LARGE, NULL);
-  return reject_with (
-      request, MHD_HTTP_CONTENT_TOO_LARGE,
-      MHD_create_response_from_buffer (sizeof text - 1, (void *)text,
-                                       MHD_RESPMEM_PERSISTENT));
-}
-
-/* Nobody can tell where the request ends, so its connection is closed.  */
-static enum MHD_Result
-reject_malformed (struct httpd_request *request, const char *fault)
-{
-  char *text = g_strdup_printf ("{\"error\":{\"type\":\"malformed_request\","
-                                "\"message\":\"%s\",\"not_run\":true}}\n",
-                                fault);
-  struct MHD_Response *response = MHD_create_response_from_buffer (
-      strlen (text), text, MHD_RESPMEM_MUST_COPY);
-
-  g_free (text);
-  report_rejection (request->httpd, HTTPD_REJECT_MALFORMED, fault);
-  return reject_with (request, MHD_HTTP_BAD_REQUEST, response);
-}
-
 static struct httpd_conn *
 get_conn (struct MHD_Connection *connection)
 {
@@ -297,7 +230,7 @@
   const char *fault = httpd_head_fault (request->connection, line);
 
   if (fault != NULL)
-    return reject_malformed (request, fault);
+    return httpd_reject_malformed (request, fault);
   request->has_chunks = strcmp (line->version, MHD_HTTP_VERSION_1_0) != 0;
   request->chunked = httpd_header (request, "Transfer-Encoding") != NULL;
   request->closes = request->chunked;
@@ -315,9 +248,9 @@
                           : NULL;
 
   if (fault != NULL)
-    return reject_malformed (request, fault);
+    return httpd_reject_malformed (request, fault);
   if (request->too_large)
-    return reject_large_body (request);
+    return httpd_reject_large_body (request);
   return dispatch_request (request);
 }
 
@@ -346,7 +279,8 @@
       request->stuck = 0;
       if (request->discarded <= HTTPD_DISCARD_MAX)
         return MHD_YES;
-      report_rejection (request->httpd, HTTPD_REJECT_BODY_TOO_LARGE, NULL);
+      httpd_report_rejection (request->httpd, HTTPD_REJECT_BODY_TOO_LARGE,
+                              NULL);
       return MHD_NO;
     }
   if (request->stage == STAGE_BODY)
@@ -358,26 +292,6 @@
   return MHD_YES;
 }
 
-/* Bytes that are unread when a connection is closed cause a reset, which may
-   overtake the response.  */
-static void
-discard_unread_bytes (const struct httpd_request *request)
-{
-  char bytes[DISCARD_BLOCK_BYTES];
-  int fd = MHD_get_connection_info (request->connection,
-                                    MHD_CONNECTION_INFO_CONNECTION_FD)
-               ->connect_fd;
-  size_t left = DISCARD_UNREAD_MAX;
-  ssize_t n;
-
-  do
-    {
-      n = recv (fd, bytes, sizeof bytes, MSG_DONTWAIT);
-      left -= n > 0 ? (size_t)n : 0;
-    }
-  while (n > 0 && left >= sizeof bytes);
-}
-
 static void
 on_completed (void *cls, struct MHD_Connection *connection, void **con_cls,
               enum MHD_RequestTerminationCode code)
@@ -390,7 +304,7 @@
     return;
   *con_cls = NULL;
   if (request->closes && complete)
-    discard_unread_bytes (request);
+    httpd_discard_unread (request);
   httpd_conn_start_timer (get_conn (connection));
   if (request->stage > STAGE_BODY)
     {
--- /dev/null
+++ b/src/httpd_reject.c
@@ -0,0 +1,80 @@
+#include "httpd_reject.h"
+
+#include <string.h>
+#include <sys/socket.h>
+#include <glib.h>
+#include "httpd_state.h"
+
+#define DISCARD_BLOCK_BYTES 4096
+#define DISCARD_UNREAD_MAX (256u << 10) /* bytes */
+
+void
+httpd_report_rejection (const struct httpd *httpd, enum httpd_reject why,
+                        const char *fault)
+{
+  if (httpd->options.rejected != NULL)
+    httpd->options.rejected (httpd->options.user, why, fault);
+}
+
+static enum MHD_Result
+reject_with (struct httpd_request *request, unsigned status,
+             struct MHD_Response *response)
+{
+  enum MHD_Result result;
+
+  request->closes = true;
+  MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE,
+                           "application/json");
+  MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
+  result = MHD_queue_response (request->connection, status, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+enum MHD_Result
+httpd_reject_large_body (struct httpd_request *request)
+{
+  static const char text[]
+      = "{\"error\":{\"type\":\"body_too_large\",\"not_run\":true}}\n";
+
+  httpd_report_rejection (request->httpd, HTTPD_REJECT_BODY_TOO_LARGE, NULL);
+  return reject_with (
+      request, MHD_HTTP_CONTENT_TOO_LARGE,
+      MHD_create_response_from_buffer (sizeof text - 1, (void *)text,
+                                       MHD_RESPMEM_PERSISTENT));
+}
+
+/* Nobody can tell where the request ends, so its connection is closed.  */
+enum MHD_Result
+httpd_reject_malformed (struct httpd_request *request, const char *fault)
+{
+  char *text = g_strdup_printf ("{\"error\":{\"type\":\"malformed_request\","
+                                "\"message\":\"%s\",\"not_run\":true}}\n",
+                                fault);
+  struct MHD_Response *response = MHD_create_response_from_buffer (
+      strlen (text), text, MHD_RESPMEM_MUST_COPY);
+
+  g_free (text);
+  httpd_report_rejection (request->httpd, HTTPD_REJECT_MALFORMED, fault);
+  return reject_with (request, MHD_HTTP_BAD_REQUEST, response);
+}
+
+/* Bytes that are unread when a connection is closed cause a reset, which may
+   overtake the response.  */
+void
+httpd_discard_unread (const struct httpd_request *request)
+{
+  char bytes[DISCARD_BLOCK_BYTES];
+  int fd = MHD_get_connection_info (request->connection,
+                                    MHD_CONNECTION_INFO_CONNECTION_FD)
+               ->connect_fd;
+  size_t left = DISCARD_UNREAD_MAX;
+  ssize_t n;
+
+  do
+    {
+      n = recv (fd, bytes, sizeof bytes, MSG_DONTWAIT);
+      left -= n > 0 ? (size_t)n : 0;
+    }
+  while (n > 0 && left >= sizeof bytes);
+}
--- a/src/httpd_state.h
+++ b/src/httpd_state.h
@@ -1,4 +1,5 @@
-/* httpd_state - state of a request.  Private to httpd and httpd_request.  */
+/* httpd_state - state of a server and of a request.  Private to httpd,
+   httpd_reject and httpd_request.  */
 
 #ifndef PARSLEYRILL_HTTPD_STATE_H
 #define PARSLEYRILL_HTTPD_STATE_H
@@ -46,4 +47,19 @@
   bool stalled;     /* a write returned -EAGAIN */
 };
 
+CK_LIST_HEAD (request_list, httpd_request);
+
+struct httpd
+{
+  struct httpd_options options;
+  struct request_list requests;
+  struct MHD_Daemon *daemon;
+  struct loop_watch watch;
+  struct loop_prepare prepare;
+  unsigned open_requests;
+  uint16_t port;
+  bool run_pending; /* call MHD_run before the loop sleeps */
+  struct timespec stuck_checked_at;
+};
+
 #endif
