listing: servers that the decider only keeps are not news to other nodes

Cause: a decider that had not got the store's answers for seconds kept servers that had left meanwhile, in case their entries had only lapsed, and published them in a fresh list. Nodes that had dropped them listed them again.

Change: the decider's list marks such servers; a node that lacks one does not list it.

Evidence: /listing/kept-server fails without the check, passes now.

--- a/src/frame.c
+++ b/src/frame.c
@@ -85,7 +85,8 @@
         SCALAR (13, NUMBER, struct peer_replica, age_ms),
         SCALAR (14, FLAG, struct peer_replica, leaving),
         SCALAR (15, FLAG, struct peer_replica, gone),
-        SCALAR (16, NUMBER, struct peer_replica, born) };
+        SCALAR (16, NUMBER, struct peer_replica, born),
+        SCALAR (17, FLAG, struct peer_replica, kept) };
 static const struct schema replica_schema
     = SCHEMA (struct peer_replica, replica_fields);
 
--- a/src/frame.h
+++ b/src/frame.h
@@ -102,6 +102,8 @@
   bool leaving;
   bool gone;     /* in a delta: the replica was removed */
   uint64_t born; /* start of a whole server, see struct server_entry */
+  /* A whole server that is gone from the table, but may register again.  */
+  bool kept;
 };
 
 struct peer_load
--- a/src/listing.c
+++ b/src/listing.c
@@ -715,6 +715,7 @@
          && ts_before (listing->listed_at, listing->peer_listed_at);
 }
 
+/* A server that the decider only keeps is neither new nor back.  */
 void
 listing_peer_list_add (struct listing *listing,
                        const struct peer_replica *server)
@@ -730,7 +731,8 @@
 
   g_hash_table_add (listing->peer_servers, g_strdup (server->engine));
   if (!peer_list_applies (listing) || entry.address == NULL
-      || entry.service == NULL || !netaddr_is_server (entry.address))
+      || entry.service == NULL || !netaddr_is_server (entry.address)
+      || server->kept)
     return;
   if (entry.zone == NULL)
     entry.zone = (char *)"";
--- a/src/planners_replicas.c
+++ b/src/planners_replicas.c
@@ -48,7 +48,8 @@
                                       .version = server->route->software,
                                       .slots = server->slots,
                                       .leaving = server->leaving,
-                                      .born = (uint64_t)server->born };
+                                      .born = (uint64_t)server->born,
+                                      .kept = !ts_is_zero (server->drop_at) };
 
       g_array_append_val (replicas, replica);
     }
--- a/src/replica_sync.c
+++ b/src/replica_sync.c
@@ -115,7 +115,7 @@
 same_placement (const struct peer_replica *a, const struct peer_replica *b)
 {
   return a->state == b->state && a->leaving == b->leaving
-         && a->slots == b->slots && a->born == b->born
+         && a->slots == b->slots && a->born == b->born && a->kept == b->kept
          && g_strcmp0 (a->version, b->version) == 0
          && g_strcmp0 (a->address, b->address) == 0;
 }
--- a/tests/prop_frame.cc
+++ b/tests/prop_frame.cc
@@ -39,6 +39,7 @@
       msg.replicas[i].engine = text (name);
       msg.replicas[i].state = i;
       msg.replicas[i].leaving = flag;
+      msg.replicas[i].kept = !flag;
       msg.members[i].id = text (name);
       msg.members[i].load = number;
     }
@@ -120,6 +121,7 @@
             RC_ASSERT (decoded.replicas[i].engine == name);
             RC_ASSERT (decoded.replicas[i].state == i);
             RC_ASSERT (decoded.replicas[i].leaving == flag);
+            RC_ASSERT (decoded.replicas[i].kept == !flag);
             RC_ASSERT (!decoded.replicas[i].gone);
             RC_ASSERT (decoded.members[i].load == number);
           }
--- a/tests/test_listing.c
+++ b/tests/test_listing.c
@@ -181,6 +181,23 @@
   g_ptr_array_unref (f->watches);
 }
 
+static void
+publish_kept (struct fixture *f, const char *id, bool kept)
+{
+  struct peer_replica server = { .engine = (char *)id,
+                                 .address = (char *)"1.2.3.4:5",
+                                 .zone = (char *)"z",
+                                 .pool = (char *)"s",
+                                 .slots = 8,
+                                 .kept = kept };
+  struct listing_peer_info info
+      = { .age_ms = 300, .config_version = 7, .config_age_ms = 300 };
+
+  listing_peer_list_begin (f->listing, &info);
+  listing_peer_list_add (f->listing, &server);
+  listing_peer_list_end (f->listing);
+}
+
 static void
 publish (struct fixture *f, const char *id, bool leaving, int64_t age_ms,
          uint64_t version)
@@ -233,6 +250,29 @@
   tear_down (&f);
 }
 
+/* A decider that had been cut off from the store kept servers that had left,
+   and other nodes, which had dropped them, sent requests there again.  */
+static void
+test_kept_server (void)
+{
+  struct fixture f;
+
+  set_up (&f);
+  for (int i = 0; i < 4; i++)
+    {
+      publish_kept (&f, "i9", true);
+      advance (&f, 500);
+    }
+  g_assert_null (server (&f, "i9"));
+  publish_kept (&f, "i9", false);
+  advance (&f, 500);
+  g_assert_nonnull (server (&f, "i9"));
+  publish_kept (&f, "i9", true);
+  advance (&f, 500);
+  g_assert_nonnull (server (&f, "i9"));
+  tear_down (&f);
+}
+
 /* A published list that is too old is ignored.  */
 static void
 test_old_list (void)
@@ -515,6 +555,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/listing/fresh-list", test_fresh_list);
+  g_test_add_func ("/listing/kept-server", test_kept_server);
   g_test_add_func ("/listing/old-list", test_old_list);
   g_test_add_func ("/listing/list-applied", test_list_applied);
   g_test_add_func ("/listing/list-changes", test_list_changes);
