tests: the names of a row end where their array does

Cause: test_odd_rows looked for a name in an array without a final NULL, so that it read past it for a name that is not there. Found on reading the diff.

Change: the loop over the names notes whether it met the name.

Measured: test_odd_rows passes, four cases, the same rows as before.

Conclusion: the test is as strict as before.

--- a/tests/test_odd_rows.c
+++ b/tests/test_odd_rows.c
@@ -40,13 +40,18 @@
   const char *sound[]
       = { "\"app\"", address, "\"z\"", "\"v1\"", "8", "\"ready\"", "17", "1" };
   GString *row = g_string_new ("{");
+  bool known = false;
 
   for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
-    g_string_append_printf (row, "\"%s\":%s,", names[i],
-                            strcmp (names[i], member) == 0 ? value : sound[i]);
-  g_string_append_printf (row, "\"%s\":%s}",
-                          g_strv_contains (names, member) ? "Other" : member,
-                          g_strv_contains (names, member) ? "0" : value);
+    {
+      bool odd = strcmp (names[i], member) == 0;
+
+      known = known || odd;
+      g_string_append_printf (row, "\"%s\":%s,", names[i],
+                              odd ? value : sound[i]);
+    }
+  g_string_append_printf (row, "\"%s\":%s}", known ? "Other" : member,
+                          known ? "0" : value);
   g_free (address);
   return g_string_free (row, FALSE);
 }
