httpc, forward_log: the log tells whether a response's head had ended

Change: httpc_head notes the empty line after the final head; REQUEST_DONE and ATTEMPT_FAILED have head_ended. No change of behaviour.

--- a/src/forward_log.c
+++ b/src/forward_log.c
@@ -96,6 +96,7 @@
 log_extent (const struct forward *forward, struct log_line *line,
             const struct httpc_result *result)
 {
+  log_int (line, "head_ended", result->head_ended);
   log_int (line, "until_close", result->until_close);
   log_int (line, "events", (int64_t)forward->sse.events);
   log_int (line, "partial", (int64_t)forward->sse.partial);
--- a/src/httpc.c
+++ b/src/httpc.c
@@ -228,6 +228,7 @@
   result->phase = call->phase;
   result->reused = call->reused;
   result->until_close = has_body_until_close (call);
+  result->head_ended = call->head.ended;
   result->body = call->passed_on ? NULL : call->collected->str;
   result->length = call->collected->len;
 }
--- a/src/httpc.h
+++ b/src/httpc.h
@@ -55,6 +55,7 @@
   bool reused;              /* the connection had been used before */
   bool until_close;         /* the body had no length and no chunks: it ended
                                with the connection */
+  bool head_ended;          /* the whole head was received */
 };
 
 struct httpc_request
--- a/src/httpc_head.c
+++ b/src/httpc_head.c
@@ -4,6 +4,7 @@
 #include "field.h"
 
 #define STATUS_LINE_BEGIN "HTTP/"
+#define INTERIM_STATUS_BEGIN " 1"
 
 static bool
 check_framing (struct httpc_head *head, const char *line, size_t name_length,
@@ -24,6 +25,17 @@
   return head->lengths + head->codings <= 1;
 }
 
+static void
+begin_head (struct httpc_head *head, const char *line, size_t length)
+{
+  const char *status = memchr (line, ' ', length);
+  size_t n = strlen (INTERIM_STATUS_BEGIN);
+
+  *head = (struct httpc_head){ 0 };
+  head->interim = status != NULL && (size_t)(line + length - status) > n
+                  && memcmp (status, INTERIM_STATUS_BEGIN, n) == 0;
+}
+
 bool
 httpc_head_line (struct httpc_head *head, const char *line, size_t length)
 {
@@ -35,11 +47,14 @@
       || field_has_control (line, length - 2))
     return false;
   if (end == line)
-    return true;
+    {
+      head->ended = !head->interim;
+      return true;
+    }
   if (length > strlen (STATUS_LINE_BEGIN)
       && memcmp (line, STATUS_LINE_BEGIN, strlen (STATUS_LINE_BEGIN)) == 0)
     {
-      *head = (struct httpc_head){ 0 };
+      begin_head (head, line, length);
       return true;
     }
   colon = memchr (line, ':', (size_t)(end - line));
--- a/src/httpc_head.h
+++ b/src/httpc_head.h
@@ -19,6 +19,8 @@
 {
   unsigned lengths;
   unsigned codings;
+  bool interim; /* the status is 1xx: another head follows */
+  bool ended;   /* the empty line after the final head was seen */
 };
 
 /* Whether the next line, of LENGTH bytes with its end, leaves the response
