httpc: a response that ends within its head is truncated

Callers saw a 200 with an empty body and a length, for safe and unsafe requests and for streams, when a server closed its connection in the middle of the head of its response.

Cause: libcurl reports the end of the connection within the head as the end of an empty response once one header line has come, and httpc took its word. Without a length or a type the body ended with the connection, and a stream was collected and sent with a length.

--- a/src/httpc.c
+++ b/src/httpc.c
@@ -189,6 +189,14 @@
          && httpc_response_header (call, "Content-Length") != NULL;
 }
 
+/* libcurl takes the end of the connection within the head, or between an
+   interim response and the final one, for the end of an empty response.  */
+static bool
+is_head_truncated (const struct httpc_call *call, CURLcode code)
+{
+  return code == CURLE_OK && call->phase >= HTTPC_SENT && !call->head.ended;
+}
+
 static int
 call_error (const struct httpc_call *call, CURLcode code)
 {
@@ -204,6 +212,8 @@
     return -ETIMEDOUT;
   if (call->resend_attempted)
     return -ECONNRESET;
+  if (is_head_truncated (call, code))
+    return -EPIPE;
   if (code == CURLE_OK && is_length_ignored (call))
     return -EPROTO;
   return curl_code_to_errno (code);
@@ -216,9 +226,9 @@
   char *type = NULL;
   curl_off_t retry_after = 0;
 
-  if (code == CURLE_OK && call->phase >= HTTPC_SENT)
-    call->phase = HTTPC_COMPLETE;
   result->error = call_error (call, code);
+  if (result->error == 0 && call->phase >= HTTPC_SENT)
+    call->phase = HTTPC_COMPLETE;
   curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &result->status);
   curl_easy_getinfo (call->easy, CURLINFO_CONTENT_TYPE, &type);
   curl_easy_getinfo (call->easy, CURLINFO_CONNECT_TIME, &result->connect_s);
@@ -298,7 +308,8 @@
       curl_easy_getinfo (msg->easy_handle, CURLINFO_PRIVATE, &call);
       if (call->broken)
         restart_on_new_connection (call);
-      else if (code == CURLE_OK && has_body_until_close (call))
+      else if (code == CURLE_OK && call->head.ended
+               && has_body_until_close (call))
         probe_server (call);
       else
         finish (call, code);
--- a/tests/flood_server.h
+++ b/tests/flood_server.h
@@ -110,6 +110,18 @@
     FLOOD_OK ("1.1") "Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n", "" },
   { "text-length",
     FLOOD_OK ("1.1") "Content-Length: 99999999999999999999\r\n\r\nhe", "" },
+  { "head-status", "HTTP/1.1 200 OK\r\n", "" },
+  { "head-identity", FLOOD_OK ("1.1"), "" },
+  { "head-in-length", FLOOD_OK ("1.1") "Content-Length: 5", "" },
+  { "head-length", FLOOD_OK ("1.1") "Content-Length: 5\r\n", "" },
+  { "head-in-type", FLOOD_OK ("1.1") "Content-Type: text/event", "" },
+  { "head-type", FLOOD_OK ("1.1") FLOOD_EVENTS, "" },
+  { "head-in-end", FLOOD_OK ("1.1") "\r", "" },
+  { "head-no-content", "HTTP/1.1 204 No Content\r\n" IDENTITY, "" },
+  { "head-interim", "HTTP/1.1 103 Early Hints\r\n" IDENTITY "\r\n", "" },
+  { "head-not-run",
+    "HTTP/1.1 503 Full\r\n" IDENTITY "Parsleyrill-Not-Executed: 1\r\n", "" },
+  { "head-reset", FLOOD_OK ("1.1"), NULL },
   { "two-lengths",
     FLOOD_OK ("1.1") "Content-Length: 5\r\nContent-Length: 2\r\n\r\nhe", "" },
   { "same-lengths",
@@ -143,8 +155,12 @@
   GPtrArray *threads; /* GThread */
   size_t bytes_max;   /* sent on one connection */
   bool dies;          /* it listens no more when it has read a request */
-  gint requests;      /* atomic */
-  gint exhausted;     /* atomic: connections on which all bytes were sent */
+  /* Sent in answer to any path, before the connection is closed; NULL: the
+     response that the path names.  */
+  const char *response;
+  size_t response_length;
+  gint requests;  /* atomic */
+  gint exhausted; /* atomic: connections on which all bytes were sent */
 };
 
 struct flood_connection
@@ -263,9 +279,16 @@
 flood_connection_run (gpointer data)
 {
   struct flood_connection *connection = data;
-  char head[FLOOD_REQUEST_MAX];
+  char head[FLOOD_REQUEST_MAX] = "";
 
-  if (flood_read_head (connection->fd, head))
+  if (flood_read_head (connection->fd, head)
+      && connection->server->response != NULL)
+    {
+      g_atomic_int_inc (&connection->server->requests);
+      flood_send (connection->fd, connection->server->response,
+                  connection->server->response_length);
+    }
+  else if (*head != '\0')
     {
       const struct flood *flood = flood_find (strchr (head, ' ') + 1);
 
--- a/tests/test_gate_framing.c
+++ b/tests/test_gate_framing.c
@@ -100,6 +100,39 @@
   CHECK_FRAMING (cases);
 }
 
+/* A response that ended in its head was passed on as complete, with an empty
+   body and a length; a stream too, if its type had not come.  */
+static void
+test_inside_head (void)
+{
+  static const char *const names[]
+      = { "head-status",  "head-identity", "head-in-length",
+          "head-length",  "head-in-end",   "head-no-content",
+          "head-interim", "head-not-run",  "head-reset" };
+  static const char *const stream_names[]
+      = { "head-identity", "head-in-type", "head-type", "head-in-end" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    {
+      const struct framing_case safe
+          = { "safe", names[i], 0, 200, "hello", 1 };
+      const struct framing_case once = { "once", names[i], 0, 502, NULL, 0 };
+
+      check_framing (&safe, false);
+      check_framing (&once, false);
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (stream_names); i++)
+    {
+      const struct framing_case resumable
+          = { "long", stream_names[i], 0, 200, events, 1 };
+      const struct framing_case cut
+          = { "cut", stream_names[i], 0, 502, NULL, 0 };
+
+      check_framing (&resumable, false);
+      check_framing (&cut, false);
+    }
+}
+
 /* A response that another reader would frame differently was passed on as
    complete, and what follows it was left to the next request.  */
 static void
@@ -168,6 +201,7 @@
   g_test_add_func ("/gate-framing/continued", test_continued);
   g_test_add_func ("/gate-framing/no-event", test_no_event);
   g_test_add_func ("/gate-framing/length-overflow", test_length_overflow);
+  g_test_add_func ("/gate-framing/inside-head", test_inside_head);
   g_test_add_func ("/gate-framing/ambiguous-head", test_ambiguous_head);
   g_test_add_func ("/gate-framing/until-close", test_until_close);
   g_test_add_func ("/gate-framing/server-died", test_server_died);
