--- a/src/httpc.c
+++ b/src/httpc.c
@@ -194,7 +194,7 @@
 static bool
 is_head_truncated (const struct httpc_call *call, CURLcode code)
 {
-  return code == CURLE_OK && call->phase >= HTTPC_SENT && !call->head.ended;
+  return code == CURLE_OK && !call->request.connect_only && !call->head.ended;
 }
 
 static int
