tests: servers as processes that end their responses at any byte

/processes/truncated closes connections within heads and bodies and resets those of bodies without a length. The check that a success is whole covers plain bodies and streams that come with a length too; before, only streams in chunks.

--- a/tests/process_engine.h
+++ b/tests/process_engine.h
@@ -47,9 +47,11 @@
   int brittle; /* no percentage: falls over when it rejects more requests in a
                   second for want of room; 0: never */
   int load;    /* 1: tells its load */
+  int truncate; /* close the connection at any byte of the response's head or
+                   plain body */
 };
 
-#define ENGINE_FAULTS_FORMAT "%d,%d,%d,%d,%d,%d,%d,%d,%d,%d,%d,%d"
+#define ENGINE_FAULTS_FORMAT "%d,%d,%d,%d,%d,%d,%d,%d,%d,%d,%d,%d,%d"
 #define ENGINE_EXIT_CRASH 70
 #define REJECTED_MAX 64
 
@@ -206,6 +208,28 @@
   return rand_r (&connection->seed) % 100 < percent;
 }
 
+static void
+reset_connection (int fd)
+{
+  struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+}
+
+/* Returns whether the whole TEXT was sent.  A body without a length and chunks
+   that ends with a close, not a reset, is whole.  */
+static bool
+send_or_truncate (struct engine_connection *connection, const char *text,
+                  size_t n, bool unframed)
+{
+  bool whole = !drawn (connection, connection->engine->faults.truncate);
+  size_t sent = whole ? n : (size_t)rand_r (&connection->seed) % n;
+
+  if (!whole && unframed)
+    reset_connection (connection->fd);
+  return send_all (connection->fd, text, sent) && whole;
+}
+
 /* The headers that say something of the server itself.  */
 static void
 server_headers (struct engine_process *engine, char *out, size_t size)
@@ -264,9 +288,9 @@
     snprintf (length, sizeof length, "Content-Length: %zu\r\n",
               strlen (request->id));
   n = snprintf (text, sizeof text,
-                "HTTP/1.1 %s\r\n%s%s%sParsleyrill-Request-Id: %s\r\n\r\n%s",
-                status, length, extra, own, request->id, request->id);
-  if (!send_all (connection->fd, text, (size_t)n))
+                "HTTP/1.1 %s\r\n%s%sParsleyrill-Request-Id: %s\r\n%s\r\n%s",
+                status, extra, own, request->id, length, request->id);
+  if (!send_or_truncate (connection, text, (size_t)n, unframed))
     return false;
   memcpy (connection->last, text, (size_t)n + 1);
   return !unframed;
@@ -302,13 +326,13 @@
 
   server_headers (connection->engine, own, sizeof own);
   n = snprintf (text, sizeof text,
-                "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-                "%s%sParsleyrill-Response-Seal: s\r\n"
-                "Parsleyrill-Request-Id: %s\r\n\r\n",
-                unframed ? "" : "Transfer-Encoding: chunked\r\n", own,
-                request->id);
+                "HTTP/1.1 200 OK\r\n%sParsleyrill-Response-Seal: s\r\n"
+                "Parsleyrill-Request-Id: %s\r\n"
+                "%sContent-Type: text/event-stream\r\n\r\n",
+                own, request->id,
+                unframed ? "" : "Transfer-Encoding: chunked\r\n");
   connection->last[0] = '\0';
-  if (!send_all (connection->fd, text, (size_t)n))
+  if (!send_or_truncate (connection, text, (size_t)n, unframed))
     return false;
   for (unsigned i = request->resume_after + 1; i <= EVENTS; i++)
     {
@@ -326,14 +350,6 @@
   return !unframed && send_all (connection->fd, "0\r\n\r\n", 5);
 }
 
-static void
-reset_connection (int fd)
-{
-  struct linger linger = { .l_onoff = 1, .l_linger = 0 };
-
-  setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
-}
-
 #define SEALED "Parsleyrill-Response-Seal: s\r\n"
 #define NOT_RUN "Parsleyrill-Not-Executed: 1\r\n"
 
@@ -459,7 +475,7 @@
   sscanf (argv[6], ENGINE_FAULTS_FORMAT, &faults->lose, &faults->reset,
           &faults->full, &faults->fail, &faults->hang, &faults->close,
           &faults->repeat, &faults->unframed, &faults->partial, &faults->limit,
-          &faults->brittle, &faults->load);
+          &faults->brittle, &faults->load, &faults->truncate);
   pthread_mutex_init (&engine.lock, NULL);
   for (;;)
     {
--- a/tests/test_processes.c
+++ b/tests/test_processes.c
@@ -276,10 +276,10 @@
   char *port = g_strdup_printf ("%d", ENGINE_PORT);
   char *slots = g_strdup_printf ("%d", p->options->slots);
   char *seed = g_strdup_printf ("%u", g_rand_int (p->rand) % 1000000);
-  char *faults
-      = g_strdup_printf (ENGINE_FAULTS_FORMAT, f->lose, f->reset, f->full,
-                         f->fail, f->hang, f->close, f->repeat, f->unframed,
-                         f->partial, f->limit, f->brittle, f->load);
+  char *faults = g_strdup_printf (ENGINE_FAULTS_FORMAT, f->lose, f->reset,
+                                  f->full, f->fail, f->hang, f->close,
+                                  f->repeat, f->unframed, f->partial, f->limit,
+                                  f->brittle, f->load, f->truncate);
   char *argv[] = { (char *)program, (char *)"engine",
                    address,         port,
                    child->id,       p->record_path,
@@ -392,22 +392,39 @@
 
 static const char *const kind_paths[] = { "safe", "once", "cut", "long" };
 
-/* Waits for the response until DEADLINE; returns its status, 0 without
-   one.  *SHORT_: it is a whole stream that lacks its last event.  */
+/* Whether the response with body BODY, of LENGTH bytes unless it is chunked,
+   lacks an end though its framing does not: the last event of a stream, or a
+   byte of the request's id.  */
+static bool
+is_short (enum request_kind kind, const char *id, const char *body,
+          bool chunked, size_t length)
+{
+  if (kind >= KIND_CUT)
+    return !chunked
+           || strstr (body, "id: " G_STRINGIFY (EVENTS) "\ndata: x\n\n")
+                  == NULL;
+  return !chunked
+         && (length != strlen (id) || strncmp (body, id, length) != 0);
+}
+
+/* Waits for the response to request ID until DEADLINE; returns its status, 0
+   without one.  *SHORT_: it is a success that looks whole and is not.  */
 static int
-read_response (int fd, int64_t deadline, bool *keep, bool *short_)
+read_response (int fd, enum request_kind kind, const char *id,
+               int64_t deadline, bool *keep, bool *short_)
 {
   char input[HEAD_MAX];
   size_t length = 0;
+  size_t body = 0;
   bool chunked;
   char *blank;
+  int status;
 
   *keep = false;
   for (;;)
     {
       struct pollfd ready = { .fd = fd, .events = POLLIN };
       int64_t left = deadline - process_now_ms ();
-      size_t body = 0;
       char text[32];
       ssize_t n;
 
@@ -431,10 +448,9 @@
         break;
     }
   *keep = strstr (input, "Connection: close") == NULL;
-  *short_
-      = chunked
-        && strstr (blank, "id: " G_STRINGIFY (EVENTS) "\ndata: x\n\n") == NULL;
-  return atoi (input + strlen ("HTTP/1.1 "));
+  status = atoi (input + strlen ("HTTP/1.1 "));
+  *short_ = status == 200 && is_short (kind, id, blank + 4, chunked, body);
+  return status;
 }
 
 static void
@@ -476,9 +492,10 @@
   if (leaves)
     deadline_ms = rand_r (&caller->seed) % 60;
   keep = send_all (caller->fd, text, strlen (text));
-  status = keep ? read_response (caller->fd, process_now_ms () + deadline_ms,
-                                 &keep, &short_)
-                : 0;
+  status
+      = keep ? read_response (caller->fd, kind, id,
+                              process_now_ms () + deadline_ms, &keep, &short_)
+             : 0;
   record_line (record, short_ ? 'X' : 'E', "%s %d", id, status);
   g_free (text);
   g_free (prompt);
@@ -734,7 +751,7 @@
   unsigned double_runs;
   unsigned over_attempts;   /* requests that ran more often than ATTEMPTS */
   unsigned over_budget;     /* most repeats above the limit, in any window */
-  unsigned shortened;       /* whole streams without their last event */
+  unsigned shortened;       /* successes that look whole and are not */
   unsigned crashes;         /* by the bad part, or the bad request */
   unsigned crashes_counted; /* that count: fewer of a whole request */
   /* The last that counts, so far, ms; 0: none.  */
@@ -1312,6 +1329,22 @@
   run_processes (&options, 9);
 }
 
+/* Guards against responses that end at any byte, also of their head, and are
+   passed on as whole ones.  */
+static void
+test_truncated (void)
+{
+  static const struct process_case options
+      = { .engine = { .unframed = 30, .truncate = 10 },
+          .engines = 4,
+          .run_ms = 4000,
+          .slots = 64,
+          .budget_slack = 54,
+          .pause_ms = 20 };
+
+  run_processes (&options, 19);
+}
+
 /* Guards against a part of prompts that crashes one engine after the other,
    while nodes restart.  */
 static void
@@ -1499,6 +1532,7 @@
   g_test_add_func ("/processes/retries-after-restarts",
                    test_retries_after_restarts);
   g_test_add_func ("/processes/framing", test_framing);
+  g_test_add_func ("/processes/truncated", test_truncated);
   g_test_add_func ("/processes/bad-part", test_bad_part);
   g_test_add_func ("/processes/bad-request", test_bad_request);
   g_test_add_func ("/processes/limit", test_limit);
