call_answer: only a stream continues a stream that has begun

Callers of parsleyd saw a stream end as if it were complete, without its closing event: the server had broken off, and the next one had answered with a complete error, or with anything but a stream.

Cause: on_end took each complete response for the end of the call, and send_complete_answer ended the stream that had begun regularly.

Change: such a response to a resumed request is a failed attempt (-EPROTO); the stream goes on at a third one or is cut.

Evidence: /traffic-continued/errors failed before at the first of its cases (200 without the type of a stream: error 0 and two events of three), and passes now for 14 statuses with and without the type, the attempt's id and a body.

--- a/src/call_answer.c
+++ b/src/call_answer.c
@@ -202,11 +202,10 @@
 }
 
 static void
-on_end (void *user, const struct exchange_result *result)
+handle_result (struct call *call, const struct exchange_result *result,
+               bool refusal)
 {
-  struct call *call = user;
   struct worker *worker = call->worker;
-  bool refusal = !result->streamed && attempt_refusal (&result->http);
 
   call->exchange = NULL;
   attempt_finish (&call->attempts[call->count - 1], &result->http, refusal);
@@ -231,6 +230,20 @@
     }
 }
 
+/* Only a stream can continue the one that the caller has begun to receive.  */
+static void
+on_end (void *user, const struct exchange_result *result)
+{
+  struct call *call = user;
+  struct exchange_result checked = *result;
+  bool refusal = !result->streamed && attempt_refusal (&result->http);
+
+  if (result->http.error == 0 && !refusal && call->head_sent
+      && !result->streamed)
+    checked.http.error = -EPROTO;
+  handle_result (call, &checked, refusal);
+}
+
 static void
 on_begin (void *user, const struct exchange_result *result)
 {
--- /dev/null
+++ b/tests/test_traffic_continued.c
@@ -0,0 +1,147 @@
+/* Tests what may follow the beginning of a stream whose server broke off.  */
+
+#include "traffic_fixture.h"
+#include "script_server.h"
+
+#define PIECE(n) "data: {\"t\":" #n "}\n\n"
+#define WHOLE PIECE (1) PIECE (2) PIECE (3) "data: [DONE]\n\n"
+#define STREAM_TYPE "text/event-stream"
+
+static void
+on_engine (struct fixture *f, struct httpd_request *request, const char *body)
+{
+  (void)f;
+  (void)body;
+  httpd_drop (request);
+}
+
+static void
+on_engine_writable (struct fixture *f, struct httpd_request *request)
+{
+  (void)f;
+  (void)request;
+}
+
+static char *
+script_identity (const char *request)
+{
+  char *id = script_header (request, "X-Request-Id: ");
+  char *line = g_strdup_printf ("X-Request-Id: %s\r\n", id);
+
+  g_free (id);
+  return line;
+}
+
+static bool
+script_is_counted (const char *request)
+{
+  (void)request;
+  return true;
+}
+
+static struct script_answer
+script_proper (const char *request)
+{
+  struct script_answer answer = {
+    .status = 200, .type = STREAM_TYPE, .named = true, .framing = SCRIPT_CHUNKS
+  };
+  const char *from = strstr (request, "\"resume_from\":");
+  uint64_t events
+      = from != NULL ? g_ascii_strtoull (strchr (from, ':') + 1, NULL, 10) : 0;
+
+  answer.body = WHOLE + events * strlen (PIECE (1));
+  return answer;
+}
+
+/* Sends a stream request, which gets the COUNT answers first.  */
+static void
+request_stream (struct fixture *f, struct script_server *server,
+                const struct script_answer *answers, gint count)
+{
+  char *address;
+
+  set_up (f);
+  script_server_start (server);
+  memcpy (server->answers, answers, sizeof *answers * (size_t)count);
+  server->count = count;
+  address = g_strdup_printf ("127.0.0.1:%u", server->port);
+  route_engine_unref (f->replica);
+  f->replica = route_engine_new ("e1", address, "erie", "pool");
+  g_free (address);
+  publish (f, ROUTE_READY, false);
+  request_and_wait (f, "/v1/completions", BODY, NULL);
+}
+
+/* Passed on are whole events in order, each once, and the end is that of a
+   complete response only behind the closing event.  */
+static void
+check_stream (const struct fixture *f, const char *what)
+{
+  const char *body = f->response_body->str;
+
+  if (f->status != 200)
+    return;
+  if ((f->error == 0) != (strcmp (body, WHOLE) == 0)
+      || !g_str_has_prefix (WHOLE, body)
+      || (*body != '\0' && !g_str_has_suffix (body, "\n\n")))
+    g_error ("%s: error %d, \"%s\"", what, f->error, body);
+}
+
+static void
+end (struct fixture *f, struct script_server *server)
+{
+  tear_down (f);
+  script_server_stop (server);
+}
+
+static const unsigned statuses[]
+    = { 200, 201, 204, 206, 302, 400, 404, 408, 421, 429, 500, 502, 503, 504 };
+
+#define ERROR_BODY "{\"error\":{\"type\":\"failed\"}}"
+
+/* Two events and the beginning of the third.  */
+static const struct script_answer broken
+    = { .status = 200,
+        .type = STREAM_TYPE,
+        .named = true,
+        .headers = "Transfer-Encoding: chunked\r\n",
+        .framing = SCRIPT_UNTIL_CLOSE,
+        .body = "1e\r\n" PIECE (1) PIECE (2) "\r\n7\r\ndata: {" };
+
+/* A stream that was resumed at a server which answered with an error, or with
+   anything but a stream, ended as if it were complete.  */
+static void
+test_errors (void)
+{
+  struct script_answer answers[2] = { broken };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (statuses); i++)
+    for (unsigned bits = 0; bits < 8; bits++)
+      {
+        struct fixture f;
+        struct script_server server;
+        char what[32];
+
+        if (statuses[i] == 200 && (bits & 2) != 0)
+          continue;
+        g_snprintf (what, sizeof what, "%u/%u", statuses[i], bits);
+        answers[1] = (struct script_answer){
+          .status = statuses[i],
+          .named = (bits & 1) != 0,
+          .type = (bits & 2) != 0 ? STREAM_TYPE : "application/json",
+          .body = (bits & 4) != 0 && statuses[i] != 204 ? ERROR_BODY : ""
+        };
+        request_stream (&f, &server, answers, 2);
+        g_assert_cmpint (f.status, ==, 200);
+        check_stream (&f, what);
+        end (&f, &server);
+      }
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/traffic-continued/errors", test_errors);
+  return g_test_run ();
+}
