exchange: a stream is complete once its closing event was passed on

Callers of parsleyd got the closing event twice when the server's connection failed, fell silent or carried surplus bytes between the closing event and the end of the response's framing.

Cause: result_error looked at the connection's error first, so that the whole stream counted as truncated and was resumed behind its last event; the next server had only the closing event left to send.

Change: after the closing event the stream is complete however its connection ends, unless it was cancelled.

Evidence: /traffic-continued/failed-after-end failed before with a second "data: [DONE]" and passes now, with one request at the servers.

--- a/src/exchange.c
+++ b/src/exchange.c
@@ -150,16 +150,26 @@
                       exchange->ops->bytes, exchange->user);
 }
 
+/* Nothing that follows the closing event belongs to the stream.  */
+static bool
+has_closed (const struct exchange *exchange, const struct httpc_result *result)
+{
+  return exchange->streaming && exchange->sse.complete
+         && result->error != -ECANCELED;
+}
+
 static int
 result_error (const struct exchange *exchange,
               const struct httpc_result *result)
 {
   if (exchange->wrong_id)
     return -EBADMSG;
+  if (has_closed (exchange, result))
+    return 0;
   if (result->error < 0)
     return result->error;
   if (exchange->streaming && exchange->expects_done_event)
-    return exchange->sse.complete ? 0 : -EPIPE;
+    return -EPIPE;
   if (sse_is_truncated (exchange->buffer->str, exchange->buffer->len))
     return -EPIPE;
   /* The protocol of these servers asks for a length or chunks.  */
@@ -172,6 +182,8 @@
 {
   result->http = *http;
   result->http.error = result_error (exchange, http);
+  if (result->http.error == 0)
+    result->http.phase = HTTPC_COMPLETE;
   result->headers = get_response_headers (exchange);
   result->streamed = exchange->streaming;
   result->events = exchange->sse.events;
--- a/tests/test_traffic_continued.c
+++ b/tests/test_traffic_continued.c
@@ -138,10 +138,35 @@
       }
 }
 
+/* A stream whose closing event had been passed on was resumed when its
+   connection failed: the event came twice.  */
+static void
+test_failed_after_end (void)
+{
+  struct fixture f;
+  struct script_server server;
+  struct script_answer answers[] = {
+    { .status = 200,
+      .type = STREAM_TYPE,
+      .named = true,
+      .headers = "Transfer-Encoding: chunked\r\n",
+      .framing = SCRIPT_UNTIL_CLOSE,
+      .body = "3b\r\n" WHOLE "\r\n" },
+  };
+
+  request_stream (&f, &server, answers, 1);
+  g_assert_cmpint (f.error, ==, 0);
+  g_assert_cmpstr (f.response_body->str, ==, WHOLE);
+  g_assert_cmpint (g_atomic_int_get (&server.requests), ==, 1);
+  end (&f, &server);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/traffic-continued/errors", test_errors);
+  g_test_add_func ("/traffic-continued/failed-after-end",
+                   test_failed_after_end);
   return g_test_run ();
 }
