--- a/src/listing.c
+++ b/src/listing.c
@@ -274,17 +274,39 @@
   return ts_max (now, ts_add_ms (listing->last_outage_at, REREGISTRATION_MS));
 }
 
+/* The server ID is not in the list of SOURCE, made at MADE_AT, and is removed
+   at REMOVED_AT.  */
 static void
-drop_server (struct listing *listing, const char *id)
+drop_server (struct listing *listing, const char *id, const char *source,
+             struct timespec made_at, struct timespec removed_at)
 {
+  const struct server *server = servers_find (listing->servers, id);
+  struct timespec now = listing_now (listing);
   struct log_line line;
 
-  if (servers_find (listing->servers, id) == NULL)
+  if (server == NULL || !ts_is_zero (server->drop_at))
     return;
   log_begin (&line, EVENT_SERVER_DROPPED);
   log_str (&line, "engine", id);
+  log_str (&line, "source", source);
+  log_int (&line, "age_ms", ts_to_ms (ts_sub (now, made_at)));
+  log_int (&line, "kept_ms", ts_to_ms (ts_sub (removed_at, now)));
   log_end (&line);
-  servers_drop (listing->servers, id, removal_time (listing));
+  servers_drop (listing->servers, id, removed_at);
+}
+
+static void
+drop_unregistered (struct listing *listing, const char *id)
+{
+  drop_server (listing, id, "store", listing->listed_at,
+               removal_time (listing));
+}
+
+static void
+drop_unpublished (struct listing *listing, const char *id)
+{
+  drop_server (listing, id, "peer", listing->peer_listed_at,
+               listing_now (listing));
 }
 
 static bool
@@ -305,7 +327,7 @@
   g_hash_table_iter_init (&iter, servers_all (listing->servers));
   while (g_hash_table_iter_next (&iter, (gpointer *)&id, NULL))
     if (!is_listed (changes, id))
-      drop_server (listing, id);
+      drop_unregistered (listing, id);
 }
 
 static void
@@ -339,7 +361,7 @@
   begin_list (listing);
   for (size_t i = 0; i < changes->count; i++)
     if (changes->rows[i].value == NULL)
-      drop_server (listing, changes->rows[i].key);
+      drop_unregistered (listing, changes->rows[i].key);
     else
       changed = update_server (listing, &changes->rows[i]) || changed;
   if (complete)
@@ -751,7 +773,7 @@
 void
 listing_peer_list_remove (struct listing *listing, const char *id)
 {
-  servers_drop (listing->servers, id, listing_now (listing));
+  drop_unpublished (listing, id);
   expire_servers (listing);
 }
 
@@ -768,7 +790,7 @@
       g_hash_table_iter_init (&iter, servers_all (listing->servers));
       while (g_hash_table_iter_next (&iter, (gpointer *)&id, NULL))
         if (!g_hash_table_contains (listing->peer_servers, id))
-          servers_drop (listing->servers, id, listing_now (listing));
+          drop_unpublished (listing, id);
       expire_servers (listing);
     }
 }
