listing: one failed call to the store is no outage in which entries lapse

Cause: any call to the store that failed counted as an outage. A server whose entry was removed within 2.5 s after it, or before the next call, was kept until 2.5 s after the failure; what the decider keeps, all nodes that have it keep.

Change: a module of its own, outage, tells whether entries of live servers may have lapsed. They are renewed each heartbeat interval (HeartbeatMs of the settings) and lapse after three without that, so only an outage of two intervals counts; two outages with less than one between them are one.

After an outage of three intervals the server is kept as before (same test), and a short failure does not end that (/listing/failed-call-after-outage).

Why it works: with the store's answers at most two intervals apart no entry of a live server is missing, so nothing is lost by dropping it at once.

--- a/src/listing.c
+++ b/src/listing.c
@@ -10,6 +10,7 @@
 #include "netaddr.h"
 #include "log.h"
 #include "nodetable.h"
+#include "outage.h"
 #include "ts.h"
 
 /* Duration of a watch of the servers, and pause between two watches.  Rows
@@ -34,9 +35,6 @@
 #define SUSPENDED_CHECK_MS 150
 /* The store is called at least this often while it does not answer.  */
 #define OUTAGE_RECENT_MS 3000
-/* After an outage of the store, live servers register again within this
-   time.  */
-#define REREGISTRATION_MS 2500
 #define EXPIRE_INTERVAL_MS 250 /* between removals of expired servers */
 
 /* One watched table.  */
@@ -84,8 +82,8 @@
   /* SERVERS is the decider's list, as of its last message.  */
   bool peer_list_applied;
   struct timespec start_wait_until;
-  struct timespec last_outage_at; /* last failed call; zero: none */
-  bool restored;                  /* COPY_VERSION is not known yet */
+  struct outage outage;
+  bool restored; /* COPY_VERSION is not known yet */
   /* Rows up to this version may be from the copy that the store was restored
      from; 0: it was not.  */
   uint64_t copy_version;
@@ -262,18 +260,6 @@
   return changed;
 }
 
-/* Registrations expire during an outage of the store, so a server that
-   disappears soon afterwards may register again.  */
-static struct timespec
-removal_time (const struct listing *listing)
-{
-  struct timespec now = listing_now (listing);
-
-  if (ts_is_zero (listing->last_outage_at))
-    return now;
-  return ts_max (now, ts_add_ms (listing->last_outage_at, REREGISTRATION_MS));
-}
-
 /* The server ID is not in the list of SOURCE, made at MADE_AT, and is removed
    at REMOVED_AT.  */
 static void
@@ -299,7 +285,7 @@
 drop_unregistered (struct listing *listing, const char *id)
 {
   drop_server (listing, id, "store", listing->listed_at,
-               removal_time (listing));
+               outage_removal_time (&listing->outage, listing_now (listing)));
 }
 
 static void
@@ -473,7 +459,7 @@
       return;
     }
   if (!was_paused (watched))
-    listing->last_outage_at = now;
+    outage_failed (&listing->outage, now);
   loop_timer_set (listing->core->loop, &watched->timer,
                   retry_at (watched, status, now));
   watched->failures++;
@@ -511,6 +497,7 @@
       query_now (watched);
       return;
     }
+  outage_answered (&listing->outage, listing_now (listing));
   watched->failures = 0;
   watched->listed = true;
   watched->version = changes->version;
@@ -660,9 +647,10 @@
 bool
 listing_store_is_away (const struct listing *listing)
 {
-  return !ts_is_zero (listing->last_outage_at)
-         && ts_before (listing_now (listing),
-                       ts_add_ms (listing->last_outage_at, OUTAGE_RECENT_MS));
+  return !ts_is_zero (listing->outage.failed_at)
+         && ts_before (
+             listing_now (listing),
+             ts_add_ms (listing->outage.failed_at, OUTAGE_RECENT_MS));
 }
 
 int64_t
@@ -811,7 +799,7 @@
 static void
 on_store_restored (struct listing *listing)
 {
-  listing->last_outage_at = listing_now (listing);
+  outage_entries_lost (&listing->outage, listing_now (listing));
   listing->restored = true;
   listing->copy_version = 0;
   listing->peer_list_version = 0;
@@ -840,6 +828,7 @@
   struct listing *listing = (struct listing *)service;
 
   listing->core = core_find (kernel);
+  listing->outage.heartbeat_ms = listing->core->settings->heartbeat_ms;
   listing->links = links_find (kernel);
   start_watching (&listing->config_table, 0);
   start_watching (&listing->servers_table, START_DELAY_MS);
--- a/src/settings.h
+++ b/src/settings.h
@@ -30,6 +30,7 @@
   char *operator_token;
   unsigned threads;
   unsigned entry_ttl_s;
+  unsigned heartbeat_ms;    /* interval at which backend servers register */
   unsigned deadline_ms;     /* of a request without one */
   unsigned idle_timeout_ms; /* without a byte from a backend server */
   unsigned loads_per_min;   /* rate limit of the weight store */
--- a/tests/test_listing.c
+++ b/tests/test_listing.c
@@ -6,9 +6,11 @@
 #include "document.h"
 #include "links.h"
 #include "listing.h"
+#include "outage.h"
 #include "ts.h"
 
 #define STEP_MS 50
+#define HEARTBEAT_MS 1200
 
 struct pending
 {
@@ -152,6 +154,7 @@
   f->settings.seeds = (char *)"";
   f->settings.zone = (char *)"z";
   f->settings.region = (char *)"r";
+  f->settings.heartbeat_ms = HEARTBEAT_MS;
   f->core.settings = &f->settings;
   f->core.clk = &f->clk.clk;
   f->core.loop = loop_new (&f->clk.clk);
@@ -550,6 +553,93 @@
   g_assert_true (is_away_after_failure (STEP_MS));
 }
 
+/* Advances the clock until the servers are watched.  */
+static void
+await_servers_watch (struct fixture *f)
+{
+  while (!watches_servers (f))
+    {
+      f->clk.at = ts_add_ms (f->clk.at, STEP_MS);
+      loop_run_once (f->core.loop, 0);
+    }
+}
+
+/* Completes a watch of the servers: the entry of i1 was removed.  */
+static void
+remove_entry (struct fixture *f)
+{
+  struct platform_row row = { .key = (char *)"i1", .version = 10 };
+  struct platform_changes removed
+      = { .rows = &row, .count = 1, .version = 10 };
+
+  await_servers_watch (f);
+  for (guint i = 0; i < f->watches->len; i++)
+    {
+      struct pending *pending = g_ptr_array_index (f->watches, i);
+      struct platform_changes_cb cb = pending->cb;
+
+      if (strcmp (pending->table, "servers") != 0)
+        continue;
+      g_ptr_array_remove_index (f->watches, i);
+      cb.done (cb.user, PLATFORM_OK, &removed);
+      return;
+    }
+}
+
+/* All calls fail for OUTAGE_MS, then the entry of i1 turns out to be gone.
+   Returns how long the server is still listed.  */
+static int64_t
+kept_after_failures_ms (int64_t outage_ms)
+{
+  struct fixture f;
+  int64_t kept_ms = 0;
+
+  set_up (&f);
+  for (int64_t ms = 0; ms <= outage_ms; ms += STEP_MS)
+    {
+      await_servers_watch (&f);
+      fail_watches (&f);
+      f.clk.at = ts_add_ms (f.clk.at, STEP_MS);
+    }
+  remove_entry (&f);
+  while (server (&f, "i1") != NULL)
+    {
+      advance (&f, STEP_MS);
+      kept_ms += STEP_MS;
+    }
+  tear_down (&f);
+  return kept_ms;
+}
+
+/* A long outage, an answer, a short one, then the entry turns out to be gone.
+ */
+static void
+test_failed_call_after_outage (void)
+{
+  struct outage outage = { .heartbeat_ms = HEARTBEAT_MS };
+  struct timespec now = ts_from_ms (100000);
+
+  outage_answered (&outage, now);
+  now = ts_add_ms (now, 3 * HEARTBEAT_MS);
+  outage_failed (&outage, now);
+  now = ts_add_ms (now, HEARTBEAT_MS + 1);
+  outage_answered (&outage, ts_add_ms (now, -HEARTBEAT_MS));
+  outage_failed (&outage, now);
+  outage_answered (&outage, now);
+  g_assert_true (ts_before (now, outage_removal_time (&outage, now)));
+  now = ts_add_ms (now, OUTAGE_REREGISTRATION_MS);
+  g_assert_false (ts_before (now, outage_removal_time (&outage, now)));
+}
+
+/* Guards against requests to a server that has left, since a call to the store
+   failed at about that time: no entry of a live server lapses so soon.  */
+static void
+test_failed_call (void)
+{
+  g_assert_cmpint (kept_after_failures_ms (0), <=, 300);
+  g_assert_cmpint (kept_after_failures_ms (3 * HEARTBEAT_MS), >=, 2000);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -566,5 +656,8 @@
   g_test_add_func ("/listing/other-era", test_other_era);
   g_test_add_func ("/listing/late-response", test_late_response);
   g_test_add_func ("/listing/own-pause", test_own_pause);
+  g_test_add_func ("/listing/failed-call", test_failed_call);
+  g_test_add_func ("/listing/failed-call-after-outage",
+                   test_failed_call_after_outage);
   return g_test_run ();
 }
