replica_sync: a full list that is older than the node's own is not applied

What callers may see: requests to a server that leaves, from a node that had dropped it already.

Cause: a node that misses a message asks whoever sent it the next one for the full list, also a relay. A relay that is further behind sends what it has, and a receiver with a gap applied any full list, as only one without a gap compared the sequence numbers.

Change: a full list with a lower sequence number than the node's own is stale, gap or not; the node asks again at the next message.

Evidence: /replica-sync/older-list fails before (the older list is applied, the server is listed again), passes now; prop_replica_sync passes.

--- a/src/replica_sync.c
+++ b/src/replica_sync.c
@@ -319,11 +319,14 @@
   return receiver->in_sync && msg->seq == expected;
 }
 
-/* Whether all of MSG has been applied before: relays deliver copies.  */
+/* Whether all of MSG has been applied before: relays deliver copies, and a
+   relay that is asked for the full list may be further behind.  */
 static bool
 is_repeated (const struct replica_receiver *receiver,
              const struct peer_msg *msg)
 {
+  if (!receiver->in_sync)
+    return msg->full && msg->seq < receiver->seq;
   return msg->seq < receiver->seq
          || (msg->seq == receiver->seq && msg->replica_count > 0);
 }
@@ -336,7 +339,7 @@
     return REPLICA_SYNC_STALE;
   set_source (receiver, from, msg->fence);
   receiver->at = now;
-  if (receiver->in_sync && is_repeated (receiver, msg))
+  if (is_repeated (receiver, msg))
     return REPLICA_SYNC_STALE;
   if (!msg->full && !is_next_message (receiver, msg))
     {
