--- a/src/node.c
+++ b/src/node.c
@@ -308,6 +308,8 @@
 node_free (struct node *node)
 {
   struct log_line line;
+  unsigned open
+      = node->traffic != NULL ? traffic_open_requests (node->traffic) : 0;
 
   if (node->core.kernel != NULL)
     kernel_stop (node->core.kernel);
@@ -317,6 +319,7 @@
   traffic_free (node->traffic);
   suspect_table_free (node->suspect_table);
   log_begin (&line, EVENT_STOPPED);
+  log_int (&line, "open", open);
   log_end (&line);
   free_core (&node->core);
   g_free (node);
