gate: open requests get a response at the end of a planned stop

Callers whose requests were passed on got a closed connection when the drain time was over, among them requests that may not be repeated.

The process freed its HTTP server with requests open, which closes their connections. Now they are ended first: with 503 if they surely have not run, otherwise with 504, which promises nothing; streams that have begun are broken off. The process ends when the responses are sent, after 0.1 s at most.

--- a/src/forward.c
+++ b/src/forward.c
@@ -26,6 +26,7 @@
   forward_relay_free (forward);
   g_free (forward->target);
   g_free (forward->software);
+  TAILQ_REMOVE (&forward->gateway->open_requests, forward, open_link);
   forward->gateway->open--;
   g_free (forward);
 }
@@ -123,6 +124,31 @@
                     0);
 }
 
+static void
+end_request (struct forward *forward)
+{
+  forward_cancel (forward);
+  if (forward_not_run (forward))
+    forward_refuse (forward, 503, "stopping", STOPPING_RETRY_MS);
+  else
+    forward_refuse (forward, 504, "this node stops", 0);
+}
+
+void
+forward_end_all (struct gateway *gateway)
+{
+  struct forward *forward;
+  struct forward *next;
+
+  for (forward = TAILQ_FIRST (&gateway->open_requests); forward != NULL;
+       forward = next)
+    {
+      next = TAILQ_NEXT (forward, open_link);
+      if (forward->state != FORWARD_DONE)
+        end_request (forward);
+    }
+}
+
 /* What a relayed request's caller does is seen by the node that relayed it. */
 static void
 note_gone (struct forward *forward)
@@ -307,6 +333,7 @@
   forward->request = request;
   forward->buffer = g_string_new (NULL);
   forward->arrived = forward_now (forward);
+  TAILQ_INSERT_TAIL (&gateway->open_requests, forward, open_link);
   gateway->open++;
   counter_add (COUNTER_REQUESTS, 1);
   httpd_set_user (request, forward);
--- a/src/forward.h
+++ b/src/forward.h
@@ -25,6 +25,10 @@
 /* The caller can accept more of the response.  */
 void forward_writable (struct forward *forward);
 
+/* Ends all requests that are open, each with a response unless one has
+   begun.  */
+void forward_end_all (struct gateway *gateway);
+
 /* Dispatches waiting requests to servers that have room.  */
 void forward_dispatch_waiting (struct gateway *gateway);
 
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -35,6 +35,7 @@
 struct forward
 {
   TAILQ_ENTRY (forward) link; /* while FORWARD_WAITING */
+  TAILQ_ENTRY (forward) open_link;
   struct gateway *gateway;
   struct httpd_request *request; /* NULL once the caller is gone */
   struct caller_request parsed;
--- a/src/gate.c
+++ b/src/gate.c
@@ -15,6 +15,7 @@
 #include "ts.h"
 
 #define DRAIN_CHECK_MS 50
+#define DRAIN_FLUSH_MS 100 /* to send the last responses */
 /* Callers may still connect this long after their lookup answer expired.  */
 #define LOOKUP_GRACE_MS 1500
 
@@ -33,6 +34,7 @@
   struct service *gateway;
   struct loop_timer drain_timer;
   struct timespec drain_started_at;
+  bool requests_ended; /* at the end of the drain time */
 };
 
 static void
@@ -159,8 +161,14 @@
   int64_t elapsed_ms = ts_to_ms (ts_sub (now, gate->drain_started_at));
   unsigned open = gateway_open_requests (gate->gateway);
 
-  if (elapsed_ms >= gate->options.drain_ms
-      || (open == 0 && elapsed_ms >= lookup_ms))
+  if (elapsed_ms >= gate->options.drain_ms && !gate->requests_ended)
+    {
+      gate->requests_ended = true;
+      gateway_end_requests (gate->gateway);
+      open = gateway_open_requests (gate->gateway);
+    }
+  if (elapsed_ms >= gate->options.drain_ms + DRAIN_FLUSH_MS
+      || (open == 0 && (gate->requests_ended || elapsed_ms >= lookup_ms)))
     gate_stop (gate);
   else
     loop_timer_set (gate->core.loop, timer, ts_add_ms (now, DRAIN_CHECK_MS));
--- a/src/gate.h
+++ b/src/gate.h
@@ -29,7 +29,9 @@
   const struct catalog *catalog;
   struct gateway_options gateway;
   struct planners_options planners;
-  int64_t drain_ms; /* time limit of a graceful shutdown */
+  /* Of a graceful shutdown: open requests are then ended; their responses may
+     take 0.2 s more.  */
+  int64_t drain_ms;
   /* Cancels the calls in flight to the platform and to engines, including
      calls started meanwhile, and runs their callbacks.  Called once, before
      the services stop.  */
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -468,6 +468,7 @@
   gateway->service.name = "gateway";
   gateway->options = *options;
   TAILQ_INIT (&gateway->waiting);
+  TAILQ_INIT (&gateway->open_requests);
   gateway->patience
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   gateway->peers
@@ -503,6 +504,12 @@
   return httpd_port (((const struct gateway *)service)->front);
 }
 
+void
+gateway_end_requests (struct service *service)
+{
+  forward_end_all ((struct gateway *)service);
+}
+
 unsigned
 gateway_open_requests (const struct service *service)
 {
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -25,8 +25,8 @@
   struct gateway_address directory;
   struct gateway_address ready;
   struct gateway_address metrics;
-  const char *zone;         /* of this node */
-  int64_t drain_ms;         /* maximum duration of a planned stop */
+  const char *zone; /* of this node */
+  int64_t drain_ms; /* of a planned stop, until open requests are ended */
   unsigned max_connections; /* from callers */
   /* Limit of retries that all nodes together may send to a service: a
      share of its requests, plus a burst.  */
@@ -43,6 +43,10 @@
 /* The port for callers' requests, in host byte order.  */
 uint16_t gateway_port (const struct service *service);
 
+/* Ends the requests in progress, each with a response unless one has begun.
+   They count as open until it is sent.  */
+void gateway_end_requests (struct service *service);
+
 /* Number of callers' requests in progress.  */
 unsigned gateway_open_requests (const struct service *service);
 
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -73,7 +73,8 @@
   struct loop_timer cleanup_timer;
   struct loop_timer retry_timer;
   bool retry_begins_empty;
-  unsigned open;                    /* requests in progress */
+  struct forward_list open_requests;
+  unsigned open;                    /* of OPEN_REQUESTS */
   struct timespec drain_started_at; /* start of the planned stop */
 };
 
--- a/tests/gate_fixture.h
+++ b/tests/gate_fixture.h
@@ -19,6 +19,10 @@
 #include "ts.h"
 
 #define MANY_RETRIES 100
+/* A test program may set another.  */
+#ifndef DRAIN_MS
+#define DRAIN_MS 5000
+#endif
 
 struct row
 {
@@ -530,7 +534,7 @@
                                   .platform = f->platform,
                                   .backend = f->backend,
                                   .catalog = document_catalog (),
-                                  .drain_ms = 5000,
+                                  .drain_ms = DRAIN_MS,
                                   .close = close_upstream,
                                   .user = f };
 
