parsley-gate: drains until the last sixth of a short grace period

With a GraceS of less than 4.8, streams that were passed on were cut before the last sixth of the grace period: the margin before its end was 0.8 s, however short it is. Now it is an eighth of it at most.

/processes/planned-stops drives callers on kept and new connections through stops of nodes one after the other and together, in calm, with a GraceS of 4, and compares what engines ran with what callers got. Requests and streams take up to 6 s there.

--- a/daemons/parsley-gate.c
+++ b/daemons/parsley-gate.c
@@ -21,7 +21,10 @@
 #include "ts.h"
 
 #define SETTINGS_POLL_MS 1000
-#define STOP_MARGIN_MS 800 /* part of the grace period not used to drain */
+/* The part of the grace period that is not used to drain: the process ends
+   before it is killed, and cuts streams only in the last sixth.  */
+#define STOP_MARGIN_MS 800
+#define STOP_MARGIN_SHARE 8 /* of the grace period, at most */
 #define LOG_LINES_PER_S 400
 #define FDS_RESERVED 300 /* descriptors not used for callers' connections */
 
@@ -286,6 +289,12 @@
   return address;
 }
 
+static int64_t
+drain_ms (int64_t grace_ms)
+{
+  return grace_ms - MIN (STOP_MARGIN_MS, grace_ms / STOP_MARGIN_SHARE);
+}
+
 static int
 create_gate (struct process *process)
 {
@@ -298,7 +307,7 @@
           .backend = process->backend,
           .catalog = document_catalog (),
           .planners = { .checks_fence = settings_file->checks_fence },
-          .drain_ms = settings_file->grace_ms - STOP_MARGIN_MS,
+          .drain_ms = drain_ms (settings_file->grace_ms),
           .close = close_http_client,
           .user = process };
 
--- a/tests/process_engine.h
+++ b/tests/process_engine.h
@@ -2,7 +2,8 @@
    process of its own, with one thread per connection.
 
    It appends a line to the record for each request that arrives ("A") and for
-   each that it runs ("R"): kind, time in ms, request id, instance id.  A
+   each that it runs ("R") and has run ("D"): kind, time in ms, request id,
+   instance id.  A
    request whose prompt has the part "bad", or whose path is /safe/crash, ends
    the process when its answer is due, with a line "C".  A brittle server ends
    with a line "F" when it has rejected too many.  */
@@ -49,9 +50,11 @@
   int load;    /* 1: tells its load */
   int truncate; /* close the connection at any byte of the response's head or
                    plain body */
+  int slow;     /* run for up to SLOW_MAX_MS more */
 };
 
-#define ENGINE_FAULTS_FORMAT "%d,%d,%d,%d,%d,%d,%d,%d,%d,%d,%d,%d,%d"
+#define ENGINE_FAULTS_FORMAT "%d,%d,%d,%d,%d,%d,%d,%d,%d,%d,%d,%d,%d,%d"
+#define SLOW_MAX_MS 6000
 #define ENGINE_EXIT_CRASH 70
 #define REJECTED_MAX 64
 
@@ -86,6 +89,7 @@
   unsigned resume_after;
   bool stream;
   bool bad;
+  int slow_ms;
 };
 
 static int64_t
@@ -345,7 +349,7 @@
         return false;
       if (i == last)
         break;
-      sleep_ms (EVENT_INTERVAL_MS);
+      sleep_ms (EVENT_INTERVAL_MS + request->slow_ms / EVENTS);
     }
   return !unframed && send_all (connection->fd, "0\r\n\r\n", 5);
 }
@@ -390,13 +394,14 @@
   if (request->stream)
     return respond_events (connection, request)
            && !drawn (connection, faults->close);
+  sleep_ms (request->slow_ms);
   return respond (connection, request, "200 OK", SEALED)
          && !drawn (connection, faults->close);
 }
 
 static bool
 handle_engine_request (struct engine_connection *connection,
-                       const struct engine_request *request)
+                       struct engine_request *request)
 {
   struct engine_process *engine = connection->engine;
   bool keep;
@@ -415,9 +420,12 @@
       count_rejection (engine);
       return respond (connection, request, "503 Full", NOT_RUN);
     }
+  if (engine->faults.slow > 0 && drawn (connection, engine->faults.slow))
+    request->slow_ms = rand_r (&connection->seed) % SLOW_MAX_MS;
   atomic_fetch_add (&engine->running, 1);
   keep = run_request (connection, request);
   atomic_fetch_sub (&engine->running, 1);
+  record_line (engine->record, 'D', "%s %s", request->id, engine->id);
   return keep;
 }
 
@@ -475,7 +483,7 @@
   sscanf (argv[6], ENGINE_FAULTS_FORMAT, &faults->lose, &faults->reset,
           &faults->full, &faults->fail, &faults->hang, &faults->close,
           &faults->repeat, &faults->unframed, &faults->partial, &faults->limit,
-          &faults->brittle, &faults->load, &faults->truncate);
+          &faults->brittle, &faults->load, &faults->truncate, &faults->slow);
   pthread_mutex_init (&engine.lock, NULL);
   for (;;)
     {
--- a/tests/test_processes.c
+++ b/tests/test_processes.c
@@ -42,6 +42,12 @@
 #define FALLS_MAX 2 /* of brittle engines, and a tenth of their number */
 #define LIMIT_WINDOW_MS 4000
 #define LIMIT_SLACK 5
+#define GRACE_S 2
+/* Of a caller that waits for slow requests.  */
+#define PATIENT_MS 9000
+/* A request sent later after a SIGTERM may not be cut.  */
+#define CUT_SENT_MS 3000
+#define STOPS_MAX 64
 
 /* Percentages of the ticks.  */
 struct process_faults
@@ -74,6 +80,7 @@
   int bad_request;
   int cut;         /* the first so many gates are cut off from the engines */
   bool cut_refuse; /* new connections are refused then, others hang */
+  int grace_s;     /* 0: GRACE_S */
 };
 
 struct child
@@ -279,7 +286,7 @@
   char *faults = g_strdup_printf (ENGINE_FAULTS_FORMAT, f->lose, f->reset,
                                   f->full, f->fail, f->hang, f->close,
                                   f->repeat, f->unframed, f->partial, f->limit,
-                                  f->brittle, f->load, f->truncate);
+                                  f->brittle, f->load, f->truncate, f->slow);
   char *argv[] = { (char *)program, (char *)"engine",
                    address,         port,
                    child->id,       p->record_path,
@@ -298,6 +305,12 @@
   g_free (address);
 }
 
+static int
+grace_s (const struct processes *p)
+{
+  return p->options->grace_s > 0 ? p->options->grace_s : GRACE_S;
+}
+
 static char *
 write_gate_settings (struct processes *p, int i)
 {
@@ -311,11 +324,11 @@
       "\"Listen\":{\"Front\":\"%s:%d\",\"Ready\":\"%s:%d\","
       "\"Control\":\"%s:%d\",\"Directory\":\"%s:%d\"},"
       "\"Seeds\":[\"%s:%d\"],\"Limits\":{\"FdLimit\":2000},"
-      "\"Bounds\":{\"GraceS\":2,\"BudgetRatio\":%g,\"BudgetSlack\":%d,"
+      "\"Bounds\":{\"GraceS\":%d,\"BudgetRatio\":%g,\"BudgetSlack\":%d,"
       "\"BudgetWindowS\":%d},"
       "\"Platform\":{\"Address\":\"%s:%d\"}}",
       i, ip, FRONT_PORT, ip, READY_PORT, ip, CONTROL_PORT, ip, DIRECTORY_PORT,
-      seed, CONTROL_PORT, BUDGET_RATIO, p->options->budget_slack,
+      seed, CONTROL_PORT, grace_s (p), BUDGET_RATIO, p->options->budget_slack,
       p->options->budget_window_s, store, STORE_PORT);
 
   g_assert_true (g_file_set_contents (path, text, -1, NULL));
@@ -471,7 +484,10 @@
   char *text;
   bool keep;
   int status;
+  int64_t end;
 
+  if (options->engine.slow > 0)
+    deadline_ms = PATIENT_MS;
   g_snprintf (id, sizeof id, "%s%u-%u", bad || bad_request ? "bad" : "",
               caller->number, n);
   /* Requests that differ are not blamed together when an engine ends.  */
@@ -491,12 +507,13 @@
     record_line (record, 'G', "%s %d", id, caller->gate);
   if (leaves)
     deadline_ms = rand_r (&caller->seed) % 60;
+  end = process_now_ms () + deadline_ms;
   keep = send_all (caller->fd, text, strlen (text));
   status
-      = keep ? read_response (caller->fd, kind, id,
-                              process_now_ms () + deadline_ms, &keep, &short_)
-             : 0;
+      = keep ? read_response (caller->fd, kind, id, end, &keep, &short_) : 0;
   record_line (record, short_ ? 'X' : 'E', "%s %d", id, status);
+  if (status == 0 && process_now_ms () < end)
+    record_line (record, 'L', "%s 0", id);
   g_free (text);
   g_free (prompt);
   if (!keep || status == 0 || rand_r (&caller->seed) % 8 == 0)
@@ -586,6 +603,8 @@
   if (tick_drawn (p, faults->drain_gate) && gate->start_at == 0)
     {
       kill (gate->pid, SIGTERM);
+      if (!gate->draining)
+        record_line (p->record, 'T', "gate %d", (int)(gate - p->gates));
       gate->draining = true;
     }
   if (tick_drawn (p, faults->kill_all_gates))
@@ -736,10 +755,19 @@
   int status;
   int gate;       /* 1 and up; 0: the caller left early */
   long long sent; /* ms */
+  long long lost; /* ms: the connection ended without an answer; 0: no */
+  long long done; /* ms: the last run ended; 0: none has */
   unsigned arrivals;
   unsigned runs;
 };
 
+/* The SIGTERMs of one gate.  */
+struct stops
+{
+  long long at[STOPS_MAX]; /* ms */
+  unsigned count;
+};
+
 struct totals
 {
   GHashTable *requests; /* id to struct request_record */
@@ -760,8 +788,9 @@
   unsigned sound;    /* sound streams sent from twice that after */
   unsigned sound_answered;
   GHashTable *arrivals; /* engine to GArray of times, ms */
-  long long first;      /* first line, ms */
-  unsigned falls;       /* of brittle engines, from STABILITY_MS after FIRST */
+  struct stops stops[GATES];
+  long long first; /* first line, ms */
+  unsigned falls;  /* of brittle engines, from STABILITY_MS after FIRST */
 };
 
 static void
@@ -812,6 +841,14 @@
       totals->falls += time > totals->first + STABILITY_MS;
       return;
     }
+  if (kind == 'T')
+    {
+      struct stops *stops = &totals->stops[value];
+
+      g_assert_cmpuint (stops->count, <, STOPS_MAX);
+      stops->at[stops->count++] = time;
+      return;
+    }
   if (kind == 'A')
     read_arrival (totals, line, time);
   if (strcmp (id, "warm") == 0)
@@ -832,6 +869,10 @@
     request->gate = value + 1;
   if (kind == 'E' || kind == 'X')
     request->status = value;
+  if (kind == 'L')
+    request->lost = time;
+  if (kind == 'D')
+    request->done = time;
   totals->shortened += kind == 'X';
   read_bad_line (totals, kind, id, time);
   if (kind == 'A' && request->arrivals++ > 0)
@@ -1032,6 +1073,66 @@
                         >= 2.0 / 3 * others.answered / others.sent);
 }
 
+/* Whether a request that was passed on to an engine was cut in the stop that
+   began at STOP, though that engine had ended its work before the last sixth
+   of the grace, or the request was sent late.  */
+static bool
+is_cut_by_stop (const struct processes *p,
+                const struct request_record *request, long long stop)
+{
+  long long last_sixth = stop + grace_s (p) * TS_MS_PER_S * 5 / 6;
+  bool late = request->sent > stop + CUT_SENT_MS;
+  bool idle = request->lost < last_sixth
+              || (request->done != 0 && request->done < last_sixth);
+
+  return request->lost >= stop
+         && request->lost <= stop + (grace_s (p) + 1) * TS_MS_PER_S
+         && (late || idle);
+}
+
+/* Requests that stops cut.  */
+static void
+check_stops (const struct processes *p, const struct totals *totals)
+{
+  GHashTableIter iter;
+  gpointer id;
+  gpointer value;
+  unsigned stops = 0;
+  unsigned lost = 0;
+  unsigned ends = 0;
+
+  if (p->options->grace_s == 0)
+    return;
+  for (int i = 0; i < GATES; i++)
+    stops += totals->stops[i].count;
+  g_hash_table_iter_init (&iter, totals->requests);
+  while (g_hash_table_iter_next (&iter, &id, &value))
+    {
+      const struct request_record *request = value;
+      const struct stops *of;
+
+      if (request->lost == 0 || request->runs == 0 || request->gate == 0)
+        continue;
+      ends++;
+      of = &totals->stops[request->gate - 1];
+      for (unsigned i = 0; i < of->count; i++)
+        if (is_cut_by_stop (p, request, of->at[i]))
+          {
+            lost++;
+            g_test_message ("cut: %s of kind %d, sent %lld ms and cut %lld ms "
+                            "after the signal",
+                            (const char *)id, request->kind,
+                            request->sent - of->at[i],
+                            request->lost - of->at[i]);
+          }
+    }
+  g_test_message ("%u stops, %u connections that ended without an answer, %u "
+                  "of them count",
+                  stops, ends, lost);
+  g_assert_cmpuint (stops, >=, 3);
+  g_assert_cmpuint (lost, ==, 0);
+}
+
 static void
 free_times (gpointer times)
 {
@@ -1080,6 +1181,7 @@
   check_limit (p, &totals);
   check_cut (p, &totals);
   check_brittle (p, &totals);
+  check_stops (p, &totals);
   g_hash_table_unref (totals.arrivals);
   g_strfreev (lines);
   g_free (text);
@@ -1487,6 +1589,35 @@
   run_processes (&options, 18);
 }
 
+/* Nodes stop as planned in calm, one after the other and together.  */
+static const struct process_case planned_stops
+    = { .engine = { .slow = 30 },
+        .process = { .drain_gate = 5 },
+        .engines = 4,
+        .run_ms = 12000,
+        .slots = 64,
+        .budget_slack = 54,
+        .pause_ms = 300,
+        .answered_min = 50,
+        .grace_s = 4 };
+
+/* Guards against requests that a node passes on late in a planned stop, and
+   cuts at its end without an answer.  STOP_SEEDS sets the number of seeds, 1
+   by default, and STOP_GRACE_S the grace.  */
+static void
+test_planned_stops (void)
+{
+  const char *seeds = g_getenv ("STOP_SEEDS");
+  unsigned count = seeds != NULL ? (unsigned)atoi (seeds) : 1;
+  const char *grace = g_getenv ("STOP_GRACE_S");
+  struct process_case options = planned_stops;
+
+  if (grace != NULL)
+    options.grace_s = atoi (grace);
+  for (unsigned seed = 1; seed <= count; seed++)
+    run_processes (&options, 200 + seed);
+}
+
 /* All faults at once, for runs by hand.  */
 static void
 test_all (void)
@@ -1542,6 +1673,7 @@
   g_test_add_func ("/processes/cut", test_cut);
   g_test_add_func ("/processes/cut-refused", test_cut_refused);
   g_test_add_func ("/processes/cut-failing", test_cut_failing);
+  g_test_add_func ("/processes/planned-stops", test_planned_stops);
   g_test_add_func ("/processes/all", test_all);
   return g_test_run ();
 }
