drain: a stopping node takes what is likely to end before it does

In a planned stop, requests were taken and passed on by the time since the signal alone: also those of routes whose requests take longer than what is left, and with a long GraceS for longer than the 3 s after which none may be cut. At the end they were cut.

A pure module now decides: for the former shares of the drain time, a request is taken, and one that waited is sent, if its deadline comes before the end, or if most of the last 16 requests of its route took less time than is left; from 2.8 s on only the former are taken. Others get 503 at once. The same holds for a request that one node has rejected, before it is passed on to the next.

--- a/src/forward.c
+++ b/src/forward.c
@@ -280,6 +280,33 @@
   return route;
 }
 
+static struct drain_request
+drain_request (const struct forward *forward)
+{
+  const struct duration *duration
+      = gateway_duration (forward->gateway, forward->route->name);
+
+  return (struct drain_request){ .deadline = forward->deadline,
+                                 .usual = duration_usual (duration) };
+}
+
+static bool
+accepts_now (const struct forward *forward)
+{
+  struct drain_request request = drain_request (forward);
+
+  return drain_accepts (&forward->gateway->drain, &request, forward->arrived);
+}
+
+bool
+forward_may_send (const struct forward *forward)
+{
+  struct drain_request request = drain_request (forward);
+
+  return drain_may_send (&forward->gateway->drain, &request,
+                         forward_now (forward));
+}
+
 static void
 accept_request (struct forward *forward)
 {
@@ -293,7 +320,7 @@
       refuse_bad_request (forward, 400, why);
       return;
     }
-  if (!gateway_accepts (gateway))
+  if (!drain_is_open (&gateway->drain, forward->arrived))
     {
       forward_refuse (forward, 503, "stopping", STOPPING_RETRY_MS);
       return;
@@ -312,6 +339,11 @@
       return;
     }
   set_deadline (forward);
+  if (!accepts_now (forward))
+    {
+      forward_refuse (forward, 503, "stopping", STOPPING_RETRY_MS);
+      return;
+    }
   forward_set_features (forward);
   if (forward_reject_quarantined (forward))
     return;
--- a/src/forward_answer.c
+++ b/src/forward_answer.c
@@ -241,6 +241,9 @@
   struct gateway *gateway = forward->gateway;
 
   forward_log_done (forward, result);
+  if (result->status < FORWARD_SERVER_ERROR)
+    duration_add (gateway_duration (gateway, forward->route->name),
+                  ts_sub (forward_now (forward), forward->sent_at));
   note_request_time (forward);
   for (size_t i = 0; !forward->to_peer && i < forward->parsed.part_count; i++)
     pick_hint (gateway->pick, forward->engine->id, forward->parsed.parts[i],
--- a/src/forward_relay.c
+++ b/src/forward_relay.c
@@ -276,7 +276,7 @@
   struct gateway *gateway = forward->gateway;
   struct route_engine *peer = NULL;
 
-  if (forward->request != NULL)
+  if (forward->request != NULL && forward_may_send (forward))
     peer = forward_pick_peer (forward);
   if (peer != NULL && forward->peer_note.sendings > 0
       && !retry_withdraw (gateway->retry, forward->service->name))
--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -542,7 +542,7 @@
   GArray *replicas = find_replicas (forward, &ready_at);
   struct route_engine *engine = NULL;
 
-  if (replicas->len > 0 && gateway_may_dispatch (forward->gateway)
+  if (replicas->len > 0 && forward_may_send (forward)
       && forward_left_ms (forward) >= FORWARD_ANSWER_MIN_MS)
     engine = pick_engine (forward, replicas);
   g_array_unref (replicas);
@@ -565,7 +565,7 @@
               && strcmp (replica->engine->id, forward->engine->id) == 0;
     }
   g_array_unref (replicas);
-  return found && gateway_may_dispatch (forward->gateway);
+  return found && forward_may_send (forward);
 }
 
 /* Takes the retry from the budget that the next dispatch needs, if any.  */
@@ -601,14 +601,13 @@
 static bool
 relay_request (struct forward *forward)
 {
-  return gateway_may_dispatch (forward->gateway) && take_due_retry (forward)
+  return forward_may_send (forward) && take_due_retry (forward)
          && forward_relay (forward);
 }
 
 void
 forward_route (struct forward *forward)
 {
-  struct gateway *gateway = forward->gateway;
   struct timespec now = forward_now (forward);
   struct route_engine *engine = NULL;
   struct timespec ready_at;
@@ -620,7 +619,7 @@
   if (cutoff_all (forward_cutoff (forward), now) && relay_request (forward))
     return;
   replicas = find_replicas (forward, &ready_at);
-  if (replicas->len > 0 && gateway_may_dispatch (gateway))
+  if (replicas->len > 0 && forward_may_send (forward))
     engine = pick_engine (forward, replicas);
   cut_off = engine == NULL && is_cut_off (forward, replicas);
   g_array_unref (replicas);
@@ -633,7 +632,7 @@
     }
   if (engine != NULL)
     dispatch_or_reject (forward, engine);
-  else if (!gateway_may_dispatch (gateway))
+  else if (!forward_may_send (forward))
     forward_fail (forward, "stopping", DEFAULT_RETRY_AFTER_MS);
   else if (version_is_gone (forward))
     forward_fail (forward, "no server has the version that began the stream",
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -126,6 +126,9 @@
 /* Fails the request: 503 if it certainly did not run, otherwise 502.  */
 void forward_fail (struct forward *forward, const char *why, int64_t retry_ms);
 void forward_finish (struct forward *forward);
+/* Whether the request can still be sent to a server and answered in time,
+   should this node be stopping.  */
+bool forward_may_send (const struct forward *forward);
 
 /* forward_send.c */
 
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -28,12 +28,6 @@
 /* Share of the fleet-wide retry limit that the nodes may use together.  The
    rest is a reserve, as nodes count independently.  */
 #define RETRY_SAFETY 0.7
-/* Shares of the drain time, from its start, during which new requests are
-   accepted and waiting ones dispatched.  When the first ends, callers have
-   refreshed their addresses; most responses take less time than remains after
-   the second.  */
-#define DRAIN_ACCEPT_SHARE 0.4
-#define DRAIN_DISPATCH_SHARE 0.6
 #define NODES_ASSUMED_MIN 4 /* until the other nodes are known */
 
 static void
@@ -199,18 +193,6 @@
                     ts_add_ms (loop_now (loop), DISPATCH_INTERVAL_MS));
 }
 
-static bool
-within_drain (const struct gateway *gateway, double share)
-{
-  struct timespec now = clk_now (gateway->core->clk);
-  int64_t passed_ms;
-
-  if (!gateway->core->draining)
-    return true;
-  passed_ms = ts_to_ms (ts_sub (now, gateway->drain_started_at));
-  return (double)passed_ms < share * (double)gateway->options.drain_ms;
-}
-
 struct patience *
 gateway_patience (struct gateway *gateway, const char *name)
 {
@@ -224,16 +206,17 @@
   return patience;
 }
 
-bool
-gateway_accepts (const struct gateway *gateway)
+struct duration *
+gateway_duration (struct gateway *gateway, const char *name)
 {
-  return within_drain (gateway, DRAIN_ACCEPT_SHARE);
-}
+  struct duration *duration = g_hash_table_lookup (gateway->durations, name);
 
-bool
-gateway_may_dispatch (const struct gateway *gateway)
-{
-  return within_drain (gateway, DRAIN_DISPATCH_SHARE);
+  if (duration == NULL)
+    {
+      duration = g_new0 (struct duration, 1);
+      g_hash_table_insert (gateway->durations, g_strdup (name), duration);
+    }
+  return duration;
 }
 
 static void
@@ -430,7 +413,9 @@
   struct retry_options retry;
 
   if (event->type == KERNEL_DRAIN_STARTED)
-    gateway->drain_started_at = clk_now (gateway->core->clk);
+    gateway->drain
+        = (struct drain){ .started_at = clk_now (gateway->core->clk),
+                          .ms = gateway->options.drain_ms };
   if (event->type == KERNEL_SERVER_HEARD)
     gateway_server_heard (gateway, event->data);
   if (event->type == KERNEL_SERVER_REMOVED)
@@ -471,6 +456,8 @@
   TAILQ_INIT (&gateway->open_requests);
   gateway->patience
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  gateway->durations
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   gateway->peers
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, unref_peer);
   gateway->waiting_for
@@ -492,6 +479,7 @@
   retry_free (gateway->retry);
   g_hash_table_unref (gateway->waiting_for);
   g_hash_table_unref (gateway->patience);
+  g_hash_table_unref (gateway->durations);
   g_hash_table_unref (gateway->peers);
   if (gateway->services != NULL)
     g_hash_table_unref (gateway->services);
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -9,6 +9,7 @@
 #include "brittle.h"
 #include "caller.h"
 #include "core.h"
+#include "drain.h"
 #include "eject.h"
 #include "gateway.h"
 #include "httpc.h"
@@ -63,7 +64,8 @@
   struct brittle *brittle;
   GHashTable *services; /* name to struct gateway_service */
   struct loop_timer probe_timer;
-  GHashTable *patience; /* route to struct patience */
+  GHashTable *patience;  /* route to struct patience */
+  GHashTable *durations; /* route to struct duration */
   GHashTable *peers; /* id to struct route_engine: nodes that take requests */
   struct retry *retry;
   struct forward_list waiting; /* most urgent first */
@@ -74,16 +76,10 @@
   struct loop_timer retry_timer;
   bool retry_begins_empty;
   struct forward_list open_requests;
-  unsigned open;                    /* of OPEN_REQUESTS */
-  struct timespec drain_started_at; /* start of the planned stop */
+  unsigned open; /* of OPEN_REQUESTS */
+  struct drain drain;
 };
 
-/* During a planned stop: whether a new request can still be accepted, and
-   whether a waiting one can still be dispatched and answered in time.
-   Both are true when there is no planned stop.  */
-bool gateway_accepts (const struct gateway *gateway);
-bool gateway_may_dispatch (const struct gateway *gateway);
-
 /* gateway_probe.c: whether servers are cut off from this node, see cutoff.h.
  */
 
@@ -103,6 +99,8 @@
 /* How long callers of route NAME wait; created when first asked for;
    borrowed.  */
 struct patience *gateway_patience (struct gateway *gateway, const char *name);
+/* The same: how long its requests take.  */
+struct duration *gateway_duration (struct gateway *gateway, const char *name);
 
 /* Schedules a dispatch round for waiting requests: in the next iteration
    of the event loop, or after the usual interval.  */
--- a/tests/test_gate_stop.c
+++ b/tests/test_gate_stop.c
@@ -2,6 +2,10 @@
 
 #define DRAIN_MS 800
 #include "gate_fixture.h"
+#include "gateway_state.h"
+
+static const char *const short_deadline[]
+    = { "Parsleyrill-Deadline-Ms: 300", NULL };
 
 static void
 handle_at_server (struct fixture *f, struct httpd_request *request)
@@ -43,10 +47,73 @@
   tear_down (&f);
 }
 
+/* Guards against requests that are passed on in a planned stop although those
+   of their route take longer than the rest of it.  One whose deadline comes
+   before its end is served.  */
+static void
+test_too_long (void)
+{
+  struct fixture f;
+  struct gateway *gateway;
+
+  set_up (&f);
+  wait_until_serving (&f);
+  gateway = (struct gateway *)gate_service (f.gate, "gateway");
+  for (int i = 0; i < DURATION_SAMPLES; i++)
+    duration_add (gateway_duration (gateway, "once"), ts_from_ms (DRAIN_MS));
+  request_and_wait (&f, "POST", "/once/x", NULL);
+  g_assert_cmpint (f.status, ==, 200);
+  f.at_server = 0;
+  gate_drain (f.gate);
+  request_and_wait (&f, "POST", "/once/x", NULL);
+  g_assert_cmpint (f.status, ==, 503);
+  g_assert_nonnull (f.retry_after);
+  g_assert_cmpuint (f.at_server, ==, 0);
+  request_and_wait (&f, "POST", "/once/x", short_deadline);
+  g_assert_cmpint (f.status, ==, 200);
+  request_and_wait (&f, "GET", "/safe/x", NULL);
+  g_assert_cmpint (f.status, ==, 200);
+  tear_down (&f);
+}
+
+/* Guards against requests that wait until late in a planned stop, and are then
+   passed on although those of their route take longer than the rest of it.  */
+static void
+test_waited_too_long (void)
+{
+  struct fixture f;
+  struct gateway *gateway;
+
+  set_up (&f);
+  wait_until_serving (&f);
+  gateway = (struct gateway *)gate_service (f.gate, "gateway");
+  for (int i = 0; i < DURATION_SAMPLES; i++)
+    duration_add (gateway_duration (gateway, "once"),
+                  ts_from_ms (DRAIN_MS * 7 / 10));
+  list_server (&f, "draining");
+  do
+    request_and_wait (&f, "GET", "/safe/x", short_deadline);
+  while (f.status == 200);
+  f.at_server = 0;
+  gate_drain (f.gate);
+  start_request (&f, "POST", "/once/x", NULL);
+  for (int64_t end = g_get_monotonic_time () + DRAIN_MS * 400;
+       g_get_monotonic_time () < end && !f.done;)
+    run_once (&f);
+  list_server (&f, "ready");
+  RUN_UNTIL (&f, f.done);
+  g_assert_cmpint (f.status, ==, 503);
+  g_assert_nonnull (f.retry_after);
+  g_assert_cmpuint (f.at_server, ==, 0);
+  tear_down (&f);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/gate-stop/unanswered", test_unanswered);
+  g_test_add_func ("/gate-stop/too-long", test_too_long);
+  g_test_add_func ("/gate-stop/waited-too-long", test_waited_too_long);
   return g_test_run ();
 }
