parsleyd: a stopping node rejects requests before it ends

A request that a traffic thread read in the moment in which the node ended was passed on to a server, and its connection closed without an answer.

The control thread stopped the node once it saw no open request; the traffic threads took requests until they were stopped, some milliseconds later, after the services. With callers on kept connections, a node could also go on for as long as they did. Now, once the lookup answers have expired, new requests get 503 "stopping", not run, and their connections are closed; the node ends when none is open at a look after that.

/traffic-stop/closed fails without the check in call_start: the request reaches the server (502 after its timeout, not 503). The moment itself was not met in a run of real processes.

--- a/src/call.c
+++ b/src/call.c
@@ -270,6 +270,21 @@
   loop_timer_set (call->worker->loop, &call->deadline_timer, call->deadline);
 }
 
+/* The caller finds another node by a lookup.  */
+static void
+refuse_stopping (struct call *call)
+{
+  struct reply_error error = { .status = 503,
+                               .type = "stopping",
+                               .message = "this node is stopping",
+                               .not_run = true,
+                               .retry_after_s = CALL_RETRY_AFTER_S,
+                               .close = true };
+
+  send_refusal (call, &error);
+  call_finish (call);
+}
+
 static void
 start_admission (struct call *call)
 {
@@ -323,5 +338,9 @@
   counter_add (COUNTER_REQUESTS, 1);
   httpd_set_user (request, call);
   set_deadline (call);
-  start_routing (call);
+  ck_pr_fence_memory ();
+  if (ck_pr_load_uint (worker->draining) == WORKER_CLOSED)
+    refuse_stopping (call);
+  else
+    start_routing (call);
 }
--- a/src/entry.c
+++ b/src/entry.c
@@ -13,7 +13,7 @@
 static bool
 is_draining (const struct worker *worker)
 {
-  return ck_pr_load_uint (worker->draining) != 0;
+  return ck_pr_load_uint (worker->draining) != WORKER_SERVING;
 }
 
 static void
@@ -31,7 +31,7 @@
 {
   static const struct reply_error error
       = { 503,  "starting",    "this node has no configuration yet",
-          true, RETRY_AFTER_S, NULL };
+          true, RETRY_AFTER_S, NULL, false };
 
   reply_error (request, &error);
 }
--- a/src/node.c
+++ b/src/node.c
@@ -44,6 +44,7 @@
   struct service *inbox;
   struct loop_timer drain_timer;
   struct timespec drain_until;
+  bool closed; /* since the last look at the open requests, or before */
 };
 
 static int
@@ -239,8 +240,14 @@
       = (struct node *)((char *)timer - offsetof (struct node, drain_timer));
   struct timespec now = loop_now (node->core.loop);
 
-  if (!ts_before (now, node->drain_until)
-      && traffic_open_requests (node->traffic) == 0
+  bool closed = node->closed;
+
+  if (!ts_before (now, node->drain_until) && !closed)
+    {
+      node->closed = true;
+      traffic_close (node->traffic);
+    }
+  if (closed && traffic_open_requests (node->traffic) == 0
       && records_pending (node->records) == 0)
     node_stop (node);
   else
--- a/src/reply.c
+++ b/src/reply.c
@@ -14,7 +14,7 @@
 void
 reply_error (struct httpd_request *request, const struct reply_error *error)
 {
-  const char *headers[5] = { NULL };
+  const char *headers[7] = { NULL };
   char seconds[16];
   size_t n = 0;
   char *text = api_error (error->type, error->message, error->not_run,
@@ -31,6 +31,11 @@
       headers[n++] = "Allow";
       headers[n++] = error->allow;
     }
+  if (error->close)
+    {
+      headers[n++] = "Connection";
+      headers[n++] = "close";
+    }
   httpd_respond (request, error->status, "application/json", headers, text,
                  strlen (text));
   g_free (text);
--- a/src/reply.h
+++ b/src/reply.h
@@ -14,6 +14,7 @@
   bool not_run;
   unsigned retry_after_s; /* 0: no Retry-After */
   const char *allow;      /* methods for a 405, or NULL */
+  bool close;             /* the connection ends after the response */
 };
 
 void reply_error (struct httpd_request *request,
--- a/src/traffic.c
+++ b/src/traffic.c
@@ -11,7 +11,7 @@
   struct worker **workers;
   GThread **threads;
   unsigned count;
-  unsigned draining; /* atomic */
+  unsigned draining; /* atomic, enum worker_draining */
   bool running;
 };
 
@@ -116,7 +116,14 @@
 void
 traffic_drain (struct traffic *traffic)
 {
-  ck_pr_store_uint (&traffic->draining, 1);
+  ck_pr_store_uint (&traffic->draining, WORKER_DRAINING);
+}
+
+void
+traffic_close (struct traffic *traffic)
+{
+  ck_pr_store_uint (&traffic->draining, WORKER_CLOSED);
+  ck_pr_fence_memory ();
 }
 
 unsigned
--- a/src/traffic.h
+++ b/src/traffic.h
@@ -4,9 +4,9 @@
    HTTP client, an inbox for messages from the control thread and a reader of
    the route tables.  A request stays in the thread that accepted it.
 
-   traffic_new, traffic_start, traffic_drain, traffic_stop and traffic_free
-   must be called from one thread; the other functions may be called from
-   any.  */
+   traffic_new, traffic_start, traffic_drain, traffic_close, traffic_stop and
+   traffic_free must be called from one thread; the other functions may be
+   called from any.  */
 
 #ifndef PARSLEYRILL_TRAFFIC_H
 #define PARSLEYRILL_TRAFFIC_H
@@ -65,6 +65,10 @@
    node no longer list it.  Requests are served as before.  */
 void traffic_drain (struct traffic *traffic);
 
+/* From now on, requests are rejected; those in progress are completed.  A
+   thread that does not see it yet counts its request as open.  */
+void traffic_close (struct traffic *traffic);
+
 /* Number of requests whose response is not complete, over all threads.  */
 unsigned traffic_open_requests (const struct traffic *traffic);
 
--- a/src/worker.h
+++ b/src/worker.h
@@ -17,10 +17,17 @@
 #include "ring.h"
 #include "traffic.h"
 
+enum worker_draining
+{
+  WORKER_SERVING,
+  WORKER_DRAINING, /* a planned stop has begun */
+  WORKER_CLOSED    /* and requests are rejected */
+};
+
 struct worker
 {
   const struct traffic_options *options;
-  const unsigned *draining; /* atomic; 1 after a planned stop began */
+  const unsigned *draining; /* atomic, enum worker_draining */
   unsigned index;
   struct loop *loop;
   struct httpd *httpd;
