--- a/src/forward.c
+++ b/src/forward.c
@@ -26,6 +26,7 @@
   forward_relay_free (forward);
   g_free (forward->target);
   g_free (forward->software);
+  TAILQ_REMOVE (&forward->gateway->open_requests, forward, open_link);
   forward->gateway->open--;
   g_free (forward);
 }
@@ -123,6 +124,31 @@
                     0);
 }
 
+static void
+end_request (struct forward *forward)
+{
+  forward_cancel (forward);
+  if (forward_not_run (forward))
+    forward_refuse (forward, 503, "stopping", STOPPING_RETRY_MS);
+  else
+    forward_refuse (forward, 504, "this node stops", 0);
+}
+
+void
+forward_end_all (struct gateway *gateway)
+{
+  struct forward *forward;
+  struct forward *next;
+
+  for (forward = TAILQ_FIRST (&gateway->open_requests); forward != NULL;
+       forward = next)
+    {
+      next = TAILQ_NEXT (forward, open_link);
+      if (forward->state != FORWARD_DONE)
+        end_request (forward);
+    }
+}
+
 /* What a relayed request's caller does is seen by the node that relayed it. */
 static void
 note_gone (struct forward *forward)
@@ -254,6 +280,33 @@
   return route;
 }
 
+static struct drain_request
+drain_request (const struct forward *forward)
+{
+  const struct duration *duration
+      = gateway_duration (forward->gateway, forward->route->name);
+
+  return (struct drain_request){ .deadline = forward->deadline,
+                                 .usual = duration_usual (duration) };
+}
+
+static bool
+accepts_now (const struct forward *forward)
+{
+  struct drain_request request = drain_request (forward);
+
+  return drain_accepts (&forward->gateway->drain, &request, forward->arrived);
+}
+
+bool
+forward_may_send (const struct forward *forward)
+{
+  struct drain_request request = drain_request (forward);
+
+  return drain_may_send (&forward->gateway->drain, &request,
+                         forward_now (forward));
+}
+
 static void
 accept_request (struct forward *forward)
 {
@@ -267,7 +320,7 @@
       refuse_bad_request (forward, 400, why);
       return;
     }
-  if (!gateway_accepts (gateway))
+  if (!drain_is_open (&gateway->drain, forward->arrived))
     {
       forward_refuse (forward, 503, "stopping", STOPPING_RETRY_MS);
       return;
@@ -286,6 +339,11 @@
       return;
     }
   set_deadline (forward);
+  if (!accepts_now (forward))
+    {
+      forward_refuse (forward, 503, "stopping", STOPPING_RETRY_MS);
+      return;
+    }
   forward_set_features (forward);
   if (forward_reject_quarantined (forward))
     return;
@@ -307,6 +365,7 @@
   forward->request = request;
   forward->buffer = g_string_new (NULL);
   forward->arrived = forward_now (forward);
+  TAILQ_INSERT_TAIL (&gateway->open_requests, forward, open_link);
   gateway->open++;
   counter_add (COUNTER_REQUESTS, 1);
   httpd_set_user (request, forward);
