sse, forward: a continued stream has no event that does not follow

Callers of parsley-gate got an error, events that they had, or events that could not be placed in the middle of a stream: the first server had broken off, and the next one answered 200 with the type of a stream. A stream with an event without an id was resumed behind the last id, so that the event came twice.

Cause: the ids of events were read to resume a stream, never to check what resumes it; and has_id stayed set after an event that has none.

Change: sse_continue gives the position, and each event of a continuation, comments aside, needs a higher id than the one before; else the attempt has failed (-EPROTO) and the stream goes on elsewhere or is cut. A stream is not resumed behind an event without an id. Ids need not be consecutive, so a gap can't be told.

--- a/src/forward_answer.c
+++ b/src/forward_answer.c
@@ -192,9 +192,9 @@
 
   err = sse_forward (&forward->sse, forward->buffer, bytes, n, write_to_caller,
                      forward);
-  if (forward->sse.has_id)
+  if (forward->sse.events > before)
     {
-      forward->can_resume = true;
+      forward->can_resume = forward->sse.has_id;
       forward->last_event = forward->sse.last_id;
     }
   if (before == 0 && forward->sse.events > 0 && !forward->to_peer)
--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -385,6 +385,8 @@
   relay_clear (&forward->peer_note);
   forward->streaming = false;
   sse_init (&forward->sse, false);
+  if (forward->head_sent)
+    sse_continue (&forward->sse, forward->last_event);
   g_string_truncate (forward->buffer, 0);
   count_attempt (forward);
   eject_begin (gateway->eject, engine->id, now);
--- a/src/sse.c
+++ b/src/sse.c
@@ -1,7 +1,6 @@
 #include "sse.h"
 
 #include <errno.h>
-#include <stdlib.h>
 #include <string.h>
 
 #define DONE_EVENT "data: [DONE]"
@@ -14,6 +13,14 @@
   sse->has_closing_event = has_closing_event;
 }
 
+void
+sse_continue (struct sse *sse, uint64_t last_id)
+{
+  sse->continues = true;
+  sse->has_id = true;
+  sse->last_id = last_id;
+}
+
 bool
 sse_is_stream (const char *content_type)
 {
@@ -58,29 +65,52 @@
          && (event[n] == '\n' || event[n] == '\r');
 }
 
-/* Remembers the id of the last event that has a numeric one; a client
-   sends it to resume the stream.  */
-static void
-note_id (struct sse *sse, const char *event, size_t length)
+/* Parses the value of an id field.  */
+static bool
+parse_id (const char *value, const char *end, uint64_t *id)
+{
+  const char *at = value;
+
+  while (at < end && *at == ' ')
+    at++;
+  value = at;
+  while (at < end && g_ascii_isdigit (*at))
+    at++;
+  if (at == value || (at < end && *at != '\r' && *at != '\n'))
+    return false;
+  *id = g_ascii_strtoull (value, NULL, 10);
+  return true;
+}
+
+/* Remembers the id of the event; a client sends the last one to resume the
+   stream.  Lines that begin with a colon are comments.  */
+static int
+note_event (struct sse *sse, const char *event, size_t length)
 {
   const char *line = event;
   const char *end = event + length;
+  bool is_comment = true;
+  bool has_id = false;
+  uint64_t id = 0;
 
   while (line < end)
     {
       const char *next = memchr (line, '\n', (size_t)(end - line));
-      char *rest;
-      uint64_t id;
 
+      if (*line != ':' && *line != '\r' && *line != '\n')
+        is_comment = false;
       if (end - line > 3 && memcmp (line, "id:", 3) == 0)
-        {
-          id = strtoull (line + 3, &rest, 10);
-          sse->has_id = sse->has_id || rest > line + 3;
-          if (rest > line + 3)
-            sse->last_id = id;
-        }
+        has_id = parse_id (line + 3, end, &id);
       line = next != NULL ? next + 1 : end;
     }
+  if (is_comment)
+    return 0;
+  if (sse->continues && (!has_id || id <= sse->last_id))
+    return -EPROTO;
+  sse->has_id = has_id;
+  if (has_id)
+    sse->last_id = id;
+  return 0;
 }
 
 /* The bytes kept from before contain no complete event, but may end within
@@ -104,11 +134,10 @@
         return -EPROTO;
       if (sse->has_closing_event && is_done_event (bytes + passed, n))
         sse->complete = true;
+      else if (note_event (sse, bytes + passed, n) < 0)
+        return -EPROTO;
       else
-        {
-          sse->events++;
-          note_id (sse, bytes + passed, n);
-        }
+        sse->events++;
       passed += n;
       from = 0;
     }
--- a/src/sse.h
+++ b/src/sse.h
@@ -20,12 +20,18 @@
   uint64_t events; /* passed on, not counting the closing one */
   bool complete;   /* the closing event was received */
   size_t partial;  /* bytes of an incomplete event at the end */
-  bool has_id;     /* an event with a numeric id was passed on */
+  bool has_id;     /* the last event, comments aside, has a numeric id */
+  bool continues;  /* see sse_continue */
   uint64_t last_id;
 };
 
 void sse_init (struct sse *sse, bool has_closing_event);
 
+/* The stream continues one that has been passed on up to the event LAST_ID.
+   Each of its events must have a higher id than the one before; comments need
+   none.  */
+void sse_continue (struct sse *sse, uint64_t last_id);
+
 /* Whether CONTENT_TYPE is that of a stream of events.  */
 bool sse_is_stream (const char *content_type);
 
@@ -36,7 +42,7 @@
 /* BYTES are the bytes kept from before followed by new ones.  Returns how
    many of them to pass on; the caller keeps the rest and supplies it
    again.  -EMSGSIZE when an event is too long, -EPROTO when bytes follow
-   the closing event.  */
+   the closing event, or when an event does not continue the stream.  */
 int64_t sse_scan (struct sse *sse, const char *bytes, size_t length);
 
 /* Processes N new bytes: scans PARTIAL followed by them, passes complete
--- a/tests/script_server.h
+++ b/tests/script_server.h
@@ -109,8 +109,8 @@
   size_t length = strlen (answer->body);
   size_t piece = length / 3;
 
-  g_string_printf (out, "HTTP/1.1 %u X\r\n%s%s", answer->status,
-                   answer->named ? identity : "",
+  g_string_printf (out, "HTTP/1.1 %u X\r\nConnection: close\r\n%s%s",
+                   answer->status, answer->named ? identity : "",
                    answer->headers != NULL ? answer->headers : "");
   g_free (identity);
   if (answer->type != NULL)
