--- a/tests/test_traffic_continued.c
+++ b/tests/test_traffic_continued.c
@@ -6,6 +6,7 @@
 #define PIECE(n) "data: {\"t\":" #n "}\n\n"
 #define WHOLE PIECE (1) PIECE (2) PIECE (3) "data: [DONE]\n\n"
 #define STREAM_TYPE "text/event-stream"
+#define RANDOM_CASES 60
 
 static void
 on_engine (struct fixture *f, struct httpd_request *request, const char *body)
@@ -161,6 +162,61 @@
   end (&f, &server);
 }
 
+/* Cut at any byte, in pieces, with any framing, status and body.  */
+static struct script_answer
+draw_answer (bool first)
+{
+  static const unsigned drawn[] = { 200, 200, 206, 404, 500, 503 };
+  static const char *const bodies[]
+      = { ERROR_BODY, ERROR_BODY "\n\n", PIECE (3), "data: [DONE]\n\n", "" };
+  struct script_answer answer
+      = { .status = 200,
+          .type = STREAM_TYPE,
+          .named = true,
+          .body = first ? WHOLE : PIECE (3) "data: [DONE]\n\n",
+          .framing = (enum script_framing)g_test_rand_int_range (0, 2),
+          .keep = (size_t)g_test_rand_int_range (1, 250),
+          .pause = (size_t)g_test_rand_int_range (0, 250),
+          .reset = g_test_rand_int_range (0, 3) == 0 };
+
+  if (first)
+    return answer;
+  answer.status = drawn[g_test_rand_int_range (0, G_N_ELEMENTS (drawn))];
+  if (answer.status != 200)
+    answer.body = bodies[g_test_rand_int_range (0, G_N_ELEMENTS (bodies))];
+  else
+    answer.type = "application/json";
+  if (g_test_rand_int_range (0, 2) == 0)
+    answer.keep = 0;
+  return answer;
+}
+
+/* Whatever the servers send, the caller gets whole events in order, each once.
+ */
+static void
+test_random (void)
+{
+  struct fixture f;
+  struct script_server server;
+
+  for (int i = 0; i < RANDOM_CASES; i++)
+    {
+      struct script_answer answers[]
+          = { draw_answer (true), draw_answer (false) };
+      char *what = g_strdup_printf ("%d: %d %zu %zu, then %u %d %zu %zu %s", i,
+                                    answers[0].framing, answers[0].keep,
+                                    answers[0].pause, answers[1].status,
+                                    answers[1].framing, answers[1].keep,
+                                    answers[1].pause, answers[1].body);
+
+      request_stream (&f, &server, answers, G_N_ELEMENTS (answers));
+      if (g_str_has_prefix (f.response_body->str, PIECE (1)))
+        check_stream (&f, what);
+      end (&f, &server);
+      g_free (what);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -168,5 +224,6 @@
   g_test_add_func ("/traffic-continued/errors", test_errors);
   g_test_add_func ("/traffic-continued/failed-after-end",
                    test_failed_after_end);
+  g_test_add_func ("/traffic-continued/random", test_random);
   return g_test_run ();
 }
