httpd, forward: the log tells which requests libmicrohttpd rejected

What libmicrohttpd answers by itself (400, 413, 431) was neither logged nor counted, and a route without a service was logged as a route that is not there. So nothing told which part of a node had turned a request away.

BAD_REQUEST has why=unparsed with the reason phrase, and "no service for the route". /httpd-head/unparsed failed before (nothing reported); /httpd-head/corpus now requires just one report for each rejected head that was answered. A request line that does not fit is still not reported: libmicrohttpd names no request then.

--- a/src/forward.c
+++ b/src/forward.c
@@ -192,6 +192,8 @@
 static void
 refuse_unknown_route (struct forward *forward)
 {
+  const char *why
+      = forward->route == NULL ? "no such route" : "no service for the route";
   const struct listing *listing = forward->gateway->listing;
   struct log_line line;
 
@@ -199,13 +201,13 @@
   log_begin (&line, EVENT_BAD_REQUEST);
   log_str (&line, "method", httpd_method (forward->request));
   log_str (&line, "path", httpd_path (forward->request));
-  log_str (&line, "why", "no such route");
+  log_str (&line, "why", why);
   log_str (&line, "request", forward->parsed.id);
   log_int (&line, "version", (int64_t)forward->site->version);
   log_int (&line, "in_force_ms", listing_config_in_force_ms (listing));
   log_int (&line, "read_ms", listing_config_read_ms (listing));
   log_end (&line);
-  forward_refuse (forward, 404, "no such route", 0);
+  forward_refuse (forward, 404, why, 0);
 }
 
 /* Requests with the same prompt are routed to the same service.  */
--- a/src/httpd.c
+++ b/src/httpd.c
@@ -303,6 +303,8 @@
   if (request == NULL)
     return;
   *con_cls = NULL;
+  if (request->stage <= STAGE_BODY && !request->rejected)
+    httpd_report_unparsed (request);
   if (request->closes && complete)
     httpd_discard_unread (request);
   httpd_conn_start_timer (get_conn (connection));
--- a/src/httpd.h
+++ b/src/httpd.h
@@ -30,7 +30,8 @@
 enum httpd_reject
 {
   HTTPD_REJECT_BODY_TOO_LARGE,
-  HTTPD_REJECT_MALFORMED
+  HTTPD_REJECT_MALFORMED,
+  HTTPD_REJECT_UNPARSED /* by libmicrohttpd; the fault is the reason phrase */
 };
 
 struct httpd_options
--- a/src/httpd_reject.c
+++ b/src/httpd_reject.c
@@ -23,6 +23,7 @@
   enum MHD_Result result;
 
   request->closes = true;
+  request->rejected = true;
   MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE,
                            "application/json");
   MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
@@ -59,6 +60,17 @@
   return reject_with (request, MHD_HTTP_BAD_REQUEST, response);
 }
 
+void
+httpd_report_unparsed (const struct httpd_request *request)
+{
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      request->connection, MHD_CONNECTION_INFO_HTTP_STATUS);
+
+  if (info != NULL && info->http_status >= MHD_HTTP_BAD_REQUEST)
+    httpd_report_rejection (request->httpd, HTTPD_REJECT_UNPARSED,
+                            MHD_get_reason_phrase_for (info->http_status));
+}
+
 /* Bytes that are unread when a connection is closed cause a reset, which may
    overtake the response.  */
 void
--- a/src/httpd_reject.h
+++ b/src/httpd_reject.h
@@ -17,6 +17,9 @@
 enum MHD_Result httpd_reject_malformed (struct httpd_request *request,
                                         const char *fault);
 
+/* Reports a request that libmicrohttpd has answered by itself, if it has.  */
+void httpd_report_unparsed (const struct httpd_request *request);
+
 /* Reads what has come since, before the connection is closed.  */
 void httpd_discard_unread (const struct httpd_request *request);
 
--- a/src/httpd_state.h
+++ b/src/httpd_state.h
@@ -42,6 +42,7 @@
   bool truncated;  /* close after the bytes in OUT, without ending the body */
   bool aborted;    /* close at once */
   bool too_large;
+  bool rejected;    /* by this module */
   size_t discarded; /* bytes of a body that is too large */
   unsigned stuck;   /* checks since bytes of the body were read */
   bool stalled;     /* a write returned -EAGAIN */
