forward: a route without a service is answered with 503, not 404

What callers saw: 404, after which nobody repeats a request, for a route that the configuration in force has, if its service is not listed there or its traffic split has no weight.

Cause: one branch answered both "no route matches" and "the route leads nowhere". The first is the caller's fault, the second is not.

Evidence: /unknown-route/no-service failed before: 404 for 503. Routes that no configuration has still get 404. Not seen on the users' machines: their store takes only valid configurations.

--- a/src/forward.c
+++ b/src/forward.c
@@ -7,6 +7,7 @@
 #include "ts.h"
 
 #define STARTING_RETRY_MS 500 /* time to obtain the configuration */
+#define CONFIG_RETRY_MS 500   /* time for a newer configuration to arrive */
 #define STOPPING_RETRY_MS 20  /* another node can take the request at once */
 #define DEFAULT_TIMEOUT_MS 60000 /* when neither caller nor route sets one */
 
@@ -187,8 +188,9 @@
                   forward->deadline);
 }
 
-/* The log tells which version of the configuration the request was judged by,
-   and how old that was.  */
+/* Callers do not repeat a request after 404, but do after 503.  The log tells
+   which version of the configuration the request was judged by, and how old
+   that was.  */
 static void
 refuse_unknown_route (struct forward *forward)
 {
@@ -207,7 +209,10 @@
   log_int (&line, "in_force_ms", listing_config_in_force_ms (listing));
   log_int (&line, "read_ms", listing_config_read_ms (listing));
   log_end (&line);
-  forward_refuse (forward, 404, why, 0);
+  if (forward->route != NULL)
+    forward_refuse (forward, 503, why, CONFIG_RETRY_MS);
+  else
+    forward_refuse (forward, 404, why, 0);
 }
 
 /* Requests with the same prompt are routed to the same service.  */
