forward, confwatch: 404 only by a configuration that is known to be current

What callers saw: 404 for a route that had been added, by a node that had not got the newer configuration: it had heard nothing of the store for longer than a configuration may take (Bounds/ConfigMs), or had even been told by the decider that there is a newer version. Nobody repeats a request after 404; after 503 another node serves it.

Cause: a node took what it did not know for what is not there. It already answered 503 while it had no configuration at all, but not while it had one that it could not vouch for.

Change: a request that matches no route gets 404 only if the node's version is the newest one that it was told of, and if the store or the decider's word confirmed it within ConfigMs; otherwise 503 with Retry-After.

--- a/daemons/parsley-gate.c
+++ b/daemons/parsley-gate.c
@@ -310,6 +310,7 @@
   options.gateway.retry_share = settings_file->retry_share;
   options.gateway.retry_burst = settings_file->retry_burst;
   options.gateway.retry_window_ms = settings_file->retry_window_ms;
+  options.gateway.config_ms = settings_file->config_ms;
   options.gateway.max_connections
       = settings_file->fd_limit > 2 * FDS_RESERVED
             ? settings_file->fd_limit - FDS_RESERVED
--- a/src/confwatch.c
+++ b/src/confwatch.c
@@ -50,6 +50,21 @@
          || ts_before (now, ts_add_ms (watch->told_from, push_ms));
 }
 
+static bool
+is_within (struct timespec at, int64_t ms, struct timespec now)
+{
+  return !ts_is_zero (at) && !ts_before (ts_add_ms (at, ms), now);
+}
+
+bool
+confwatch_is_current (const struct confwatch *watch, uint64_t version,
+                      int64_t within_ms, struct timespec now)
+{
+  return version >= watch->told_version
+         && (is_within (watch->known_at, within_ms, now)
+             || is_within (watch->told_at, within_ms, now));
+}
+
 int64_t
 confwatch_age_ms (const struct confwatch *watch, struct timespec now)
 {
--- a/src/confwatch.h
+++ b/src/confwatch.h
@@ -58,6 +58,11 @@
 bool confwatch_relies (const struct confwatch *watch, uint64_t version,
                        int64_t push_ms, struct timespec now);
 
+/* Whether VERSION, which this node has, is the newest one that it was told of,
+   and was the store's newest one at most WITHIN_MS ago.  */
+bool confwatch_is_current (const struct confwatch *watch, uint64_t version,
+                           int64_t within_ms, struct timespec now);
+
 /* Age of what this node knows from the store.  */
 int64_t confwatch_age_ms (const struct confwatch *watch, struct timespec now);
 /* Age of the decider's word; 0: unknown.  */
--- a/src/forward.c
+++ b/src/forward.c
@@ -188,6 +188,17 @@
                   forward->deadline);
 }
 
+/* Whether a configuration that this node does not have may have the route.  */
+static bool
+may_be_routed (const struct forward *forward)
+{
+  const struct gateway *gateway = forward->gateway;
+
+  return forward->route != NULL
+         || !listing_config_is_current (gateway->listing,
+                                        gateway->options.config_ms);
+}
+
 /* Callers do not repeat a request after 404, but do after 503.  The log tells
    which version of the configuration the request was judged by, and how old
    that was.  */
@@ -209,7 +220,7 @@
   log_int (&line, "in_force_ms", listing_config_in_force_ms (listing));
   log_int (&line, "read_ms", listing_config_read_ms (listing));
   log_end (&line);
-  if (forward->route != NULL)
+  if (may_be_routed (forward))
     forward_refuse (forward, 503, why, CONFIG_RETRY_MS);
   else
     forward_refuse (forward, 404, why, 0);
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -35,6 +35,8 @@
   /* Time over which that limit is measured.  A node that has started more
      recently does not use the burst.  0: it may.  */
   int64_t retry_window_ms;
+  /* Time within which a new configuration is in force at all nodes.  */
+  int64_t config_ms;
 };
 
 struct service *gateway_new (const struct gateway_options *options);
--- a/src/listing.c
+++ b/src/listing.c
@@ -177,6 +177,14 @@
   return since_ms (listing, listing->confwatch.known_at);
 }
 
+bool
+listing_config_is_current (const struct listing *listing, int64_t within_ms)
+{
+  return listing->site != NULL
+         && confwatch_is_current (&listing->confwatch, listing->site->version,
+                                  within_ms, listing_now (listing));
+}
+
 static void
 receive_config (struct listing *listing,
                 const struct platform_changes *changes, bool complete)
--- a/src/listing.h
+++ b/src/listing.h
@@ -56,6 +56,10 @@
 /* Time since the store last answered this node about the configuration; -1: it
    has not.  */
 int64_t listing_config_read_ms (const struct listing *listing);
+/* Whether no other configuration than the one in force here has been the
+   newest for more than WITHIN_MS, as far as this node knows.  */
+bool listing_config_is_current (const struct listing *listing,
+                                int64_t within_ms);
 struct servers *listing_servers (const struct listing *listing);
 
 /* A response of server ID to this node said this about the server.  */
--- a/tests/gate_fixture.h
+++ b/tests/gate_fixture.h
@@ -19,6 +19,8 @@
 #include "ts.h"
 
 #define MANY_RETRIES 100
+#define CONFIG_MS 2000
+#define SERVER_HEAD_MEMORY (4u << 20)
 
 struct row
 {
@@ -512,6 +514,7 @@
 {
   struct httpd_options options = { .loop = f->loop,
                                    .address = "127.0.0.1",
+                                   .head_memory = SERVER_HEAD_MEMORY,
                                    .request = request,
                                    .gone = gone,
                                    .user = f };
@@ -540,6 +543,7 @@
   options.gateway.max_connections = 100;
   options.gateway.retry_share = f->retries >= MANY_RETRIES ? 1.0 : 0;
   options.gateway.retry_burst = f->retries;
+  options.gateway.config_ms = CONFIG_MS;
   g_assert_cmpint (gate_new (&options, &f->gate), ==, 0);
 }
 
--- a/tests/gate_second.h
+++ b/tests/gate_second.h
@@ -94,6 +94,7 @@
   options.gateway.max_connections = 100;
   options.gateway.retry_share = 1.0;
   options.gateway.retry_burst = 100;
+  options.gateway.config_ms = CONFIG_MS;
   g_assert_cmpint (gate_new (&options, &second->gate), ==, 0);
 }
 
--- a/tests/test_gate_config.c
+++ b/tests/test_gate_config.c
@@ -5,8 +5,6 @@
 #include "gate_second.h"
 #include "planners_state.h"
 
-#define CONFIG_MS 2000
-
 static const char other_config[]
     = "{\"Version\":2,\"Routes\":[{\"Name\":\"x\",\"Hostname\":"
       "\"h.example\",\"Prefix\":\"/other/\",\"Kind\":\"safe\","
