httpd: a target may name the host

What callers saw: 404 for "GET http://h.example/path HTTP/1.1", a form that RFC 9112 requires servers to accept.

Cause: the whole target was taken for the path, which no prefix of a route begins.

Change: scheme and host are removed from the target, for routing and on the way to the server. As RFC 9112 requires of clients, the host has to equal the header Host; otherwise two readers could act on different hosts: 400.

--- a/src/httpd.c
+++ b/src/httpd.c
@@ -224,17 +224,35 @@
   return result;
 }
 
+/* Removes scheme and host, which equal the header Host.  */
+static void
+strip_target (struct httpd_request *request)
+{
+  size_t prefix = httpd_head_prefix (request->uri);
+  const char *rest = request->uri + prefix;
+  char *uri;
+
+  if (prefix == 0)
+    return;
+  uri = g_strconcat (*rest == '/' ? "" : "/", rest, NULL);
+  g_free (request->uri);
+  request->uri = uri;
+}
+
 static enum MHD_Result
 accept_head (struct httpd_request *request, const struct httpd_head_line *line)
 {
   const char *fault = httpd_head_fault (request->connection, line);
+  const char *path;
 
   if (fault != NULL)
     return httpd_reject_malformed (request, fault);
   request->has_chunks = strcmp (line->version, MHD_HTTP_VERSION_1_0) != 0;
   request->chunked = httpd_header (request, "Transfer-Encoding") != NULL;
   request->closes = request->chunked;
-  request->path = g_strdup (line->path);
+  path = line->path + httpd_head_prefix (request->uri);
+  request->path = g_strdup (*path != '\0' ? path : "/");
+  strip_target (request);
   request->method = g_strdup (line->method);
   request->stage = STAGE_BODY;
   return MHD_YES;
--- a/src/httpd.h
+++ b/src/httpd.h
@@ -85,7 +85,7 @@
 
 const char *httpd_method (const struct httpd_request *request);
 const char *httpd_path (const struct httpd_request *request);
-/* Raw path and query, not percent-decoded.  */
+/* Raw path and query, not percent-decoded, without scheme and host.  */
 const char *httpd_uri (const struct httpd_request *request);
 /* NULL when absent.  */
 const char *httpd_query (const struct httpd_request *request,
--- a/src/httpd_head.c
+++ b/src/httpd_head.c
@@ -144,6 +144,44 @@
   return NULL;
 }
 
+static size_t
+scheme_length (const char *target)
+{
+  static const char mark[] = "://";
+  size_t n = 0;
+
+  while (g_ascii_isalnum (target[n]))
+    n++;
+  return n > 0 && strncmp (target + n, mark, sizeof mark - 1) == 0
+             ? n + sizeof mark - 1
+             : 0;
+}
+
+size_t
+httpd_head_prefix (const char *target)
+{
+  size_t scheme = scheme_length (target);
+
+  return scheme > 0 ? scheme + strcspn (target + scheme, "/?") : 0;
+}
+
+/* The host is named twice then.  */
+static const char *
+target_fault (struct MHD_Connection *connection, const char *target)
+{
+  const char *host = MHD_lookup_connection_value (connection, MHD_HEADER_KIND,
+                                                  MHD_HTTP_HEADER_HOST);
+  size_t scheme = scheme_length (target);
+  size_t prefix = httpd_head_prefix (target);
+
+  if (prefix == 0)
+    return NULL;
+  if (host == NULL || strchr (host, '%') != NULL
+      || !field_equals (target + scheme, prefix - scheme, host))
+    return "the target names another host";
+  return NULL;
+}
+
 const char *
 httpd_head_fault (struct MHD_Connection *connection,
                   const struct httpd_head_line *line)
@@ -162,7 +200,9 @@
   if (size == NULL
       || size->header_size != (size_t)(walk.next - line->method) + LINE_END)
     return "the last header line does not end with CR LF";
-  return combination_fault (&walk);
+  walk.fault = combination_fault (&walk);
+  return walk.fault != NULL ? walk.fault
+                            : target_fault (connection, line->target);
 }
 
 /* Fields that a reader could take for headers, see RFC 9110, section 6.5.1. */
--- a/src/httpd_head.h
+++ b/src/httpd_head.h
@@ -35,7 +35,11 @@
 const char *httpd_head_fault (struct MHD_Connection *connection,
                               const struct httpd_head_line *line);
 
-/* The same for the trailers, once the body is complete.  */
+/* Bytes before the path of TARGET: the scheme and the host of the absolute
+   form (RFC 9112, section 3.2.2).  0: it has another form.  */
+size_t httpd_head_prefix (const char *target);
+
+/* Like httpd_head_fault, for the trailers, once the body is complete.  */
 const char *httpd_head_trailer_fault (struct MHD_Connection *connection);
 
 #endif
--- a/tests/request_heads.h
+++ b/tests/request_heads.h
@@ -188,6 +188,21 @@
              "POST " HEAD_PATH " HTTP/1.2\r\nHost: h.example\r\n" HEAD_FIELDS
              "Content-Length: 0\r\n\r\n",
              HEAD_REJECTED),
+  HEAD_CASE ("the target names the Host",
+             "POST http://H.example" HEAD_PATH
+             " HTTP/1.1\r\nHost: h.example\r\n" HEAD_FIELDS
+             "Content-Length: 0\r\n\r\n",
+             HEAD_SERVED),
+  HEAD_CASE ("the target names another host",
+             "POST http://other.example" HEAD_PATH
+             " HTTP/1.1\r\nHost: h.example\r\n" HEAD_FIELDS
+             "Content-Length: 0\r\n\r\n",
+             HEAD_REJECTED),
+  HEAD_CASE ("the target names another port",
+             "POST http://h.example:1" HEAD_PATH
+             " HTTP/1.1\r\nHost: h.example\r\n" HEAD_FIELDS
+             "Content-Length: 0\r\n\r\n",
+             HEAD_REJECTED),
   /* Chunks and trailers.  What libmicrohttpd does not tell apart is served,
      but nothing that may be hidden behind it.  */
   HEAD_CASE ("LF alone in a chunk extension",
