--- a/src/forward.c
+++ b/src/forward.c
@@ -7,6 +7,7 @@
 #include "ts.h"
 
 #define STARTING_RETRY_MS 500 /* time to obtain the configuration */
+#define CONFIG_RETRY_MS 500   /* time for a newer configuration to arrive */
 #define STOPPING_RETRY_MS 20  /* another node can take the request at once */
 #define DEFAULT_TIMEOUT_MS 60000 /* when neither caller nor route sets one */
 
@@ -213,11 +214,25 @@
                   forward->deadline);
 }
 
-/* The log tells which version of the configuration the request was judged by,
-   and how old that was.  */
+/* Whether a configuration that this node does not have may have the route.  */
+static bool
+may_be_routed (const struct forward *forward)
+{
+  const struct gateway *gateway = forward->gateway;
+
+  return forward->route != NULL
+         || !listing_config_is_current (gateway->listing,
+                                        gateway->options.config_ms);
+}
+
+/* Callers do not repeat a request after 404, but do after 503.  The log tells
+   which version of the configuration the request was judged by, and how old
+   that was.  */
 static void
 refuse_unknown_route (struct forward *forward)
 {
+  const char *why
+      = forward->route == NULL ? "no such route" : "no service for the route";
   const struct listing *listing = forward->gateway->listing;
   struct log_line line;
 
@@ -225,13 +240,16 @@
   log_begin (&line, EVENT_BAD_REQUEST);
   log_str (&line, "method", httpd_method (forward->request));
   log_str (&line, "path", httpd_path (forward->request));
-  log_str (&line, "why", "no such route");
+  log_str (&line, "why", why);
   log_str (&line, "request", forward->parsed.id);
   log_int (&line, "version", (int64_t)forward->site->version);
   log_int (&line, "in_force_ms", listing_config_in_force_ms (listing));
   log_int (&line, "read_ms", listing_config_read_ms (listing));
   log_end (&line);
-  forward_refuse (forward, 404, "no such route", 0);
+  if (may_be_routed (forward))
+    forward_refuse (forward, 503, why, CONFIG_RETRY_MS);
+  else
+    forward_refuse (forward, 404, why, 0);
 }
 
 /* Requests with the same prompt are routed to the same service.  */
--- a/tests/gate_fixture.h
+++ b/tests/gate_fixture.h
@@ -23,6 +23,8 @@
 #ifndef DRAIN_MS
 #define DRAIN_MS 5000
 #endif
+#define CONFIG_MS 2000
+#define SERVER_HEAD_MEMORY (4u << 20)
 
 struct row
 {
@@ -516,6 +518,7 @@
 {
   struct httpd_options options = { .loop = f->loop,
                                    .address = "127.0.0.1",
+                                   .head_memory = SERVER_HEAD_MEMORY,
                                    .request = request,
                                    .gone = gone,
                                    .user = f };
@@ -544,6 +547,7 @@
   options.gateway.max_connections = 100;
   options.gateway.retry_share = f->retries >= MANY_RETRIES ? 1.0 : 0;
   options.gateway.retry_burst = f->retries;
+  options.gateway.config_ms = CONFIG_MS;
   g_assert_cmpint (gate_new (&options, &f->gate), ==, 0);
 }
 
