--- a/src/forward.c
+++ b/src/forward.c
@@ -204,6 +204,7 @@
   log_int (&line, "version", (int64_t)forward->site->version);
   log_int (&line, "in_force_ms", listing_config_in_force_ms (listing));
   log_int (&line, "read_ms", listing_config_read_ms (listing));
+  log_int (&line, "told_ms", listing_peer_config_age_ms (listing));
   log_end (&line);
   forward_refuse (forward, 404, "no such route", 0);
 }
--- a/src/listing.c
+++ b/src/listing.c
@@ -112,6 +112,7 @@
   log_begin (&line, EVENT_CONFIG_IN_FORCE);
   log_int (&line, "version", (int64_t)site->version);
   log_str (&line, "source", listing->config_from_peer ? "peer" : "store");
+  log_int (&line, "told_ms", listing_peer_config_age_ms (listing));
   log_int (&line, "routes", site->routes->len);
   log_int (&line, "services", site->services->len);
   log_end (&line);
