confwatch: a node asks the store while there is time for the answer

Cause: nodes rely on the decider's word for 1.4 s. Its age leaves out the time that the word was on its way, a response counted as made up to 0.3 s after its watch had ended, and a node looked only every 0.15 s whether the word had ended. When the decider stops, 0.15 s are left for the way of the word and for the query. Class: an age that begins when something is read.

Change: the word holds for one renewal (0.7 s) and 0.3 s; a response without changes counts as made when its watch ended, which is the earliest moment; the store is asked in the moment in which the word ends.

It works because what is not in the age, half a second for the word and half for the query, now fits between the end of the word and the bound.

--- a/src/confwatch.c
+++ b/src/confwatch.c
@@ -2,14 +2,11 @@
 
 #include "ts.h"
 
-/* Longest delivery of a response that counts as timely.  */
-#define DELIVERY_MS 300
-
 struct timespec
 confwatch_made_at (struct timespec sent_at, int64_t wait_ms,
                    struct timespec now)
 {
-  return ts_min (now, ts_add_ms (sent_at, wait_ms + DELIVERY_MS));
+  return ts_min (now, ts_add_ms (sent_at, wait_ms));
 }
 
 void
@@ -39,12 +36,18 @@
   watch->told_at = (struct timespec){ 0 };
 }
 
+struct timespec
+confwatch_expires_at (const struct confwatch *watch)
+{
+  return ts_add_ms (watch->told_at, CONFWATCH_TTL_MS);
+}
+
 bool
 confwatch_relies (const struct confwatch *watch, uint64_t version,
                   int64_t push_ms, struct timespec now)
 {
   if (ts_is_zero (watch->told_at)
-      || !ts_before (now, ts_add_ms (watch->told_at, CONFWATCH_TTL_MS)))
+      || !ts_before (now, confwatch_expires_at (watch)))
     return false;
   return (version > 0 && version >= watch->told_version)
          || ts_before (now, ts_add_ms (watch->told_from, push_ms));
--- a/src/confwatch.h
+++ b/src/confwatch.h
@@ -14,13 +14,14 @@
 #include <stdint.h>
 #include <time.h>
 
-/* Maximum age of the decider's word.  The decider's knowledge is renewed every
-   CONFWATCH_WAIT_MS and CONFWATCH_PAUSE_MS.  */
-#define CONFWATCH_TTL_MS 1400
 /* Duration of a watch, and pause between two.  The duration also bounds the
    time until a stalled connection is noticed.  */
 #define CONFWATCH_WAIT_MS 600
 #define CONFWATCH_PAUSE_MS 100
+/* Maximum age of the decider's word when it arrives in time: the decider
+   renews its knowledge every CONFWATCH_WAIT_MS and CONFWATCH_PAUSE_MS.  The
+   time that the word was on its way is not part of its age.  */
+#define CONFWATCH_TTL_MS (CONFWATCH_WAIT_MS + CONFWATCH_PAUSE_MS + 300)
 /* The duration at the nodes of a large fleet that do not decide: when the
    decider is gone, all of them watch.  */
 #define CONFWATCH_WAIT_LARGE_MS 2500
@@ -36,9 +37,10 @@
   struct timespec told_from; /* when TOLD_VERSION was told first */
 };
 
-/* When the store made a response that was read NOW, at the latest.  The call
-   was sent at SENT_AT and may have waited for WAIT_MS.  A response that takes
-   longer was delayed on its way, or not read while the node was paused.  */
+/* When the store made a response that was read NOW, at the earliest if it is
+   one without changes.  The call was sent at SENT_AT and may have waited for
+   WAIT_MS.  A response that takes longer was delayed on its way, or not read
+   while the node was paused.  */
 struct timespec confwatch_made_at (struct timespec sent_at, int64_t wait_ms,
                                    struct timespec now);
 
@@ -58,6 +60,9 @@
 bool confwatch_relies (const struct confwatch *watch, uint64_t version,
                        int64_t push_ms, struct timespec now);
 
+/* When the decider's word ends.  */
+struct timespec confwatch_expires_at (const struct confwatch *watch);
+
 /* Age of what this node knows from the store.  */
 int64_t confwatch_age_ms (const struct confwatch *watch, struct timespec now);
 /* Age of the decider's word; 0: unknown.  */
--- a/src/listing.c
+++ b/src/listing.c
@@ -530,6 +530,18 @@
                            listing_now (listing));
 }
 
+/* When to check again whether queries of the table are suspended.  */
+static struct timespec
+suspended_check_at (const struct watched_table *watched)
+{
+  const struct listing *listing = watched->listing;
+  struct timespec at = ts_add_ms (listing_now (listing), SUSPENDED_CHECK_MS);
+
+  if (watched != &listing->config_table)
+    return at;
+  return ts_min (at, confwatch_expires_at (&listing->confwatch));
+}
+
 static int64_t
 watch_duration_ms (const struct watched_table *watched)
 {
@@ -581,8 +593,7 @@
     {
       watched->listed = false;
       watched->failures = 0;
-      loop_timer_set (loop, timer,
-                      ts_add_ms (loop_now (loop), SUSPENDED_CHECK_MS));
+      loop_timer_set (loop, timer, suspended_check_at (watched));
       return;
     }
   if (is_start_wait (watched))
--- a/tests/prop_config.cc
+++ b/tests/prop_config.cc
@@ -35,7 +35,9 @@
 const int64_t config_ms = 2000;
 const int64_t touch_ms = 3000;
 const int64_t store_ms = 4; /* of a response */
-const int64_t link_ms = 2;  /* of a message between nodes */
+/* Longest way of a message between nodes.  A node whose packets wait longer
+   than half a second is not in touch.  */
+const int64_t link_max_ms = 500;
 const int64_t watch_margin_ms = 700;
 const int64_t list_timeout_ms = 1200;
 const int64_t idle_ms = 2000;   /* reuse of an idle connection */
@@ -122,6 +124,7 @@
   int64_t now_ms = 100000;
   int64_t stall_from_ms = 0; /* the store answers nothing from then on */
   int64_t stall_to_ms = 0;
+  int64_t link_ms = 2;        /* of a message between nodes */
   uint64_t store_version = 1; /* of its rows */
   std::vector<edit> edits;
   int decider = 0;
@@ -645,6 +648,7 @@
                     const auto list = *rc::gen::resize (80, steps);
                     auto w = std::make_unique<world> ();
 
+                    w->link_ms = *rc::gen::element<int64_t> (2, link_max_ms);
                     w->advance (touch_ms + 500);
                     for (const auto &s : list)
                       apply (*w, s.first, s.second);
--- a/tests/test_listing.c
+++ b/tests/test_listing.c
@@ -250,6 +250,30 @@
   tear_down (&f);
 }
 
+#define CONFIG_MS 2000
+#define WAY_MS 500 /* of what a machine in touch is sent */
+
+/* Guards against a node that relies for so long on the word of a decider which
+   has stopped that a configuration is late: the word was on its way, and the
+   query that follows will be.  */
+static void
+test_late_word (void)
+{
+  struct fixture f;
+  unsigned before;
+
+  set_up (&f);
+  for (int i = 0; i < 5; i++)
+    {
+      advance (&f, 500);
+      publish (&f, "i1", false, 1, 7);
+    }
+  before = f.config_queries;
+  advance (&f, CONFIG_MS - 2 * WAY_MS);
+  g_assert_cmpuint (f.config_queries, >, before);
+  tear_down (&f);
+}
+
 /* A decider that had been cut off from the store kept servers that had left,
    and other nodes, which had dropped them, sent requests there again.  */
 static void
@@ -554,6 +578,7 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/listing/late-word", test_late_word);
   g_test_add_func ("/listing/fresh-list", test_fresh_list);
   g_test_add_func ("/listing/kept-server", test_kept_server);
   g_test_add_func ("/listing/old-list", test_old_list);
