relay: both nodes judge a request by the same version of the configuration

Callers saw (suspected for the report): at one node, a moved or dropped route in force again after its newer version, or an effect of a version and then an older one.

Cause: a node that reaches no server passes requests on, and the node that takes one finds the route in its own configuration, which may be older or newer. Only a 404 was held back. Class: two nodes that decide the same question on their own.

Change: the first node tells the version by which it has judged the request; a node with another one rejects it as not run, and the first one tries the next node or answers 503. Nodes of former releases ignore the field.

Evidence: /gate-relay/older-config failed (the request ran at the service that the route had before: 1 arrival for 0) and passes. All of test_gate_relay, test_gate, test_resume and test_relay pass.

It works because a request runs only where both nodes hold one version.

--- a/src/forward.c
+++ b/src/forward.c
@@ -280,6 +280,13 @@
     }
   forward_set_relayed (forward);
   forward->site = site_ref (listing_site (gateway->listing));
+  if (forward_versions_differ (forward))
+    {
+      forward_refuse (forward, 503,
+                      "the nodes have different versions of the configuration",
+                      STARTING_RETRY_MS);
+      return;
+    }
   forward->route = find_route (forward);
   if (forward->route == NULL || !find_service (forward))
     {
--- a/src/forward_relay.c
+++ b/src/forward_relay.c
@@ -25,6 +25,14 @@
       = note->tried != NULL ? g_ptr_array_ref (note->tried) : NULL;
 }
 
+bool
+forward_versions_differ (const struct forward *forward)
+{
+  uint64_t version = forward->origin_note.config;
+
+  return version != 0 && version != forward->site->version;
+}
+
 void
 forward_relay_free (struct forward *forward)
 {
@@ -101,6 +109,7 @@
 forward_relay_header (const struct forward *forward)
 {
   struct relay_note note = { .node = forward->gateway->core->node,
+                             .config = forward->site->version,
                              .counts = true,
                              .attempts = 1,
                              .sendings = forward_sendings (forward) - 1 };
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -177,6 +177,9 @@
 
 /* Reads whether another node passed the request on, and what it tells.  */
 void forward_set_relayed (struct forward *forward);
+/* Whether the node that passed the request on has another version of the
+   configuration.  Its callers would see both.  */
+bool forward_versions_differ (const struct forward *forward);
 void forward_relay_free (struct forward *forward);
 /* A new reference to a node that may take the request, or NULL.  */
 struct route_engine *forward_pick_peer (struct forward *forward);
--- a/src/relay.c
+++ b/src/relay.c
@@ -7,6 +7,7 @@
 #define FIELD_SEPARATOR ";"
 #define ID_SEPARATOR ","
 #define KEY_NODE "node="
+#define KEY_CONFIG "config="
 #define KEY_ATTEMPTS "attempts="
 #define KEY_SENDINGS "sendings="
 #define KEY_TRIED "tried="
@@ -67,6 +68,11 @@
       append_field (text, KEY_NODE);
       append_escaped (text, note->node);
     }
+  if (note->config != 0)
+    {
+      append_field (text, KEY_CONFIG);
+      g_string_append_printf (text, "%" G_GUINT64_FORMAT, note->config);
+    }
   if (note->unreached)
     append_field (text, CALLER_RELAY_UNREACHED);
   if (note->counts)
@@ -104,6 +110,16 @@
   return *end == '\0';
 }
 
+static uint64_t
+parse_version (const char *text)
+{
+  guint64 version;
+
+  return g_ascii_string_to_unsigned (text, 10, 0, G_MAXUINT64, &version, NULL)
+             ? version
+             : 0;
+}
+
 static void
 parse_tried (const char *text, GPtrArray **tried)
 {
@@ -139,6 +155,8 @@
       else if ((value = field_value (*field, KEY_NODE)) != NULL
                && note->node == NULL)
         note->node = g_uri_unescape_string (value, NULL);
+      else if ((value = field_value (*field, KEY_CONFIG)) != NULL)
+        note->config = parse_version (value);
       else if ((value = field_value (*field, KEY_ATTEMPTS)) != NULL)
         has_attempts = parse_number (value, &note->attempts);
       else if ((value = field_value (*field, KEY_SENDINGS)) != NULL)
--- a/src/relay.h
+++ b/src/relay.h
@@ -1,6 +1,7 @@
 /* relay - the value of CALLER_RELAY_HEADER (caller.h): what nodes tell each
    other of a request that one has passed on.
 
+   Both nodes must judge the request by the same version of the configuration.
    The first node owns the attempts of the request.  It tells the second one
    how many may run there, how often the request was sent before and which
    servers failed it; the second one tells the same of itself.  Nodes of peer
@@ -13,6 +14,7 @@
 #define PARSLEYRILL_RELAY_H
 
 #include <stdbool.h>
+#include <stdint.h>
 #include <glib.h>
 
 #define RELAY_PROTOCOL 2   /* of a node that counts attempts, see frame.h */
@@ -21,6 +23,8 @@
 struct relay_note
 {
   char *node;        /* the first node; NULL in a response */
+  uint64_t config;   /* version by which the first node has judged the
+                        request; 0: not told */
   bool unreached;    /* the second node does not reach the servers either */
   bool counts;       /* the fields below are known */
   unsigned attempts; /* to a node: that may run there; from it: that may have
--- a/tests/test_gate_relay.c
+++ b/tests/test_gate_relay.c
@@ -73,10 +73,10 @@
 }
 
 static void
-cut_off_server (struct gate *gate, const char *id)
+cut_off_from (struct gate *gate, const char *service, const char *id)
 {
   struct gateway *gateway = (struct gateway *)gate_service (gate, "gateway");
-  struct cutoff *cutoff = gateway_cutoff (gateway, "app");
+  struct cutoff *cutoff = gateway_cutoff (gateway, service);
   struct timespec now = clk_now (clk_monotonic ());
 
   cutoff_failed (
@@ -86,6 +86,12 @@
   cutoff_told (cutoff, id, now);
 }
 
+static void
+cut_off_server (struct gate *gate, const char *id)
+{
+  cut_off_from (gate, "app", id);
+}
+
 /* Until a probe finds a server.  Nothing must have been heard from it for
    some time.  */
 static void
@@ -174,6 +180,30 @@
   tear_down_two (&f, &second);
 }
 
+/* Guards against a caller that meets an older version of the configuration at
+   a node which has a newer one: the node passes its request on, and the other
+   one runs it at the service that the route had.  */
+static void
+test_older_config (void)
+{
+  static const char moved[]
+      = "{\"Version\":2,\"Routes\":[{\"Name\":\"safe\",\"Hostname\":"
+        "\"h.example\",\"Prefix\":\"/safe/\",\"Kind\":\"safe\","
+        "\"TimeoutMs\":20000,\"Service\":\"other\",\"MaxAttempts\":2}],"
+        "\"Services\":[{\"Name\":\"app\"},{\"Name\":\"other\"}]}";
+  struct fixture f;
+  struct second second;
+
+  set_up_two (&f, &second);
+  listing_apply_config ((struct listing *)gate_service (f.gate, LISTING_NAME),
+                        moved);
+  cut_off_from (f.gate, "other", "i-2");
+  request_and_wait (&f, "GET", "/safe/x", NULL);
+  g_assert_cmpuint (f.at_server, ==, 0);
+  g_assert_cmpint (f.status, ==, 503);
+  tear_down_two (&f, &second);
+}
+
 /* Guards against requests that go round among nodes that are all cut off, or
    wait there until their deadlines.  */
 static void
@@ -498,6 +528,7 @@
   g_test_add_func ("/gate-relay/plain", test_plain);
   g_test_add_func ("/gate-relay/once", test_once);
   g_test_add_func ("/gate-relay/stream", test_stream);
+  g_test_add_func ("/gate-relay/older-config", test_older_config);
   g_test_add_func ("/gate-relay/all-cut-off", test_all_cut_off);
   g_test_add_func ("/gate-relay/caller-gone", test_caller_gone);
   g_test_add_func ("/gate-relay/reached-again", test_reached_again);
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -10,6 +10,7 @@
                              .counts = true,
                              .attempts = 1,
                              .sendings = 3,
+                             .config = G_MAXUINT64,
                              .software = (char *)"v;1 %" };
   struct relay_note read;
   char *text;
@@ -27,6 +28,7 @@
   g_assert_cmpuint (read.tried->len, ==, 2);
   g_assert_cmpstr (g_ptr_array_index (read.tried, 1), ==, "a,b;c=d e\xc3\xa9");
   g_assert_cmpstr (read.software, ==, note.software);
+  g_assert_cmpuint (read.config, ==, note.config);
   g_free (text);
   relay_clear (&read);
   g_ptr_array_unref (note.tried);
