--- a/src/forward.c
+++ b/src/forward.c
@@ -245,6 +245,7 @@
   log_int (&line, "version", (int64_t)forward->site->version);
   log_int (&line, "in_force_ms", listing_config_in_force_ms (listing));
   log_int (&line, "read_ms", listing_config_read_ms (listing));
+  log_int (&line, "told_ms", listing_peer_config_age_ms (listing));
   log_end (&line);
   if (may_be_routed (forward))
     forward_refuse (forward, 503, why, CONFIG_RETRY_MS);
@@ -350,6 +351,13 @@
     }
   forward_set_relayed (forward);
   forward->site = site_ref (listing_site (gateway->listing));
+  if (forward_versions_differ (forward))
+    {
+      forward_refuse (forward, 503,
+                      "the nodes have different versions of the configuration",
+                      STARTING_RETRY_MS);
+      return;
+    }
   forward->route = find_route (forward);
   if (forward->route == NULL || !find_service (forward))
     {
--- a/src/listing.c
+++ b/src/listing.c
@@ -110,6 +110,7 @@
   log_begin (&line, EVENT_CONFIG_IN_FORCE);
   log_int (&line, "version", (int64_t)site->version);
   log_str (&line, "source", listing->config_from_peer ? "peer" : "store");
+  log_int (&line, "told_ms", listing_peer_config_age_ms (listing));
   log_int (&line, "routes", site->routes->len);
   log_int (&line, "services", site->services->len);
   log_end (&line);
@@ -546,6 +547,18 @@
                            listing_now (listing));
 }
 
+/* When to check again whether queries of the table are suspended.  */
+static struct timespec
+suspended_check_at (const struct watched_table *watched)
+{
+  const struct listing *listing = watched->listing;
+  struct timespec at = ts_add_ms (listing_now (listing), SUSPENDED_CHECK_MS);
+
+  if (watched != &listing->config_table)
+    return at;
+  return ts_min (at, confwatch_expires_at (&listing->confwatch));
+}
+
 static int64_t
 watch_duration_ms (const struct watched_table *watched)
 {
@@ -597,8 +610,7 @@
     {
       watched->listed = false;
       watched->failures = 0;
-      loop_timer_set (loop, timer,
-                      ts_add_ms (loop_now (loop), SUSPENDED_CHECK_MS));
+      loop_timer_set (loop, timer, suspended_check_at (watched));
       return;
     }
   if (is_start_wait (watched))
