--- a/src/entry.c
+++ b/src/entry.c
@@ -31,7 +31,8 @@
 {
   static const struct reply_error error
       = { 503,  "starting",    "this node has no configuration yet",
-          true, RETRY_AFTER_S, NULL, false };
+          true, RETRY_AFTER_S, NULL,
+          false };
 
   reply_error (request, &error);
 }
--- a/tests/test_gate_stop.c
+++ b/tests/test_gate_stop.c
@@ -108,6 +108,37 @@
   tear_down (&f);
 }
 
+/* Guards against a stop without a configuration, or beside a store that does
+   not answer, that cuts requests.  */
+static void
+test_starting (void)
+{
+  struct fixture f;
+
+  set_up (&f);
+  start_request (&f, "POST", "/once/x", NULL);
+  stop_gate (&f);
+  g_assert_true (f.done);
+  g_assert_cmpint (f.status, ==, 503);
+  tear_down (&f);
+}
+
+static void
+test_silent_store (void)
+{
+  struct fixture f;
+
+  set_up (&f);
+  wait_until_serving (&f);
+  silence_connections (&f);
+  start_request (&f, "POST", "/once/hold", NULL);
+  RUN_UNTIL (&f, f.held != NULL);
+  stop_gate (&f);
+  g_assert_true (f.done);
+  g_assert_cmpint (f.status, ==, 504);
+  tear_down (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -115,5 +146,7 @@
   g_test_add_func ("/gate-stop/unanswered", test_unanswered);
   g_test_add_func ("/gate-stop/too-long", test_too_long);
   g_test_add_func ("/gate-stop/waited-too-long", test_waited_too_long);
+  g_test_add_func ("/gate-stop/starting", test_starting);
+  g_test_add_func ("/gate-stop/silent-store", test_silent_store);
   return g_test_run ();
 }
