--- a/tests/gate_fixture.h
+++ b/tests/gate_fixture.h
@@ -19,6 +19,7 @@
 #include "ts.h"
 
 #define MANY_RETRIES 100
+#define HEARTBEAT_MS 1200
 
 struct row
 {
@@ -576,6 +577,7 @@
   f->settings.peer_address = g_strdup ("127.0.0.1");
   f->settings.peer_token = g_strdup ("secret-of-nodes");
   f->settings.entry_ttl_s = 1;
+  f->settings.heartbeat_ms = HEARTBEAT_MS;
   f->settings.loads_at_once = 4;
   start_gate (f);
 }
--- a/tests/gate_second.h
+++ b/tests/gate_second.h
@@ -84,6 +84,7 @@
   second->settings.peer_address = g_strdup ("127.0.0.1");
   second->settings.peer_token = g_strdup (token);
   second->settings.entry_ttl_s = 1;
+  second->settings.heartbeat_ms = HEARTBEAT_MS;
   second->settings.loads_at_once = 4;
   options.platform = second->platform;
   options.backend = second->backend;
