listing, servers: a server that is kept goes when another list no longer has it

What callers may see: requests to a server that has left, at a node whose own calls to the store failed for long, although the decider's list, which is newer, lacks it.

Cause: the first removal time of a server held; a later, earlier one did not count.

Change: the earlier one holds.

Evidence: /listing/kept-but-unpublished fails before (the server stays), passes now; test_listing and test_servers pass.

--- a/src/listing.c
+++ b/src/listing.c
@@ -270,7 +270,9 @@
   struct timespec now = listing_now (listing);
   struct log_line line;
 
-  if (server == NULL || !ts_is_zero (server->drop_at))
+  if (server == NULL
+      || (!ts_is_zero (server->drop_at)
+          && !ts_before (removed_at, server->drop_at)))
     return;
   log_begin (&line, EVENT_SERVER_DROPPED);
   log_str (&line, "engine", id);
--- a/src/servers.c
+++ b/src/servers.c
@@ -258,7 +258,8 @@
 {
   struct server *server = servers_find (servers, id);
 
-  if (server != NULL && ts_is_zero (server->drop_at))
+  if (server != NULL
+      && (ts_is_zero (server->drop_at) || ts_before (at, server->drop_at)))
     server->drop_at = at;
 }
 
--- a/src/servers.h
+++ b/src/servers.h
@@ -88,8 +88,8 @@
    restarted, or is removed for SERVERS_REMOVED_TTL_MS.  */
 bool servers_put (struct servers *servers, const struct server_entry *entry);
 
-/* The platform no longer lists ID; it is removed at AT unless it is listed
-   again before.  */
+/* The platform no longer lists ID; it is removed at AT, or at the earlier time
+   of another call, unless it is listed again before.  */
 void servers_drop (struct servers *servers, const char *id,
                    struct timespec at);
 
--- a/tests/test_listing.c
+++ b/tests/test_listing.c
@@ -640,6 +640,28 @@
   g_assert_cmpint (kept_after_failures_ms (3 * HEARTBEAT_MS), >=, 2000);
 }
 
+/* Guards against requests to a server that a node keeps after an outage of its
+   own calls, although the decider, which had none, lists it no more.  */
+static void
+test_kept_but_unpublished (void)
+{
+  struct fixture f;
+
+  set_up (&f);
+  for (int64_t ms = 0; ms <= 3 * (int64_t)HEARTBEAT_MS; ms += STEP_MS)
+    {
+      await_servers_watch (&f);
+      fail_watches (&f);
+      f.clk.at = ts_add_ms (f.clk.at, STEP_MS);
+    }
+  remove_entry (&f);
+  advance (&f, 2 * STEP_MS);
+  g_assert_nonnull (server (&f, "i1"));
+  publish (&f, "i2", false, 1, 7);
+  g_assert_null (server (&f, "i1"));
+  tear_down (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -657,6 +679,7 @@
   g_test_add_func ("/listing/late-response", test_late_response);
   g_test_add_func ("/listing/own-pause", test_own_pause);
   g_test_add_func ("/listing/failed-call", test_failed_call);
+  g_test_add_func ("/listing/kept-but-unpublished", test_kept_but_unpublished);
   g_test_add_func ("/listing/failed-call-after-outage",
                    test_failed_call_after_outage);
   return g_test_run ();
