--- a/tests/gate_fixture.h
+++ b/tests/gate_fixture.h
@@ -25,6 +25,7 @@
 #endif
 #define CONFIG_MS 2000
 #define SERVER_HEAD_MEMORY (4u << 20)
+#define HEARTBEAT_MS 1200
 
 struct row
 {
@@ -584,6 +585,7 @@
   f->settings.peer_address = g_strdup ("127.0.0.1");
   f->settings.peer_token = g_strdup ("secret-of-nodes");
   f->settings.entry_ttl_s = 1;
+  f->settings.heartbeat_ms = HEARTBEAT_MS;
   f->settings.loads_at_once = 4;
   start_gate (f);
 }
