--- a/tests/gate_fixture.h
+++ b/tests/gate_fixture.h
@@ -20,8 +20,8 @@
 
 #define MANY_RETRIES 100
 /* A test program may set another.  */
-#ifndef DRAIN_MS
-#define DRAIN_MS 5000
+#ifndef GATE_DRAIN_MS
+#define GATE_DRAIN_MS 5000
 #endif
 #define CONFIG_MS 2000
 #define SERVER_HEAD_MEMORY (4u << 20)
@@ -538,7 +538,7 @@
                                   .platform = f->platform,
                                   .backend = f->backend,
                                   .catalog = document_catalog (),
-                                  .drain_ms = DRAIN_MS,
+                                  .drain_ms = GATE_DRAIN_MS,
                                   .close = close_upstream,
                                   .user = f };
 
--- a/tests/test_gate_stop.c
+++ b/tests/test_gate_stop.c
@@ -1,6 +1,6 @@
 /* What callers get when a node stops as planned.  */
 
-#define DRAIN_MS 800
+#define GATE_DRAIN_MS 800
 #include "gate_fixture.h"
 #include "gateway_state.h"
 
@@ -60,7 +60,8 @@
   wait_until_serving (&f);
   gateway = (struct gateway *)gate_service (f.gate, "gateway");
   for (int i = 0; i < DURATION_SAMPLES; i++)
-    duration_add (gateway_duration (gateway, "once"), ts_from_ms (DRAIN_MS));
+    duration_add (gateway_duration (gateway, "once"),
+                  ts_from_ms (GATE_DRAIN_MS));
   request_and_wait (&f, "POST", "/once/x", NULL);
   g_assert_cmpint (f.status, ==, 200);
   f.at_server = 0;
@@ -89,7 +90,7 @@
   gateway = (struct gateway *)gate_service (f.gate, "gateway");
   for (int i = 0; i < DURATION_SAMPLES; i++)
     duration_add (gateway_duration (gateway, "once"),
-                  ts_from_ms (DRAIN_MS * 7 / 10));
+                  ts_from_ms (GATE_DRAIN_MS * 7 / 10));
   list_server (&f, "draining");
   do
     request_and_wait (&f, "GET", "/safe/x", short_deadline);
@@ -97,7 +98,7 @@
   f.at_server = 0;
   gate_drain (f.gate);
   start_request (&f, "POST", "/once/x", NULL);
-  for (int64_t end = g_get_monotonic_time () + DRAIN_MS * 400;
+  for (int64_t end = g_get_monotonic_time () + GATE_DRAIN_MS * 400;
        g_get_monotonic_time () < end && !f.done;)
     run_once (&f);
   list_server (&f, "ready");
