httpc_head: a status line begins a head, nothing else does

Found by the review of truncated heads: a header that begins like a status line reset what was seen of the head, so that a 103 alone could count as the final response. A status line is now taken as one only at the start and after an interim head; elsewhere it is a malformed header. /httpc-truncated/status-line-in-head; it was not run on the code before. The errors of truncated responses are checked by number.

--- a/src/httpc_head.c
+++ b/src/httpc_head.c
@@ -31,7 +31,7 @@
   const char *status = memchr (line, ' ', length);
   size_t n = strlen (INTERIM_STATUS_BEGIN);
 
-  *head = (struct httpc_head){ 0 };
+  *head = (struct httpc_head){ .begun = true };
   head->interim = status != NULL && (size_t)(line + length - status) > n
                   && memcmp (status, INTERIM_STATUS_BEGIN, n) == 0;
 }
@@ -48,10 +48,11 @@
     return false;
   if (end == line)
     {
+      head->begun = false;
       head->ended = !head->interim;
       return true;
     }
-  if (length > strlen (STATUS_LINE_BEGIN)
+  if (!head->begun && !head->ended && length > strlen (STATUS_LINE_BEGIN)
       && memcmp (line, STATUS_LINE_BEGIN, strlen (STATUS_LINE_BEGIN)) == 0)
     {
       begin_head (head, line, length);
--- a/src/httpc_head.h
+++ b/src/httpc_head.h
@@ -19,6 +19,7 @@
 {
   unsigned lengths;
   unsigned codings;
+  bool begun;   /* a status line was seen, and not the end of its head */
   bool interim; /* the status is 1xx: another head follows */
   bool ended;   /* the empty line after the final head was seen */
 };
--- a/tests/test_httpc_truncated.c
+++ b/tests/test_httpc_truncated.c
@@ -80,6 +80,7 @@
 check_beginnings (const char *method, const char *response, size_t whole,
                   long status)
 {
+  size_t first_line = strcspn (response, "\n") + 1;
   struct fixture f;
 
   set_up (&f);
@@ -88,7 +89,7 @@
       receive (&f, method, response, n);
       if (f.error == 0)
         g_test_message ("%zu bytes of %s", n, response);
-      g_assert_cmpint (f.error, <, 0);
+      g_assert_cmpint (f.error, ==, n < first_line ? -ECONNRESET : -EPIPE);
       g_assert_cmpint (f.phase, <, HTTPC_COMPLETE);
     }
   receive (&f, method, response, strlen (response));
@@ -161,6 +162,21 @@
   check_beginnings (NULL, chunks, chunks_length, 200);
 }
 
+/* A header that begins like a status line counted as one, and a 103 then as
+   the final response.  */
+static void
+test_status_line_in_head (void)
+{
+  static const char response[]
+      = "HTTP/1.1 103 Early Hints\r\nHTTP/x: 2\r\n\r\n";
+  struct fixture f;
+
+  set_up (&f);
+  receive (&f, NULL, response, strlen (response));
+  g_assert_cmpint (f.error, ==, -EPROTO);
+  tear_down (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -169,5 +185,7 @@
   g_test_add_func ("/httpc-truncated/interim", test_interim);
   g_test_add_func ("/httpc-truncated/head-method", test_head_method);
   g_test_add_func ("/httpc-truncated/body", test_body);
+  g_test_add_func ("/httpc-truncated/status-line-in-head",
+                   test_status_line_in_head);
   return g_test_run ();
 }
