forward: limits are read from whole heads only

Found by the review of truncated heads, by reading: a head that ended before the line with the server's limit, or its tolerance of rejections, told that it has none, here and to the other nodes. What a head says counts once it has ended. No test of its own; test_gate_limit, test_brittle, test_gate_relay, test_gate_framing pass.

--- a/src/forward_answer.c
+++ b/src/forward_answer.c
@@ -590,7 +590,7 @@
   struct forward_peer_answer peer_answer;
   bool refusal;
 
-  if (result->status != 0)
+  if (result->head_ended)
     parse_response_head (forward, result->status);
   headers = copy_response_headers (forward);
   peer_answer = read_peer_answer (forward, result);
