--- a/src/forward.c
+++ b/src/forward.c
@@ -7,6 +7,7 @@
 #include "ts.h"
 
 #define STARTING_RETRY_MS 500 /* time to obtain the configuration */
+#define CONFIG_RETRY_MS 500   /* time for a newer configuration to arrive */
 #define STOPPING_RETRY_MS 20  /* another node can take the request at once */
 #define DEFAULT_TIMEOUT_MS 60000 /* when neither caller nor route sets one */
 
@@ -26,6 +27,7 @@
   forward_relay_free (forward);
   g_free (forward->target);
   g_free (forward->software);
+  TAILQ_REMOVE (&forward->gateway->open_requests, forward, open_link);
   forward->gateway->open--;
   g_free (forward);
 }
@@ -123,6 +125,31 @@
                     0);
 }
 
+static void
+end_request (struct forward *forward)
+{
+  forward_cancel (forward);
+  if (forward_not_run (forward))
+    forward_refuse (forward, 503, "stopping", STOPPING_RETRY_MS);
+  else
+    forward_refuse (forward, 504, "this node stops", 0);
+}
+
+void
+forward_end_all (struct gateway *gateway)
+{
+  struct forward *forward;
+  struct forward *next;
+
+  for (forward = TAILQ_FIRST (&gateway->open_requests); forward != NULL;
+       forward = next)
+    {
+      next = TAILQ_NEXT (forward, open_link);
+      if (forward->state != FORWARD_DONE)
+        end_request (forward);
+    }
+}
+
 /* What a relayed request's caller does is seen by the node that relayed it. */
 static void
 note_gone (struct forward *forward)
@@ -187,11 +214,25 @@
                   forward->deadline);
 }
 
-/* The log tells which version of the configuration the request was judged by,
-   and how old that was.  */
+/* Whether a configuration that this node does not have may have the route.  */
+static bool
+may_be_routed (const struct forward *forward)
+{
+  const struct gateway *gateway = forward->gateway;
+
+  return forward->route != NULL
+         || !listing_config_is_current (gateway->listing,
+                                        gateway->options.config_ms);
+}
+
+/* Callers do not repeat a request after 404, but do after 503.  The log tells
+   which version of the configuration the request was judged by, and how old
+   that was.  */
 static void
 refuse_unknown_route (struct forward *forward)
 {
+  const char *why
+      = forward->route == NULL ? "no such route" : "no service for the route";
   const struct listing *listing = forward->gateway->listing;
   struct log_line line;
 
@@ -199,13 +240,17 @@
   log_begin (&line, EVENT_BAD_REQUEST);
   log_str (&line, "method", httpd_method (forward->request));
   log_str (&line, "path", httpd_path (forward->request));
-  log_str (&line, "why", "no such route");
+  log_str (&line, "why", why);
   log_str (&line, "request", forward->parsed.id);
   log_int (&line, "version", (int64_t)forward->site->version);
   log_int (&line, "in_force_ms", listing_config_in_force_ms (listing));
   log_int (&line, "read_ms", listing_config_read_ms (listing));
+  log_int (&line, "told_ms", listing_peer_config_age_ms (listing));
   log_end (&line);
-  forward_refuse (forward, 404, "no such route", 0);
+  if (may_be_routed (forward))
+    forward_refuse (forward, 503, why, CONFIG_RETRY_MS);
+  else
+    forward_refuse (forward, 404, why, 0);
 }
 
 /* Requests with the same prompt are routed to the same service.  */
@@ -254,6 +299,33 @@
   return route;
 }
 
+static struct drain_request
+drain_request (const struct forward *forward)
+{
+  const struct duration *duration
+      = gateway_duration (forward->gateway, forward->route->name);
+
+  return (struct drain_request){ .deadline = forward->deadline,
+                                 .usual = duration_usual (duration) };
+}
+
+static bool
+accepts_now (const struct forward *forward)
+{
+  struct drain_request request = drain_request (forward);
+
+  return drain_accepts (&forward->gateway->drain, &request, forward->arrived);
+}
+
+bool
+forward_may_send (const struct forward *forward)
+{
+  struct drain_request request = drain_request (forward);
+
+  return drain_may_send (&forward->gateway->drain, &request,
+                         forward_now (forward));
+}
+
 static void
 accept_request (struct forward *forward)
 {
@@ -267,7 +339,7 @@
       refuse_bad_request (forward, 400, why);
       return;
     }
-  if (!gateway_accepts (gateway))
+  if (!drain_is_open (&gateway->drain, forward->arrived))
     {
       forward_refuse (forward, 503, "stopping", STOPPING_RETRY_MS);
       return;
@@ -279,6 +351,13 @@
     }
   forward_set_relayed (forward);
   forward->site = site_ref (listing_site (gateway->listing));
+  if (forward_versions_differ (forward))
+    {
+      forward_refuse (forward, 503,
+                      "the nodes have different versions of the configuration",
+                      STARTING_RETRY_MS);
+      return;
+    }
   forward->route = find_route (forward);
   if (forward->route == NULL || !find_service (forward))
     {
@@ -286,6 +365,11 @@
       return;
     }
   set_deadline (forward);
+  if (!accepts_now (forward))
+    {
+      forward_refuse (forward, 503, "stopping", STOPPING_RETRY_MS);
+      return;
+    }
   forward_set_features (forward);
   if (forward_reject_quarantined (forward))
     return;
@@ -307,6 +391,7 @@
   forward->request = request;
   forward->buffer = g_string_new (NULL);
   forward->arrived = forward_now (forward);
+  TAILQ_INSERT_TAIL (&gateway->open_requests, forward, open_link);
   gateway->open++;
   counter_add (COUNTER_REQUESTS, 1);
   httpd_set_user (request, forward);
--- a/src/forward_answer.c
+++ b/src/forward_answer.c
@@ -192,9 +192,9 @@
 
   err = sse_forward (&forward->sse, forward->buffer, bytes, n, write_to_caller,
                      forward);
-  if (forward->sse.has_id)
+  if (forward->sse.events > before)
     {
-      forward->can_resume = true;
+      forward->can_resume = forward->sse.has_id;
       forward->last_event = forward->sse.last_id;
     }
   if (before == 0 && forward->sse.events > 0 && !forward->to_peer)
@@ -241,6 +241,9 @@
   struct gateway *gateway = forward->gateway;
 
   forward_log_done (forward, result);
+  if (result->status < FORWARD_SERVER_ERROR)
+    duration_add (gateway_duration (gateway, forward->route->name),
+                  ts_sub (forward_now (forward), forward->sent_at));
   note_request_time (forward);
   for (size_t i = 0; !forward->to_peer && i < forward->parsed.part_count; i++)
     pick_hint (gateway->pick, forward->engine->id, forward->parsed.parts[i],
@@ -587,7 +590,7 @@
   struct forward_peer_answer peer_answer;
   bool refusal;
 
-  if (result->status != 0)
+  if (result->head_ended)
     parse_response_head (forward, result->status);
   headers = copy_response_headers (forward);
   peer_answer = read_peer_answer (forward, result);
--- a/src/forward_relay.c
+++ b/src/forward_relay.c
@@ -25,6 +25,14 @@
       = note->tried != NULL ? g_ptr_array_ref (note->tried) : NULL;
 }
 
+bool
+forward_versions_differ (const struct forward *forward)
+{
+  uint64_t version = forward->origin_note.config;
+
+  return version != 0 && version != forward->site->version;
+}
+
 void
 forward_relay_free (struct forward *forward)
 {
@@ -101,6 +109,7 @@
 forward_relay_header (const struct forward *forward)
 {
   struct relay_note note = { .node = forward->gateway->core->node,
+                             .config = forward->site->version,
                              .counts = true,
                              .attempts = 1,
                              .sendings = forward_sendings (forward) - 1 };
@@ -276,7 +285,7 @@
   struct gateway *gateway = forward->gateway;
   struct route_engine *peer = NULL;
 
-  if (forward->request != NULL)
+  if (forward->request != NULL && forward_may_send (forward))
     peer = forward_pick_peer (forward);
   if (peer != NULL && forward->peer_note.sendings > 0
       && !retry_withdraw (gateway->retry, forward->service->name))
--- a/src/listing.c
+++ b/src/listing.c
@@ -10,6 +10,7 @@
 #include "netaddr.h"
 #include "log.h"
 #include "nodetable.h"
+#include "outage.h"
 #include "ts.h"
 
 /* Duration of a watch of the servers, and pause between two watches.  Rows
@@ -34,9 +35,6 @@
 #define SUSPENDED_CHECK_MS 150
 /* The store is called at least this often while it does not answer.  */
 #define OUTAGE_RECENT_MS 3000
-/* After an outage of the store, live servers register again within this
-   time.  */
-#define REREGISTRATION_MS 2500
 #define EXPIRE_INTERVAL_MS 250 /* between removals of expired servers */
 
 /* One watched table.  */
@@ -84,8 +82,8 @@
   /* SERVERS is the decider's list, as of its last message.  */
   bool peer_list_applied;
   struct timespec start_wait_until;
-  struct timespec last_outage_at; /* last failed call; zero: none */
-  bool restored;                  /* COPY_VERSION is not known yet */
+  struct outage outage;
+  bool restored; /* COPY_VERSION is not known yet */
   /* Rows up to this version may be from the copy that the store was restored
      from; 0: it was not.  */
   uint64_t copy_version;
@@ -112,6 +110,7 @@
   log_begin (&line, EVENT_CONFIG_IN_FORCE);
   log_int (&line, "version", (int64_t)site->version);
   log_str (&line, "source", listing->config_from_peer ? "peer" : "store");
+  log_int (&line, "told_ms", listing_peer_config_age_ms (listing));
   log_int (&line, "routes", site->routes->len);
   log_int (&line, "services", site->services->len);
   log_end (&line);
@@ -177,6 +176,14 @@
   return since_ms (listing, listing->confwatch.known_at);
 }
 
+bool
+listing_config_is_current (const struct listing *listing, int64_t within_ms)
+{
+  return listing->site != NULL
+         && confwatch_is_current (&listing->confwatch, listing->site->version,
+                                  within_ms, listing_now (listing));
+}
+
 static void
 receive_config (struct listing *listing,
                 const struct platform_changes *changes, bool complete)
@@ -262,29 +269,41 @@
   return changed;
 }
 
-/* Registrations expire during an outage of the store, so a server that
-   disappears soon afterwards may register again.  */
-static struct timespec
-removal_time (const struct listing *listing)
-{
-  struct timespec now = listing_now (listing);
-
-  if (ts_is_zero (listing->last_outage_at))
-    return now;
-  return ts_max (now, ts_add_ms (listing->last_outage_at, REREGISTRATION_MS));
-}
-
+/* The server ID is not in the list of SOURCE, made at MADE_AT, and is removed
+   at REMOVED_AT.  */
 static void
-drop_server (struct listing *listing, const char *id)
+drop_server (struct listing *listing, const char *id, const char *source,
+             struct timespec made_at, struct timespec removed_at)
 {
+  const struct server *server = servers_find (listing->servers, id);
+  struct timespec now = listing_now (listing);
   struct log_line line;
 
-  if (servers_find (listing->servers, id) == NULL)
+  if (server == NULL
+      || (!ts_is_zero (server->drop_at)
+          && !ts_before (removed_at, server->drop_at)))
     return;
   log_begin (&line, EVENT_SERVER_DROPPED);
   log_str (&line, "engine", id);
+  log_str (&line, "source", source);
+  log_int (&line, "age_ms", ts_to_ms (ts_sub (now, made_at)));
+  log_int (&line, "kept_ms", ts_to_ms (ts_sub (removed_at, now)));
   log_end (&line);
-  servers_drop (listing->servers, id, removal_time (listing));
+  servers_drop (listing->servers, id, removed_at);
+}
+
+static void
+drop_unregistered (struct listing *listing, const char *id)
+{
+  drop_server (listing, id, "store", listing->listed_at,
+               outage_removal_time (&listing->outage, listing_now (listing)));
+}
+
+static void
+drop_unpublished (struct listing *listing, const char *id)
+{
+  drop_server (listing, id, "peer", listing->peer_listed_at,
+               listing_now (listing));
 }
 
 static bool
@@ -305,7 +324,7 @@
   g_hash_table_iter_init (&iter, servers_all (listing->servers));
   while (g_hash_table_iter_next (&iter, (gpointer *)&id, NULL))
     if (!is_listed (changes, id))
-      drop_server (listing, id);
+      drop_unregistered (listing, id);
 }
 
 static void
@@ -339,7 +358,7 @@
   begin_list (listing);
   for (size_t i = 0; i < changes->count; i++)
     if (changes->rows[i].value == NULL)
-      drop_server (listing, changes->rows[i].key);
+      drop_unregistered (listing, changes->rows[i].key);
     else
       changed = update_server (listing, &changes->rows[i]) || changed;
   if (complete)
@@ -451,7 +470,7 @@
       return;
     }
   if (!was_paused (watched))
-    listing->last_outage_at = now;
+    outage_failed (&listing->outage, now);
   loop_timer_set (listing->core->loop, &watched->timer,
                   retry_at (watched, status, now));
   watched->failures++;
@@ -489,6 +508,7 @@
       query_now (watched);
       return;
     }
+  outage_answered (&listing->outage, listing_now (listing));
   watched->failures = 0;
   watched->listed = true;
   watched->version = changes->version;
@@ -529,6 +549,18 @@
                            listing_now (listing));
 }
 
+/* When to check again whether queries of the table are suspended.  */
+static struct timespec
+suspended_check_at (const struct watched_table *watched)
+{
+  const struct listing *listing = watched->listing;
+  struct timespec at = ts_add_ms (listing_now (listing), SUSPENDED_CHECK_MS);
+
+  if (watched != &listing->config_table)
+    return at;
+  return ts_min (at, confwatch_expires_at (&listing->confwatch));
+}
+
 static int64_t
 watch_duration_ms (const struct watched_table *watched)
 {
@@ -580,8 +612,7 @@
     {
       watched->listed = false;
       watched->failures = 0;
-      loop_timer_set (loop, timer,
-                      ts_add_ms (loop_now (loop), SUSPENDED_CHECK_MS));
+      loop_timer_set (loop, timer, suspended_check_at (watched));
       return;
     }
   if (is_start_wait (watched))
@@ -638,9 +669,10 @@
 bool
 listing_store_is_away (const struct listing *listing)
 {
-  return !ts_is_zero (listing->last_outage_at)
-         && ts_before (listing_now (listing),
-                       ts_add_ms (listing->last_outage_at, OUTAGE_RECENT_MS));
+  return !ts_is_zero (listing->outage.failed_at)
+         && ts_before (
+             listing_now (listing),
+             ts_add_ms (listing->outage.failed_at, OUTAGE_RECENT_MS));
 }
 
 int64_t
@@ -751,7 +783,7 @@
 void
 listing_peer_list_remove (struct listing *listing, const char *id)
 {
-  servers_drop (listing->servers, id, listing_now (listing));
+  drop_unpublished (listing, id);
   expire_servers (listing);
 }
 
@@ -768,7 +800,7 @@
       g_hash_table_iter_init (&iter, servers_all (listing->servers));
       while (g_hash_table_iter_next (&iter, (gpointer *)&id, NULL))
         if (!g_hash_table_contains (listing->peer_servers, id))
-          servers_drop (listing->servers, id, listing_now (listing));
+          drop_unpublished (listing, id);
       expire_servers (listing);
     }
 }
@@ -789,7 +821,7 @@
 static void
 on_store_restored (struct listing *listing)
 {
-  listing->last_outage_at = listing_now (listing);
+  outage_entries_lost (&listing->outage, listing_now (listing));
   listing->restored = true;
   listing->copy_version = 0;
   listing->peer_list_version = 0;
@@ -818,6 +850,7 @@
   struct listing *listing = (struct listing *)service;
 
   listing->core = core_find (kernel);
+  listing->outage.heartbeat_ms = listing->core->settings->heartbeat_ms;
   listing->links = links_find (kernel);
   start_watching (&listing->config_table, 0);
   start_watching (&listing->servers_table, START_DELAY_MS);
--- a/tests/gate_fixture.h
+++ b/tests/gate_fixture.h
@@ -19,6 +19,13 @@
 #include "ts.h"
 
 #define MANY_RETRIES 100
+/* A test program may set another.  */
+#ifndef GATE_DRAIN_MS
+#define GATE_DRAIN_MS 5000
+#endif
+#define CONFIG_MS 2000
+#define SERVER_HEAD_MEMORY (4u << 20)
+#define HEARTBEAT_MS 1200
 
 struct row
 {
@@ -512,6 +519,7 @@
 {
   struct httpd_options options = { .loop = f->loop,
                                    .address = "127.0.0.1",
+                                   .head_memory = SERVER_HEAD_MEMORY,
                                    .request = request,
                                    .gone = gone,
                                    .user = f };
@@ -530,7 +538,7 @@
                                   .platform = f->platform,
                                   .backend = f->backend,
                                   .catalog = document_catalog (),
-                                  .drain_ms = 5000,
+                                  .drain_ms = GATE_DRAIN_MS,
                                   .close = close_upstream,
                                   .user = f };
 
@@ -540,6 +548,7 @@
   options.gateway.max_connections = 100;
   options.gateway.retry_share = f->retries >= MANY_RETRIES ? 1.0 : 0;
   options.gateway.retry_burst = f->retries;
+  options.gateway.config_ms = CONFIG_MS;
   g_assert_cmpint (gate_new (&options, &f->gate), ==, 0);
 }
 
@@ -576,6 +585,7 @@
   f->settings.peer_address = g_strdup ("127.0.0.1");
   f->settings.peer_token = g_strdup ("secret-of-nodes");
   f->settings.entry_ttl_s = 1;
+  f->settings.heartbeat_ms = HEARTBEAT_MS;
   f->settings.loads_at_once = 4;
   start_gate (f);
 }
--- a/tests/gate_second.h
+++ b/tests/gate_second.h
@@ -84,6 +84,7 @@
   second->settings.peer_address = g_strdup ("127.0.0.1");
   second->settings.peer_token = g_strdup (token);
   second->settings.entry_ttl_s = 1;
+  second->settings.heartbeat_ms = HEARTBEAT_MS;
   second->settings.loads_at_once = 4;
   options.platform = second->platform;
   options.backend = second->backend;
@@ -94,6 +95,7 @@
   options.gateway.max_connections = 100;
   options.gateway.retry_share = 1.0;
   options.gateway.retry_burst = 100;
+  options.gateway.config_ms = CONFIG_MS;
   g_assert_cmpint (gate_new (&options, &second->gate), ==, 0);
 }
 
