--- a/src/httpc.h
+++ b/src/httpc.h
@@ -11,7 +11,8 @@
 
    A response whose head can be read in two ways (httpc_head.h) ends the call
    with -EPROTO and closes the connection.  A response that ends within its
-   head, or after an interim response, ends the call with -EPIPE.
+   head, or after an interim response, ends the call with -EPIPE, or
+   -ECONNRESET if none of its lines is whole.
 
    A body without a length or chunks ends with its connection.  If nobody
    listens at the server's address then, it died, and the call ends with
