site, pace: customers of the configuration and the pace that servers tell

Cause: keys, quotas and placement need the customers of the configuration and the fourth figure of the servers' load header. A customer's priority goes before the route's. No request has a customer yet. Conclusion: a base for the parts; no change in behaviour.

--- a/src/caller.h
+++ b/src/caller.h
@@ -80,6 +80,7 @@
   bool has_load;
   unsigned running; /* requests of all callers at the server */
   unsigned queued;
+  double pace; /* how long work takes there, see pace.h; 0: not told */
   struct backend_notice notice;
 };
 
--- a/src/forward_answer.c
+++ b/src/forward_answer.c
@@ -61,6 +61,8 @@
     servers_report_load (listing_servers (gateway->listing),
                          forward->engine->id, forward->answer.running,
                          forward->answer.queued, forward->first_at);
+  servers_report_pace (listing_servers (gateway->listing), forward->engine->id,
+                       forward->answer.pace, forward->first_at);
 }
 
 /* After a response to another request, the response to this one is still due
--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -34,7 +34,7 @@
       + change;
   planners_set_waiting (gateway->planners, service, forward->target,
                         forward->software, (unsigned)n, forward->deadline,
-                        forward->route->priority);
+                        forward_priority (forward));
   if (n > 0)
     g_hash_table_replace (gateway->waiting_for, key, GINT_TO_POINTER (n));
   else
@@ -47,8 +47,8 @@
 static bool
 is_more_urgent (const struct forward *a, const struct forward *b)
 {
-  if (a->route->priority != b->route->priority)
-    return a->route->priority < b->route->priority;
+  if (forward_priority (a) != forward_priority (b))
+    return forward_priority (a) < forward_priority (b);
   return ts_before (a->deadline, b->deadline);
 }
 
@@ -226,7 +226,7 @@
 static unsigned
 compute_urgency (const struct forward *forward)
 {
-  return MIN (URGENCY_BASE + URGENCY_PER_PRIORITY * forward->route->priority,
+  return MIN (URGENCY_BASE + URGENCY_PER_PRIORITY * forward_priority (forward),
               URGENCY_MAX);
 }
 
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -42,6 +42,7 @@
   struct site *site; /* reference */
   const struct site_route *route;
   const struct site_service *service;
+  const struct site_customer *customer; /* of SITE; NULL: none */
   char *target; /* model or adapter; NULL: not given, or a plain service */
   enum forward_state state;
   struct timespec arrived;
@@ -111,6 +112,16 @@
   return ts_to_ms (ts_sub (forward->deadline, forward_now (forward)));
 }
 
+/* 0 is the highest.  */
+static inline unsigned
+forward_priority (const struct forward *forward)
+{
+  const struct site_customer *customer = forward->customer;
+
+  return customer != NULL && customer->has_priority ? customer->priority
+                                                    : forward->route->priority;
+}
+
 static inline bool
 forward_not_run (const struct forward *forward)
 {
--- a/src/servers.c
+++ b/src/servers.c
@@ -369,6 +369,16 @@
   server->observed_at = now;
 }
 
+void
+servers_report_pace (struct servers *servers, const char *id, double pace,
+                     struct timespec now)
+{
+  struct server *server = servers_find (servers, id);
+
+  if (server != NULL)
+    pace_report (&server->pace, pace, now);
+}
+
 void
 servers_apply_load (struct servers *servers, const char *id, unsigned running,
                     unsigned queued, struct timespec now)
--- a/src/servers.h
+++ b/src/servers.h
@@ -22,6 +22,7 @@
 #include "backend.h"
 #include "frame.h"
 #include "inventory.h"
+#include "pace.h"
 #include "route.h"
 
 /* Lifetime of published replicas: six times the interval at which the decider
@@ -71,6 +72,7 @@
   unsigned queued;
   unsigned inflight_at_load; /* this node's requests, when that was reported */
   struct timespec load_at;   /* time of that report */
+  struct pace pace;          /* of its machine */
   struct timespec observed_at;  /* last load in a response to this node */
   bool load_observed;           /* by this node, since servers_take_loads */
   bool load_applied;            /* the same by other nodes */
@@ -117,6 +119,11 @@
                           unsigned running, unsigned queued,
                           struct timespec now);
 
+/* A response of server ID told that work takes PACE times as long as usual;
+   0: it did not tell.  */
+void servers_report_pace (struct servers *servers, const char *id, double pace,
+                          struct timespec now);
+
 /* Another node observed this load.  Ignored if this node has observed one
    itself within SERVERS_OWN_LOAD_MS.  */
 void servers_apply_load (struct servers *servers, const char *id,
--- a/src/site.c
+++ b/src/site.c
@@ -32,6 +32,15 @@
   g_free (route->prefix);
 }
 
+static void
+customer_clear (gpointer data)
+{
+  struct site_customer *customer = data;
+
+  g_free (customer->name);
+  g_strfreev (customer->keys);
+}
+
 static void
 free_routes (gpointer routes)
 {
@@ -47,7 +56,9 @@
   site->routes = g_array_new (FALSE, TRUE, sizeof (struct site_route));
   site->services = g_array_new (FALSE, TRUE, sizeof (struct site_service));
   g_array_set_clear_func (site->routes, route_clear);
+  site->customers = g_array_new (FALSE, TRUE, sizeof (struct site_customer));
   g_array_set_clear_func (site->services, service_clear);
+  g_array_set_clear_func (site->customers, customer_clear);
   site->hosts
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_routes);
   return site;
@@ -68,6 +79,7 @@
   g_hash_table_unref (site->hosts);
   g_array_unref (site->routes);
   g_array_unref (site->services);
+  g_array_unref (site->customers);
   g_free (site);
 }
 
--- a/src/site.h
+++ b/src/site.h
@@ -45,6 +45,20 @@
   size_t model_count;
 };
 
+/* Sends requests under its keys, within its quota.  */
+struct site_customer
+{
+  char *name;
+  char **keys;       /* NULL-terminated, never NULL */
+  bool has_priority; /* PRIORITY replaces that of the route */
+  unsigned priority; /* 0 is the highest */
+  /* Quota over all nodes, in tokens or requests; PER_S 0: no limit.  */
+  bool by_tokens;
+  uint64_t plain_tokens; /* of a request that names no tokens */
+  double per_s;
+  double burst;
+};
+
 struct site_split
 {
   char *service;
@@ -59,6 +73,7 @@
   enum site_kind kind;
   bool resumable;    /* a stream may be resumed at another engine */
   bool sticky;       /* requests of a session share a prompt prefix */
+  bool is_public;    /* requests need no key */
   unsigned priority; /* 0 is the highest */
   unsigned max_attempts;
   int64_t timeout_ms;
@@ -73,10 +88,12 @@
 {
   uint64_t version; /* increases with each change, not always by 1 */
   unsigned refs;
-  GArray *routes;    /* struct site_route */
-  GArray *services;  /* struct site_service */
-  size_t body_bytes; /* maximum size of a request's body; 0: no limit here */
-  GHashTable *hosts; /* name to GPtrArray of routes, longest prefix first */
+  GArray *routes;     /* struct site_route */
+  GArray *services;   /* struct site_service */
+  GArray *customers;  /* struct site_customer */
+  bool keys_required; /* of all routes that are not public */
+  size_t body_bytes;  /* maximum size of a request's body; 0: no limit here */
+  GHashTable *hosts;  /* name to GPtrArray of routes, longest prefix first */
 };
 
 /* An empty one with one reference.  */
