forward: requests need the API key of a customer

Configurations may name customers with API keys, but requests were served without any.

keyring finds the customer that a key belongs to; forward refuses a request to a route that is not public for lack of a valid key, with 401 if the configuration is known to be the newest and with 503 otherwise. Servers get the customer's name instead of the key; a caller's own header of that name is always dropped. A key that two customers list belongs to neither. forward_key_fault tells from the head alone whether the key is at fault.

Whether a request is admitted before most others now depends on the priority of customers too, as the order of the queue and the urgency already did.

--- a/src/caller.c
+++ b/src/caller.c
@@ -2,6 +2,15 @@
 
 #include <string.h>
 
+void
+caller_key_clear (struct caller_key *key)
+{
+  if (key->text != NULL)
+    explicit_bzero (key->text, strlen (key->text));
+  g_free (key->text);
+  *key = (struct caller_key){ 0 };
+}
+
 void
 caller_request_clear (struct caller_request *request)
 {
--- a/src/caller.h
+++ b/src/caller.h
@@ -7,8 +7,9 @@
    tests install their own.
 
    All calls come from one thread.  Ownership: a struct caller_request owns
-   its strings until caller_request_clear; everything else is borrowed for the
-   duration of the call.  */
+   its strings until caller_request_clear, a struct caller_key until
+   caller_key_clear; everything else is borrowed for the duration of the call.
+ */
 
 #ifndef PARSLEYRILL_CALLER_H
 #define PARSLEYRILL_CALLER_H
@@ -30,6 +31,14 @@
 
 struct caller;
 
+enum caller_key_state
+{
+  CALLER_KEY_NONE,
+  CALLER_KEY_GIVEN,
+  CALLER_KEY_MALFORMED,
+  CALLER_KEY_REPEATED /* more than one, so that readers could differ */
+};
+
 struct caller_request
 {
   char *id;      /* request id; identifies this attempt of the caller */
@@ -55,6 +64,16 @@
 
 void caller_request_clear (struct caller_request *request);
 
+/* The API key of a request; never logged or passed on.  */
+struct caller_key
+{
+  enum caller_key_state state;
+  char *text; /* if CALLER_KEY_GIVEN */
+};
+
+/* Overwrites the key before its memory is freed.  */
+void caller_key_clear (struct caller_key *key);
+
 /* A request as it is sent to a backend server.  */
 struct caller_backend_request
 {
@@ -66,6 +85,8 @@
   unsigned urgency;   /* 0: highest; 9: lowest */
   bool resumes;
   uint64_t resume_after;
+  bool hide_key;        /* the request's key is left out */
+  const char *customer; /* that the request belongs to; NULL: none */
 };
 
 struct caller_response
@@ -99,6 +120,11 @@
   int (*read) (const struct caller *caller,
                const struct httpd_request *request, struct caller_request *out,
                const char **why);
+  /* Reads the API key from the head of REQUEST; cleared by the caller of this
+     function.  */
+  void (*read_key) (const struct caller *caller,
+                    const struct httpd_request *request,
+                    struct caller_key *out);
   /* Appends the headers to forward, "Name: value", freed with g_free.  */
   void (*head) (const struct caller *caller,
                 const struct caller_backend_request *send, GPtrArray *headers);
--- a/src/forward.c
+++ b/src/forward.c
@@ -9,6 +9,7 @@
 #define STARTING_RETRY_MS 500 /* time to obtain the configuration */
 #define CONFIG_RETRY_MS 500   /* time for a newer configuration to arrive */
 #define STOPPING_RETRY_MS 20  /* another node can take the request at once */
+#define STATUS_UNAUTHORIZED 401
 #define DEFAULT_TIMEOUT_MS 60000 /* when neither caller nor route sets one */
 
 static void
@@ -55,7 +56,7 @@
 send_refusal (struct forward *forward, unsigned status, const char *why,
               int64_t retry_ms)
 {
-  const char *headers[7] = { NULL };
+  const char *headers[9] = { NULL };
   char seconds[32];
   size_t n = 0;
   char *relay = forward->unreached || forward_tells_origin (forward)
@@ -70,6 +71,11 @@
       headers[n++] = "Retry-After";
       headers[n++] = seconds;
     }
+  if (status == STATUS_UNAUTHORIZED)
+    {
+      headers[n++] = "WWW-Authenticate";
+      headers[n++] = "Bearer";
+    }
   if (relay != NULL)
     {
       headers[n++] = CALLER_RELAY_HEADER;
@@ -287,13 +293,14 @@
   return g_strndup (uri, strcspn (uri, "?"));
 }
 
-static const struct site_route *
-find_route (struct forward *forward)
+const struct site_route *
+forward_find_route (const struct site *site,
+                    const struct httpd_request *request)
 {
-  const char *host = httpd_header (forward->request, "Host");
-  char *path = path_of (forward->request);
+  const char *host = httpd_header (request, "Host");
+  char *path = path_of (request);
   const struct site_route *route
-      = site_route (forward->site, host != NULL ? host : "", path);
+      = site_route (site, host != NULL ? host : "", path);
 
   g_free (path);
   return route;
@@ -360,12 +367,14 @@
                       STARTING_RETRY_MS);
       return;
     }
-  forward->route = find_route (forward);
+  forward->route = forward_find_route (forward->site, forward->request);
   if (forward->route == NULL || !find_service (forward))
     {
       refuse_unknown_route (forward);
       return;
     }
+  if (forward_reject_key (forward))
+    return;
   set_deadline (forward);
   if (!accepts_now (forward))
     {
--- a/src/forward.h
+++ b/src/forward.h
@@ -19,6 +19,11 @@
 /* Takes ownership of REQUEST.  */
 void forward_start (struct gateway *gateway, struct httpd_request *request);
 
+/* Whether forward_start would refuse REQUEST for its API key.  That depends on
+   the head alone, so that the body need not have been received.  */
+bool forward_key_fault (struct gateway *gateway,
+                        const struct httpd_request *request);
+
 /* The caller's request is gone.  */
 void forward_caller_gone (struct forward *forward);
 
--- a/src/forward_log.c
+++ b/src/forward_log.c
@@ -25,6 +25,8 @@
   if (forward->route != NULL)
     log_str (line, "route", forward->route->name);
   log_str (line, "target", forward->target);
+  if (forward->customer != NULL)
+    log_str (line, "customer", forward->customer->name);
   if (forward->relayed)
     log_int (line, "relayed", 1);
   log_double (line, "age_ms", age_ms (forward));
@@ -63,7 +65,7 @@
 
   begin_line (forward, &line, EVENT_REQUEST_WAITING);
   log_int (&line, "usable", forward->explanation.usable);
-  log_int (&line, "priority", forward->route->priority);
+  log_int (&line, "priority", forward_priority (forward));
   if (!ts_is_zero (ready_at))
     log_double (&line, "ready_in_ms",
                 to_ms (ts_sub (ready_at, forward_now (forward))));
--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -241,7 +241,10 @@
           .left_ms = forward_left_ms (forward),
           .urgency = compute_urgency (forward),
           .resumes = forward->parsed.resumes,
-          .resume_after = forward->parsed.resume_after };
+          .resume_after = forward->parsed.resume_after,
+          .hide_key = forward->site->keys_required,
+          .customer
+          = forward->customer != NULL ? forward->customer->name : NULL };
   GPtrArray *headers = g_ptr_array_new_with_free_func (g_free);
 
   if (forward->head_sent)
@@ -437,8 +440,22 @@
                        ts_add_ms (ready_at, FORWARD_ANSWER_MIN_MS));
 }
 
-/* Whether some route of the service has a lower priority, so that engines
-   admit this request before most others.  */
+static bool
+has_lower_customer (const struct site *site, unsigned priority)
+{
+  for (guint i = 0; i < site->customers->len; i++)
+    {
+      const struct site_customer *customer
+          = &g_array_index (site->customers, struct site_customer, i);
+
+      if (customer->has_priority && customer->priority > priority)
+        return true;
+    }
+  return false;
+}
+
+/* Whether some route of the service, or some customer, has a lower priority,
+   so that engines admit this request before most others.  */
 static bool
 is_admitted_first (const struct forward *forward)
 {
@@ -450,11 +467,11 @@
           = &g_array_index (routes, struct site_route, i);
       const char *service = site_split (route, 0);
 
-      if (route->priority > forward->route->priority && service != NULL
+      if (route->priority > forward_priority (forward) && service != NULL
           && strcmp (service, forward->service->name) == 0)
         return true;
     }
-  return false;
+  return has_lower_customer (forward->site, forward_priority (forward));
 }
 
 /* Sets *RETRY_MS and returns true if the chosen engine is so busy that the
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -1,6 +1,7 @@
 /* forward_state - state of one request, shared by the modules forward,
-   forward_send, forward_limit, forward_relay, forward_resume,
-   forward_quarantine, forward_answer and forward_log.  Private to them.  */
+   forward_send, forward_limit, forward_customer, forward_relay,
+   forward_resume, forward_quarantine, forward_answer and forward_log.  Private
+   to them.  */
 
 #ifndef PARSLEYRILL_FORWARD_STATE_H
 #define PARSLEYRILL_FORWARD_STATE_H
@@ -137,6 +138,10 @@
 /* Fails the request: 503 if it certainly did not run, otherwise 502.  */
 void forward_fail (struct forward *forward, const char *why, int64_t retry_ms);
 void forward_finish (struct forward *forward);
+/* NULL if there is none.  */
+const struct site_route *
+forward_find_route (const struct site *site,
+                    const struct httpd_request *request);
 /* Whether the request can still be sent to a server and answered in time,
    should this node be stopping.  */
 bool forward_may_send (const struct forward *forward);
@@ -188,6 +193,12 @@
 void forward_limits_unwant (struct forward *forward);
 void forward_limits_free (struct forward *forward);
 
+/* forward_customer.c: keys of customers, see keyring.h.  */
+
+/* Sets the customer that the request's key belongs to.  Refuses the request
+   and returns true if its route needs another key.  */
+bool forward_reject_key (struct forward *forward);
+
 /* forward_relay.c: requests passed on to other nodes, see cutoff.h.  */
 
 /* Reads whether another node passed the request on, and what it tells.  */
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -386,6 +386,7 @@
   gateway->httpc = httpc_new (&client);
   if (gateway->httpc == NULL)
     return -ENOMEM;
+  gateway_keys_start (gateway);
   start_retry_window (gateway);
   create_policies (gateway);
   gateway_probe_start (gateway);
@@ -472,6 +473,7 @@
 
   if (gateway == NULL)
     return;
+  gateway_keys_stop (gateway);
   pick_free (gateway->pick);
   eject_free (gateway->eject);
   brittle_free (gateway->brittle);
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -30,6 +30,7 @@
 #include "versionlog.h"
 
 struct forward;
+struct keyring;
 
 TAILQ_HEAD (forward_list, forward);
 
@@ -78,6 +79,10 @@
   struct forward_list open_requests;
   unsigned open; /* of OPEN_REQUESTS */
   struct drain drain;
+  /* Of the customers of KEYRING_SITE, see forward_customer.c.  */
+  struct keyring *keyring;
+  struct site *keyring_site; /* reference */
+  uint64_t key_seed;
 };
 
 /* gateway_probe.c: whether servers are cut off from this node, see cutoff.h.
@@ -96,6 +101,13 @@
 void gateway_server_heard (struct gateway *gateway, const char *id);
 void gateway_server_removed (struct gateway *gateway, const char *id);
 
+/* forward_customer.c */
+
+/* Draws the seed of the keyring.  */
+void gateway_keys_start (struct gateway *gateway);
+/* Frees the keyring; another is made when it is needed.  */
+void gateway_keys_stop (struct gateway *gateway);
+
 /* How long callers of route NAME wait; created when first asked for;
    borrowed.  */
 struct patience *gateway_patience (struct gateway *gateway, const char *name);
--- /dev/null
+++ b/tests/test_gate_keys.c
@@ -0,0 +1,237 @@
+/* Requests are served under the customer that their key belongs to, and no key
+   leaves the node.  */
+
+#include <stdio.h>
+#include <unistd.h>
+#include "keys_fixture.h"
+#include "log.h"
+
+#define CUSTOMER_LINE "Parsleyrill-Tenant: "
+
+static int log_fd;
+
+static void
+handle_at_server (struct fixture *f, struct httpd_request *request)
+{
+  (void)f;
+  answer (request, 200, "hello");
+}
+
+static void
+check_passed_on (struct fixture *f, const char *customer)
+{
+  char *line = g_strdup_printf (CUSTOMER_LINE "%s\n", customer);
+
+  g_assert_nonnull (strstr (f->last_request->str, line));
+  g_assert_null (
+      strstr (strstr (f->last_request->str, line) + 1, CUSTOMER_LINE));
+  g_assert_null (strcasestr (f->last_request->str, "Authorization"));
+  g_free (line);
+}
+
+/* Guards against a key or a false name of a customer that reaches servers.  */
+static void
+test_passed_on (void)
+{
+  static const char *const forged[]
+      = { "Authorization: Bearer " KEY_B, "Parsleyrill-Tenant: a",
+          "parsleyrill-tenant: c", NULL };
+  struct fixture f;
+
+  set_up (&f);
+  serve_keys (&f);
+  g_assert_cmpint (status_with_key (&f, "/safe/x", KEY_A), ==, 200);
+  check_passed_on (&f, "a");
+  request_and_wait (&f, "GET", "/safe/x", forged);
+  g_assert_cmpint (f.status, ==, 200);
+  check_passed_on (&f, "b");
+  tear_down (&f);
+}
+
+static void
+check_headers (struct fixture *f, long status, const char *first,
+               const char *second)
+{
+  const char *headers[] = { first, second, NULL };
+
+  request_and_wait (f, "GET", "/safe/x", headers);
+  g_assert_cmpint (f->error, ==, 0);
+  g_assert_cmpint (f->status, ==, status);
+}
+
+/* Guards against requests that are served without a valid key.  */
+static void
+test_rejected (void)
+{
+  struct fixture f;
+
+  set_up (&f);
+  serve_keys (&f);
+  check_headers (&f, 401, NULL, NULL);
+  check_headers (&f, 401, "Authorization: Bearer unknown", NULL);
+  check_headers (&f, 401, "Authorization: Bearer", NULL);
+  check_headers (&f, 401, "Authorization;", NULL);
+  check_headers (&f, 401, "Authorization: " KEY_A, NULL);
+  check_headers (&f, 401, "Authorization: Basic " KEY_A, NULL);
+  check_headers (&f, 401, "Authorization: Bearer " KEY_A " x", NULL);
+  check_headers (&f, 401, "Authorization: Bearer " KEY_A "," KEY_A, NULL);
+  check_headers (&f, 401, "Authorization: Bearer " KEY_A "x", NULL);
+  check_headers (&f, 401, "Authorization: Bearer " KEY_A,
+                 "Authorization: Bearer " KEY_A);
+  check_headers (&f, 401, "Authorization: Bearer " KEY_A,
+                 "authorization: Bearer other");
+  g_assert_cmpuint (f.at_server, ==, 0);
+  check_headers (&f, 200, "authorization: bearer  " KEY_A " ", NULL);
+  tear_down (&f);
+}
+
+/* Guards against public routes that ask for keys, or lose the customer of a
+   request that has one.  */
+static void
+test_public (void)
+{
+  struct fixture f;
+
+  set_up (&f);
+  serve_keys (&f);
+  g_assert_cmpint (status_with_key (&f, "/open/x", NULL), ==, 200);
+  g_assert_null (strstr (f.last_request->str, CUSTOMER_LINE));
+  g_assert_cmpint (status_with_key (&f, "/open/x", "unknown"), ==, 200);
+  g_assert_null (strstr (f.last_request->str, CUSTOMER_LINE));
+  g_assert_null (strcasestr (f.last_request->str, "Authorization"));
+  g_assert_cmpint (status_with_key (&f, "/open/x", KEY_B), ==, 200);
+  check_passed_on (&f, "b");
+  tear_down (&f);
+}
+
+/* Guards against a change for configurations without customers: their callers'
+   Authorization belongs to the servers.  */
+static void
+test_not_required (void)
+{
+  static const char *const headers[]
+      = { "Authorization: Basic eA==", "Authorization: other",
+          "Parsleyrill-Tenant: a", NULL };
+  struct fixture f;
+
+  set_up (&f);
+  wait_until_serving (&f);
+  request_and_wait (&f, "GET", "/safe/x", headers);
+  g_assert_cmpint (f.status, ==, 200);
+  g_assert_nonnull (
+      strstr (f.last_request->str, "Authorization: Basic eA==\n"));
+  g_assert_nonnull (strstr (f.last_request->str, "Authorization: other\n"));
+  g_assert_null (strstr (f.last_request->str, CUSTOMER_LINE));
+  tear_down (&f);
+}
+
+/* Guards against a document whose list of customers is empty or of another
+   type and that opens all routes.  */
+static void
+test_no_customers (void)
+{
+  static const char *const lists[] = { "[]", "null", "{}", "\"x\"" };
+  struct fixture f;
+
+  set_up (&f);
+  serve_keys (&f);
+  for (unsigned i = 0; i < G_N_ELEMENTS (lists); i++)
+    {
+      char *text = g_strdup_printf (
+          "{\"Version\":%u,\"Routes\":[{\"Name\":\"safe\",\"Hostname\":"
+          "\"h.example\",\"Prefix\":\"/safe/\",\"Kind\":\"safe\","
+          "\"Service\":\"app\"}],\"Services\":[{\"Name\":\"app\"}],"
+          "\"Tenants\":%s}",
+          i + 2, lists[i]);
+
+      put_row (&f, "op/config", text);
+      g_free (text);
+      RUN_UNTIL (&f, version_at (f.gate) == i + 2);
+      g_assert_cmpint (status_with_key (&f, "/safe/x", KEY_A), ==, 401);
+    }
+  g_assert_cmpuint (f.at_server, ==, 0);
+  tear_down (&f);
+}
+
+/* Guards against 401, which callers do not repeat, by a configuration that is
+   not known to be the newest.  */
+static void
+test_store_away (void)
+{
+  struct fixture f;
+  struct timespec end;
+
+  set_up (&f);
+  serve_keys (&f);
+  g_assert_cmpint (status_with_key (&f, "/safe/x", "added"), ==, 401);
+  httpd_free (f.store);
+  f.store = NULL;
+  end = ts_add_ms (clk_now (clk_monotonic ()), CONFIG_MS);
+  RUN_UNTIL (&f, !ts_before (clk_now (clk_monotonic ()), end));
+  g_assert_cmpint (status_with_key (&f, "/safe/x", "added"), ==, 503);
+  g_assert_nonnull (f.retry_after);
+  tear_down (&f);
+}
+
+/* Guards against keys that stay valid, or do not become valid, on open
+   connections: the caller keeps its own.  */
+static void
+test_changed (void)
+{
+  struct fixture f;
+
+  set_up (&f);
+  serve_keys (&f);
+  g_assert_cmpint (status_with_key (&f, "/safe/x", KEY_B), ==, 200);
+  put_keys (&f, 2, "\"new\"");
+  RUN_UNTIL (&f, version_at (f.gate) == 2);
+  g_assert_cmpint (status_with_key (&f, "/safe/x", KEY_B), ==, 401);
+  g_assert_cmpint (status_with_key (&f, "/safe/x", "new"), ==, 200);
+  check_passed_on (&f, "b");
+  g_assert_cmpint (status_with_key (&f, "/safe/x", KEY_A), ==, 200);
+  tear_down (&f);
+}
+
+/* Guards against keys in the log.  Runs last: its log has all lines of the
+   tests before.  */
+static void
+test_log (void)
+{
+  off_t length = lseek (log_fd, 0, SEEK_END);
+  char *text = g_malloc0 ((gsize)length + 1);
+
+  g_assert_cmpint (pread (log_fd, text, (size_t)length, 0), ==, length);
+  g_assert_nonnull (strstr (text, "KEY_REJECTED"));
+  g_assert_nonnull (strstr (text, "customer=a"));
+  g_assert_null (strstr (text, KEY_A));
+  g_assert_null (strstr (text, KEY_B));
+  g_assert_null (strstr (text, "Bearer"));
+  g_free (text);
+}
+
+int
+main (int argc, char **argv)
+{
+  FILE *file = tmpfile ();
+  struct log_options log = { .level = LOG_LEVEL_DEBUG,
+                             .format = LOG_FORMAT_LOGFMT,
+                             .clk = clk_monotonic () };
+  int failed;
+
+  g_assert_nonnull (file);
+  log_fd = fileno (file);
+  log.fd = log_fd;
+  log_init (&log);
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/gate-keys/passed-on", test_passed_on);
+  g_test_add_func ("/gate-keys/rejected", test_rejected);
+  g_test_add_func ("/gate-keys/public", test_public);
+  g_test_add_func ("/gate-keys/not-required", test_not_required);
+  g_test_add_func ("/gate-keys/no-customers", test_no_customers);
+  g_test_add_func ("/gate-keys/store-away", test_store_away);
+  g_test_add_func ("/gate-keys/changed", test_changed);
+  g_test_add_func ("/gate-keys/log", test_log);
+  failed = g_test_run ();
+  fclose (file);
+  return failed;
+}
