relay: the customer of a request that is passed on

A request that one node passes on to another has no key any more, so that the other node would have refused it.

The relay header now names the customer, with a message authentication code (HMAC-SHA256 under the nodes' token over node, request id, version of the configuration and customer). Without a right code, or by another version, it identifies no customer. Nodes of peer protocol 2 do not read the customer and get no such requests; the protocol is 3 now.

--- a/src/forward_customer.c
+++ b/src/forward_customer.c
@@ -103,26 +103,66 @@
   log_end (&line);
 }
 
+/* The customer that the node which passed the request on has proven to have
+   found by the same version of the configuration; NULL: none.  */
+static const struct site_customer *
+proven_customer (struct gateway *gateway, struct site *site,
+                 const struct relay_note *note, const char *id)
+{
+  if (note->config != site->version
+      || !relay_is_proven (note, id, gateway->core->settings->peer_token))
+    return NULL;
+  return keyring_named (keyring_of (gateway, site), note->customer);
+}
+
 bool
 forward_reject_key (struct forward *forward)
 {
+  struct gateway *gateway = forward->gateway;
   const char *why;
 
   if (!forward->site->keys_required)
     return false;
-  why = identify (forward->gateway, forward->site, forward->request,
+  forward->customer = proven_customer (
+      gateway, forward->site, &forward->origin_note, forward->parsed.id);
+  forward->customer_proven = forward->customer != NULL;
+  if (forward->customer_proven)
+    return false;
+  why = identify (gateway, forward->site, forward->request,
                   &forward->customer);
   if (why == NULL || forward->route->is_public)
     return false;
   counter_add (COUNTER_KEYS_REJECTED, 1);
   log_rejected (forward, why);
-  if (is_current (forward->gateway))
+  if (is_current (gateway))
     forward_refuse (forward, 401, why, 0);
   else
     forward_refuse (forward, 503, why, KEY_RETRY_MS);
   return true;
 }
 
+/* Whether another node has proven the customer of REQUEST.  */
+static bool
+is_proven (struct gateway *gateway, struct site *site,
+           const struct httpd_request *request)
+{
+  const struct caller *caller = gateway->options.caller;
+  const char *text = httpd_header (request, CALLER_RELAY_HEADER);
+  struct caller_request parsed = { 0 };
+  struct relay_note note;
+  const char *why;
+  bool proven;
+
+  if (text == NULL)
+    return false;
+  relay_parse (text, &note);
+  proven = caller->ops->read (caller, request, &parsed, &why) == 0
+           && proven_customer (gateway, site, &note, parsed.id) != NULL;
+  caller_request_clear (&parsed);
+  relay_clear (&note);
+  return proven;
+}
+
 bool
 forward_key_fault (struct gateway *gateway,
                    const struct httpd_request *request)
@@ -135,5 +175,6 @@
     return false;
   route = forward_find_route (site, request);
   return route != NULL && !route->is_public
-         && identify (gateway, site, request, &customer) != NULL;
+         && identify (gateway, site, request, &customer) != NULL
+         && !is_proven (gateway, site, request);
 }
--- a/src/forward_relay.c
+++ b/src/forward_relay.c
@@ -64,13 +64,20 @@
   return forward->origin_note.counts;
 }
 
+/* Of the node that ENGINE stands for.  */
+static uint64_t
+peer_protocol_of (const struct forward *forward,
+                  const struct route_engine *engine)
+{
+  return links_protocol (forward->gateway->links,
+                         engine->id + strlen (PEER_PREFIX));
+}
+
 /* Whether the node that ENGINE stands for counts attempts.  */
 static bool
 peer_counts (const struct forward *forward, const struct route_engine *engine)
 {
-  return links_protocol (forward->gateway->links,
-                         engine->id + strlen (PEER_PREFIX))
-         >= RELAY_PROTOCOL;
+  return peer_protocol_of (forward, engine) >= RELAY_PROTOCOL;
 }
 
 bool
@@ -117,10 +124,17 @@
   char *header;
 
   collect_tried (forward, &note.tried);
+  if (forward->customer != NULL)
+    {
+      note.customer = forward->customer->name;
+      note.code = relay_code (&note, forward->parsed.id,
+                              forward->gateway->core->settings->peer_token);
+    }
   text = relay_format (&note);
   header = g_strdup_printf (CALLER_RELAY_HEADER ": %s", text);
   g_free (text);
   note.node = NULL; /* borrowed */
+  note.customer = NULL;
   relay_clear (&note);
   return header;
 }
@@ -208,10 +222,14 @@
   return count;
 }
 
-/* Nodes that do not count attempts get requests that were not sent before.  */
+/* Nodes that do not count attempts get requests that were not sent before.
+   Those that do not read the customer would send the request without it.  */
 static bool
 may_pass_on (const struct forward *forward, const struct route_engine *peer)
 {
+  if (forward->customer != NULL
+      && peer_protocol_of (forward, peer) < RELAY_CUSTOMER_PROTOCOL)
+    return false;
   return !forward->deposited || peer_counts (forward, peer);
 }
 
@@ -318,7 +336,7 @@
       forward_mark_tried (forward);
       try_next_peer (forward, answer->retry_ms);
     }
-  else if (status == 404)
+  else if (status == 404 || status == 401)
     {
       /* The node has another version of the configuration, and has not sent
          the request anywhere.  */
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -44,6 +44,7 @@
   const struct site_route *route;
   const struct site_service *service;
   const struct site_customer *customer; /* of SITE; NULL: none */
+  bool customer_proven; /* by another node, which has passed the request on */
   char *target; /* model or adapter; NULL: not given, or a plain service */
   enum forward_state state;
   struct timespec arrived;
--- a/src/frame.h
+++ b/src/frame.h
@@ -20,8 +20,8 @@
 #define FRAME_MAX_UNAUTHENTICATED_BYTES (1u << 10)
 #define FRAME_LIST_MAX 65536 /* elements of one list */
 /* The highest version supported.  2: counts the attempts of requests that are
-   passed on, see relay.h.  */
-#define FRAME_PROTOCOL 2
+   passed on, 3: reads their customer, see relay.h.  */
+#define FRAME_PROTOCOL 3
 #define FRAME_PROTOCOL_MIN 1 /* lowest version supported */
 
 enum peer_msg_type
--- a/src/relay.c
+++ b/src/relay.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include "caller.h"
+#include "keyring.h"
 
 #define FIELD_SEPARATOR ";"
 #define ID_SEPARATOR ","
@@ -12,7 +13,10 @@
 #define KEY_SENDINGS "sendings="
 #define KEY_TRIED "tried="
 #define KEY_SOFTWARE "software="
-#define COUNT_MAX 1000 /* larger numbers are cut to this */
+#define KEY_CUSTOMER "customer="
+#define KEY_CODE "code="
+#define CODE_LABEL "customer of a request" /* of this use of the token */
+#define COUNT_MAX 1000                     /* larger numbers are cut to this */
 
 void
 relay_add_tried (GPtrArray **tried, const char *id)
@@ -87,6 +91,13 @@
       append_field (text, KEY_SOFTWARE);
       append_escaped (text, note->software);
     }
+  if (note->customer != NULL && note->code != NULL)
+    {
+      append_field (text, KEY_CUSTOMER);
+      append_escaped (text, note->customer);
+      append_field (text, KEY_CODE);
+      append_escaped (text, note->code);
+    }
   return g_string_free (text, FALSE);
 }
 
@@ -166,14 +177,68 @@
       else if ((value = field_value (*field, KEY_SOFTWARE)) != NULL
                && note->software == NULL)
         note->software = g_uri_unescape_string (value, NULL);
+      else if ((value = field_value (*field, KEY_CUSTOMER)) != NULL
+               && note->customer == NULL)
+        note->customer = g_uri_unescape_string (value, NULL);
+      else if ((value = field_value (*field, KEY_CODE)) != NULL
+               && note->code == NULL)
+        note->code = g_strdup (value);
     }
   note->counts = has_attempts && has_sendings;
   g_strfreev (fields);
 }
 
+/* Each part with its length, so that no two lists of parts look alike.  */
+static void
+add_part (GHmac *hmac, const char *text)
+{
+  guint64 length = GUINT64_TO_BE (strlen (text));
+
+  g_hmac_update (hmac, (const guchar *)&length, sizeof length);
+  g_hmac_update (hmac, (const guchar *)text, (gssize)strlen (text));
+}
+
+char *
+relay_code (const struct relay_note *note, const char *request,
+            const char *token)
+{
+  GHmac *hmac
+      = g_hmac_new (G_CHECKSUM_SHA256, (const guchar *)token, strlen (token));
+  guint64 config = GUINT64_TO_BE (note->config);
+  char *code;
+
+  add_part (hmac, CODE_LABEL);
+  add_part (hmac, note->node);
+  add_part (hmac, request);
+  g_hmac_update (hmac, (const guchar *)&config, sizeof config);
+  add_part (hmac, note->customer);
+  code = g_strdup (g_hmac_get_string (hmac));
+  g_hmac_unref (hmac);
+  return code;
+}
+
+bool
+relay_is_proven (const struct relay_note *note, const char *request,
+                 const char *token)
+{
+  char *code;
+  bool proven;
+
+  if (note->node == NULL || note->customer == NULL || note->code == NULL
+      || token == NULL || *token == '\0')
+    return false;
+  code = relay_code (note, request, token);
+  proven = strlen (note->code) == strlen (code)
+           && keyring_equal (note->code, code, strlen (code));
+  g_free (code);
+  return proven;
+}
+
 void
 relay_clear (struct relay_note *note)
 {
+  g_free (note->customer);
+  g_free (note->code);
   g_free (note->node);
   g_free (note->software);
   if (note->tried != NULL)
