confwatch: keys are not accepted by a configuration that is known to be old

A node that knows of a newer configuration but cannot get it, or that has just gone on after a pause and has not heard since whether its own is the newest, would have served keys that were removed long ago.

confwatch_is_outdated tells this; requests with keys then get 503. While the store is away and nothing newer is known of, keys are accepted as last known: otherwise an outage of the store would stop all customers.

--- a/src/confwatch.c
+++ b/src/confwatch.c
@@ -59,13 +59,31 @@
   return !ts_is_zero (at) && !ts_before (ts_add_ms (at, ms), now);
 }
 
+static bool
+is_confirmed (const struct confwatch *watch, int64_t within_ms,
+              struct timespec now)
+{
+  return is_within (watch->known_at, within_ms, now)
+         || is_within (watch->told_at, within_ms, now);
+}
+
 bool
 confwatch_is_current (const struct confwatch *watch, uint64_t version,
                       int64_t within_ms, struct timespec now)
 {
   return version >= watch->told_version
-         && (is_within (watch->known_at, within_ms, now)
-             || is_within (watch->told_at, within_ms, now));
+         && is_confirmed (watch, within_ms, now);
+}
+
+bool
+confwatch_is_outdated (const struct confwatch *watch, uint64_t version,
+                       int64_t within_ms, struct timespec woke_at,
+                       struct timespec now)
+{
+  if (version < watch->told_version)
+    return !is_within (watch->told_from, within_ms / 2, now);
+  return is_within (woke_at, CONFWATCH_WAKE_MS, now)
+         && !is_confirmed (watch, within_ms, now);
 }
 
 int64_t
--- a/src/confwatch.h
+++ b/src/confwatch.h
@@ -22,6 +22,9 @@
    renews its knowledge every CONFWATCH_WAIT_MS and CONFWATCH_PAUSE_MS.  The
    time that the word was on its way is not part of its age.  */
 #define CONFWATCH_TTL_MS (CONFWATCH_WAIT_MS + CONFWATCH_PAUSE_MS + 300)
+/* After a pause, a node that reaches the store hears from it within this time:
+   a call that is silent is given up after WAIT_MS and some, then repeated.  */
+#define CONFWATCH_WAKE_MS 1500
 /* The duration at the nodes of a large fleet that do not decide: when the
    decider is gone, all of them watch.  */
 #define CONFWATCH_WAIT_LARGE_MS 2500
@@ -65,6 +68,15 @@
 bool confwatch_is_current (const struct confwatch *watch, uint64_t version,
                            int64_t within_ms, struct timespec now);
 
+/* Whether VERSION, which this node has, must not be used for what a newer one
+   may forbid: a newer one has been known of for half of WITHIN_MS, or the node
+   has just gone on after a pause, at WOKE_AT (zero: none), and has heard
+   nothing since that confirms VERSION.  While neither the store nor the
+   decider can be reached, the last known version is used.  */
+bool confwatch_is_outdated (const struct confwatch *watch, uint64_t version,
+                            int64_t within_ms, struct timespec woke_at,
+                            struct timespec now);
+
 /* When the decider's word ends.  */
 struct timespec confwatch_expires_at (const struct confwatch *watch);
 
--- a/src/forward_customer.c
+++ b/src/forward_customer.c
@@ -83,6 +83,14 @@
                                     gateway->options.config_ms);
 }
 
+/* The key may have been removed.  */
+static bool
+is_outdated (const struct gateway *gateway)
+{
+  return listing_config_is_outdated (gateway->listing,
+                                     gateway->options.config_ms);
+}
+
 /* The same fields as for an unknown route: which version of the configuration
    the key was judged by, and how old that was.  */
 static void
@@ -130,6 +138,8 @@
     return false;
   why = identify (gateway, forward->site, forward->request,
                   &forward->customer);
+  if (why == NULL && is_outdated (gateway))
+    why = "the key may have been removed";
   if (why == NULL || forward->route->is_public)
     return false;
   counter_add (COUNTER_KEYS_REJECTED, 1);
--- a/src/listing.c
+++ b/src/listing.c
@@ -184,6 +184,15 @@
                                   within_ms, listing_now (listing));
 }
 
+bool
+listing_config_is_outdated (const struct listing *listing, int64_t within_ms)
+{
+  return listing->site != NULL
+         && confwatch_is_outdated (
+             &listing->confwatch, listing->site->version, within_ms,
+             loop_woke_at (listing->core->loop), listing_now (listing));
+}
+
 static void
 receive_config (struct listing *listing,
                 const struct platform_changes *changes, bool complete)
--- a/src/listing.h
+++ b/src/listing.h
@@ -60,6 +60,10 @@
    newest for more than WITHIN_MS, as far as this node knows.  */
 bool listing_config_is_current (const struct listing *listing,
                                 int64_t within_ms);
+/* Whether the configuration must not be used for what a newer one may forbid,
+   see confwatch_is_outdated.  */
+bool listing_config_is_outdated (const struct listing *listing,
+                                 int64_t within_ms);
 struct servers *listing_servers (const struct listing *listing);
 
 /* A response of server ID to this node said this about the server.  */
--- a/tests/test_gate_keys.c
+++ b/tests/test_gate_keys.c
@@ -5,6 +5,7 @@
 #include <unistd.h>
 #include "keys_fixture.h"
 #include "log.h"
+#include "planners_state.h"
 
 #define CUSTOMER_LINE "Parsleyrill-Tenant: "
 
@@ -154,7 +155,8 @@
 }
 
 /* Guards against 401, which callers do not repeat, by a configuration that is
-   not known to be the newest.  */
+   not known to be the newest, and against a store that is needed for
+   serving.  */
 static void
 test_store_away (void)
 {
@@ -170,6 +172,37 @@
   RUN_UNTIL (&f, !ts_before (clk_now (clk_monotonic ()), end));
   g_assert_cmpint (status_with_key (&f, "/safe/x", "added"), ==, 503);
   g_assert_nonnull (f.retry_after);
+  g_assert_cmpint (status_with_key (&f, "/safe/x", KEY_A), ==, 200);
+  tear_down (&f);
+}
+
+/* Guards against a removed key that is served by a node that knows of a newer
+   configuration, which may lack it, but cannot get that.  */
+static void
+test_newer_known (void)
+{
+  struct listing_peer_info info
+      = { .age_ms = 1, .config_version = 2, .config_age_ms = 1 };
+  struct listing *listing;
+  struct fixture f;
+  struct timespec end;
+
+  set_up (&f);
+  serve_keys (&f);
+  listing = (struct listing *)gate_service (f.gate, LISTING_NAME);
+  RUN_UNTIL (&f, planners_deciding (
+                     (struct planners *)gate_service (f.gate, PLANNERS_NAME)));
+  listing_peer_list_update (listing, &info);
+  g_assert_cmpint (status_with_key (&f, "/safe/x", KEY_B), ==, 200);
+  end = ts_add_ms (clk_now (clk_monotonic ()), CONFIG_MS / 2 + 50);
+  RUN_UNTIL (&f, !ts_before (clk_now (clk_monotonic ()), end));
+  g_assert_cmpint (status_with_key (&f, "/safe/x", KEY_B), ==, 503);
+  g_assert_nonnull (f.retry_after);
+  g_assert_cmpint (status_with_key (&f, "/open/x", NULL), ==, 200);
+  put_keys (&f, 2, "\"new\"");
+  RUN_UNTIL (&f, version_at (f.gate) == 2);
+  g_assert_cmpint (status_with_key (&f, "/safe/x", KEY_B), ==, 401);
+  g_assert_cmpint (status_with_key (&f, "/safe/x", KEY_A), ==, 200);
   tear_down (&f);
 }
 
@@ -229,6 +262,7 @@
   g_test_add_func ("/gate-keys/not-required", test_not_required);
   g_test_add_func ("/gate-keys/no-customers", test_no_customers);
   g_test_add_func ("/gate-keys/store-away", test_store_away);
+  g_test_add_func ("/gate-keys/newer-known", test_newer_known);
   g_test_add_func ("/gate-keys/changed", test_changed);
   g_test_add_func ("/gate-keys/log", test_log);
   failed = g_test_run ();
