customers: faults of the document are named, and affect no other customer

A customer with an unknown unit, a limit of another type or a name that no header can have was read as something else, for example as one without a limit, and nobody was told.

--- a/daemons/parsley-gate.c
+++ b/daemons/parsley-gate.c
@@ -39,6 +39,7 @@
 struct options
 {
   char *settings;   /* path */
+  char *config;     /* path of a configuration to check; NULL: none */
   char *peer_token; /* shared secret of the nodes */
   int metrics_port; /* 0: no metrics */
   enum log_level log_level;
@@ -113,6 +114,8 @@
   struct arg_lit *version = arg_lit0 ("V", "version", "print the version");
   struct arg_lit *check = arg_lit0 (NULL, "check-settings",
                                     "check the settings and start nothing");
+  struct arg_str *config = arg_str0 (
+      NULL, "check-config", "FILE", "check a configuration and start nothing");
   struct arg_str *settings = arg_str0 (
       NULL, "settings", "FILE", "settings file (" SETTINGS_FILE_VARIABLE ")");
   struct arg_int *metrics
@@ -123,8 +126,8 @@
   struct arg_str *format
       = arg_str0 (NULL, "log-format", "FORMAT", "logfmt or json");
   struct arg_end *end = arg_end (10);
-  void *table[]
-      = { help, version, check, settings, metrics, level, format, end };
+  void *table[] = { help,    version, check,  config, settings,
+                    metrics, level,   format, end };
   int err = 0;
 
   if (arg_parse (argc, argv, table) > 0)
@@ -142,6 +145,8 @@
     }
   else if (version->count > 0)
     printf ("parsley-gate %s\n", PARSLEYRILL_VERSION);
+  else if (err == 0 && config->count > 0)
+    out->config = g_strdup (config->sval[0]);
   else if (err == 0)
     apply_options (settings, metrics, level, format, out, findings);
   arg_freetable (table, sizeof table / sizeof table[0]);
@@ -415,6 +420,30 @@
   return status;
 }
 
+/* Every finding is printed, also those that a node would serve with.  */
+static int
+check_config (const char *path, struct findings *findings)
+{
+  const struct catalog *catalog = document_catalog ();
+  struct site *site = NULL;
+  GError *error = NULL;
+  char *text;
+
+  if (!g_file_get_contents (path, &text, NULL, &error))
+    {
+      findings_add (findings, path, "%s", error->message);
+      g_error_free (error);
+    }
+  else
+    {
+      catalog->ops->site (catalog, text, &site, findings);
+      site_unref (site);
+      g_free (text);
+    }
+  findings_print (findings, "parsley-gate", stderr);
+  return findings->count > 0 ? EXIT_BAD_SETTINGS : EXIT_OK;
+}
+
 int
 main (int argc, char **argv)
 {
@@ -424,9 +453,17 @@
 
   findings_init (&findings);
   if (read_options (argc, argv, &options, &findings) == 0)
-    status = options.exit ? EXIT_OK : start (&options, &findings);
+    {
+      if (options.exit)
+        status = EXIT_OK;
+      else if (options.config != NULL)
+        status = check_config (options.config, &findings);
+      else
+        status = start (&options, &findings);
+    }
   findings_clear (&findings);
   g_free (options.settings);
+  g_free (options.config);
   g_free (options.peer_token);
   return status;
 }
--- a/src/catalog.h
+++ b/src/catalog.h
@@ -14,8 +14,9 @@
 
 struct catalog_ops
 {
-  /* Decodes the configuration.  Returns 0 and *OUT, indexed, or -EBADMSG
-     with findings.  */
+  /* Decodes the configuration.  Returns 0 and *OUT, indexed, with findings of
+     what was left out of it, or -EBADMSG with findings.  FINDINGS is empty
+     before.  */
   int (*site) (const struct catalog *catalog, const char *text,
                struct site **out, struct findings *findings);
   /* Decodes the row of backend server ID.  Returns 0 and ENTRY, to be
--- a/src/listing.c
+++ b/src/listing.c
@@ -29,6 +29,7 @@
    would delay the store.  */
 #define START_LIST_NODES_MAX 150
 #define START_WAIT_MS 2000
+#define CONFIG_FAULTS_LOGGED_MAX 16 /* of a version */
 /* Time for the number of nodes to be known, before the servers are listed.  */
 #define START_DELAY_MS 30
 /* Between checks of whether the decider's list is still fresh.  */
@@ -118,6 +119,27 @@
   kernel_post (listing->core->kernel, KERNEL_SITE_CHANGED, site);
 }
 
+static void
+log_config_faults (uint64_t version, const struct findings *findings)
+{
+  const struct finding *finding;
+  unsigned logged = 0;
+
+  CK_STAILQ_FOREACH (finding, &findings->list, link)
+    {
+      struct log_line line;
+
+      if (logged++ == CONFIG_FAULTS_LOGGED_MAX)
+        return;
+      log_begin (&line, EVENT_CONFIG_FAULT);
+      log_int (&line, "version", (int64_t)version);
+      log_str (&line, "place", finding->place);
+      log_str (&line, "why", finding->text);
+      log_int (&line, "faults", (int64_t)findings->count);
+      log_end (&line);
+    }
+}
+
 static void
 apply_newer_config (struct listing *listing, const char *config,
                     bool from_peer)
@@ -139,6 +161,7 @@
   else
     {
       listing->config_from_peer = from_peer;
+      log_config_faults (site->version, &findings);
       apply_config (listing, site, config);
     }
   findings_clear (&findings);
--- a/tests/test_documents.c
+++ b/tests/test_documents.c
@@ -4,6 +4,7 @@
 
 #include <glib/gstdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <unistd.h>
 #include "decode.h"
 #include "settings_file.h"
@@ -154,6 +155,76 @@
   check_config ("\xff", 1);
 }
 
+/* Guards against a customer that loses its keys, or is served under another
+   limit, for a fault in another customer or in its own entry, and against keys
+   in findings.  */
+static void
+check_customers (const GArray *block)
+{
+  const struct catalog *catalog = document_catalog ();
+  char *text = g_strdup_printf ("{\"Version\":3,\"Tenants\":%s}",
+                                line_text (block, "list"));
+  char *expected = cases_expected_findings (block);
+  GString *names = g_string_new (NULL);
+  struct findings findings;
+  struct site *site = NULL;
+  char *got;
+
+  findings_init (&findings);
+  g_assert_cmpint (catalog->ops->site (catalog, text, &site, &findings), ==,
+                   0);
+  g_assert_true (site->keys_required);
+  got = cases_actual_findings (&findings);
+  g_assert_cmpstr (got, ==, expected);
+  g_assert_null (strstr (got, "secret"));
+  for (guint i = 0; i < site->customers->len; i++)
+    {
+      const struct site_customer *customer
+          = &g_array_index (site->customers, struct site_customer, i);
+
+      g_string_append_printf (names, "%s%s=%u", i > 0 ? " " : "",
+                              customer->name, g_strv_length (customer->keys));
+    }
+  g_assert_cmpstr (names->str, ==, line_text (block, "read"));
+  g_string_free (names, TRUE);
+  findings_clear (&findings);
+  site_unref (site);
+  g_free (got);
+  g_free (expected);
+  g_free (text);
+}
+
+static void
+test_customers (void)
+{
+  GPtrArray *blocks = cases_read ("tests/cases/customers.txt");
+
+  g_assert_cmpuint (blocks->len, >, 0);
+  for (guint i = 0; i < blocks->len; i++)
+    check_customers (g_ptr_array_index (blocks, i));
+  g_ptr_array_unref (blocks);
+}
+
+/* Guards against a malformed document whose keys are quoted in the log.  */
+static void
+test_malformed_config (void)
+{
+  const struct catalog *catalog = document_catalog ();
+  struct findings findings;
+  struct site *site = NULL;
+
+  findings_init (&findings);
+  g_assert_cmpint (
+      catalog->ops->site (catalog,
+                          "{\"Version\":3,\"Tenants\":[{\"ApiKeys\":["
+                          "\"secret\" \"secret\"]}]}",
+                          &site, &findings),
+      <, 0);
+  g_assert_cmpuint (findings.count, >, 0);
+  g_assert_null (strstr (CK_STAILQ_FIRST (&findings.list)->text, "secret"));
+  findings_clear (&findings);
+}
+
 /* Guards against pauses of a length that a server did not ask for.  */
 static void
 test_seconds (void)
@@ -181,6 +252,8 @@
   g_test_add_func ("/documents/server-rows", test_server_rows);
   g_test_add_func ("/documents/inventory", test_inventory);
   g_test_add_func ("/documents/config", test_config);
+  g_test_add_func ("/documents/customers", test_customers);
+  g_test_add_func ("/documents/malformed-config", test_malformed_config);
   g_test_add_func ("/documents/seconds", test_seconds);
   return g_test_run ();
 }
--- a/tests/test_gate_keys.c
+++ b/tests/test_gate_keys.c
@@ -225,6 +225,28 @@
   tear_down (&f);
 }
 
+/* Guards against a fault in one customer that takes others' keys with it, and
+   against faults that nobody is told.  */
+static void
+test_fault (void)
+{
+  static const char faulty[]
+      = "{\"Version\":2,\"Routes\":[{\"Name\":\"safe\",\"Hostname\":"
+        "\"h.example\",\"Prefix\":\"/safe/\",\"Kind\":\"safe\","
+        "\"Service\":\"app\"}],\"Services\":[{\"Name\":\"app\"}],"
+        "\"Tenants\":[{\"Name\":\"a\",\"ApiKeys\":[\"" KEY_A "\"],"
+        "\"Unit\":\"odd\"},{\"Name\":\"b\",\"ApiKeys\":[\"" KEY_B "\"]}]}";
+  struct fixture f;
+
+  set_up (&f);
+  serve_keys (&f);
+  put_row (&f, "op/config", faulty);
+  RUN_UNTIL (&f, version_at (f.gate) == 2);
+  g_assert_cmpint (status_with_key (&f, "/safe/x", KEY_A), ==, 401);
+  g_assert_cmpint (status_with_key (&f, "/safe/x", KEY_B), ==, 200);
+  tear_down (&f);
+}
+
 /* Guards against keys in the log.  Runs last: its log has all lines of the
    tests before.  */
 static void
@@ -236,6 +258,8 @@
   g_assert_cmpint (pread (log_fd, text, (size_t)length, 0), ==, length);
   g_assert_nonnull (strstr (text, "KEY_REJECTED"));
   g_assert_nonnull (strstr (text, "customer=a"));
+  g_assert_nonnull (strstr (text, "CONFIG_FAULT"));
+  g_assert_nonnull (strstr (text, "/Tenants/0/Unit"));
   g_assert_null (strstr (text, KEY_A));
   g_assert_null (strstr (text, KEY_B));
   g_assert_null (strstr (text, "Bearer"));
@@ -264,6 +288,7 @@
   g_test_add_func ("/gate-keys/store-away", test_store_away);
   g_test_add_func ("/gate-keys/newer-known", test_newer_known);
   g_test_add_func ("/gate-keys/changed", test_changed);
+  g_test_add_func ("/gate-keys/fault", test_fault);
   g_test_add_func ("/gate-keys/log", test_log);
   failed = g_test_run ();
   fclose (file);
