usage: requests, refusals and tokens of each customer in the metrics

Operators could not see which customer sends what.

A request that is passed on is counted by the node that got it from its caller. forward_amount is what a request is charged in its customer's unit; counts of tokens that callers claim are cut to 2^40.

--- a/src/caller.h
+++ b/src/caller.h
@@ -41,9 +41,10 @@
 
 struct caller_request
 {
-  char *id;      /* request id; identifies this attempt of the caller */
-  char *model;   /* NULL: not given */
-  char *adapter; /* NULL: the base model */
+  char *id;        /* request id; identifies this attempt of the caller */
+  char *model;     /* NULL: not given */
+  char *adapter;   /* NULL: the base model */
+  bool has_tokens; /* the next two are given */
   uint64_t prompt_tokens;
   uint64_t answer_tokens; /* upper limit */
   int64_t deadline_ms;    /* how long the caller waits; 0: not given */
--- a/src/forward.c
+++ b/src/forward.c
@@ -97,6 +97,7 @@
                 int64_t retry_ms)
 {
   counter_add (COUNTER_REFUSED, 1);
+  forward_note_refused (forward);
   forward_log_refused (forward, status, why, retry_ms);
   if (forward->request != NULL && forward->head_sent)
     httpd_stream_abort (forward->request);
--- a/src/forward_customer.c
+++ b/src/forward_customer.c
@@ -3,9 +3,12 @@
 #include "counter.h"
 #include "forward_state.h"
 #include "keyring.h"
+#include "usage.h"
 
 /* Time for a newer configuration to arrive.  */
 #define KEY_RETRY_MS 500
+/* Larger counts, which callers may claim, are cut to this.  */
+#define TOKENS_MAX (UINT64_C (1) << 40)
 
 void
 gateway_keys_start (struct gateway *gateway)
@@ -123,6 +126,16 @@
   return keyring_named (keyring_of (gateway, site), note->customer);
 }
 
+/* Counted by the node that got the request from its caller; NULL: not by this
+   one, or the request has no customer.  */
+static struct usage_counts *
+counts_of (const struct forward *forward)
+{
+  if (forward->customer == NULL || forward->customer_proven)
+    return NULL;
+  return usage_of (forward->gateway->usage, forward->customer->name);
+}
+
 bool
 forward_reject_key (struct forward *forward)
 {
@@ -138,6 +151,8 @@
     return false;
   why = identify (gateway, forward->site, forward->request,
                   &forward->customer);
+  if (forward->customer != NULL)
+    counts_of (forward)->requests++;
   if (why == NULL && is_outdated (gateway))
     why = "the key may have been removed";
   if (why == NULL || forward->route->is_public)
@@ -151,6 +166,39 @@
   return true;
 }
 
+uint64_t
+forward_amount (const struct forward *forward)
+{
+  const struct caller_request *parsed = &forward->parsed;
+
+  if (!forward->customer->by_tokens)
+    return 1;
+  if (!parsed->has_tokens)
+    return forward->customer->plain_tokens;
+  return MIN (parsed->prompt_tokens, TOKENS_MAX)
+         + MIN (parsed->answer_tokens, TOKENS_MAX);
+}
+
+void
+forward_note_sent (struct forward *forward)
+{
+  struct usage_counts *counts = counts_of (forward);
+
+  if (counts != NULL && !forward->customer_sent)
+    counts->tokens += MIN (forward->parsed.prompt_tokens, TOKENS_MAX)
+                      + MIN (forward->parsed.answer_tokens, TOKENS_MAX);
+  forward->customer_sent = true;
+}
+
+void
+forward_note_refused (struct forward *forward)
+{
+  struct usage_counts *counts = counts_of (forward);
+
+  if (counts != NULL)
+    counts->refused++;
+}
+
 /* Whether another node has proven the customer of REQUEST.  */
 static bool
 is_proven (struct gateway *gateway, struct site *site,
--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -372,6 +372,7 @@
   route_engine_unref (forward->engine);
   forward->engine = engine;
   forward->dispatches++;
+  forward_note_sent (forward);
   if (!forward->deposited && forward_deposits (forward))
     {
       retry_deposit (gateway->retry, forward->service->name);
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -44,6 +44,7 @@
   const struct site_route *route;
   const struct site_service *service;
   const struct site_customer *customer; /* of SITE; NULL: none */
+  bool customer_sent;                   /* the request was counted as sent */
   bool customer_proven; /* by another node, which has passed the request on */
   char *target; /* model or adapter; NULL: not given, or a plain service */
   enum forward_state state;
@@ -199,6 +200,13 @@
 /* Sets the customer that the request's key belongs to.  Refuses the request
    and returns true if its route needs another key.  */
 bool forward_reject_key (struct forward *forward);
+/* What the request is charged, in the unit of its customer, which must be
+   known.  */
+uint64_t forward_amount (const struct forward *forward);
+/* The request is sent to a server or node.  */
+void forward_note_sent (struct forward *forward);
+/* The request is refused.  */
+void forward_note_refused (struct forward *forward);
 
 /* forward_relay.c: requests passed on to other nodes, see cutoff.h.  */
 
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -9,6 +9,7 @@
 #include "lookup.h"
 #include "reject.h"
 #include "ts.h"
+#include "usage.h"
 
 #define CALLER_IDLE_S 120    /* longer than any deadline of callers */
 #define BODY_MAX (64u << 20) /* bytes; used until a limit is configured */
@@ -141,11 +142,12 @@
 static void
 on_metrics (void *user, struct httpd_request *request)
 {
+  const struct gateway *gateway = user;
   char *counters = counter_text ();
   GString *text = g_string_new (counters);
 
-  (void)user;
   histo_text (text);
+  usage_text (gateway->usage, text);
   respond_text (request, 200, "text/plain; version=0.0.4", text->str);
   g_string_free (text, TRUE);
   g_free (counters);
@@ -453,6 +455,7 @@
   gateway->service.ops = &gateway_ops;
   gateway->service.name = "gateway";
   gateway->options = *options;
+  gateway->usage = usage_new ();
   TAILQ_INIT (&gateway->waiting);
   TAILQ_INIT (&gateway->open_requests);
   gateway->patience
@@ -474,6 +477,7 @@
   if (gateway == NULL)
     return;
   gateway_keys_stop (gateway);
+  usage_free (gateway->usage);
   pick_free (gateway->pick);
   eject_free (gateway->eject);
   brittle_free (gateway->brittle);
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -31,6 +31,7 @@
 
 struct forward;
 struct keyring;
+struct usage;
 
 TAILQ_HEAD (forward_list, forward);
 
@@ -83,6 +84,7 @@
   struct keyring *keyring;
   struct site *keyring_site; /* reference */
   uint64_t key_seed;
+  struct usage *usage;
 };
 
 /* gateway_probe.c: whether servers are cut off from this node, see cutoff.h.
--- a/tests/test_gate_keys.c
+++ b/tests/test_gate_keys.c
@@ -4,8 +4,10 @@
 #include <stdio.h>
 #include <unistd.h>
 #include "keys_fixture.h"
+#include "gateway_state.h"
 #include "log.h"
 #include "planners_state.h"
+#include "usage.h"
 
 #define CUSTOMER_LINE "Parsleyrill-Tenant: "
 
@@ -247,6 +249,31 @@
   tear_down (&f);
 }
 
+/* Guards against requests that are counted for another customer, or twice.  */
+static void
+test_usage (void)
+{
+  static const char *const tokens[]
+      = { "Authorization: Bearer " KEY_A, "Parsleyrill-Token-Usage: 100,7",
+          NULL };
+  struct usage_counts *counts;
+  struct fixture f;
+
+  set_up (&f);
+  serve_keys (&f);
+  counts = usage_of (
+      ((struct gateway *)gate_service (f.gate, "gateway"))->usage, "a");
+  *counts = (struct usage_counts){ 0 };
+  request_and_wait (&f, "GET", "/safe/x", tokens);
+  g_assert_cmpint (f.status, ==, 200);
+  g_assert_cmpint (status_with_key (&f, "/safe/x", KEY_B), ==, 200);
+  g_assert_cmpint (status_with_key (&f, "/safe/x", "unknown"), ==, 401);
+  g_assert_cmpuint (counts->requests, ==, 1);
+  g_assert_cmpuint (counts->refused, ==, 0);
+  g_assert_cmpuint (counts->tokens, ==, 107);
+  tear_down (&f);
+}
+
 /* Guards against keys in the log.  Runs last: its log has all lines of the
    tests before.  */
 static void
@@ -289,6 +316,7 @@
   g_test_add_func ("/gate-keys/newer-known", test_newer_known);
   g_test_add_func ("/gate-keys/changed", test_changed);
   g_test_add_func ("/gate-keys/fault", test_fault);
+  g_test_add_func ("/gate-keys/usage", test_usage);
   g_test_add_func ("/gate-keys/log", test_log);
   failed = g_test_run ();
   fclose (file);
