--- a/src/forward_customer.c
+++ b/src/forward_customer.c
@@ -3,9 +3,12 @@
 #include "counter.h"
 #include "forward_state.h"
 #include "keyring.h"
+#include "usage.h"
 
 /* Time for a newer configuration to arrive.  */
 #define KEY_RETRY_MS 500
+/* Larger counts, which callers may claim, are cut to this.  */
+#define TOKENS_MAX (UINT64_C (1) << 40)
 
 void
 gateway_keys_start (struct gateway *gateway)
@@ -83,6 +86,14 @@
                                     gateway->options.config_ms);
 }
 
+/* The key may have been removed.  */
+static bool
+is_outdated (const struct gateway *gateway)
+{
+  return listing_config_is_outdated (gateway->listing,
+                                     gateway->options.config_ms);
+}
+
 /* The same fields as for an unknown route: which version of the configuration
    the key was judged by, and how old that was.  */
 static void
@@ -103,26 +114,113 @@
   log_end (&line);
 }
 
+/* The customer that the node which passed the request on has proven to have
+   found by the same version of the configuration; NULL: none.  */
+static const struct site_customer *
+proven_customer (struct gateway *gateway, struct site *site,
+                 const struct relay_note *note, const char *id)
+{
+  if (note->config != site->version
+      || !relay_is_proven (note, id, gateway->core->settings->peer_token))
+    return NULL;
+  return keyring_named (keyring_of (gateway, site), note->customer);
+}
+
+/* Counted by the node that got the request from its caller; NULL: not by this
+   one, or the request has no customer.  */
+static struct usage_counts *
+counts_of (const struct forward *forward)
+{
+  if (forward->customer == NULL || forward->customer_proven)
+    return NULL;
+  return usage_of (forward->gateway->usage, forward->customer->name);
+}
+
 bool
 forward_reject_key (struct forward *forward)
 {
+  struct gateway *gateway = forward->gateway;
   const char *why;
 
   if (!forward->site->keys_required)
     return false;
-  why = identify (forward->gateway, forward->site, forward->request,
+  forward->customer = proven_customer (
+      gateway, forward->site, &forward->origin_note, forward->parsed.id);
+  forward->customer_proven = forward->customer != NULL;
+  if (forward->customer_proven)
+    return false;
+  why = identify (gateway, forward->site, forward->request,
                   &forward->customer);
+  if (forward->customer != NULL)
+    counts_of (forward)->requests++;
+  if (why == NULL && is_outdated (gateway))
+    why = "the key may have been removed";
   if (why == NULL || forward->route->is_public)
     return false;
   counter_add (COUNTER_KEYS_REJECTED, 1);
   log_rejected (forward, why);
-  if (is_current (forward->gateway))
+  if (is_current (gateway))
     forward_refuse (forward, 401, why, 0);
   else
     forward_refuse (forward, 503, why, KEY_RETRY_MS);
   return true;
 }
 
+uint64_t
+forward_amount (const struct forward *forward)
+{
+  const struct caller_request *parsed = &forward->parsed;
+
+  if (!forward->customer->by_tokens)
+    return 1;
+  if (!parsed->has_tokens)
+    return forward->customer->plain_tokens;
+  return MIN (parsed->prompt_tokens, TOKENS_MAX)
+         + MIN (parsed->answer_tokens, TOKENS_MAX);
+}
+
+void
+forward_note_sent (struct forward *forward)
+{
+  struct usage_counts *counts = counts_of (forward);
+
+  if (counts != NULL && !forward->customer_sent)
+    counts->tokens += MIN (forward->parsed.prompt_tokens, TOKENS_MAX)
+                      + MIN (forward->parsed.answer_tokens, TOKENS_MAX);
+  forward->customer_sent = true;
+}
+
+void
+forward_note_refused (struct forward *forward)
+{
+  struct usage_counts *counts = counts_of (forward);
+
+  if (counts != NULL)
+    counts->refused++;
+}
+
+/* Whether another node has proven the customer of REQUEST.  */
+static bool
+is_proven (struct gateway *gateway, struct site *site,
+           const struct httpd_request *request)
+{
+  const struct caller *caller = gateway->options.caller;
+  const char *text = httpd_header (request, CALLER_RELAY_HEADER);
+  struct caller_request parsed = { 0 };
+  struct relay_note note;
+  const char *why;
+  bool proven;
+
+  if (text == NULL)
+    return false;
+  relay_parse (text, &note);
+  proven = caller->ops->read (caller, request, &parsed, &why) == 0
+           && proven_customer (gateway, site, &note, parsed.id) != NULL;
+  caller_request_clear (&parsed);
+  relay_clear (&note);
+  return proven;
+}
+
 bool
 forward_key_fault (struct gateway *gateway,
                    const struct httpd_request *request)
@@ -135,5 +233,6 @@
     return false;
   route = forward_find_route (site, request);
   return route != NULL && !route->is_public
-         && identify (gateway, site, request, &customer) != NULL;
+         && identify (gateway, site, request, &customer) != NULL
+         && !is_proven (gateway, site, request);
 }
--- a/tests/test_gate_keys.c
+++ b/tests/test_gate_keys.c
@@ -4,7 +4,10 @@
 #include <stdio.h>
 #include <unistd.h>
 #include "keys_fixture.h"
+#include "gateway_state.h"
 #include "log.h"
+#include "planners_state.h"
+#include "usage.h"
 
 #define CUSTOMER_LINE "Parsleyrill-Tenant: "
 
@@ -154,7 +157,8 @@
 }
 
 /* Guards against 401, which callers do not repeat, by a configuration that is
-   not known to be the newest.  */
+   not known to be the newest, and against a store that is needed for
+   serving.  */
 static void
 test_store_away (void)
 {
@@ -170,6 +174,37 @@
   RUN_UNTIL (&f, !ts_before (clk_now (clk_monotonic ()), end));
   g_assert_cmpint (status_with_key (&f, "/safe/x", "added"), ==, 503);
   g_assert_nonnull (f.retry_after);
+  g_assert_cmpint (status_with_key (&f, "/safe/x", KEY_A), ==, 200);
+  tear_down (&f);
+}
+
+/* Guards against a removed key that is served by a node that knows of a newer
+   configuration, which may lack it, but cannot get that.  */
+static void
+test_newer_known (void)
+{
+  struct listing_peer_info info
+      = { .age_ms = 1, .config_version = 2, .config_age_ms = 1 };
+  struct listing *listing;
+  struct fixture f;
+  struct timespec end;
+
+  set_up (&f);
+  serve_keys (&f);
+  listing = (struct listing *)gate_service (f.gate, LISTING_NAME);
+  RUN_UNTIL (&f, planners_deciding (
+                     (struct planners *)gate_service (f.gate, PLANNERS_NAME)));
+  listing_peer_list_update (listing, &info);
+  g_assert_cmpint (status_with_key (&f, "/safe/x", KEY_B), ==, 200);
+  end = ts_add_ms (clk_now (clk_monotonic ()), CONFIG_MS / 2 + 50);
+  RUN_UNTIL (&f, !ts_before (clk_now (clk_monotonic ()), end));
+  g_assert_cmpint (status_with_key (&f, "/safe/x", KEY_B), ==, 503);
+  g_assert_nonnull (f.retry_after);
+  g_assert_cmpint (status_with_key (&f, "/open/x", NULL), ==, 200);
+  put_keys (&f, 2, "\"new\"");
+  RUN_UNTIL (&f, version_at (f.gate) == 2);
+  g_assert_cmpint (status_with_key (&f, "/safe/x", KEY_B), ==, 401);
+  g_assert_cmpint (status_with_key (&f, "/safe/x", KEY_A), ==, 200);
   tear_down (&f);
 }
 
@@ -192,6 +227,53 @@
   tear_down (&f);
 }
 
+/* Guards against a fault in one customer that takes others' keys with it, and
+   against faults that nobody is told.  */
+static void
+test_fault (void)
+{
+  static const char faulty[]
+      = "{\"Version\":2,\"Routes\":[{\"Name\":\"safe\",\"Hostname\":"
+        "\"h.example\",\"Prefix\":\"/safe/\",\"Kind\":\"safe\","
+        "\"Service\":\"app\"}],\"Services\":[{\"Name\":\"app\"}],"
+        "\"Tenants\":[{\"Name\":\"a\",\"ApiKeys\":[\"" KEY_A "\"],"
+        "\"Unit\":\"odd\"},{\"Name\":\"b\",\"ApiKeys\":[\"" KEY_B "\"]}]}";
+  struct fixture f;
+
+  set_up (&f);
+  serve_keys (&f);
+  put_row (&f, "op/config", faulty);
+  RUN_UNTIL (&f, version_at (f.gate) == 2);
+  g_assert_cmpint (status_with_key (&f, "/safe/x", KEY_A), ==, 401);
+  g_assert_cmpint (status_with_key (&f, "/safe/x", KEY_B), ==, 200);
+  tear_down (&f);
+}
+
+/* Guards against requests that are counted for another customer, or twice.  */
+static void
+test_usage (void)
+{
+  static const char *const tokens[]
+      = { "Authorization: Bearer " KEY_A, "Parsleyrill-Token-Usage: 100,7",
+          NULL };
+  struct usage_counts *counts;
+  struct fixture f;
+
+  set_up (&f);
+  serve_keys (&f);
+  counts = usage_of (
+      ((struct gateway *)gate_service (f.gate, "gateway"))->usage, "a");
+  *counts = (struct usage_counts){ 0 };
+  request_and_wait (&f, "GET", "/safe/x", tokens);
+  g_assert_cmpint (f.status, ==, 200);
+  g_assert_cmpint (status_with_key (&f, "/safe/x", KEY_B), ==, 200);
+  g_assert_cmpint (status_with_key (&f, "/safe/x", "unknown"), ==, 401);
+  g_assert_cmpuint (counts->requests, ==, 1);
+  g_assert_cmpuint (counts->refused, ==, 0);
+  g_assert_cmpuint (counts->tokens, ==, 107);
+  tear_down (&f);
+}
+
 /* Guards against keys in the log.  Runs last: its log has all lines of the
    tests before.  */
 static void
@@ -203,6 +285,8 @@
   g_assert_cmpint (pread (log_fd, text, (size_t)length, 0), ==, length);
   g_assert_nonnull (strstr (text, "KEY_REJECTED"));
   g_assert_nonnull (strstr (text, "customer=a"));
+  g_assert_nonnull (strstr (text, "CONFIG_FAULT"));
+  g_assert_nonnull (strstr (text, "/Tenants/0/Unit"));
   g_assert_null (strstr (text, KEY_A));
   g_assert_null (strstr (text, KEY_B));
   g_assert_null (strstr (text, "Bearer"));
@@ -229,7 +313,10 @@
   g_test_add_func ("/gate-keys/not-required", test_not_required);
   g_test_add_func ("/gate-keys/no-customers", test_no_customers);
   g_test_add_func ("/gate-keys/store-away", test_store_away);
+  g_test_add_func ("/gate-keys/newer-known", test_newer_known);
   g_test_add_func ("/gate-keys/changed", test_changed);
+  g_test_add_func ("/gate-keys/fault", test_fault);
+  g_test_add_func ("/gate-keys/usage", test_usage);
   g_test_add_func ("/gate-keys/log", test_log);
   failed = g_test_run ();
   fclose (file);
