--- a/src/homes.c
+++ b/src/homes.c
@@ -11,7 +11,9 @@
   bool linked;
   bool serves;
   bool served;               /* before the current homes_set */
+  bool was_linked;           /* the same */
   struct timespec served_at; /* last */
+  struct timespec linked_at; /* since when, if LINKED */
 };
 
 struct homes
@@ -71,12 +73,15 @@
     else
       {
         node->served = node->serves;
+        node->was_linked = node->linked;
         node->linked = node->serves = false;
       }
   for (size_t i = 0; i < count; i++)
     {
       node = get_node (homes, nodes[i].name, now);
       node->linked = nodes[i].linked;
+      if (node->linked && !node->was_linked)
+        node->linked_at = now;
       node->serves = nodes[i].serves;
       if (node->serves)
         node->served_at = now;
@@ -113,6 +118,50 @@
   return home;
 }
 
+/* Inserts NAME into the COUNT names of OUT, by WEIGHTS, highest first.  Returns
+   their number, at most MAX.  */
+static size_t
+insert_home (const char **out, uint64_t *weights, size_t count, size_t max,
+             const char *name, uint64_t weight)
+{
+  size_t at = count;
+
+  while (at > 0 && weights[at - 1] < weight)
+    at--;
+  if (at == max)
+    return count;
+  count = MIN (count + 1, max);
+  for (size_t i = count - 1; i > at; i--)
+    {
+      out[i] = out[i - 1];
+      weights[i] = weights[i - 1];
+    }
+  out[at] = name;
+  weights[at] = weight;
+  return count;
+}
+
+size_t
+homes_first (const struct homes *homes, const char *key, const char **out,
+             size_t max)
+{
+  uint64_t weights[HOMES_FIRST_MAX];
+  size_t count = 0;
+  GHashTableIter iter;
+  const struct node *node;
+  const char *name;
+
+  max = MIN (max, HOMES_FIRST_MAX);
+  g_hash_table_iter_init (&iter, homes->nodes);
+  while (g_hash_table_iter_next (&iter, (gpointer *)&name, (gpointer *)&node))
+    if (node->serves)
+      count = insert_home (out, weights, count, max, name,
+                           lookup_weight (key, name, 0));
+  if (count == 0)
+    out[count++] = homes->self;
+  return count;
+}
+
 bool
 homes_is_self (const struct homes *homes, const char *node)
 {
@@ -151,3 +200,33 @@
 {
   return (double)lookup_weight (key, homes->self, 1) / (double)UINT64_MAX;
 }
+
+double
+homes_settled_share (const struct homes *homes, int64_t age_ms,
+                     struct timespec now)
+{
+  GHashTableIter iter;
+  const struct node *node;
+  const char *name;
+  unsigned settled = 0;
+
+  g_hash_table_iter_init (&iter, homes->nodes);
+  while (g_hash_table_iter_next (&iter, (gpointer *)&name, (gpointer *)&node))
+    settled += homes_is_self (homes, name)
+               || (node->linked
+                   && !ts_before (now, ts_add_ms (node->linked_at, age_ms)));
+  return MAX (settled, 1) * homes_own_share (homes);
+}
+
+double
+homes_rank (const struct homes *homes)
+{
+  GHashTableIter iter;
+  const char *name;
+  unsigned before = 0;
+
+  g_hash_table_iter_init (&iter, homes->nodes);
+  while (g_hash_table_iter_next (&iter, (gpointer *)&name, NULL))
+    before += strcmp (name, homes->self) < 0;
+  return (before + 1) * homes_own_share (homes);
+}
--- a/src/homes.h
+++ b/src/homes.h
@@ -12,9 +12,11 @@
 
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 #include <time.h>
 
 #define HOMES_MEMORY_MS 120000
+#define HOMES_FIRST_MAX 3
 
 struct homes;
 
@@ -38,6 +40,10 @@
 
 /* The home of KEY; borrowed until the next homes_set.  */
 const char *homes_find (const struct homes *homes, const char *key);
+/* The first MAX homes of KEY, at most HOMES_FIRST_MAX, best first, borrowed
+   until the next homes_set.  Returns their number, at least 1.  */
+size_t homes_first (const struct homes *homes, const char *key,
+                    const char **out, size_t max);
 bool homes_is_self (const struct homes *homes, const char *node);
 bool homes_is_linked (const struct homes *homes, const char *node);
 
@@ -45,8 +51,13 @@
    one node.  */
 double homes_linked_share (const struct homes *homes);
 double homes_own_share (const struct homes *homes);
+/* The same without the nodes whose link is younger than AGE_MS.  */
+double homes_settled_share (const struct homes *homes, int64_t age_ms,
+                            struct timespec now);
 
 /* A number from 0 to 1 that differs between nodes.  */
 double homes_phase (const struct homes *homes, const char *key);
+/* The same, evenly spread over the nodes that this node knows.  */
+double homes_rank (const struct homes *homes);
 
 #endif
