--- a/daemons/parsley-gate.c
+++ b/daemons/parsley-gate.c
@@ -320,6 +320,7 @@
   options.gateway.retry_burst = settings_file->retry_burst;
   options.gateway.retry_window_ms = settings_file->retry_window_ms;
   options.gateway.config_ms = settings_file->config_ms;
+  options.quota = settings_file->quota;
   options.gateway.max_connections
       = settings_file->fd_limit > 2 * FDS_RESERVED
             ? settings_file->fd_limit - FDS_RESERVED
--- a/src/forward.c
+++ b/src/forward.c
@@ -44,6 +44,7 @@
 forward_finish (struct forward *forward)
 {
   forward_dequeue (forward);
+  forward_end_quota (forward);
   forward_limits_unwant (forward);
   origins_cancel (&forward->origin_query);
   forward->state = FORWARD_DONE;
@@ -328,6 +329,18 @@
                          forward_now (forward));
 }
 
+void
+forward_send_accepted (struct forward *forward)
+{
+  if (forward->target != NULL && !forward->relayed)
+    planners_request_arrived (forward->gateway->planners,
+                              forward->service->name, forward->target);
+  if (forward->parsed.resumes && forward->route->kind == SITE_STREAM)
+    forward_resume (forward);
+  else
+    forward_route (forward);
+}
+
 static void
 accept_request (struct forward *forward)
 {
@@ -375,13 +388,8 @@
   forward_set_features (forward);
   if (forward_reject_quarantined (forward))
     return;
-  if (forward->target != NULL && !forward->relayed)
-    planners_request_arrived (gateway->planners, forward->service->name,
-                              forward->target);
-  if (forward->parsed.resumes && forward->route->kind == SITE_STREAM)
-    forward_resume (forward);
-  else
-    forward_route (forward);
+  if (forward_take_quota (forward))
+    forward_send_accepted (forward);
 }
 
 void
--- a/src/forward.h
+++ b/src/forward.h
@@ -29,6 +29,9 @@
    begun.  */
 void forward_end_all (struct gateway *gateway);
 
+/* Sends on the requests that wait for a customer's quota and have got it.  */
+void forward_check_quotas (struct gateway *gateway);
+
 /* Dispatches waiting requests to servers that have room.  */
 void forward_dispatch_waiting (struct gateway *gateway);
 
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -1,5 +1,5 @@
 /* forward_state - state of one request, shared by the modules forward,
-   forward_send, forward_limit, forward_relay, forward_resume,
+   forward_send, forward_limit, forward_quota, forward_relay, forward_resume,
    forward_quarantine, forward_answer and forward_log.  Private to them.  */
 
 #ifndef PARSLEYRILL_FORWARD_STATE_H
@@ -36,6 +36,7 @@
 {
   TAILQ_ENTRY (forward) link; /* while FORWARD_WAITING */
   TAILQ_ENTRY (forward) open_link;
+  TAILQ_ENTRY (forward) quota_link; /* while QUOTA_WAIT is not 0 */
   struct gateway *gateway;
   struct httpd_request *request; /* NULL once the caller is gone */
   struct caller_request parsed;
@@ -43,6 +44,8 @@
   const struct site_route *route;
   const struct site_service *service;
   const struct site_customer *customer; /* of SITE; NULL: none */
+  uint64_t quota_wait;            /* see quota_check; 0: it does not wait */
+  struct quota_taken quota_taken; /* of the customer's quota */
   char *target; /* model or adapter; NULL: not given, or a plain service */
   enum forward_state state;
   struct timespec arrived;
@@ -137,6 +140,8 @@
 /* Fails the request: 503 if it certainly did not run, otherwise 502.  */
 void forward_fail (struct forward *forward, const char *why, int64_t retry_ms);
 void forward_finish (struct forward *forward);
+/* Sends the request, which was accepted, to a server.  */
+void forward_send_accepted (struct forward *forward);
 /* Whether the request can still be sent to a server and answered in time,
    should this node be stopping.  */
 bool forward_may_send (const struct forward *forward);
@@ -188,6 +193,14 @@
 void forward_limits_unwant (struct forward *forward);
 void forward_limits_free (struct forward *forward);
 
+/* forward_quota.c: quotas of customers, see quota.h.  */
+
+/* Takes the request's part of its customer's quota.  Otherwise returns false:
+   the request waits for it, or was refused.  */
+bool forward_take_quota (struct forward *forward);
+/* The request has ended.  What it has taken is returned if it did not run.  */
+void forward_end_quota (struct forward *forward);
+
 /* forward_relay.c: requests passed on to other nodes, see cutoff.h.  */
 
 /* Reads whether another node passed the request on, and what it tells.  */
--- a/src/frame.c
+++ b/src/frame.c
@@ -131,6 +131,17 @@
 static const struct schema limit_schema
     = SCHEMA (struct peer_limit, limit_fields);
 
+static const struct field quota_fields[]
+    = { SCALAR (1, TEXT, struct peer_quota, customer),
+        SCALAR (2, NUMBER, struct peer_quota, number),
+        SCALAR (3, NUMBER, struct peer_quota, amount),
+        SCALAR (4, NUMBER, struct peer_quota, want),
+        SCALAR (5, NUMBER, struct peer_quota, wait_ms),
+        SCALAR (6, NUMBER, struct peer_quota, ready_ms),
+        SCALAR (7, NUMBER, struct peer_quota, age_ms) };
+static const struct schema quota_schema
+    = SCHEMA (struct peer_quota, quota_fields);
+
 /* Key 0 is the type.  */
 static const struct field msg_fields[]
     = { SCALAR (1, NUMBER, struct peer_msg, id),
@@ -165,7 +176,8 @@
                quarantine_schema),
         ARRAY (30, struct peer_msg, limits, limit_count, limit_schema),
         SCALAR (31, NUMBER, struct peer_msg, config_age_ms),
-        SCALAR (32, NUMBER, struct peer_msg, list_era) };
+        SCALAR (32, NUMBER, struct peer_msg, list_era),
+        ARRAY (33, struct peer_msg, quotas, quota_count, quota_schema) };
 static const struct schema msg_schema = SCHEMA (struct peer_msg, msg_fields);
 
 static const void *
--- a/src/frame.h
+++ b/src/frame.h
@@ -57,7 +57,11 @@
   PEER_QUARANTINE, /* features whose requests are rejected, see quarantine.h */
   PEER_LIMIT,      /* rates that servers named, see ratelimit.h */
   PEER_LIMIT_ASK,  /* the same, and the sender asks for a ticket */
-  PEER_LIMIT_REPLY /* the ticket, or a rejection */
+  PEER_LIMIT_REPLY, /* the ticket, or a rejection */
+  /* Parts of the quota of a customer, see quota.h.  */
+  PEER_QUOTA_ASK,   /* to a home */
+  PEER_QUOTA_GRANT, /* its answer */
+  PEER_QUOTA_RETURN /* to a home: was granted and not used */
 };
 
 struct peer_member
@@ -148,6 +152,18 @@
   bool rejected;
 };
 
+/* Amounts are in tokens or requests.  */
+struct peer_quota
+{
+  char *customer;
+  uint64_t number;   /* of an ask and its grant; of a return */
+  uint64_t amount;   /* 0 in a grant: refused */
+  uint64_t want;     /* of an ask: as much more, if there is enough */
+  uint64_t wait_ms;  /* of a refusal: when the request should come back */
+  uint64_t ready_ms; /* and when the home has something again */
+  uint64_t age_ms;   /* of a return: since it was granted, at most */
+};
+
 /* One message.  Only the fields of its type are set.  It owns its strings and
    arrays (g_malloc).  */
 struct peer_msg
@@ -196,6 +212,8 @@
   size_t quarantine_count;
   struct peer_limit *limits;
   size_t limit_count;
+  struct peer_quota *quotas;
+  size_t quota_count;
 };
 
 /* Frees what MSG owns, not MSG itself.  */
--- a/src/gate.c
+++ b/src/gate.c
@@ -11,6 +11,7 @@
 #include "planners.h"
 #include "versionlog.h"
 #include "quarantines.h"
+#include "quotas.h"
 #include "ratelimits.h"
 #include "ts.h"
 
@@ -26,6 +27,7 @@
   struct service *links;
   struct service *listing;
   struct service *ratelimits;
+  struct service *quotas;
   struct service *confpeer;
   struct service *origins;
   struct service *quarantines;
@@ -66,6 +68,7 @@
   kernel_register (kernel, gate->links = links_new ());
   kernel_register (kernel, gate->listing = listing_new (&listing));
   kernel_register (kernel, gate->ratelimits = ratelimits_new ());
+  kernel_register (kernel, gate->quotas = quotas_new (&gate->options.quota));
   kernel_register (kernel, gate->confpeer = confpeer_new ());
   kernel_register (kernel, gate->origins = origins_new ());
   kernel_register (kernel, gate->quarantines = quarantines_new ());
@@ -210,6 +213,7 @@
   quarantines_free (gate->quarantines);
   origins_free (gate->origins);
   confpeer_free (gate->confpeer);
+  quotas_free (gate->quotas);
   ratelimits_free (gate->ratelimits);
   listing_free (gate->listing);
   links_free (gate->links);
--- a/src/gate.h
+++ b/src/gate.h
@@ -15,6 +15,7 @@
 #include "platform.h"
 #include "settings.h"
 #include "planners.h"
+#include "quota.h"
 
 struct gate;
 
@@ -29,6 +30,7 @@
   const struct catalog *catalog;
   struct gateway_options gateway;
   struct planners_options planners;
+  struct quota_bounds quota;
   /* Of a graceful shutdown: open requests are then ended; their responses may
      take 0.2 s more.  */
   int64_t drain_ms;
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -141,11 +141,14 @@
 static void
 on_metrics (void *user, struct httpd_request *request)
 {
+  const struct gateway *gateway = user;
   char *counters = counter_text ();
+  char *quotas = quotas_metrics (gateway->quotas);
   GString *text = g_string_new (counters);
 
-  (void)user;
   histo_text (text);
+  g_string_append (text, quotas);
+  g_free (quotas);
   respond_text (request, 200, "text/plain; version=0.0.4", text->str);
   g_string_free (text, TRUE);
   g_free (counters);
@@ -161,6 +164,16 @@
 
 /* Waiting requests.  */
 
+static void
+on_quota_timer (struct loop_timer *timer)
+{
+  struct gateway *gateway
+      = (struct gateway *)((char *)timer
+                           - offsetof (struct gateway, quota_timer));
+
+  forward_check_quotas (gateway);
+}
+
 static void
 on_dispatch_timer (struct loop_timer *timer)
 {
@@ -362,6 +375,7 @@
   httpd_free (gateway->metrics);
   httpc_free (gateway->httpc);
   loop_timer_clear (gateway->core->loop, &gateway->dispatch_timer);
+  loop_timer_clear (gateway->core->loop, &gateway->quota_timer);
   loop_timer_clear (gateway->core->loop, &gateway->cleanup_timer);
   loop_timer_clear (gateway->core->loop, &gateway->retry_timer);
   gateway_probe_stop (gateway);
@@ -378,6 +392,7 @@
   gateway->links = links_find (kernel);
   gateway->listing = listing_find (kernel);
   gateway->ratelimits = ratelimits_find (kernel);
+  gateway->quotas = quotas_find (kernel);
   gateway->planners = planners_find (kernel);
   gateway->origins = origins_find (kernel);
   gateway->versionlog = versionlog_find (kernel);
@@ -390,6 +405,7 @@
   create_policies (gateway);
   gateway_probe_start (gateway);
   gateway->dispatch_timer.fire = on_dispatch_timer;
+  gateway->quota_timer.fire = on_quota_timer;
   gateway->cleanup_timer.fire = on_cleanup_timer;
   loop_timer_set (gateway->core->loop, &gateway->cleanup_timer,
                   loop_now (gateway->core->loop));
@@ -429,6 +445,10 @@
       || event->type == KERNEL_SITE_CHANGED
       || event->type == KERNEL_LIMIT_CHANGED)
     gateway_dispatch_soon (gateway);
+  /* Not at once: the event may come from within a request.  */
+  if (event->type == KERNEL_QUOTA_CHANGED)
+    loop_timer_set (gateway->core->loop, &gateway->quota_timer,
+                    loop_now (gateway->core->loop));
   if (event->type != KERNEL_MEMBERS_CHANGED || gateway->retry == NULL)
     return;
   retry = node_retry_limits (gateway);
@@ -453,6 +473,7 @@
   gateway->service.name = "gateway";
   gateway->options = *options;
   TAILQ_INIT (&gateway->waiting);
+  TAILQ_INIT (&gateway->waiting_for_quota);
   TAILQ_INIT (&gateway->open_requests);
   gateway->patience
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -22,6 +22,7 @@
 #include "patience.h"
 #include "pick.h"
 #include "quarantines.h"
+#include "quotas.h"
 #include "reach.h"
 #include "retry.h"
 #include "servers.h"
@@ -48,6 +49,7 @@
   struct gateway_options options;
   struct listing *listing;
   struct ratelimits *ratelimits;
+  struct quotas *quotas;
   struct planners *planners;
   struct links *links;
   struct origins *origins;
@@ -69,6 +71,8 @@
   GHashTable *peers; /* id to struct route_engine: nodes that take requests */
   struct retry *retry;
   struct forward_list waiting; /* most urgent first */
+  struct forward_list waiting_for_quota;
+  struct loop_timer quota_timer;
   GHashTable
       *waiting_for; /* "SERVICE TARGET\nSOFTWARE" -> number of requests */
   struct loop_timer dispatch_timer;
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -40,6 +40,8 @@
                               service, or again: struct cutoff_change */
   KERNEL_LIMIT_CHANGED,  /* requests that wait for a server's limit may go on:
                             NULL */
+  KERNEL_QUOTA_CHANGED,  /* requests that wait for a customer's quota may go
+                            on: NULL */
   KERNEL_STORE_RESTORED, /* the table was restored, see platform.h: NULL */
   KERNEL_DRAIN_STARTED   /* a graceful shutdown started: NULL */
 };
--- a/src/listing.c
+++ b/src/listing.c
@@ -941,6 +941,12 @@
   return listing->servers_table.listed ? listing->servers_table.version : 0;
 }
 
+const GPtrArray *
+listing_nodes (const struct listing *listing)
+{
+  return listing->nodes.names;
+}
+
 struct servers *
 listing_servers (const struct listing *listing)
 {
--- a/src/listing.h
+++ b/src/listing.h
@@ -19,6 +19,7 @@
 #define PARSLEYRILL_LISTING_H
 
 #include <stdint.h>
+#include <glib.h>
 #include "catalog.h"
 #include "kernel.h"
 #include "servers.h"
@@ -60,6 +61,9 @@
    newest for more than WITHIN_MS, as far as this node knows.  */
 bool listing_config_is_current (const struct listing *listing,
                                 int64_t within_ms);
+/* The names of the nodes in the table, char *; NULL: it was not listed yet;
+   borrowed until the next event.  */
+const GPtrArray *listing_nodes (const struct listing *listing);
 struct servers *listing_servers (const struct listing *listing);
 
 /* A response of server ID to this node said this about the server.  */
--- a/src/nodetable.c
+++ b/src/nodetable.c
@@ -69,9 +69,15 @@
   if (status != PLATFORM_OK)
     return;
   nodes->count = changes->count;
+  if (nodes->names == NULL)
+    nodes->names = g_ptr_array_new_with_free_func (g_free);
+  g_ptr_array_set_size (nodes->names, 0);
   for (size_t i = 0; i < changes->count; i++)
     if (changes->rows[i].value != NULL)
-      connect_node (nodes, &changes->rows[i]);
+      {
+        g_ptr_array_add (nodes->names, g_strdup (changes->rows[i].key));
+        connect_node (nodes, &changes->rows[i]);
+      }
 }
 
 static int64_t
@@ -150,4 +156,7 @@
 nodetable_stop (struct nodetable *nodes)
 {
   loop_timer_clear (nodes->core->loop, &nodes->timer);
+  if (nodes->names != NULL)
+    g_ptr_array_unref (nodes->names);
+  nodes->names = NULL;
 }
--- a/src/nodetable.h
+++ b/src/nodetable.h
@@ -21,6 +21,7 @@
   struct loop_timer timer;
   bool registered; /* this node's own row is written */
   size_t count;    /* rows when last listed; 0: not yet */
+  GPtrArray *names; /* of the nodes when last listed; NULL: not yet */
 };
 
 /* NODES must be zeroed.  */
--- a/src/quota.c
+++ b/src/quota.c
@@ -7,6 +7,7 @@
 /* Usual sizes of requests.  */
 #define UNIT_TOKENS 10240
 #define UNIT_REQUESTS 1
+#define LARGEST_TOKENS 20480
 /* Only one part of the fleet can have more than this share of all nodes, and
    only that one issues bursts.  */
 #define MAJORITY 0.5
@@ -36,14 +37,18 @@
 }
 
 struct quota *
-quota_new (const char *node, uint64_t serial)
+quota_new (const struct quota_options *options)
 {
+  const struct quota_bounds *bounds = &options->bounds;
   struct quota *quota = g_new0 (struct quota, 1);
 
-  quota->homes = homes_new (node);
+  quota->homes = homes_new (options->node);
+  quota->prefetches
+      = bounds->over * (double)bounds->window_ms >= QUOTA_CREDIT_MS;
+  quota->owes = bounds->slack >= QUOTA_HOMES * LARGEST_TOKENS;
   quota->limits
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, limit_free);
-  quota->serial = serial;
+  quota->serial = options->serial;
   return quota;
 }
 
@@ -125,6 +130,7 @@
   struct quota_part part = { .per_s = limit->terms.per_s * home_share,
                              .burst = limit->terms.burst * home_share,
                              .unit = unit_of (limit),
+                             .owes = quota->owes && limit->terms.by_tokens,
                              .slots = quota->share <= MAJORITY,
                              .phase = quota->rank };
 
@@ -537,6 +543,12 @@
         += g_array_index (limit->waits, struct wait, i).verdict.state
            == QUOTA_ASKED;
   for (size_t i = 0; i < limit->home_count; i++)
-    status->homes[i] = limit->homes[i].name;
+    {
+      const struct home *home = &limit->homes[i];
+
+      status->homes[i] = home->name;
+      status->homes_reached += homes_is_linked (quota->homes, home->name)
+                               && !ts_before (now, home->silent_until);
+    }
   return true;
 }
--- a/src/quota.h
+++ b/src/quota.h
@@ -40,6 +40,25 @@
 
 struct quota;
 
+/* What all requests of a customer may use in any WINDOW_MS: OVER times more
+   than the rate and the burst together, and SLACK tokens.  Zeroed: no more
+   than these, so that nothing is issued that no request waits for.  */
+struct quota_bounds
+{
+  int64_t window_ms;
+  double over;
+  double slack;
+};
+
+struct quota_options
+{
+  const char *node; /* this node's name, copied */
+  /* Higher than any that a former process of this node has used, such as its
+     start in ns.  */
+  uint64_t serial;
+  struct quota_bounds bounds;
+};
+
 struct quota_limit
 {
   const char *customer;
@@ -95,11 +114,10 @@
   double level; /* of this node's bucket, if IS_HOME */
   const char *homes[QUOTA_HOMES]; /* borrowed until the next call */
   size_t home_count;
+  unsigned homes_reached; /* linked, and not silent */
 };
 
-/* NODE: this node's name, copied.  SERIAL: higher than any of a former process
-   of this node has used, such as its start in ns.  */
-struct quota *quota_new (const char *node, uint64_t serial);
+struct quota *quota_new (const struct quota_options *options);
 void quota_free (struct quota *quota);
 
 /* All nodes that are listed.  KNOWN: these are all nodes of the table.  */
--- a/src/quota_home.c
+++ b/src/quota_home.c
@@ -180,6 +180,7 @@
                     struct timespec now, int64_t *ready_ms)
 {
   double per_s = bucket->part.per_s;
+  double least = bucket->part.owes ? 0 : MIN (need, bucket->part.burst);
 
   fill (bucket, now);
   if (ts_before (now, bucket->ready_at))
@@ -188,8 +189,9 @@
     *ready_ms = QUOTA_PROMISE_MAX_MS;
   else if (bucket->part.slots)
     return issue_slot (bucket, need, now, ready_ms);
-  else if (bucket->level < 0)
-    *ready_ms = ms_until (ts_add (now, duration (-bucket->level, per_s)), now);
+  else if (bucket->level < least)
+    *ready_ms = ms_until (
+        ts_add (now, duration (least - bucket->level, per_s)), now);
   else
     {
       bucket->level -= need;
--- a/src/quota_home.h
+++ b/src/quota_home.h
@@ -1,9 +1,9 @@
 /* quota_home - the bucket from which a home issues its part of a customer's
    quota, see quota.h.
 
-   The bucket starts empty.  It issues while it is not in debt, so that a
-   request may be larger than the burst of the part; the debt is at most one
-   request.
+   The bucket starts empty.  A request may be larger than the burst of the part:
+   it is issued when the bucket is full, or, where the bounds allow it, not in
+   debt.  The debt is at most one request.
 
    A part that belongs to less than half of the nodes is issued in slots: one
    request at a time, at the times that follow from the rate, and what is not
@@ -37,6 +37,7 @@
   double per_s;
   double burst;
   double unit;  /* usual size of a request */
+  bool owes;    /* issues any request while not in debt */
   bool slots;   /* issued in slots */
   double phase; /* of the slots, from 0 to 1 */
 };
--- a/src/quota_state.h
+++ b/src/quota_state.h
@@ -59,6 +59,8 @@
   struct homes *homes;
   GHashTable *limits; /* customer -> struct limit */
   uint64_t serial;
+  bool prefetches; /* the bounds allow credit that no request waits for */
+  bool owes;       /* and debts of one request at each home */
   bool known; /* the nodes of the table */
   struct timespec known_at;
   /* Of all nodes: those that this one is a home for, itself, its rank.  */
--- a/src/quota_wait.c
+++ b/src/quota_wait.c
@@ -122,13 +122,15 @@
    nothing.  A node that asks for less than two requests at a time would save
    no message.  */
 static double
-take_prefetch (struct limit *limit, double amount, struct timespec now)
+take_prefetch (const struct quota *quota, struct limit *limit, double amount,
+               struct timespec now)
 {
   double expected
       = quota_credit_use_per_s (&limit->credit, now) * PREFETCH_S;
   double missing = expected - quota_credit_balance (&limit->credit, now);
 
-  if (ts_before (now, limit->prefetch_at) || expected < 2 * amount
+  if (!quota->prefetches || ts_before (now, limit->prefetch_at)
+      || expected < 2 * amount
       || missing < expected * PREFETCH_MISSING)
     return 0;
   limit->prefetch_at = ts_add_ms (now, PREFETCH_MS);
@@ -240,7 +242,7 @@
       if (!homes_is_self (quota->homes, home->name))
         {
           send_ask (quota, limit, home, wait,
-                    take_prefetch (limit, wait->need, now), now, actions);
+                    take_prefetch (quota, limit, wait->need, now), now, actions);
           return;
         }
       limit->trouble_since = (struct timespec){ 0 };
@@ -257,7 +259,7 @@
           struct timespec now, struct action_list *actions)
 {
   struct wait none = { 0 };
-  double want = limit->is_home ? 0 : take_prefetch (limit, amount, now);
+  double want = limit->is_home ? 0 : take_prefetch (quota, limit, amount, now);
   const struct home *home = NULL;
 
   if (want > 0)
--- a/tests/prop_quota.cc
+++ b/tests/prop_quota.cc
@@ -63,6 +63,15 @@
   std::vector<int64_t> found_at;   /* of each other node, in this life */
 };
 
+static struct quota *
+new_quota (const node &node)
+{
+  struct quota_options options
+      = { node.name.c_str (), node.serial, { window_ms, over - 1, slack } };
+
+  return quota_new (&options);
+}
+
 struct message
 {
   size_t from;
@@ -117,7 +126,7 @@
         nodes[i].away_since.assign (count, 0);
         nodes[i].found_at.assign (count, 0);
         nodes[i].serial = 1;
-        nodes[i].quota = quota_new (nodes[i].name.c_str (), 1);
+        nodes[i].quota = new_quota (nodes[i]);
         nodes[i].started = nodes[i].known_at = ms;
       }
   }
@@ -404,7 +413,7 @@
 
     quota_free (node.quota);
     node.serial += 1000000;
-    node.quota = quota_new (node.name.c_str (), node.serial);
+    node.quota = new_quota (node);
     node.waiting.clear ();
     for (auto at = messages.begin (); at != messages.end ();)
       at = at->second.to == i ? messages.erase (at) : std::next (at);
