--- a/src/gateway.c
+++ b/src/gateway.c
@@ -144,10 +144,13 @@
 {
   const struct gateway *gateway = user;
   char *counters = counter_text ();
+  char *quotas = quotas_metrics (gateway->quotas);
   GString *text = g_string_new (counters);
 
   histo_text (text);
   usage_text (gateway->usage, text);
+  g_string_append (text, quotas);
+  g_free (quotas);
   respond_text (request, 200, "text/plain; version=0.0.4", text->str);
   g_string_free (text, TRUE);
   g_free (counters);
@@ -163,6 +166,16 @@
 
 /* Waiting requests.  */
 
+static void
+on_quota_timer (struct loop_timer *timer)
+{
+  struct gateway *gateway
+      = (struct gateway *)((char *)timer
+                           - offsetof (struct gateway, quota_timer));
+
+  forward_check_quotas (gateway);
+}
+
 static void
 on_dispatch_timer (struct loop_timer *timer)
 {
@@ -364,6 +377,7 @@
   httpd_free (gateway->metrics);
   httpc_free (gateway->httpc);
   loop_timer_clear (gateway->core->loop, &gateway->dispatch_timer);
+  loop_timer_clear (gateway->core->loop, &gateway->quota_timer);
   loop_timer_clear (gateway->core->loop, &gateway->cleanup_timer);
   loop_timer_clear (gateway->core->loop, &gateway->retry_timer);
   gateway_probe_stop (gateway);
@@ -380,6 +394,7 @@
   gateway->links = links_find (kernel);
   gateway->listing = listing_find (kernel);
   gateway->ratelimits = ratelimits_find (kernel);
+  gateway->quotas = quotas_find (kernel);
   gateway->planners = planners_find (kernel);
   gateway->origins = origins_find (kernel);
   gateway->versionlog = versionlog_find (kernel);
@@ -393,6 +408,7 @@
   create_policies (gateway);
   gateway_probe_start (gateway);
   gateway->dispatch_timer.fire = on_dispatch_timer;
+  gateway->quota_timer.fire = on_quota_timer;
   gateway->cleanup_timer.fire = on_cleanup_timer;
   loop_timer_set (gateway->core->loop, &gateway->cleanup_timer,
                   loop_now (gateway->core->loop));
@@ -432,6 +448,10 @@
       || event->type == KERNEL_SITE_CHANGED
       || event->type == KERNEL_LIMIT_CHANGED)
     gateway_dispatch_soon (gateway);
+  /* Not at once: the event may come from within a request.  */
+  if (event->type == KERNEL_QUOTA_CHANGED)
+    loop_timer_set (gateway->core->loop, &gateway->quota_timer,
+                    loop_now (gateway->core->loop));
   if (event->type != KERNEL_MEMBERS_CHANGED || gateway->retry == NULL)
     return;
   retry = node_retry_limits (gateway);
@@ -457,6 +477,7 @@
   gateway->options = *options;
   gateway->usage = usage_new ();
   TAILQ_INIT (&gateway->waiting);
+  TAILQ_INIT (&gateway->waiting_for_quota);
   TAILQ_INIT (&gateway->open_requests);
   gateway->patience
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
--- a/src/listing.h
+++ b/src/listing.h
@@ -19,6 +19,7 @@
 #define PARSLEYRILL_LISTING_H
 
 #include <stdint.h>
+#include <glib.h>
 #include "catalog.h"
 #include "kernel.h"
 #include "servers.h"
@@ -64,6 +65,9 @@
    see confwatch_is_outdated.  */
 bool listing_config_is_outdated (const struct listing *listing,
                                  int64_t within_ms);
+/* The names of the nodes in the table, char *; NULL: it was not listed yet;
+   borrowed until the next event.  */
+const GPtrArray *listing_nodes (const struct listing *listing);
 struct servers *listing_servers (const struct listing *listing);
 
 /* A response of server ID to this node said this about the server.  */
