pick: requests for models go where the estimate at the server's pace is least

The fast quarter of the servers got a quarter of the requests, while chats at slow ones were late, and a fixed time to read a prompt was assumed. The delay estimate is now in seconds at the pace that a server tells (drift, and a part of the momentary figure while it is fresh), corrected by the ratio of observed to estimated times, which nodes share through the decider. The choice is random within a margin in proportion to capacity; prefixes get further homes when the first is busy, and evicting another prefix has a cost. Requests are rejected only when they would not be answered before their callers leave.

--- a/src/delay.c
+++ b/src/delay.c
@@ -2,6 +2,7 @@
 
 #include <math.h>
 #include <sys/param.h>
+#include "pace.h"
 
 #define PREFILL_TOKENS_PER_S 38700.0
 /* A running request delays the others by its share of each batch.  */
@@ -15,9 +16,19 @@
 #define STEP_RUNNING_S 0.0006
 /* Tokens of a stream event, which is sent once all are decoded.  */
 #define EVENT_TOKENS 5
+/* How far the time until the first event is from its estimate, usually, as a
+   share of it.  */
+#define ESTIMATE_SPREAD 0.3
+#define ESTIMATE_SPREAD_MIN_S 0.01
+/* Servers are that much slower for a moment, in that share of the time.  */
+#define SLOW_FACTOR 2.5
+#define SLOW_SHARE 0.1
 /* Mean of the squares of the times to read a prompt, divided by the square of
    their mean: where 9,190 tokens and 826 are about as frequent.  */
 #define READ_VARIATION 1.5
+/* How long a report tells of the prompts that wait.  In test_pace_choice, 0.3
+   s and 2 s made more requests late than 0.5 to 1 s.  */
+#define QUEUE_S 0.7
 #define LIMIT_OBJECTIVES 1.25 /* times the objective */
 #define LIMIT_MIN_S 1.0
 #define LIMIT_LEFT_SHARE 0.7 /* of the time left, at most */
@@ -56,18 +67,93 @@
   return read_s + pieces * step_s (running);
 }
 
+/* Seconds of work at the usual pace.  */
+static double
+work_s (const struct delay_server *server, double read_s)
+{
+  return read_between_steps_s (read_s, server->load.running);
+}
+
+/* Time that WORK_S seconds of work take from now on.  */
+static double
+at_pace (const struct delay_server *server, double work_s)
+{
+  return work_s
+         * pace_over (server->pace, server->moment, work_s * server->pace);
+}
+
+/* Prompts that wait, in seconds of work.  While a report ages, prompts are
+   read, and others take their place, as long as requests arrive.  */
+static double
+backlog_work_s (const struct delay_server *server)
+{
+  const struct delay_load *load = &server->load;
+  double reported_s = work_s (server, load->queued * DELAY_QUEUED_S);
+
+  return reported_s * exp (-MAX (load->age_s, 0) / QUEUE_S)
+         + work_s (server, load->sent * DELAY_QUEUED_S);
+}
+
+/* The expected excess over LIMIT_S of a time that is VALUE_S on average and
+   varies with it.  */
+static double
+expected_excess_s (double value_s, double limit_s)
+{
+  double spread_s = MAX (ESTIMATE_SPREAD * value_s, ESTIMATE_SPREAD_MIN_S);
+  double spreads = (value_s - limit_s) / spread_s;
+
+  /* Beyond, the logarithm's argument overflows, and the result is exact.  */
+  if (spreads > 30)
+    return value_s - limit_s;
+  return spread_s * log1p (exp (spreads));
+}
+
+/* The same of the pauses between events.  While prompts are read, a piece is
+   read before each of the steps that decode the tokens of an event.  */
+static double
+pause_excess_s (const struct delay_server *server, double backlog_s,
+                double gap_s)
+{
+  double piece_s = (double)DELAY_PIECE_TOKENS / PREFILL_TOKENS_PER_S;
+  double usual_s = server->pace * EVENT_TOKENS
+                   * (step_s (server->load.running) + piece_s);
+  double reading = backlog_s / (backlog_s + RUN_S);
+
+  if (gap_s <= 0)
+    return 0;
+  return reading
+         * ((1 - SLOW_SHARE) * MAX (usual_s - gap_s, 0)
+            + SLOW_SHARE * MAX (usual_s * SLOW_FACTOR - gap_s, 0));
+}
+
+void
+delay_estimate (const struct delay_server *server,
+                const struct delay_need *need, struct delay_estimate *estimate)
+{
+  double read_s = MAX (need->read_s - need->trust * need->saved_s, 0);
+  double backlog_work = backlog_work_s (server);
+  double own_work
+      = work_s (server, read_s) + EVENT_TOKENS * step_s (server->load.running);
+
+  estimate->backlog_s = at_pace (server, backlog_work);
+  estimate->first_s = at_pace (server, backlog_work + own_work);
+  estimate->late_s = expected_excess_s (estimate->first_s, need->objective_s);
+  estimate->pause_s = pause_excess_s (
+      server, estimate->backlog_s + at_pace (server, own_work), need->gap_s);
+}
+
 double
 delay_expected_s (double pace, const struct delay_demand *demand)
 {
-  double work_s
+  double each_s
       = pace * read_between_steps_s (demand->read_s, demand->running);
-  double utilisation = demand->requests_per_s * work_s;
+  double utilisation = demand->requests_per_s * each_s;
 
   if (utilisation >= 1)
     return INFINITY;
   /* The mean wait of a queue with one server (Pollaczek and Khinchine).  */
-  return utilisation * work_s * READ_VARIATION / (2 * (1 - utilisation))
-         + work_s + pace * EVENT_TOKENS * step_s (demand->running);
+  return utilisation * each_s * READ_VARIATION / (2 * (1 - utilisation))
+         + each_s + pace * EVENT_TOKENS * step_s (demand->running);
 }
 
 double
@@ -77,6 +163,12 @@
               LIMIT_LEFT_SHARE * left_s);
 }
 
+double
+delay_limit_left_s (double left_s)
+{
+  return LIMIT_LEFT_SHARE * MAX (left_s, 0);
+}
+
 double
 delay_retry_s (double delay_s, double limit_s, double random)
 {
--- a/src/delay.h
+++ b/src/delay.h
@@ -4,6 +4,11 @@
    between the tokens of the requests that run, so that the waiting ones cost
    most.  A prompt whose first parts are cached is read from there on only.
 
+   For a server that tells its pace (pace.h) all times are those at that pace,
+   and the estimate covers reading, decoding and the pauses between events.
+   Its constants are those of the usual pace; the ratio of observed to
+   estimated times (pace_observe) corrects them for each server.
+
    Pure functions, any thread.  */
 
 #ifndef PARSLEYRILL_DELAY_H
@@ -31,11 +36,41 @@
 /* Seconds that an engine takes to read TOKENS.  */
 double delay_read_s (uint64_t tokens);
 
+/* An engine that tells its pace.  */
+struct delay_server
+{
+  struct delay_load load;
+  double pace;   /* pace_lasting, positive */
+  double moment; /* pace_moment */
+};
+
+/* What a request needs of an engine; times at the usual pace.  */
+struct delay_need
+{
+  double read_s;      /* to read the whole prompt */
+  double saved_s;     /* of these, if its first parts are cached */
+  double trust;       /* probability of that */
+  double objective_s; /* until the first event */
+  double gap_s;       /* longest pause between events; 0: there are none */
+};
+
+struct delay_estimate
+{
+  double backlog_s; /* until what is there already has been read */
+  double first_s;   /* until the first event */
+  double late_s;    /* expected excess of that over the objective */
+  double pause_s;   /* expected excess of pauses between events */
+};
+
+void delay_estimate (const struct delay_server *server,
+                     const struct delay_need *need,
+                     struct delay_estimate *estimate);
+
 /* What the requests that reach an engine take of it, on average.  */
 struct delay_demand
 {
   double requests_per_s;
-  double read_s;  /* to read the uncached part of a prompt, at the usual pace */
+  double read_s; /* to read the uncached part of a prompt, at the usual pace */
   double running; /* requests whose prompts have been read */
 };
 
@@ -50,6 +85,11 @@
    OBJECTIVE_S is that of the route, LEFT_S the time until its deadline.  */
 double delay_limit_s (double objective_s, double left_s);
 
+/* The same for engines that tell their pace: a late answer is worth more than
+   none, so that only requests are rejected that would not be answered before
+   their callers leave, in LEFT_S.  */
+double delay_limit_left_s (double left_s);
+
 /* When a request that was rejected for a delay of DELAY_S above LIMIT_S should
    come back, in seconds.  RANDOM, from 0 to 1, spreads the requests that are
    rejected together.  */
--- /dev/null
+++ b/src/forward_admit.c
@@ -0,0 +1,69 @@
+#include <string.h>
+#include "delay.h"
+#include "forward_state.h"
+#include "ts.h"
+
+/* Share of an engine's queue that is at least as urgent as a request of a
+   route with the highest priority, of several.  */
+#define ADMITTED_FIRST_SHARE 0.4
+
+struct timespec
+forward_leaves_at (const struct forward *forward)
+{
+  struct timespec patience = patience_estimate (
+      gateway_patience (forward->gateway, forward->route->name),
+      forward_now (forward));
+
+  if (ts_is_zero (patience))
+    return forward->deadline;
+  return ts_min (forward->deadline, ts_add (forward->arrived, patience));
+}
+
+/* Whether some route of the service has a lower priority, so that engines
+   admit this request before most others.  */
+static bool
+is_admitted_first (const struct forward *forward)
+{
+  const GArray *routes = forward->site->routes;
+
+  for (guint i = 0; i < routes->len; i++)
+    {
+      const struct site_route *route
+          = &g_array_index (routes, struct site_route, i);
+      const char *service = site_split (route, 0);
+
+      if (route->priority > forward->route->priority && service != NULL
+          && strcmp (service, forward->service->name) == 0)
+        return true;
+    }
+  return false;
+}
+
+/* The longest estimated delay with which the request is sent.  */
+static double
+delay_limit (const struct forward *forward)
+{
+  double left_s
+      = ts_to_s (ts_sub (forward_leaves_at (forward), forward_now (forward)));
+
+  if (forward->explanation.paced)
+    return delay_limit_left_s (left_s);
+  return delay_limit_s (
+      (double)forward->route->objective_ms / (double)TS_MS_PER_S,
+      (double)forward_left_ms (forward) / (double)TS_MS_PER_S);
+}
+
+bool
+forward_is_overloaded (const struct forward *forward, int64_t *retry_ms)
+{
+  double delay_s = forward->explanation.delay_s;
+  double limit_s = delay_limit (forward);
+
+  if (forward->target == NULL || forward->dispatches > 0 || delay_s <= limit_s)
+    return false;
+  if (is_admitted_first (forward))
+    delay_s *= ADMITTED_FIRST_SHARE;
+  *retry_ms = ts_to_ms (ts_from_s (delay_retry_s (
+      delay_s, limit_s, g_rand_double (forward->gateway->core->rand))));
+  return delay_s > limit_s;
+}
--- a/src/forward_answer.c
+++ b/src/forward_answer.c
@@ -185,6 +185,27 @@
   eject_resumed (gateway->eject, forward->engine->id);
 }
 
+/* The first event of the current response has come: the server has read the
+   prompt, and its cache has the prompt's parts.  */
+static void
+note_first_event (struct forward *forward)
+{
+  struct gateway *gateway = forward->gateway;
+  struct timespec now = forward_now (forward);
+
+  if (forward->expected_s <= 0)
+    return;
+  if (!forward->engine->gone)
+    servers_observe_pace (
+        listing_servers (gateway->listing), forward->engine->id,
+        pace_ratio (forward->expected_s,
+                    ts_to_s (ts_sub (now, forward->sent_at))),
+        now);
+  for (size_t i = 0; i < forward->parsed.part_count; i++)
+    pick_cached (gateway->pick, forward->engine, forward->parsed.parts[i],
+                 now);
+}
+
 int
 forward_on_bytes (void *user, const char *bytes, size_t n)
 {
@@ -200,7 +221,10 @@
       forward->last_event = forward->sse.last_id;
     }
   if (before == 0 && forward->sse.events > 0 && !forward->to_peer)
-    forward_note_answer (forward);
+    {
+      note_first_event (forward);
+      forward_note_answer (forward);
+    }
   return err;
 }
 
@@ -248,8 +272,8 @@
                   ts_sub (forward_now (forward), forward->sent_at));
   note_request_time (forward);
   for (size_t i = 0; !forward->to_peer && i < forward->parsed.part_count; i++)
-    pick_hint (gateway->pick, forward->engine->id, forward->parsed.parts[i],
-               true, forward_now (forward));
+    pick_cached (gateway->pick, forward->engine, forward->parsed.parts[i],
+                 forward_now (forward));
   if (forward->request != NULL && forward->streaming)
     end_stream (forward);
   else if (forward->request != NULL)
--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -5,9 +5,6 @@
 #include "ts.h"
 
 #define DEFAULT_RETRY_AFTER_MS 300 /* when no better estimate is known */
-/* Share of an engine's queue that is at least as urgent as a request of a
-   route with the highest priority, of several.  */
-#define ADMITTED_FIRST_SHARE 0.4
 #define URGENCY_MAX 9
 #define URGENCY_PER_PRIORITY 2 /* step from one route priority to the next */
 #define URGENCY_BASE 2         /* of route priority 0 */
@@ -121,12 +118,12 @@
    those that refuse connections or are cut off from this node, brittle ones
    that have enough, and the one of the attempt in progress.  */
 static GPtrArray *
-excluded_replicas (struct forward *forward, const GArray *replicas)
+excluded_replicas (struct forward *forward, const GArray *replicas,
+                   size_t *nodes)
 {
   GPtrArray *ids = g_ptr_array_new ();
-  size_t nodes;
 
-  links_members (forward->gateway->links, &nodes);
+  links_members (forward->gateway->links, nodes);
   if (forward->call != NULL)
     g_ptr_array_add (ids, forward->engine->id);
   for (size_t i = 0; i < forward->tried_count; i++)
@@ -140,7 +137,7 @@
       const struct route_replica *replica
           = &g_array_index (replicas, struct route_replica, i);
 
-      if (is_excluded (forward, replica, nodes))
+      if (is_excluded (forward, replica, *nodes))
         g_ptr_array_add (ids, replica->engine->id);
     }
   return ids;
@@ -159,11 +156,21 @@
   return request->replicas[at].engine;
 }
 
+/* Of a prompt of unknown length: that of the mean one.  */
+static double
+prompt_read_s (const struct forward *forward)
+{
+  uint64_t tokens = forward->parsed.prompt_tokens;
+
+  return tokens > 0 ? delay_read_s (tokens) : DELAY_QUEUED_S;
+}
+
 /* A new reference to the engine of the server to use now, or NULL.  */
 static struct route_engine *
 pick_engine (struct forward *forward, const GArray *replicas)
 {
-  GPtrArray *ids = excluded_replicas (forward, replicas);
+  size_t nodes;
+  GPtrArray *ids = excluded_replicas (forward, replicas, &nodes);
   struct pick_request request
       = { .replicas = (const struct route_replica *)replicas->data,
           .count = replicas->len,
@@ -176,6 +183,12 @@
           .target
           = forward->target != NULL ? g_str_hash (forward->parsed.model) : 0,
           .short_prompt = forward->parsed.prompt_tokens <= DELAY_PIECE_TOKENS,
+          .read_s = prompt_read_s (forward),
+          .objective_s = (double)forward->route->objective_ms / TS_MS_PER_S,
+          .gap_s = forward->route->kind == SITE_STREAM
+                       ? (double)forward->route->gap_ms / TS_MS_PER_S
+                       : 0,
+          .nodes = nodes,
           .adapter = forward->parsed.adapter != NULL };
   struct route_engine *engine;
 
@@ -352,6 +365,18 @@
   attempt_begin (&forward->attempts[forward->count++], forward->dispatches);
 }
 
+/* What the prompt does to the server, and is expected to take there.  */
+static void
+note_prompt_sent (struct forward *forward)
+{
+  forward->expected_s = 0;
+  if (forward->to_peer || !forward->explanation.paced)
+    return;
+  forward->expected_s = forward->explanation.told_s;
+  pick_sent (forward->gateway->pick, forward->engine->id,
+             forward->parsed.prompt_tokens, forward->sent_at);
+}
+
 void
 forward_dispatch (struct forward *forward, struct route_engine *engine)
 {
@@ -377,6 +402,7 @@
   forward->sent_to[forward->dispatches - 1] = g_str_hash (engine->address);
   forward->state = FORWARD_SENT;
   forward->sent_at = now;
+  note_prompt_sent (forward);
   forward->first_at = (struct timespec){ 0 };
   forward->heard_at = now;
   forward->silent = false;
@@ -414,68 +440,16 @@
   eject_abandon (forward->gateway->eject, forward->engine->id);
 }
 
-/* When the caller is likely to be gone if it has got nothing.  */
-static struct timespec
-leaves_at (const struct forward *forward)
-{
-  struct timespec patience = patience_estimate (
-      gateway_patience (forward->gateway, forward->route->name),
-      forward_now (forward));
-
-  if (ts_is_zero (patience))
-    return forward->deadline;
-  return ts_min (forward->deadline, ts_add (forward->arrived, patience));
-}
-
 /* Whether the model will be ready too late for the caller, so that waiting is
    pointless.  */
 static bool
 ready_too_late (const struct forward *forward, struct timespec ready_at)
 {
   return !ts_is_zero (ready_at)
-         && ts_before (leaves_at (forward),
+         && ts_before (forward_leaves_at (forward),
                        ts_add_ms (ready_at, FORWARD_ANSWER_MIN_MS));
 }
 
-/* Whether some route of the service has a lower priority, so that engines
-   admit this request before most others.  */
-static bool
-is_admitted_first (const struct forward *forward)
-{
-  const GArray *routes = forward->site->routes;
-
-  for (guint i = 0; i < routes->len; i++)
-    {
-      const struct site_route *route
-          = &g_array_index (routes, struct site_route, i);
-      const char *service = site_split (route, 0);
-
-      if (route->priority > forward->route->priority && service != NULL
-          && strcmp (service, forward->service->name) == 0)
-        return true;
-    }
-  return false;
-}
-
-/* Sets *RETRY_MS and returns true if the chosen engine is so busy that the
-   request should not be sent there.  */
-static bool
-is_overloaded (const struct forward *forward, int64_t *retry_ms)
-{
-  double delay_s = forward->explanation.delay_s;
-  double limit_s = delay_limit_s (
-      (double)forward->route->objective_ms / (double)TS_MS_PER_S,
-      (double)forward_left_ms (forward) / (double)TS_MS_PER_S);
-
-  if (forward->target == NULL || forward->dispatches > 0 || delay_s <= limit_s)
-    return false;
-  if (is_admitted_first (forward))
-    delay_s *= ADMITTED_FIRST_SHARE;
-  *retry_ms = ts_to_ms (ts_from_s (delay_retry_s (
-      delay_s, limit_s, g_rand_double (forward->gateway->core->rand))));
-  return delay_s > limit_s;
-}
-
 /* Dispatches the request to ENGINE, or rejects it if that is overloaded.  A
    request that has been waiting goes on waiting while it may be answered in
    time.  */
@@ -486,7 +460,7 @@
                      + FORWARD_ANSWER_MIN_MS;
   int64_t retry_ms;
 
-  if (!is_overloaded (forward, &retry_ms))
+  if (!forward_is_overloaded (forward, &retry_ms))
     {
       forward_limits_prefetch (forward);
       forward_dispatch (forward, engine);
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -1,5 +1,5 @@
 /* forward_state - state of one request, shared by the modules forward,
-   forward_send, forward_limit, forward_relay, forward_resume,
+   forward_send, forward_admit, forward_limit, forward_relay, forward_resume,
    forward_quarantine, forward_answer and forward_log.  Private to them.  */
 
 #ifndef PARSLEYRILL_FORWARD_STATE_H
@@ -61,6 +61,7 @@
   struct route_engine *replacement;    /* takes the place of CALL, which ends;
                                           NULL: none */
   struct pick_explanation explanation; /* of the latest choice of a replica */
+  double expected_s; /* of the dispatch: told_s of EXPLANATION; 0: none */
   struct timespec sent_at;
   struct timespec first_at;      /* first byte of the response; zero: none */
   struct timespec heard_at;      /* latest byte, or the dispatch */
@@ -169,6 +170,14 @@
 /* The current engine will not be used again for this request.  */
 void forward_mark_tried (struct forward *forward);
 
+/* forward_admit.c */
+
+/* When the caller is likely to be gone if it has got nothing.  */
+struct timespec forward_leaves_at (const struct forward *forward);
+/* Sets *RETRY_MS and returns true if the chosen engine is so busy that the
+   request should not be sent there.  */
+bool forward_is_overloaded (const struct forward *forward, int64_t *retry_ms);
+
 /* forward_limit.c: servers that name limits, see ratelimit.h.  */
 
 /* Whether the request may be sent to server ID now, as far as its limit goes.
--- a/src/frame.c
+++ b/src/frame.c
@@ -108,7 +108,9 @@
 static const struct field load_fields[]
     = { SCALAR (1, TEXT, struct peer_load, server),
         SCALAR (2, NUMBER, struct peer_load, running),
-        SCALAR (3, NUMBER, struct peer_load, queued) };
+        SCALAR (3, NUMBER, struct peer_load, queued),
+        SCALAR (4, NUMBER, struct peer_load, pace),
+        SCALAR (5, NUMBER, struct peer_load, pace_observed) };
 static const struct schema load_schema
     = SCHEMA (struct peer_load, load_fields);
 
--- a/src/pace.h
+++ b/src/pace.h
@@ -2,7 +2,16 @@
 
    Servers that share their machines with others tell a figure that changes
    many times a second.  The drift is its mean over PACE_DRIFT_S, weighted by
-   time, which choices that last use.
+   time, which choices that last use.  The momentary figure differs from it for
+   less than a second.
+
+   What a server tells may be wrong.  So the time that requests took there is
+   compared with the time estimated from what it told, and the ratio corrects
+   later estimates.  It is forgotten over PACE_OBSERVED_S, so that a server
+   that was avoided for it is tried again.
+
+   A server that never told a figure has no pace, whatever was observed, and
+   estimates for it are those of any server.
 
    A zeroed struct pace is new.  No I/O; one thread.  */
 
@@ -11,20 +20,53 @@
 
 #include <time.h>
 
-#define PACE_DRIFT_S 5.0 /* time constant of the drift */
+#define PACE_DRIFT_S 5.0     /* time constant of the drift */
+#define PACE_MOMENT_S 0.25   /* of the decay of the momentary figure */
+#define PACE_OBSERVED_S 30.0 /* of the decay of what was observed */
 /* Figures beyond these are taken for these.  */
 #define PACE_MIN 0.05
 #define PACE_MAX 20.0
+/* The same of the ratio of observed to estimated times.  */
+#define PACE_OBSERVED_MIN 0.5
+#define PACE_OBSERVED_MAX 8.0
 
 struct pace
 {
-  double drift;       /* 1: usual; more: slower; 0: not told */
-  double latest;      /* as last told */
-  struct timespec at; /* of LATEST */
+  double drift;             /* 1: usual; more: slower; 0: not told */
+  struct timespec drift_at; /* of its last change */
+  double latest;            /* as last told to this node */
+  struct timespec at;       /* of LATEST */
+  double observed;          /* ratio to the times estimated; 0: none */
+  struct timespec observed_at;
 };
 
 /* The server told that work takes VALUE times as long as usual.  A VALUE that
    is not a positive number is ignored.  */
 void pace_report (struct pace *pace, double value, struct timespec now);
 
+/* A node that hears from all nodes knows this DRIFT and this ratio OBSERVED;
+   0: it does not.  They replace those known here.  */
+void pace_adopt (struct pace *pace, double drift, double observed,
+                 struct timespec now);
+
+/* The ratio of the time ACTUAL_S to the time ESTIMATED_S, at the pace told,
+   of the first event of a request.  0 if there is none.  */
+double pace_ratio (double estimated_s, double actual_s);
+
+/* A request took RATIO times as long as estimated, see pace_ratio.  */
+void pace_observe (struct pace *pace, double ratio, struct timespec now);
+
+/* The ratio that corrects estimates now; 1 without observations.  */
+double pace_correction (const struct pace *pace, struct timespec now);
+
+/* The pace that is expected to last, corrected; 0: not told.  */
+double pace_lasting (const struct pace *pace, struct timespec now);
+
+/* What the momentary figure adds to it now; may be negative.  */
+double pace_moment (const struct pace *pace, struct timespec now);
+
+/* The mean pace over the next S seconds, from pace_lasting and
+   pace_moment.  */
+double pace_over (double lasting, double moment, double s);
+
 #endif
--- a/src/pick.c
+++ b/src/pick.c
@@ -1,9 +1,8 @@
-#include "pick.h"
+#include "pick_state.h"
 
 #include <math.h>
 #include <string.h>
 #include <xxhash.h>
-#include "delay.h"
 #include "suspect_pair.h"
 #include "ts.h"
 
@@ -13,12 +12,6 @@
    of a single node cannot.  */
 #define MAX_LOAD_PLAIN 1.5
 #define MAX_LOAD_MODELS 3.0
-#define HINT_SETS 1024 /* power of two; a set-associative cache */
-#define HINT_WAYS 4
-#define HINT_HALF_LIFE_S 60.0 /* of the trust in a hint */
-#define HINT_TRUST_MIN 0.01   /* hints with less trust are ignored */
-#define GAP_TRUST 0.5         /* factor for hints from before a gap */
-
 /* Bonuses, in load per slot.  Their sum stays below 1, so that they never
    outweigh a full replica.  */
 #define BONUS_PREFIX 0.5
@@ -37,32 +30,6 @@
    short one.  */
 #define MIXED_S 0.03
 
-struct hint
-{
-  uint64_t key; /* hash of engine and prefix; 0: free */
-  struct timespec at;
-  bool present;
-};
-
-struct pick
-{
-  char *zone;
-  GRand *rand;
-  GHashTable *gaps; /* engine id -> struct timespec of the last gap */
-  struct hint hints[HINT_SETS][HINT_WAYS];
-};
-
-struct score
-{
-  double load; /* per slot */
-  double prefix_trust;
-  double bonus;
-  double delay_s; /* if the request is BY_DELAY */
-  bool full;
-  bool home;  /* of the prefix */
-  bool quiet; /* preferred for short prompts */
-};
-
 struct pick *
 pick_new (const struct pick_options *options)
 {
@@ -70,7 +37,7 @@
 
   pick->zone = g_strdup (options->zone);
   pick->rand = g_rand_new_with_seed (options->seed);
-  pick->gaps = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  pick->hints = hints_new ();
   return pick;
 }
 
@@ -81,7 +48,7 @@
     return;
   g_free (pick->zone);
   g_rand_free (pick->rand);
-  g_hash_table_destroy (pick->gaps);
+  hints_free (pick->hints);
   g_free (pick);
 }
 
@@ -136,71 +103,35 @@
   return hash != 0 ? hash : 1;
 }
 
-static uint64_t
-hint_key (const char *engine, uint64_t prefix)
-{
-  uint64_t key = XXH3_64bits_withSeed (engine, strlen (engine), prefix);
-
-  return key != 0 ? key : 1;
-}
-
-/* The entry of KEY in its set, or the oldest entry there, to be replaced.  */
-static struct hint *
-hint_entry (struct pick *pick, uint64_t key)
+void
+pick_hint (struct pick *pick, const char *engine, uint64_t prefix,
+           bool present, struct timespec at)
 {
-  struct hint *set = pick->hints[key % HINT_SETS];
-  struct hint *oldest = &set[0];
+  const struct hint_source source = { .id = engine };
 
-  for (unsigned i = 0; i < HINT_WAYS; i++)
-    {
-      if (set[i].key == key)
-        return &set[i];
-      if (ts_before (set[i].at, oldest->at))
-        oldest = &set[i];
-    }
-  return oldest;
+  hints_put (pick->hints, &source, prefix, present, at);
 }
 
 void
-pick_hint (struct pick *pick, const char *engine, uint64_t prefix,
-           bool present, struct timespec at)
+pick_cached (struct pick *pick, const struct route_engine *engine,
+             uint64_t prefix, struct timespec at)
 {
-  uint64_t key = hint_key (engine, prefix);
-  struct hint *hint = hint_entry (pick, key);
+  const struct hint_source source = { .id = engine->id, .born = engine->born };
 
-  if (ts_before (at, hint->at))
-    return;
-  hint->key = key;
-  hint->at = at;
-  hint->present = present;
+  hints_put (pick->hints, &source, prefix, true, at);
 }
 
 void
 pick_gap (struct pick *pick, const char *engine, struct timespec at)
 {
-  struct timespec *gap = g_new (struct timespec, 1);
-
-  *gap = at;
-  g_hash_table_replace (pick->gaps, g_strdup (engine), gap);
+  hints_gap (pick->hints, engine, at);
 }
 
-static double
-prefix_trust (struct pick *pick, const char *engine, uint64_t prefix,
-              struct timespec now)
+void
+pick_sent (struct pick *pick, const char *engine, uint64_t tokens,
+           struct timespec now)
 {
-  uint64_t key = hint_key (engine, prefix);
-  const struct hint *hint = hint_entry (pick, key);
-  const struct timespec *gap = g_hash_table_lookup (pick->gaps, engine);
-  double age_s;
-  double trust;
-
-  if (prefix == 0 || hint->key != key || !hint->present)
-    return 0;
-  age_s = MAX (ts_to_s (ts_sub (now, hint->at)), 0);
-  trust = exp2 (-age_s / HINT_HALF_LIFE_S);
-  if (gap != NULL && !ts_before (*gap, hint->at))
-    trust *= GAP_TRUST;
-  return trust < HINT_TRUST_MIN ? 0 : trust;
+  hints_sent (pick->hints, engine, tokens, now);
 }
 
 static bool
@@ -275,20 +206,18 @@
   return n;
 }
 
-/* The replica with the highest weight for KEY among the usable ones that are
-   not quiet, -1 if there is none.  */
-static ptrdiff_t
-highest_weight (const struct pick_request *request, uint64_t key,
-                const bool *usable, const struct score *scores)
+ptrdiff_t
+pick_highest_weight (const struct pick_request *request, uint64_t key,
+                     const bool *usable, const struct score *scores)
 {
   ptrdiff_t highest = -1;
   uint64_t highest_weight = 0;
 
   for (size_t i = 0; i < request->count; i++)
     {
-      uint64_t weight = hint_key (request->replicas[i].engine->id, key);
+      uint64_t weight = hints_key (request->replicas[i].engine->id, key);
 
-      if (!usable[i] || scores[i].quiet
+      if (!usable[i] || scores[i].quiet || scores[i].home
           || (highest >= 0 && weight <= highest_weight))
         continue;
       highest = (ptrdiff_t)i;
@@ -306,29 +235,38 @@
   ptrdiff_t at;
 
   for (unsigned i = 0; request->target != 0 && i < quiet; i++)
-    if ((at = highest_weight (request, request->target, usable, scores)) >= 0)
+    if ((at = pick_highest_weight (request, request->target, usable, scores))
+        >= 0)
       scores[at].quiet = true;
   if (request->prefix != 0
-      && (at = highest_weight (request, request->prefix, usable, scores)) >= 0)
+      && (at = pick_highest_weight (request, request->prefix, usable, scores))
+             >= 0)
     scores[at].home = true;
 }
 
-static double
-estimate_delay_s (const struct pick *pick, const struct pick_request *request,
-                  const struct route_replica *replica, struct timespec now,
-                  const struct score *score)
+struct delay_load
+pick_known_load (const struct route_replica *replica, struct timespec now)
 {
   unsigned own
       = __atomic_load_n (&replica->engine->inflight, __ATOMIC_RELAXED);
-  struct delay_load load
-      = { .running = replica->running,
-          .queued = replica->queued,
-          .sent = own > replica->inflight_at_report
-                      ? own - replica->inflight_at_report
-                      : 0,
-          .age_s = ts_to_s (ts_sub (now, replica->reported_at)) };
-  double delay_s = delay_backlog_s (&load)
-                   + (1 - score->prefix_trust) * request->prefix_s;
+
+  return (struct delay_load){
+    .running = replica->running,
+    .queued = replica->queued,
+    .sent = own > replica->inflight_at_report
+                ? own - replica->inflight_at_report
+                : 0,
+    .age_s = ts_to_s (ts_sub (now, replica->reported_at)),
+  };
+}
+
+double
+pick_place_delay_s (const struct pick *pick,
+                    const struct pick_request *request,
+                    const struct route_replica *replica,
+                    const struct score *score)
+{
+  double delay_s = 0;
 
   if (g_strcmp0 (pick->zone, replica->engine->zone) != 0)
     delay_s += OTHER_ZONE_S;
@@ -337,20 +275,36 @@
   return delay_s;
 }
 
+static double
+estimate_delay_s (const struct pick *pick, const struct pick_request *request,
+                  const struct route_replica *replica, struct timespec now,
+                  const struct score *score)
+{
+  struct delay_load load = pick_known_load (replica, now);
+
+  return delay_backlog_s (&load)
+         + (1 - score->prefix_trust) * request->prefix_s
+         + pick_place_delay_s (pick, request, replica, score);
+}
+
 static void
 score_replica (struct pick *pick, const struct pick_request *request,
                const struct route_replica *replica, struct timespec now,
-               struct score *score)
+               bool paced, struct score *score)
 {
+  const struct hint_source source
+      = { .id = replica->engine->id, .born = replica->engine->born };
   unsigned load = pick_load (replica);
 
   score->load = (double)load / MAX (replica->slots, 1);
   score->full = load >= replica->slots;
-  score->prefix_trust
-      = prefix_trust (pick, replica->engine->id, request->prefix, now);
+  score->prefix_trust = hints_trust (pick->hints, &source, request->prefix,
+                                     paced ? MAX (request->nodes, 1) : 0, now);
   if (score->home)
     score->prefix_trust = MAX (score->prefix_trust, HOME_TRUST);
-  if (request->by_delay)
+  if (paced)
+    pick_estimate_paced (pick, request, replica, now, score);
+  else if (request->by_delay)
     score->delay_s = estimate_delay_s (pick, request, replica, now, score);
   score->bonus = 0;
   if (score->full || request->suspect)
@@ -438,6 +392,15 @@
   why->same_zone = g_strcmp0 (pick->zone, replica->engine->zone) == 0;
   why->adapter_loaded = request->adapter && replica->adapter_loaded;
   why->free_slot = !scores[index].full;
+  if (why->paced)
+    {
+      why->pace = scores[index].pace;
+      why->told_s
+          = why->delay_s
+            / (replica->pace_correction > 0 ? replica->pace_correction : 1);
+      why->wait_s = scores[index].estimate.backlog_s;
+      why->late_s = scores[index].estimate.late_s;
+    }
   why->reason = choose_reason (why, &scores[index], least_loaded);
 }
 
@@ -453,12 +416,20 @@
   why->reason = PICK_NONE;
   why->usable = mark_usable (request, usable, why);
   why->usable = exclude_ejected (request, now, usable, why->usable, why);
+  why->paced = pick_tells_pace (request, usable);
   if (request->by_delay)
     mark_roles (request, usable, why->usable, scores);
   for (size_t i = 0; i < request->count; i++)
     if (usable[i])
-      score_replica (pick, request, &request->replicas[i], now, &scores[i]);
-  chosen = choose_best (pick, request, scores, usable);
+      score_replica (pick, request, &request->replicas[i], now, why->paced,
+                     &scores[i]);
+  if (why->paced)
+    {
+      pick_mark_more_homes (pick, request, now, usable, scores);
+      chosen = pick_choose_paced (pick, request, scores, usable);
+    }
+  else
+    chosen = choose_best (pick, request, scores, usable);
   if (chosen >= 0)
     explain (pick, request, scores, usable, chosen, why);
   g_free (usable);
--- a/src/pick.h
+++ b/src/pick.h
@@ -14,6 +14,14 @@
    from the hash of the prefix without exchanging messages: in a large fleet a
    node sees too few requests to know where a prefix is.
 
+   If one of the usable replicas tells its pace (pace.h), the estimates are
+   those of delay_estimate, at that pace, and the choice is random within a
+   margin, see spread.h: the cost of a replica is the time until the first
+   event, more where that is late or the events will pause, and the time that
+   the request's prompt takes there from others.  A prefix that draws so many
+   requests to its home that they wait there for longer than its cache saves
+   has a second home, and so on.
+
    Reading a long prompt delays the tokens of all requests that run beside it.
    So a share of the replicas of a target, the quiet ones, is preferred for
    requests with short prompts and avoided for the others; all nodes derive
@@ -55,6 +63,11 @@
   double prefix_s;     /* BY_DELAY: time that a cached prefix saves */
   uint64_t target;     /* BY_DELAY: hash of the target */
   bool short_prompt;   /* BY_DELAY: the engine reads it in one piece */
+  /* BY_DELAY, for replicas that tell their pace.  */
+  double read_s;      /* to read the whole prompt, at the usual pace */
+  double objective_s; /* until the first event */
+  double gap_s;       /* longest pause between events; 0: no events */
+  size_t nodes;       /* that send to these replicas; at least 1 */
   /* suspect_fingerprint: only the two replicas that suspect_pair designates
      for it may be used; 0: all may.  */
   uint64_t fingerprint;
@@ -80,6 +93,11 @@
   double load;         /* of the chosen replica, requests per slot */
   double least;        /* of all usable replicas */
   double delay_s;      /* BY_DELAY: of the chosen replica */
+  bool paced;          /* some usable replica tells its pace; then also: */
+  double pace;         /* of the chosen replica, 1 if it tells none */
+  double told_s;       /* DELAY_S without the correction by observations */
+  double wait_s;       /* of DELAY_S, before its prompt is read */
+  double late_s;       /* expected excess of DELAY_S over the objective */
   double prefix_trust; /* 0 to 1 */
   bool same_zone;
   bool adapter_loaded;
@@ -123,6 +141,14 @@
 void pick_hint (struct pick *pick, const char *engine, uint64_t prefix,
                 bool present, struct timespec at);
 
+/* The same from a response of ENGINE, whose start is known.  */
+void pick_cached (struct pick *pick, const struct route_engine *engine,
+                  uint64_t prefix, struct timespec at);
+
+/* This thread sent ENGINE a prompt of TOKENS, which may evict others.  */
+void pick_sent (struct pick *pick, const char *engine, uint64_t tokens,
+                struct timespec now);
+
 /* Cache events of ENGINE were missed: hints up to AT are trusted half as
    much.  */
 void pick_gap (struct pick *pick, const char *engine, struct timespec at);
--- a/src/planners_loads.c
+++ b/src/planners_loads.c
@@ -41,6 +41,7 @@
         servers_apply_load (servers, msg->loads[i].server,
                             (unsigned)msg->loads[i].running,
                             (unsigned)msg->loads[i].queued, now);
+        servers_apply_pace (servers, &msg->loads[i], !planners->deciding, now);
         kernel_post (planners->core->kernel, KERNEL_SERVER_HEARD,
                      msg->loads[i].server);
       }
--- a/src/route.h
+++ b/src/route.h
@@ -24,6 +24,7 @@
   char *zone;
   char *pool;
   char *software;    /* version of its software; NULL: unknown */
+  int64_t born;      /* start, Unix milliseconds; 0: unknown */
   unsigned refs;     /* atomic */
   unsigned inflight; /* atomic: requests of this node in flight there */
   unsigned gone;     /* atomic: 1 once it is no longer in the instance list */
@@ -39,6 +40,11 @@
   unsigned queued;
   unsigned inflight_at_report; /* engine->inflight at the time of the report */
   struct timespec reported_at;
+  /* Of the server's machine, see pace_lasting, pace_moment and
+     pace_correction.  PACE 0: it tells none.  */
+  double pace;
+  double pace_moment;
+  double pace_correction;
   bool leaving;        /* gets no new requests */
   bool adapter_loaded; /* for targets that are adapters */
 };
--- a/src/servers.c
+++ b/src/servers.c
@@ -107,6 +107,7 @@
                                     entry->service);
   server->route->software
       = g_strdup (entry->software != NULL ? entry->software : "");
+  server->route->born = entry->born;
   server->missing
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return server;
@@ -346,74 +347,6 @@
   return servers->all;
 }
 
-static void
-set_load (struct server *server, unsigned running, unsigned queued,
-          struct timespec now)
-{
-  server->running = running;
-  server->queued = queued;
-  server->inflight_at_load = server->route->inflight;
-  server->load_at = now;
-}
-
-void
-servers_report_load (struct servers *servers, const char *id, unsigned running,
-                     unsigned queued, struct timespec now)
-{
-  struct server *server = servers_find (servers, id);
-
-  if (server == NULL)
-    return;
-  set_load (server, running, queued, now);
-  server->load_observed = true;
-  server->observed_at = now;
-}
-
-void
-servers_report_pace (struct servers *servers, const char *id, double pace,
-                     struct timespec now)
-{
-  struct server *server = servers_find (servers, id);
-
-  if (server != NULL)
-    pace_report (&server->pace, pace, now);
-}
-
-void
-servers_apply_load (struct servers *servers, const char *id, unsigned running,
-                    unsigned queued, struct timespec now)
-{
-  struct server *server = servers_find (servers, id);
-
-  if (server == NULL
-      || (!ts_is_zero (server->observed_at)
-          && ts_before (now,
-                        ts_add_ms (server->observed_at, SERVERS_OWN_LOAD_MS))))
-    return;
-  set_load (server, running, queued, now);
-  server->load_applied = true;
-}
-
-void
-servers_take_loads (struct servers *servers, bool forwarded, GArray *loads)
-{
-  struct server *server;
-  GHashTableIter iter;
-
-  g_hash_table_iter_init (&iter, servers->all);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&server))
-    {
-      struct peer_load load = { .server = server->route->id,
-                                .running = server->running,
-                                .queued = server->queued };
-
-      if (server->load_observed || (forwarded && server->load_applied))
-        g_array_append_val (loads, load);
-      server->load_observed = false;
-      server->load_applied = false;
-    }
-}
-
 void
 servers_report_missing (struct servers *servers, const char *id,
                         const char *target, struct timespec now)
@@ -552,6 +485,9 @@
           .queued = server->queued,
           .inflight_at_report = server->inflight_at_load,
           .reported_at = server->load_at,
+          .pace = pace_lasting (&server->pace, query->now),
+          .pace_moment = pace_moment (&server->pace, query->now),
+          .pace_correction = pace_correction (&server->pace, query->now),
           .leaving = server->leaving,
           .adapter_loaded = query->need->adapter != NULL };
 
--- a/src/servers.h
+++ b/src/servers.h
@@ -73,6 +73,8 @@
   unsigned inflight_at_load; /* this node's requests, when that was reported */
   struct timespec load_at;   /* time of that report */
   struct pace pace;          /* of its machine */
+  bool pace_told;            /* to this node, since servers_take_loads */
+  double pace_ratio;         /* observed by it since then; 0: none */
   struct timespec observed_at;  /* last load in a response to this node */
   bool load_observed;           /* by this node, since servers_take_loads */
   bool load_applied;            /* the same by other nodes */
@@ -124,6 +126,17 @@
 void servers_report_pace (struct servers *servers, const char *id, double pace,
                           struct timespec now);
 
+/* A request of this node to server ID took RATIO times as long as estimated
+   from what it tells, see pace_ratio; 0: not known.  */
+void servers_observe_pace (struct servers *servers, const char *id,
+                           double ratio, struct timespec now);
+
+/* Another node tells the pace in LOAD: what it has heard itself, or
+   FROM_DECIDER what that has heard from all.  Ignored where it is not set, as
+   by older nodes.  */
+void servers_apply_pace (struct servers *servers, const struct peer_load *load,
+                         bool from_decider, struct timespec now);
+
 /* Another node observed this load.  Ignored if this node has observed one
    itself within SERVERS_OWN_LOAD_MS.  */
 void servers_apply_load (struct servers *servers, const char *id,
