--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -1,7 +1,7 @@
 /* forward_state - state of one request, shared by the modules forward,
-   forward_send, forward_limit, forward_customer, forward_quota, forward_relay,
-   forward_resume, forward_quarantine, forward_answer and forward_log.  Private
-   to them.  */
+   forward_send, forward_admit, forward_limit, forward_customer, forward_quota,
+   forward_relay, forward_resume, forward_quarantine, forward_answer and
+   forward_log.  Private to them.  */
 
 #ifndef PARSLEYRILL_FORWARD_STATE_H
 #define PARSLEYRILL_FORWARD_STATE_H
@@ -68,6 +68,11 @@
                                           NULL: none */
   struct pick_explanation explanation; /* of the latest choice of a replica */
   struct timespec sent_at;
+  /* What the server was expected to take, at the pace that it tells, until
+     the first event and from event to event; 0: no estimate.  */
+  double expected_s;
+  double expected_event_s;
+  struct timespec first_event_at; /* zero: none yet */
   struct timespec first_at;      /* first byte of the response; zero: none */
   struct timespec heard_at;      /* latest byte, or the dispatch */
   struct caller_response answer; /* of the current attempt */
@@ -181,6 +186,27 @@
 /* The current engine will not be used again for this request.  */
 void forward_mark_tried (struct forward *forward);
 
+/* forward_admit.c */
+
+/* When the caller is likely to be gone if it has got nothing.  */
+struct timespec forward_leaves_at (const struct forward *forward);
+/* Sets *RETRY_MS and returns true if the chosen engine is so busy that the
+   request should not be sent there.  */
+bool forward_is_overloaded (const struct forward *forward, int64_t *retry_ms);
+
+/* forward_pace.c */
+
+/* Adds what the choice of a server that tells its pace needs.  */
+void forward_pace_request (const struct forward *forward,
+                           struct pick_request *request);
+/* The request is being sent to the current engine.  */
+void forward_pace_sent (struct forward *forward);
+/* The first event of the current response has come: the server has read the
+   prompt, and its cache has the prompt's parts.  */
+void forward_pace_first_event (struct forward *forward);
+/* The current attempt has ended, at whatever event; COMPLETE: at the last.  */
+void forward_pace_end (struct forward *forward, bool complete);
+
 /* forward_limit.c: servers that name limits, see ratelimit.h.  */
 
 /* Whether the request may be sent to server ID now, as far as its limit goes.
