planner: replicas by expected delay where engines tell their pace

Cause: the number of replicas followed from throughput alone. Models that were asked for often stayed on one slow engine while others were idle, and the weight store's slot went to whatever waited first.

Change: planner_delay estimates the delay to the first event, and pauses of streams, at an engine of a given pace with everything that it serves. planner_work shares the requests of each model among its replicas and derives what a replica more or less changes. Loads follow one order, by the delay that they save, weighted by priority; the store is used for one load at a time until fetches show that more don't slow each other down. Nodes report what arrivals are like with their demand (new fields of struct peer_want, which earlier releases ignore). A decider that has counted arrivals for less than 5 s evicts nothing. The counts at the beginning of a round moved to planner_count. Services whose engines tell no pace get the same orders as before.

--- a/src/budget.c
+++ b/src/budget.c
@@ -49,6 +49,13 @@
   budget->at_once = at_once;
 }
 
+void
+budget_assume_single (struct budget *budget)
+{
+  budget->concurrency_limit = 1;
+  budget->unslowed_count = 0;
+}
+
 bool
 budget_allows (struct budget *budget, struct timespec now)
 {
--- a/src/budget.h
+++ b/src/budget.h
@@ -33,6 +33,10 @@
 void budget_set_limits (struct budget *budget, double per_s, unsigned at_once,
                         struct timespec now);
 
+/* Assumes that concurrent fetches slow each other down, until fetches show
+   that they don't.  */
+void budget_assume_single (struct budget *budget);
+
 /* Whether a fetch may start; budget_take starts it.  */
 bool budget_allows (struct budget *budget, struct timespec now);
 void budget_take (struct budget *budget, struct timespec now);
--- a/src/demand.c
+++ b/src/demand.c
@@ -74,6 +74,39 @@
   entry->demand.changed = true;
 }
 
+static bool
+same_kind (const struct demand_kind *a, const struct demand_kind *b)
+{
+  return a->objective_ms == b->objective_ms && a->gap_ms == b->gap_ms
+         && a->priority == b->priority;
+}
+
+void
+demand_request_arrived_as (struct demand_table *table, const char *target,
+                           const struct demand_kind *kind)
+{
+  struct demand *demand = &get_entry (table, target)->demand;
+  struct demand_kind *to = NULL;
+
+  demand_request_arrived (table, target);
+  for (unsigned i = 0; i < demand->kind_count && to == NULL; i++)
+    if (same_kind (&demand->kinds[i], kind))
+      to = &demand->kinds[i];
+  if (to == NULL && demand->kind_count < DEMAND_KINDS)
+    {
+      to = &demand->kinds[demand->kind_count++];
+      *to = (struct demand_kind){ .priority = kind->priority,
+                                  .objective_ms = kind->objective_ms,
+                                  .gap_ms = kind->gap_ms };
+    }
+  if (to == NULL)
+    to = &demand->kinds[DEMAND_KINDS - 1];
+  to->calls++;
+  to->prompt_tokens += kind->prompt_tokens;
+  to->shared_tokens += kind->shared_tokens;
+  to->answer_tokens += kind->answer_tokens;
+}
+
 static void
 remove_thread (GArray *threads, unsigned thread)
 {
--- a/src/forward.c
+++ b/src/forward.c
@@ -328,6 +328,23 @@
                          forward_now (forward));
 }
 
+/* A request that this node was the first to get.  */
+static void
+note_arrival (const struct forward *forward)
+{
+  const struct demand_kind kind
+      = { .priority = forward_priority (forward),
+          .objective_ms = forward->route->objective_ms,
+          .gap_ms
+          = forward->route->kind == SITE_STREAM ? forward->route->gap_ms : 0,
+          .prompt_tokens = forward->parsed.prompt_tokens,
+          .shared_tokens = forward->parsed.shared_tokens,
+          .answer_tokens = forward->parsed.answer_tokens };
+
+  planners_request_arrived (forward->gateway->planners, forward->service->name,
+                            forward->target, &kind);
+}
+
 static void
 accept_request (struct forward *forward)
 {
@@ -376,8 +393,7 @@
   if (forward_reject_quarantined (forward))
     return;
   if (forward->target != NULL && !forward->relayed)
-    planners_request_arrived (gateway->planners, forward->service->name,
-                              forward->target);
+    note_arrival (forward);
   if (forward->parsed.resumes && forward->route->kind == SITE_STREAM)
     forward_resume (forward);
   else
--- a/src/frame.c
+++ b/src/frame.c
@@ -65,7 +65,13 @@
         SCALAR (2, NUMBER, struct peer_want, count),
         SCALAR (3, NUMBER, struct peer_want, deadline_ms),
         SCALAR (4, NUMBER, struct peer_want, priority),
-        SCALAR (5, NUMBER, struct peer_want, calls) };
+        SCALAR (5, NUMBER, struct peer_want, calls),
+        SCALAR (6, NUMBER, struct peer_want, prompt_tokens),
+        SCALAR (7, NUMBER, struct peer_want, shared_tokens),
+        SCALAR (8, NUMBER, struct peer_want, answer_tokens),
+        SCALAR (9, NUMBER, struct peer_want, objective_ms),
+        SCALAR (10, NUMBER, struct peer_want, gap_ms),
+        SCALAR (11, NUMBER, struct peer_want, calls_priority) };
 static const struct schema want_schema
     = SCHEMA (struct peer_want, want_fields);
 
--- a/src/frame.h
+++ b/src/frame.h
@@ -81,6 +81,14 @@
   uint64_t calls; /* arrivals since the last message */
   uint64_t deadline_ms; /* the earliest; time left from now */
   uint64_t priority;
+  /* What the CALLS are like: sums of tokens, and the objectives that they have
+     in common.  0: not known.  */
+  uint64_t prompt_tokens;
+  uint64_t shared_tokens; /* of these, in other requests too */
+  uint64_t answer_tokens;
+  uint64_t objective_ms;
+  uint64_t gap_ms;
+  uint64_t calls_priority;
 };
 
 /* What routing needs to know of a replica of a model or adapter.  */
--- a/src/planner.c
+++ b/src/planner.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 #include "planner_state.h"
+#include "planner_work.h"
 #include "reqtime.h"
 #include "ts.h"
 
@@ -44,7 +45,11 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, engine_free);
   planner->models = g_hash_table_new (g_str_hash, g_str_equal);
   planner->arrivals = rates_new ();
+  planner->arrivals_long = rates_new_slow (PLANNER_WORK_LONG_S);
   planner->dispatched = rates_new ();
+  planner->requests
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  planner->started_at = options->now;
   planner->expected_ready
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   planner->waiting
@@ -63,12 +68,21 @@
   g_hash_table_unref (planner->engines);
   g_hash_table_unref (planner->models);
   rates_free (planner->arrivals);
+  rates_free (planner->arrivals_long);
   rates_free (planner->dispatched);
+  g_hash_table_unref (planner->requests);
   g_hash_table_unref (planner->expected_ready);
   g_hash_table_unref (planner->waiting);
   g_free (planner);
 }
 
+static gboolean
+is_not_a_model (gpointer name, gpointer requests, gpointer models)
+{
+  (void)requests;
+  return !g_hash_table_contains (models, name);
+}
+
 void
 planner_set_service (struct planner *planner,
                      const struct site_service *service, struct timespec now)
@@ -83,6 +97,8 @@
       g_hash_table_insert (planner->models, service->models[i].name,
                            &service->models[i]);
     }
+  g_hash_table_foreach_remove (planner->requests, is_not_a_model,
+                               planner->models);
   planner->adapter_reserve_mb = adapter_mb * service->adapter_slots;
   budget_set_limits (&planner->budget, service->loads_per_s,
                      planner->loads_at_once, now);
@@ -150,6 +166,34 @@
     engine->limit_per_s = per_s;
 }
 
+void
+planner_set_pace (struct planner *planner, const char *id, double pace)
+{
+  struct planner_engine *engine = g_hash_table_lookup (planner->engines, id);
+
+  if (engine != NULL)
+    engine->pace = pace;
+}
+
+void
+planner_note_requests (struct planner *planner, const char *target,
+                       const struct planner_delay_kind *kind)
+{
+  char *model = g_strndup (target, strcspn (target, "/"));
+  struct planner_delay_requests *requests
+      = g_hash_table_lookup (planner->requests, model);
+
+  if (requests == NULL && planner_model (planner, model) != NULL)
+    {
+      requests = g_new0 (struct planner_delay_requests, 1);
+      g_hash_table_insert (planner->requests, g_strdup (model), requests);
+    }
+  if (requests != NULL)
+    planner_delay_add (requests, kind);
+  planner_delay_add (&planner->all_requests, kind);
+  g_free (model);
+}
+
 void
 planner_set_request_time (struct planner *planner, double request_s)
 {
@@ -228,6 +272,7 @@
   if (ts_is_zero (planner->first_request_at))
     planner->first_request_at = now;
   add_requests (planner->arrivals, target, count, now);
+  add_requests (planner->arrivals_long, target, count, now);
 }
 
 /* KEY is owned by the table.  SOFTWARE may be NULL.  */
--- a/src/planner.h
+++ b/src/planner.h
@@ -25,6 +25,7 @@
 #include "backend.h"
 #include "frame.h"
 #include "inventory.h"
+#include "planner_delay.h"
 #include "servers.h"
 #include "site.h"
 
@@ -77,6 +78,16 @@
    rate.  */
 void planner_set_limit (struct planner *planner, const char *id, double per_s);
 
+/* Work takes PACE times as long as usual at engine ID; 0: it does not tell.
+   Replicas are planned by delay if any engine tells its pace, otherwise by
+   throughput.  */
+void planner_set_pace (struct planner *planner, const char *id, double pace);
+
+/* What requests for TARGET, "MODEL" or "MODEL/ADAPTER", are like.  Their
+   arrival is told by planner_request_arrived.  */
+void planner_note_requests (struct planner *planner, const char *target,
+                            const struct planner_delay_kind *kind);
+
 /* A request takes REQUEST_S of an engine's time, in the mean; see
    reqtime.h.  */
 void planner_set_request_time (struct planner *planner, double request_s);
--- a/src/planner_adapter.c
+++ b/src/planner_adapter.c
@@ -2,6 +2,7 @@
 #include <math.h>
 #include <string.h>
 #include "planner_round.h"
+#include "planner_work.h"
 #include "ts.h"
 
 /* An adapter that got a request within this time is assumed to be in use.  */
@@ -190,22 +191,36 @@
     }
 }
 
+/* Number of engines that should have an adapter of the model NAME which gets
+   PER_S requests a second.  */
+static unsigned
+needed_adapters (const struct plan *plan, const char *name, double per_s)
+{
+  const struct plan_model *model = plan_model (plan, name);
+
+  if (model == NULL)
+    return 0;
+  if (plan->by_delay)
+    return planner_work_needed_adapters (model, per_s);
+  return (unsigned)ceil (per_s * plan->planner->request_s
+                         / PLANNER_MAX_UTILIZATION);
+}
+
 /* Loads the adapter on one more engine if its request rate needs more than it
    has.  Evicts nothing.  */
 static void
 replicate_adapter (void *user, const char *target, double count)
 {
   struct plan *plan = user;
+  unsigned needed;
   const char *slash = strchr (target, '/');
-  unsigned needed
-      = (unsigned)ceil (count / RATES_TIME_CONSTANT_S
-                        * plan->planner->request_s / PLANNER_MAX_UTILIZATION);
   char *model;
 
-  if (slash == NULL || needed < 2)
+  if (slash == NULL)
     return;
   model = g_strndup (target, (gsize)(slash - target));
-  if (plan_model (plan, model) != NULL
+  needed = needed_adapters (plan, model, count / RATES_TIME_CONSTANT_S);
+  if (needed > 1
       && adapter_replicas (plan, model, slash + 1, NULL, false) < needed)
     load_adapter (plan, model, slash + 1, NULL, "calls", false);
   g_free (model);
--- a/src/planner_choice.c
+++ b/src/planner_choice.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 #include "planner_value.h"
+#include "planner_work.h"
 #include "ts.h"
 
 /* Time until an engine accepts an order after a single one.  */
@@ -95,6 +96,9 @@
       candidate.loss = planner_eviction_loss (plan, engine, model)
                        + ADAPTER_DELAY_VALUE * candidate.load_s
                              * adapter_request_rate (plan, engine);
+      if (plan->by_delay)
+        candidate.loss += planner_work_place_cost (
+            engine, plan_model (plan, model->name));
       cost = candidate.busy_s + candidate.load_s + candidate.loss;
       if (planner_is_short (plan, engine))
         cost += SHORT_COST;
--- a/src/planner_round.c
+++ b/src/planner_round.c
@@ -3,7 +3,9 @@
 #include <math.h>
 #include <string.h>
 #include "planner_choice.h"
+#include "planner_count.h"
 #include "planner_value.h"
+#include "planner_work.h"
 #include "ts.h"
 
 #define PRIOR_RATE_PER_S 0.03 /* rate assumed for a model never requested */
@@ -16,148 +18,14 @@
 /* A load that no request waits for evicts only surplus replicas: while the
    engine makes room and loads, the place serves no model.  */
 #define PRELOAD_LOSS_MAX 0.3
+/* Planned by delay: a replica more has to save this much delay for each second
+   of its load.  */
+#define LOAD_COST 0.3
 /* Requests wait this long for an engine with a copy of the weights before
    these are fetched for another one: until recent requests there have ended.
  */
 #define COPY_WAIT_S 1.5
 
-/* Counts the replicas on ENGINE for each model.  */
-static void
-count_engine (struct plan *plan, const struct planner_engine *engine)
-{
-  const struct planner_order *order = &engine->order;
-  struct plan_model *model;
-
-  for (guint i = 0; i < engine->inventory->models->len; i++)
-    {
-      const struct inventory_model *held
-          = g_ptr_array_index (engine->inventory->models, i);
-
-      model = plan_model (plan, held->name);
-      if (model == NULL || engine->leaving)
-        continue;
-      if (order->stage != STAGE_NONE && order->type == BACKEND_UNLOAD
-          && strcmp (order->model, held->name) == 0)
-        continue;
-      model->replicas++;
-      model->loaded++;
-    }
-  if (engine->leaving)
-    return;
-  if (order->stage != STAGE_NONE && order->type == BACKEND_LOAD
-      && inventory_model (engine->inventory, order->model) == NULL)
-    {
-      model = plan_model (plan, order->model);
-      if (model != NULL)
-        model->replicas++;
-    }
-  if (engine->next_model != NULL)
-    {
-      model = plan_model (plan, engine->next_model);
-      if (model != NULL)
-        model->pending = true;
-    }
-}
-
-static void
-mark_local_copies (struct plan *plan, const GPtrArray *names)
-{
-  for (guint i = 0; i < names->len; i++)
-    {
-      struct plan_model *model
-          = plan_model (plan, g_ptr_array_index (names, i));
-
-      if (model != NULL)
-        model->has_local_copy = true;
-    }
-}
-
-static struct plan_model *
-model_of (const struct plan *plan, const struct planner_waiting *entry)
-{
-  char *name = g_strndup (entry->target, strcspn (entry->target, "/"));
-  struct plan_model *model = plan_model (plan, name);
-
-  g_free (name);
-  return model;
-}
-
-static void
-count_waiting (struct plan *plan, const struct planner_waiting *entry)
-{
-  struct plan_model *model = model_of (plan, entry);
-
-  if (model == NULL || entry->software != NULL)
-    return;
-  if (model->waiting == 0 || entry->priority < model->priority)
-    model->priority = entry->priority;
-  model->waiting += entry->waiting;
-  model->waited_s
-      = MAX (model->waited_s, ts_to_s (ts_sub (plan->now, entry->since)));
-}
-
-/* Called once the replicas are counted.  */
-static void
-count_unlimited (struct plan *plan)
-{
-  const struct planner_engine *engine;
-  GHashTableIter iter;
-  struct plan_model *model;
-
-  g_hash_table_iter_init (&iter, plan->models);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&model))
-    model->unlimited = model->replicas;
-  g_hash_table_iter_init (&iter, plan->planner->engines);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&engine))
-    {
-      if (engine->leaving || !planner_is_short (plan, engine))
-        continue;
-      for (guint i = 0; i < engine->inventory->models->len; i++)
-        {
-          const struct inventory_model *held
-              = g_ptr_array_index (engine->inventory->models, i);
-
-          model = plan_model (plan, held->name);
-          if (model != NULL && model->unlimited > 0)
-            model->unlimited--;
-        }
-    }
-}
-
-static void
-init_plan (struct plan *plan)
-{
-  struct planner *planner = plan->planner;
-  const struct planner_engine *engine;
-  const struct planner_waiting *entry;
-  GHashTableIter iter;
-
-  plan->previous_fetches = planner_previous_fetches (planner);
-  plan->models = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
-  for (size_t i = 0; i < planner->service->model_count; i++)
-    {
-      struct plan_model *model = g_new0 (struct plan_model, 1);
-
-      model->site = &planner->service->models[i];
-      model->per_s
-          = rates_per_s (planner->arrivals, model->site->name, plan->now);
-      g_hash_table_insert (plan->models, model->site->name, model);
-    }
-  g_hash_table_iter_init (&iter, planner->engines);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&engine))
-    {
-      count_engine (plan, engine);
-      if (engine->leaving)
-        continue;
-      mark_local_copies (plan, engine->inventory->in_memory);
-      mark_local_copies (plan, engine->inventory->on_disk);
-    }
-  count_unlimited (plan);
-  g_hash_table_iter_init (&iter, planner->waiting);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&entry))
-    count_waiting (plan, entry);
-}
-
 static void
 issue_load (struct plan *plan, struct planner_engine *engine, const char *name,
             const char *cause)
@@ -165,11 +33,15 @@
   const struct plan_model *model = plan_model (plan, name);
   bool fetches;
   double load_s = planner_load_s (engine, model->site, &fetches);
+  char *delays
+      = plan->by_delay ? planner_work_reason (engine, model) : g_strdup ("");
   char *reason = g_strdup_printf (
-      "cause=%s waiting=%u per_s=%.2f replicas=%u load_s=%.2f source=%s",
+      "cause=%s waiting=%u per_s=%.2f replicas=%u load_s=%.2f source=%s%s",
       cause, model->waiting, model->per_s, model->replicas, load_s,
       /* "hand": a copy in the engine's memory or on its disk */
-      fetches ? "store" : "hand");
+      fetches ? "store" : "hand", delays);
+
+  g_free (delays);
 
   planner_issue_order (plan->planner, engine, BACKEND_LOAD, name, NULL, reason,
                        plan->now, plan->out);
@@ -180,7 +52,13 @@
               const char *victim, double value)
 {
   struct plan_model *model = plan_model (plan, victim);
+  char *delays = plan->by_delay && model != NULL
+                     ? planner_work_reason (engine, model)
+                     : g_strdup ("");
+  char *reason = g_strdup_printf ("cause=room for=%s value=%.2f%s",
+                                  engine->next_model, value, delays);
 
+  g_free (delays);
   if (model != NULL)
     {
       model->replicas--;
@@ -188,9 +66,7 @@
       model->values_known = false;
     }
   planner_issue_order (plan->planner, engine, BACKEND_UNLOAD, victim, NULL,
-                       g_strdup_printf ("cause=room for=%s value=%.2f",
-                                        engine->next_model, value),
-                       plan->now, plan->out);
+                       reason, plan->now, plan->out);
 }
 
 /* Whether the budget allows a fetch from the weight store with SPARE further
@@ -283,14 +159,17 @@
   return true;
 }
 
-/* Models with waiting requests first, by priority, then by number of waiting
-   requests, then by request rate.  */
+/* Planned by delay: by what waits, weighted by priority.  Then models with
+   waiting requests first, by priority, then by number of waiting requests,
+   then by request rate.  */
 static gint
 compare_urgency (gconstpointer a, gconstpointer b)
 {
   const struct plan_model *x = *(const struct plan_model *const *)a;
   const struct plan_model *y = *(const struct plan_model *const *)b;
 
+  if (x->urgency != y->urgency)
+    return x->urgency > y->urgency ? -1 : 1;
   if ((x->waiting > 0) != (y->waiting > 0))
     return x->waiting > 0 ? -1 : 1;
   if (x->waiting > 0 && x->priority != y->priority)
@@ -330,6 +209,46 @@
     }
 }
 
+/* Loads one more replica of MODEL, whose requests are delayed too much, if
+   that saves more delay than it costs.  */
+static void
+relieve (struct plan *plan, struct plan_model *model)
+{
+  double benefit = planner_work_benefit (model);
+  struct planner_candidate candidate
+      = choose_engine (plan, model, NULL, benefit, true);
+
+  if (candidate.engine == NULL || candidate.busy_s > 0
+      || candidate.loss + LOAD_COST * candidate.load_s >= benefit)
+    return;
+  start_loading (plan, model, &candidate);
+}
+
+/* The same as load_waiting_models and add_replicas, in one order: planned by
+   delay, requests that wait at an engine compete with those that wait for one
+   for the weight store and for engines.  What requests wait for most is not
+   known while the decider learns the rates, and a fetch would then keep the
+   store from it.  */
+static void
+load_by_urgency (struct plan *plan, const GPtrArray *models)
+{
+  bool fetch = !planner_work_is_learning (plan) || plan->is_empty;
+
+  for (guint i = 0; i < models->len; i++)
+    {
+      struct plan_model *model = g_ptr_array_index (models, i);
+
+      if (model->pending)
+        continue;
+      if (model->waiting > 0 && model->unlimited == 0)
+        try_load (plan, model, NULL, WAITING_VALUE * model->waiting_weight,
+                  fetch);
+      else if (model->replicas > 0
+               && model->replicas < planner_needed_replicas (plan, model))
+        relieve (plan, model);
+    }
+}
+
 /* Requests wait for MODEL although engines with SOFTWARE, NULL: any version,
    have it loaded.  Such an engine may be down, which a report request shows
    sooner than the platform's list.  */
@@ -397,7 +316,7 @@
   g_hash_table_iter_init (&iter, plan->planner->waiting);
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&entry))
     {
-      struct plan_model *model = model_of (plan, entry);
+      struct plan_model *model = planner_count_model (plan, entry);
 
       if (model == NULL || entry->software == NULL)
         continue;
@@ -466,7 +385,7 @@
 static void
 preload (struct plan *plan, const GPtrArray *models)
 {
-  bool fetch = budget_allows_fetch (plan, 1);
+  bool fetch = !plan->lacks_replicas && budget_allows_fetch (plan, 1);
   unsigned tries = 0;
   guint next = 0;
 
@@ -487,7 +406,7 @@
       if (!try_load (plan, model, NULL, MIN (value, PRELOAD_LOSS_MAX),
                      fetch && !model->has_local_copy))
         continue;
-      fetch = budget_allows_fetch (plan, 1);
+      fetch = fetch && budget_allows_fetch (plan, 1);
       next = 0;
     }
   plan->planner->preload_offset = next;
@@ -534,7 +453,8 @@
   GHashTableIter iter;
   GPtrArray *models;
 
-  init_plan (&plan);
+  planner_count (&plan);
+  planner_work_init (&plan);
   g_hash_table_iter_init (&iter, planner->engines);
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&engine))
     if (engine->next_model != NULL)
@@ -542,9 +462,13 @@
   planner_load_waiting_adapters (&plan);
   models = sorted_models (&plan);
   probe_waiting_models (&plan, models);
-  load_waiting_models (&plan, models);
+  if (plan.by_delay)
+    load_by_urgency (&plan, models);
+  else
+    load_waiting_models (&plan, models);
   load_resuming_models (&plan);
-  add_replicas (&plan, models);
+  if (!plan.by_delay)
+    add_replicas (&plan, models);
   planner_replicate_adapters (&plan);
   preload (&plan, models);
   estimate_ready_times (&plan, models);
--- a/src/planner_round.h
+++ b/src/planner_round.h
@@ -26,11 +26,27 @@
   bool has_local_copy; /* an engine that stays has its weights in memory or on
                           disk */
   bool pending;        /* an engine evicts models to load it */
-  bool values_known;   /* the next two have been computed */
+  /* The next ones only if BY_DELAY of the plan; see planner_work.h.  */
+  const struct planner_delay_requests *requests; /* never NULL then */
+  double long_per_s;                             /* over a longer time */
+  double weight;                   /* of a request, by priority */
+  double waiting_weight;           /* sum over WAITING */
+  double urgency;                  /* weighted number of requests that wait */
+  double speed;                    /* left, summed over the replicas */
+  double pace;                     /* mean of the engines with a replica */
+  struct planner_delay_work other; /* mean of other models' work there */
+  double delay_s;                  /* mean until the first event */
+  bool leads;        /* at some engine no model gets more requests */
+  unsigned needed;   /* replicas, so that delays are within the objectives */
+  unsigned kept;     /* more than these are surplus */
+  double loss_s;     /* value of one of several replicas */
+  bool values_known; /* the next ones have been computed */
   /* Value of a replica on an engine that has the weights in host memory, and
-     on any other engine.  */
+     on any other engine; if BY_DELAY on one that has them on disk, and on any
+     other.  */
   double value_if_in_memory;
   double value_if_on_disk;
+  double value_if_in_store;
 };
 
 struct plan
@@ -40,6 +56,10 @@
   struct action_list *out;
   GHashTable *models;        /* name to struct plan_model */
   unsigned previous_fetches; /* see planner_previous_fetches */
+  /* Engines tell their pace: replicas are planned by delay.  */
+  bool by_delay;
+  bool is_empty;       /* BY_DELAY: no model is loaded or being loaded */
+  bool lacks_replicas; /* BY_DELAY: requests for some model are delayed */
 };
 
 static inline struct plan_model *
--- a/src/planner_state.h
+++ b/src/planner_state.h
@@ -8,6 +8,7 @@
 #include <glib.h>
 #include "budget.h"
 #include "planner.h"
+#include "planner_delay.h"
 #include "rates.h"
 
 enum planner_stage
@@ -56,6 +57,11 @@
   double limit_per_s; /* requests that it takes; 0: any rate */
   struct timespec no_order_before;
   struct timespec adapters_settled_at; /* no adapter is unloaded until then */
+  double pace; /* of its machine, 1: usual; 0: not told */
+  /* In the current round, if planned by delay.  */
+  struct planner_delay_work work; /* expected, of all its models */
+  double most_per_s;     /* requests for the model that most ask for */
+  double weighted_per_s; /* requests, weighted by priority */
 };
 
 /* Requests that wait for a target at one node.  */
@@ -76,6 +82,7 @@
   uint64_t adapter_reserve_mb; /* memory kept for adapters on each engine */
   GHashTable *engines;         /* id to struct planner_engine */
   struct rates *arrivals;      /* of requests, by target */
+  struct rates *arrivals_long; /* the same, over a longer time, by model */
   struct rates *dispatched;    /* of waiting requests, by target: only the time
                                   of the last one, the counts are 0 */
   GHashTable *waiting;         /* "NODE TARGET", for one version followed by
@@ -86,8 +93,14 @@
      timespec: when it is estimated to be loaded.  */
   GHashTable *expected_ready;
   unsigned loads_at_once;
+  bool by_delay;                    /* an engine has told its pace */
   unsigned preload_offset;          /* next model to try, see preload */
   struct timespec first_request_at; /* zero: none yet */
+  struct timespec started_at;       /* planner_new */
+  /* What requests are like: name of a model to struct
+     planner_delay_requests.  */
+  GHashTable *requests;
+  struct planner_delay_requests all_requests; /* of all models */
 };
 
 /* planner_order.c */
--- a/src/planner_value.c
+++ b/src/planner_value.c
@@ -2,6 +2,7 @@
 
 #include <math.h>
 #include <string.h>
+#include "planner_work.h"
 #include "ts.h"
 
 /* Minimum value of a replica that is not surplus, whatever its request rate:
@@ -35,8 +36,12 @@
 planner_needed_replicas (const struct plan *plan,
                          const struct plan_model *model)
 {
-  unsigned n = (unsigned)ceil (model->per_s * plan->planner->request_s
-                               / PLANNER_MAX_UTILIZATION);
+  unsigned n;
+
+  if (plan->by_delay)
+    return planner_work_needed (plan, model);
+  n = (unsigned)ceil (model->per_s * plan->planner->request_s
+                      / PLANNER_MAX_UTILIZATION);
 
   if (rates_unknown (plan))
     n = MAX (n, MIN (model->loaded, START_REPLICAS));
@@ -44,7 +49,7 @@
 }
 
 static double
-compute_value (const struct plan *plan, const struct plan_model *model,
+value_by_rate (const struct plan *plan, const struct plan_model *model,
                double reload_s)
 {
   /* Other replicas take over a part of the requests.  */
@@ -64,6 +69,15 @@
   return BASE_VALUE + delay_value;
 }
 
+static double
+compute_value (const struct plan *plan, const struct plan_model *model,
+               double reload_s)
+{
+  if (plan->by_delay)
+    return planner_work_value (plan, model, reload_s);
+  return value_by_rate (plan, model, reload_s);
+}
+
 /* Value lost when the model NAME is evicted from ENGINE.  */
 static double
 replica_value (const struct plan *plan, const struct planner_engine *engine,
@@ -80,11 +94,17 @@
           = compute_value (plan, model, model->site->memory_s);
       model->value_if_on_disk
           = compute_value (plan, model, model->site->disk_s);
+      model->value_if_in_store
+          = compute_value (plan, model, model->site->load_s);
       model->values_known = true;
     }
-  value = inventory_name_listed (engine->inventory->in_memory, name)
-              ? model->value_if_in_memory
-              : model->value_if_on_disk;
+  if (inventory_name_listed (engine->inventory->in_memory, name))
+    value = model->value_if_in_memory;
+  else if (!plan->by_delay
+           || inventory_name_listed (engine->inventory->on_disk, name))
+    value = model->value_if_on_disk;
+  else
+    value = model->value_if_in_store;
   if (g_strcmp0 (engine->last_loaded, name) == 0
       && ts_to_s (ts_sub (plan->now, engine->loaded_at)) < RECENT_S)
     value += RECENT_VALUE;
--- /dev/null
+++ b/src/planner_work.c
@@ -0,0 +1,460 @@
+#include "planner_work.h"
+
+#include <math.h>
+#include <string.h>
+#include "planner_choice.h"
+#include "planner_value.h"
+#include "ts.h"
+
+/* A decider that has just taken over knows no arrivals: with them unknown, 15
+   models in use were evicted in its first second.  A model with a request
+   every 2 s has been asked for within this time in 9 of 10 cases.  */
+#define LEARNING_S 5.0
+/* Until then the number of replicas that is found counts as needed: it is the
+   best estimate of what is asked for.  */
+#define FOUND_S 10.0
+/* Shortest time from which a rate is derived.  */
+#define RATE_MIN_S 1.0
+/* Requests seen from which a model's own figures count, instead of those of
+   all models.  */
+#define OWN_MIN_COUNT 5.0
+#define SHARE_PASSES 3
+/* Speed that an engine is taken to have left, at least, however busy.  */
+#define LEFT_MIN 0.1
+/* Replicas are added until delays are within this part of the objectives: the
+   pace is at times 2.5 times the mean, and requests arrive in bursts.  */
+#define NEED_RATIO 0.7
+/* A replica is surplus if with one fewer they would be within this part.  */
+#define KEEP_RATIO 0.5
+/* What a request counts that is rejected or ends too late; delays count less
+   and less as they come near to it.  */
+#define LOST_S 20.0
+#define BASE_VALUE 0.3 /* of one of several replicas, at least */
+#define IDLE_VALUE 0.01
+#define SURPLUS_VALUE 0.05
+/* See STARTING_S of planner_value.c.  */
+#define STARTING_S 1.5
+/* Requests within this time count for the order of loads.  */
+#define URGENCY_HORIZON_S 60.0
+/* Requests that wait for a longer load are mostly gone when it ends, so that
+   only a share of them counts.  */
+#define PATIENCE_S 8.0
+#define LATE_SHARE 0.25
+
+/* A replica that is loaded or will be.  */
+struct place
+{
+  struct plan_model *model;
+  struct planner_engine *engine;
+  double share; /* of the requests for MODEL */
+  double speed; /* that the requests for other models leave */
+};
+
+static const struct planner_delay_work no_work;
+
+/* Never constant, so that one replica more counts even if several are
+   missing.  */
+static double
+bounded (double delay_s)
+{
+  return LOST_S * delay_s / (LOST_S + delay_s);
+}
+
+static double
+engine_pace (const struct planner_engine *engine)
+{
+  return engine->pace > 0 ? engine->pace : 1;
+}
+
+/* The speed that OTHER work leaves at ENGINE.  */
+static double
+speed_left (const struct planner_engine *engine,
+            const struct planner_delay_work *other)
+{
+  double pace = engine_pace (engine);
+  double left = 1 - planner_delay_utilization (other, pace);
+
+  return MAX (left, LEFT_MIN) / pace;
+}
+
+/* The work of the engine of PLACE for other models.  */
+static struct planner_delay_work
+other_work (const struct place *place)
+{
+  struct planner_delay_work other = place->engine->work;
+
+  planner_delay_add_work (&other, place->model->requests,
+                          -place->model->per_s * place->share);
+  other.read_s = MAX (other.read_s, 0);
+  other.read_square_s = MAX (other.read_square_s, 0);
+  other.tokens = MAX (other.tokens, 0);
+  return other;
+}
+
+/* Seconds for which this decider has counted arrivals.  */
+static double
+counted_s (const struct plan *plan)
+{
+  const struct planner *planner = plan->planner;
+  struct timespec since = ts_is_zero (planner->first_request_at)
+                              ? planner->started_at
+                              : planner->first_request_at;
+
+  return ts_to_s (ts_sub (plan->now, since));
+}
+
+bool
+planner_work_is_learning (const struct plan *plan)
+{
+  return plan->by_delay && counted_s (plan) < LEARNING_S;
+}
+
+/* Rates are decaying sums, which are too low until the decider has counted for
+   long.  */
+static double
+rate_correction (const struct plan *plan, double time_constant_s)
+{
+  double passed_s = MAX (counted_s (plan), RATE_MIN_S);
+
+  return 1 / (1 - exp (-passed_s / time_constant_s));
+}
+
+static void
+init_models (const struct plan *plan)
+{
+  const struct planner *planner = plan->planner;
+  double correction = rate_correction (plan, RATES_TIME_CONSTANT_S);
+  double long_correction = rate_correction (plan, PLANNER_WORK_LONG_S);
+  struct plan_model *model;
+  GHashTableIter iter;
+  const char *name;
+
+  g_hash_table_iter_init (&iter, plan->models);
+  while (g_hash_table_iter_next (&iter, (gpointer *)&name, (gpointer *)&model))
+    {
+      const struct planner_delay_requests *own
+          = g_hash_table_lookup (planner->requests, name);
+
+      model->requests = own != NULL && own->count >= OWN_MIN_COUNT
+                            ? own
+                            : &planner->all_requests;
+      model->weight = planner_delay_weight (model->requests);
+      model->per_s *= correction;
+      model->long_per_s
+          = long_correction
+            * rates_per_s (planner->arrivals_long, name, plan->now);
+    }
+}
+
+static void
+add_place (const struct plan *plan, GArray *places,
+           struct planner_engine *engine, const char *name)
+{
+  struct place place = { .model = plan_model (plan, name), .engine = engine };
+
+  if (place.model != NULL)
+    g_array_append_val (places, place);
+}
+
+static void
+add_engine_places (const struct plan *plan, GArray *places,
+                   struct planner_engine *engine)
+{
+  const struct planner_order *order = &engine->order;
+  bool ordered = order->stage != STAGE_NONE;
+  const char *loading = engine->next_model;
+
+  for (guint i = 0; i < engine->inventory->models->len; i++)
+    {
+      const struct inventory_model *held
+          = g_ptr_array_index (engine->inventory->models, i);
+
+      if (!ordered || order->type != BACKEND_UNLOAD
+          || strcmp (order->model, held->name) != 0)
+        add_place (plan, places, engine, held->name);
+    }
+  if (ordered && order->type == BACKEND_LOAD)
+    loading = order->model;
+  if (loading != NULL && inventory_model (engine->inventory, loading) == NULL)
+    add_place (plan, places, engine, loading);
+}
+
+static GArray *
+all_places (const struct plan *plan)
+{
+  GArray *places = g_array_new (FALSE, FALSE, sizeof (struct place));
+  struct planner_engine *engine;
+  GHashTableIter iter;
+
+  g_hash_table_iter_init (&iter, plan->planner->engines);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&engine))
+    {
+      engine->work = no_work;
+      engine->weighted_per_s = 0;
+      if (!engine->leaving)
+        add_engine_places (plan, places, engine);
+    }
+  return places;
+}
+
+/* Shares the requests for each model among its places.  Each pass follows the
+   work that the one before gave to the engines, half of the way, so that two
+   equal engines do not exchange theirs.  */
+static void
+share_requests (GArray *places, bool first)
+{
+  for (guint i = 0; i < places->len; i++)
+    g_array_index (places, struct place, i).model->speed = 0;
+  for (guint i = 0; i < places->len; i++)
+    {
+      struct place *place = &g_array_index (places, struct place, i);
+      struct planner_delay_work other = other_work (place);
+
+      place->speed = speed_left (place->engine, &other);
+      place->model->speed += place->speed;
+    }
+  for (guint i = 0; i < places->len; i++)
+    {
+      struct place *place = &g_array_index (places, struct place, i);
+      double share = place->speed / place->model->speed;
+
+      place->share = first ? share : (place->share + share) / 2;
+    }
+}
+
+static void
+sum_work (GArray *places)
+{
+  for (guint i = 0; i < places->len; i++)
+    {
+      struct planner_engine *engine
+          = g_array_index (places, struct place, i).engine;
+
+      engine->work = no_work;
+      engine->weighted_per_s = 0;
+      engine->most_per_s = 0;
+    }
+  for (guint i = 0; i < places->len; i++)
+    {
+      const struct place *place = &g_array_index (places, struct place, i);
+      const struct plan_model *model = place->model;
+      double per_s = model->per_s * place->share;
+
+      planner_delay_add_work (&place->engine->work, model->requests, per_s);
+      place->engine->weighted_per_s += model->weight * per_s;
+      place->engine->most_per_s = MAX (place->engine->most_per_s, per_s);
+    }
+}
+
+/* Adds what the place contributes to the means of its model.  */
+static void
+add_to_model (const struct place *place)
+{
+  struct plan_model *model = place->model;
+  struct planner_delay_work other = other_work (place);
+  double pace = engine_pace (place->engine);
+
+  model->pace += place->share * pace;
+  model->leads |= model->per_s * place->share >= place->engine->most_per_s;
+  model->delay_s += place->share
+                    * bounded (planner_delay_s (model->requests,
+                                                &place->engine->work, pace));
+  model->other.read_s += place->share * other.read_s;
+  model->other.read_square_s += place->share * other.read_square_s;
+  model->other.tokens += place->share * other.tokens;
+}
+
+/* The delay of requests for MODEL with N replicas at engines like those that
+   it has.  */
+static double
+delay_with (const struct plan_model *model, unsigned n)
+{
+  struct planner_delay_work work = model->other;
+
+  planner_delay_add_work (&work, model->requests, model->per_s / n);
+  return bounded (planner_delay_s (model->requests, &work, model->pace));
+}
+
+/* The delay that a load of MODEL saves its requests within URGENCY_HORIZON_S,
+   weighted by priority: requests that wait now, unless they leave before it
+   ends, and those to come.  */
+static double
+urgency (const struct plan_model *model, double idle_s)
+{
+  double load_s
+      = model->has_local_copy ? model->site->disk_s : model->site->load_s;
+  double helped_s = MAX (URGENCY_HORIZON_S - load_s, 0);
+  double come = model->weight * model->per_s * helped_s;
+  double wait = model->waiting_weight;
+
+  if (load_s >= PATIENCE_S)
+    wait *= LATE_SHARE;
+  if (model->replicas == 0)
+    return model->waiting > 0 ? LOST_S * (wait + come) : 0;
+  wait *= LOST_S;
+  if (model->needed > model->replicas)
+    wait += come * MAX (model->delay_s - idle_s, 0);
+  return wait;
+}
+
+static void
+init_delays (struct plan *plan, struct plan_model *model)
+{
+  double weighted_per_s = model->weight * model->per_s;
+  double idle_s;
+
+  if (model->speed <= 0)
+    model->pace = 1;
+  idle_s = planner_delay_s (model->requests, &no_work, model->pace);
+  if (model->speed <= 0)
+    model->delay_s = idle_s;
+  model->needed = planner_delay_replicas (
+      model->requests, model->per_s, &model->other, model->pace, NEED_RATIO);
+  /* Only fewer requests for other models would help.  */
+  if (model->needed == PLANNER_DELAY_REPLICAS_MAX && !model->leads)
+    model->needed = model->replicas;
+  model->kept = planner_delay_replicas (
+      model->requests, model->per_s, &model->other, model->pace, KEEP_RATIO);
+  if (counted_s (plan) < FOUND_S)
+    model->kept = MAX (model->kept, model->loaded);
+  if (model->loaded > 1)
+    model->loss_s = PLANNER_HORIZON_S * weighted_per_s
+                    * (delay_with (model, model->loaded - 1)
+                       - delay_with (model, model->loaded));
+  model->urgency = urgency (model, idle_s);
+  plan->lacks_replicas
+      |= model->replicas > 0 && model->needed > model->replicas;
+}
+
+static bool
+tells_pace (const struct planner *planner)
+{
+  const struct planner_engine *engine;
+  GHashTableIter iter;
+
+  g_hash_table_iter_init (&iter, planner->engines);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&engine))
+    if (engine->pace > 0)
+      return true;
+  return false;
+}
+
+void
+planner_work_init (struct plan *plan)
+{
+  struct plan_model *model;
+  GHashTableIter iter;
+  GArray *places;
+
+  plan->by_delay = tells_pace (plan->planner);
+  if (!plan->by_delay)
+    return;
+  if (!plan->planner->by_delay)
+    budget_assume_single (&plan->planner->budget);
+  plan->planner->by_delay = true;
+  init_models (plan);
+  places = all_places (plan);
+  plan->is_empty = places->len == 0;
+  for (int pass = 0; pass < SHARE_PASSES; pass++)
+    {
+      share_requests (places, pass == 0);
+      sum_work (places);
+    }
+  for (guint i = 0; i < places->len; i++)
+    add_to_model (&g_array_index (places, struct place, i));
+  g_array_unref (places);
+  g_hash_table_iter_init (&iter, plan->models);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&model))
+    init_delays (plan, model);
+}
+
+unsigned
+planner_work_needed (const struct plan *plan, const struct plan_model *model)
+{
+  if (planner_work_is_learning (plan))
+    return MIN (model->needed, model->replicas);
+  return MIN (model->needed, model->replicas + 1);
+}
+
+unsigned
+planner_work_needed_adapters (const struct plan_model *model, double per_s)
+{
+  struct planner_delay_work other = model->other;
+  double rest = MAX (model->per_s - per_s, 0);
+
+  if (model->replicas == 0)
+    return 0;
+  planner_delay_add_work (&other, model->requests, rest / model->replicas);
+  return planner_delay_replicas (model->requests, per_s, &other, model->pace,
+                                 NEED_RATIO);
+}
+
+/* Whether the replica, the only one of MODEL, may just have got a request.  */
+static bool
+is_starting (const struct plan *plan, const struct plan_model *model)
+{
+  return rates_idle_s (plan->planner->dispatched, model->site->name, plan->now)
+         < STARTING_S;
+}
+
+double
+planner_work_value (const struct plan *plan, const struct plan_model *model,
+                    double reload_s)
+{
+  if (planner_work_is_learning (plan) || model->waiting > 0
+      || (model->loaded <= 1 && is_starting (plan, model)))
+    return PLANNER_PINNED_VALUE;
+  if (model->loaded > 1 && model->loaded > model->kept)
+    return SURPLUS_VALUE * (1 + model->per_s);
+  if (model->loaded > 1)
+    return BASE_VALUE + model->loss_s;
+  /* A place that is lost for good: each request would have to wait for a
+     reload, which in turn evicts others.  */
+  return IDLE_VALUE
+         + model->weight * MAX (model->per_s, model->long_per_s)
+               * PLANNER_HORIZON_S * (reload_s + PLANNER_MAKE_ROOM_S);
+}
+
+double
+planner_work_benefit (const struct plan_model *model)
+{
+  unsigned n = MAX (model->replicas, 1);
+
+  /* Those that move to the new replica count in planner_work_place_cost.  */
+  return PLANNER_HORIZON_S * model->weight * model->per_s * n / (n + 1)
+         * (delay_with (model, n) - delay_with (model, n + 1));
+}
+
+double
+planner_work_place_cost (const struct planner_engine *engine,
+                         const struct plan_model *model)
+{
+  static const struct planner_delay_requests any;
+  double pace = engine_pace (engine);
+  double left = speed_left (engine, &engine->work);
+  double share = left / (model->speed + left);
+  double moved_per_s = model->per_s * share;
+  struct planner_delay_work work = engine->work;
+  double moved_s;
+  double others_s;
+
+  planner_delay_add_work (&work, model->requests, moved_per_s);
+  moved_s = bounded (planner_delay_s (model->requests, &work, pace));
+  others_s = bounded (planner_delay_s (&any, &work, pace))
+             - bounded (planner_delay_s (&any, &engine->work, pace));
+  return PLANNER_HORIZON_S
+         * (model->weight * moved_per_s * (moved_s - model->delay_s)
+            + engine->weighted_per_s * others_s);
+}
+
+char *
+planner_work_reason (const struct planner_engine *engine,
+                     const struct plan_model *model)
+{
+  double pace = engine_pace (engine);
+
+  return g_strdup_printf (
+      " delay_s=%.3f needed=%u kept=%u urgency=%.1f pace=%.2f busy=%.2f",
+      model->delay_s, model->needed, model->kept, model->urgency, pace,
+      planner_delay_utilization (&engine->work, pace));
+}
--- a/src/planners.c
+++ b/src/planners.c
@@ -58,14 +58,18 @@
 static void
 set_limits (const struct planners *planners, struct planner *planner)
 {
+  const struct server *server;
   GHashTableIter iter;
   const char *id;
 
   g_hash_table_iter_init (&iter,
                           servers_all (listing_servers (planners->listing)));
-  while (g_hash_table_iter_next (&iter, (gpointer *)&id, NULL))
-    planner_set_limit (planner, id,
-                       ratelimits_per_s (planners->ratelimits, id));
+  while (g_hash_table_iter_next (&iter, (gpointer *)&id, (gpointer *)&server))
+    {
+      planner_set_limit (planner, id,
+                         ratelimits_per_s (planners->ratelimits, id));
+      planner_set_pace (planner, id, server->pace.drift);
+    }
 }
 
 static void
--- a/src/planners.h
+++ b/src/planners.h
@@ -12,6 +12,7 @@
 
 #include <stdbool.h>
 #include <time.h>
+#include "demand.h"
 #include "kernel.h"
 #include "reqtime.h"
 
@@ -31,9 +32,11 @@
 /* Whether this node is the decider, as far as it knows.  */
 bool planners_deciding (const struct planners *planners);
 
-/* A request for TARGET, "MODEL" or "MODEL/ADAPTER", of SERVICE arrived.  */
+/* A request like KIND for TARGET, "MODEL" or "MODEL/ADAPTER", of SERVICE
+   arrived.  */
 void planners_request_arrived (struct planners *planners, const char *service,
-                               const char *target);
+                               const char *target,
+                               const struct demand_kind *kind);
 
 /* A request for a target of SERVICE has ended at an engine.  */
 void planners_request_ended (struct planners *planners, const char *service,
--- a/src/planners_demand.c
+++ b/src/planners_demand.c
@@ -59,6 +59,26 @@
   g_free (name);
 }
 
+/* Tells PLANNER what the arrivals of WANT are like.  Nodes of an earlier
+   release do not say.  */
+static void
+note_requests (struct planner *planner, const char *target,
+               const struct peer_want *want)
+{
+  double calls = (double)want->calls;
+  struct planner_delay_kind kind
+      = { .count = calls,
+          .tokens = planner_delay_tokens ((double)want->prompt_tokens / calls,
+                                          (double)want->shared_tokens / calls),
+          .answer_tokens = (double)want->answer_tokens / calls,
+          .objective_s = (double)want->objective_ms / (double)TS_MS_PER_S,
+          .gap_s = (double)want->gap_ms / (double)TS_MS_PER_S,
+          .priority = (unsigned)want->calls_priority };
+
+  if (want->objective_ms > 0)
+    planner_note_requests (planner, target, &kind);
+}
+
 static void
 apply_demand (struct planners *planners, const char *node,
               const struct peer_want *want)
@@ -69,28 +89,53 @@
   if (planner == NULL)
     return;
   if (want->calls > 0)
-    planner_request_arrived (planner, target, (double)want->calls,
-                             planners_now (planners));
+    {
+      planner_request_arrived (planner, target, (double)want->calls,
+                               planners_now (planners));
+      note_requests (planner, target, want);
+    }
   set_waiting (planners, planner, node, target, want);
 }
 
+static void
+flush_want (struct flush *flush, const struct peer_want *want)
+{
+  if (planners_may_decide (flush->planners))
+    apply_demand (flush->planners, flush->planners->core->node, want);
+  else
+    g_array_append_vals (flush->wants, want, 1);
+}
+
 static void
 flush_target (void *user, struct demand *demand)
 {
   struct flush *flush = user;
   struct peer_want want = { .target = demand->target,
                             .count = demand->waiting,
-                            .calls = demand->calls,
                             .priority = demand->priority };
+  unsigned kinds = demand->kind_count;
 
   if (!demand->changed && !(flush->all && demand->waiting > 0))
     return;
   demand->changed = false;
   demand->calls = 0;
-  if (planners_may_decide (flush->planners))
-    apply_demand (flush->planners, flush->planners->core->node, &want);
-  else
-    g_array_append_val (flush->wants, want);
+  demand->kind_count = 0;
+  if (kinds == 0)
+    flush_want (flush, &want);
+  /* One for each kind: all repeat the number of waiting requests.  */
+  for (unsigned i = 0; i < kinds; i++)
+    {
+      const struct demand_kind *kind = &demand->kinds[i];
+
+      want.calls = kind->calls;
+      want.prompt_tokens = kind->prompt_tokens;
+      want.shared_tokens = kind->shared_tokens;
+      want.answer_tokens = kind->answer_tokens;
+      want.objective_ms = (uint64_t)kind->objective_ms;
+      want.gap_ms = (uint64_t)kind->gap_ms;
+      want.calls_priority = kind->priority;
+      flush_want (flush, &want);
+    }
 }
 
 const char *
@@ -165,11 +210,11 @@
 
 void
 planners_request_arrived (struct planners *planners, const char *service,
-                          const char *target)
+                          const char *target, const struct demand_kind *kind)
 {
   char *key = g_strdup_printf ("%s %s", service, target);
 
-  demand_request_arrived (planners->demand, key);
+  demand_request_arrived_as (planners->demand, key, kind);
   flush_within (planners, scaled_delay_ms (planners, ARRIVALS_DELAY_MS,
                                            ARRIVALS_DELAY_US_PER_NODE));
   g_free (key);
--- a/src/rates.c
+++ b/src/rates.c
@@ -14,13 +14,21 @@
 struct rates
 {
   GHashTable *by_name; /* name to struct rate */
+  double time_constant_s;
 };
 
 struct rates *
 rates_new (void)
+{
+  return rates_new_slow (RATES_TIME_CONSTANT_S);
+}
+
+struct rates *
+rates_new_slow (double time_constant_s)
 {
   struct rates *rates = g_new0 (struct rates, 1);
 
+  rates->time_constant_s = time_constant_s;
   rates->by_name
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return rates;
@@ -36,11 +44,12 @@
 }
 
 static double
-decayed (const struct rate *rate, struct timespec now)
+decayed (const struct rates *rates, const struct rate *rate,
+         struct timespec now)
 {
   double passed_s = ts_to_s (ts_sub (now, rate->at));
 
-  return rate->per_s * exp (-MAX (passed_s, 0) / RATES_TIME_CONSTANT_S);
+  return rate->per_s * exp (-MAX (passed_s, 0) / rates->time_constant_s);
 }
 
 void
@@ -55,7 +64,7 @@
       rate->at = now;
       g_hash_table_insert (rates->by_name, g_strdup (name), rate);
     }
-  rate->per_s = decayed (rate, now) + count / RATES_TIME_CONSTANT_S;
+  rate->per_s = decayed (rates, rate, now) + count / rates->time_constant_s;
   rate->at = now;
 }
 
@@ -64,7 +73,7 @@
 {
   const struct rate *rate = g_hash_table_lookup (rates->by_name, name);
 
-  return rate != NULL ? decayed (rate, now) : 0;
+  return rate != NULL ? decayed (rates, rate, now) : 0;
 }
 
 double
@@ -87,7 +96,7 @@
   g_hash_table_iter_init (&iter, rates->by_name);
   while (g_hash_table_iter_next (&iter, (gpointer *)&name, (gpointer *)&rate))
     {
-      double count = decayed (rate, now) * RATES_TIME_CONSTANT_S;
+      double count = decayed (rates, rate, now) * rates->time_constant_s;
 
       if (count >= MIN_COUNT)
         fn (user, name, count);
--- a/src/rates.h
+++ b/src/rates.h
@@ -13,6 +13,8 @@
 struct rates;
 
 struct rates *rates_new (void);
+/* With another TIME_CONSTANT_S than RATES_TIME_CONSTANT_S.  */
+struct rates *rates_new_slow (double time_constant_s);
 void rates_free (struct rates *rates); /* NULL allowed */
 
 /* COUNT requests for NAME arrived.  */
