--- a/src/forward.c
+++ b/src/forward.c
@@ -337,12 +337,28 @@
                          forward_now (forward));
 }
 
+/* A request that this node was the first to get.  */
+static void
+note_arrival (const struct forward *forward)
+{
+  const struct demand_kind kind
+      = { .priority = forward_priority (forward),
+          .objective_ms = forward->route->objective_ms,
+          .gap_ms
+          = forward->route->kind == SITE_STREAM ? forward->route->gap_ms : 0,
+          .prompt_tokens = forward->parsed.prompt_tokens,
+          .shared_tokens = forward->parsed.shared_tokens,
+          .answer_tokens = forward->parsed.answer_tokens };
+
+  planners_request_arrived (forward->gateway->planners, forward->service->name,
+                            forward->target, &kind);
+}
+
 void
 forward_send_accepted (struct forward *forward)
 {
   if (forward->target != NULL && !forward->relayed)
-    planners_request_arrived (forward->gateway->planners,
-                              forward->service->name, forward->target);
+    note_arrival (forward);
   if (forward->parsed.resumes && forward->route->kind == SITE_STREAM)
     forward_resume (forward);
   else
