planner: at most one speculative fetch before the first request

Cause: before the first request the planner fetched up to three models that nobody asked for at once. Where the weight store serves one at full speed they took 13, 27 and 40 s and blocked it for models in demand. Change: until a request has been counted, a fetch that no request waits for starts only when none is in flight.

--- a/src/planner_round.c
+++ b/src/planner_round.c
@@ -375,6 +375,20 @@
   g_ptr_array_unref (short_of);
 }
 
+/* Whether a fetch may start that no request waits for.  Before the first
+   request it is not known how many fetches the store serves at full speed; one
+   that was slowed down would last into the time of requests.  */
+static bool
+may_preload (const struct plan *plan)
+{
+  const struct planner *planner = plan->planner;
+
+  if (plan->lacks_replicas || !budget_allows_fetch (plan, 1))
+    return false;
+  return !ts_is_zero (planner->first_request_at)
+         || planner->budget.in_flight + plan->previous_fetches == 0;
+}
+
 /* Loads models that are on no engine ahead of requests, where there is room or
    a surplus replica.  The benefit follows
    the request rate; for a model without a local copy of its weights, whose
@@ -385,7 +399,7 @@
 static void
 preload (struct plan *plan, const GPtrArray *models)
 {
-  bool fetch = !plan->lacks_replicas && budget_allows_fetch (plan, 1);
+  bool fetch = may_preload (plan);
   unsigned tries = 0;
   guint next = 0;
 
@@ -406,7 +420,7 @@
       if (!try_load (plan, model, NULL, MIN (value, PRELOAD_LOSS_MAX),
                      fetch && !model->has_local_copy))
         continue;
-      fetch = fetch && budget_allows_fetch (plan, 1);
+      fetch = fetch && may_preload (plan);
       next = 0;
     }
   plan->planner->preload_offset = next;
