--- a/src/forward_admit.c
+++ b/src/forward_admit.c
@@ -53,6 +53,22 @@
       (double)forward_left_ms (forward) / (double)TS_MS_PER_S);
 }
 
+/* When the request should come back, in seconds.  */
+static double
+return_s (const struct forward *forward, double delay_s, double limit_s)
+{
+  struct gateway *gateway = forward->gateway;
+  const struct pick_explanation *why = &forward->explanation;
+  double retry_s
+      = delay_retry_s (delay_s, limit_s, g_rand_double (gateway->core->rand));
+
+  if (!why->paced)
+    return retry_s;
+  return returns_next_s (gateway->returns, forward->target, retry_s,
+                         (why->delay_s - why->wait_s) / MAX (why->usable, 1),
+                         forward_now (forward));
+}
+
 bool
 forward_is_overloaded (const struct forward *forward, int64_t *retry_ms)
 {
@@ -63,7 +79,8 @@
     return false;
   if (is_admitted_first (forward))
     delay_s *= ADMITTED_FIRST_SHARE;
-  *retry_ms = ts_to_ms (ts_from_s (delay_retry_s (
-      delay_s, limit_s, g_rand_double (forward->gateway->core->rand))));
-  return delay_s > limit_s;
+  if (delay_s <= limit_s)
+    return false;
+  *retry_ms = ts_to_ms (ts_from_s (return_s (forward, delay_s, limit_s)));
+  return true;
 }
--- a/src/forward_log.c
+++ b/src/forward_log.c
@@ -39,6 +39,20 @@
                 forward->explanation.delay_s * (double)TS_MS_PER_S);
 }
 
+/* What that estimate rests on, if the engine tells its pace.  */
+static void
+log_pace (const struct forward *forward, struct log_line *line)
+{
+  const struct pick_explanation *why = &forward->explanation;
+
+  if (!why->paced)
+    return;
+  log_double (line, "pace", why->pace);
+  log_double (line, "wait_ms", why->wait_s * (double)TS_MS_PER_S);
+  log_double (line, "event_ms", why->event_s * (double)TS_MS_PER_S);
+  log_double (line, "prefix_trust", why->prefix_trust);
+}
+
 /* The stream that the request continues, and its last event.  */
 static void
 log_resume (const struct forward *forward, struct log_line *line)
@@ -86,6 +100,7 @@
   log_str (&line, "reason", pick_reason_name (forward->explanation.reason));
   log_double (&line, "load", forward->explanation.load);
   log_delay (forward, &line);
+  log_pace (forward, &line);
   log_int (&line, "usable", forward->explanation.usable);
   log_int (&line, "version", (int64_t)forward->site->version);
   log_end (&line);
--- a/src/forward_pace.c
+++ b/src/forward_pace.c
@@ -1,3 +1,4 @@
+#include "counter.h"
 #include "delay.h"
 #include "forward_state.h"
 #include "ts.h"
@@ -10,6 +11,7 @@
 #define EVENT_TOKENS_WEIGHT 0.05
 #define EVENT_TOKENS_DEFAULT 5.0
 #define EVENT_TOKENS_MAX 256.0
+#define CACHED_TRUST 0.5 /* more likely cached than not */
 
 static double
 event_tokens (const struct forward *forward)
@@ -50,6 +52,10 @@
     return;
   forward->expected_s = why->told_s;
   forward->expected_event_s = why->event_told_s;
+  if (why->delay_s > (double)forward->route->objective_ms / TS_MS_PER_S)
+    counter_add (COUNTER_EXPECTED_LATE, 1);
+  if (why->prefix_trust > CACHED_TRUST)
+    counter_add (COUNTER_CACHED, 1);
   pick_sent (forward->gateway->pick, forward->engine->id,
              forward->parsed.prompt_tokens, forward->sent_at);
 }
@@ -101,8 +107,8 @@
                                        / (double)events);
   if (forward->expected_event_s <= 0 || forward->engine->gone)
     return;
-  actual_s = ts_to_s (ts_sub (now, forward->first_event_at))
-             / (double)(events - 1);
+  actual_s
+      = ts_to_s (ts_sub (now, forward->first_event_at)) / (double)(events - 1);
   servers_observe_events (
       listing_servers (gateway->listing), forward->engine->id,
       pace_compare (forward->expected_event_s, actual_s, EVENT_NOISE_S), now);
--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -447,7 +447,10 @@
     forward_wait_for_limit (forward);
   else if (forward->state != FORWARD_WAITING
            || forward_left_ms (forward) < delay_ms)
-    forward_fail (forward, "the servers are overloaded", retry_ms);
+    {
+      counter_add (COUNTER_OVERLOADED, 1);
+      forward_fail (forward, "the servers are overloaded", retry_ms);
+    }
 }
 
 /* Whether no server may continue the stream, so that waiting is pointless.  */
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -67,11 +67,11 @@
   double expected_s;
   double expected_event_s;
   struct timespec first_event_at; /* zero: none yet */
-  struct timespec first_at;      /* first byte of the response; zero: none */
-  struct timespec heard_at;      /* latest byte, or the dispatch */
-  struct caller_response answer; /* of the current attempt */
-  struct relay_note peer_note;   /* of the current attempt, if TO_PEER */
-  bool head_parsed;              /* ANSWER is valid */
+  struct timespec first_at;       /* first byte of the response; zero: none */
+  struct timespec heard_at;       /* latest byte, or the dispatch */
+  struct caller_response answer;  /* of the current attempt */
+  struct relay_note peer_note;    /* of the current attempt, if TO_PEER */
+  bool head_parsed;               /* ANSWER is valid */
   bool streaming; /* the current response is passed on as a stream */
   bool head_sent; /* the response head was sent to the caller */
   bool silent;    /* the current engine is being waited for in silence */
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -456,6 +456,7 @@
   TAILQ_INIT (&gateway->open_requests);
   gateway->patience
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  gateway->returns = returns_new ();
   gateway->durations
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   gateway->peers
@@ -480,6 +481,7 @@
   g_hash_table_unref (gateway->waiting_for);
   g_hash_table_unref (gateway->patience);
   g_hash_table_unref (gateway->durations);
+  returns_free (gateway->returns);
   g_hash_table_unref (gateway->peers);
   if (gateway->services != NULL)
     g_hash_table_unref (gateway->services);
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -24,6 +24,7 @@
 #include "quarantines.h"
 #include "reach.h"
 #include "retry.h"
+#include "returns.h"
 #include "servers.h"
 #include "planners.h"
 #include "ratelimits.h"
@@ -66,7 +67,8 @@
   struct loop_timer probe_timer;
   GHashTable *patience;  /* route to struct patience */
   GHashTable *durations; /* route to struct duration */
-  double event_tokens;   /* of a stream's event, as observed; 0: unknown */
+  struct returns *returns;
+  double event_tokens; /* of a stream's event, as observed; 0: unknown */
   GHashTable *peers; /* id to struct route_engine: nodes that take requests */
   struct retry *retry;
   struct forward_list waiting; /* most urgent first */
--- a/src/pick.c
+++ b/src/pick.c
@@ -372,8 +372,8 @@
   return chosen->prefix_trust > 0 ? PICK_PREFIX : PICK_ZONE;
 }
 
-/* What estimates at PACE, corrected by what was observed, are multiplied by for
-   the pace that was told.  */
+/* What estimates at PACE, corrected by what was observed, are multiplied by
+   for the pace that was told.  */
 static double
 told_share (const struct route_replica *replica, double pace)
 {
--- a/src/pick.h
+++ b/src/pick.h
@@ -67,11 +67,11 @@
   /* BY_DELAY, for replicas that tell their pace.  */
   double read_s;      /* to read the whole prompt, at the usual pace */
   double objective_s; /* until the first event */
-  double gap_s;        /* see struct delay_need */
+  double gap_s;       /* see struct delay_need */
   double events;
   double event_tokens;
   double left_s;
-  size_t nodes;       /* that send to these replicas; at least 1 */
+  size_t nodes; /* that send to these replicas; at least 1 */
   /* suspect_fingerprint: only the two replicas that suspect_pair designates
      for it may be used; 0: all may.  */
   uint64_t fingerprint;
--- a/src/pick_pace.c
+++ b/src/pick_pace.c
@@ -11,7 +11,7 @@
    second that its prompt takes from other requests; and of each second of its
    duration, so that slow servers do not run as many as quick ones.  */
 #define LATE_COST 3.0
-#define PAUSE_COST 1.0
+#define PAUSE_COST 3.0
 #define OVERRUN_COST 1.0
 #define OTHERS_COST 0.5
 #define DURATION_COST 0.05
@@ -31,12 +31,11 @@
                      const struct route_replica *replica, struct timespec now,
                      struct score *score)
 {
-  struct delay_server server = { .load = pick_known_load (replica, now),
-                                 .pace = replica->pace > 0 ? replica->pace : 1,
-                                 .moment = replica->pace_moment,
-                                 .event_pace = replica->pace_events > 0
-                                                   ? replica->pace_events
-                                                   : 1 };
+  struct delay_server server
+      = { .load = pick_known_load (replica, now),
+          .pace = replica->pace > 0 ? replica->pace : 1,
+          .moment = replica->pace_moment,
+          .event_pace = replica->pace_events > 0 ? replica->pace_events : 1 };
   struct delay_need need = { .read_s = request->read_s,
                              .saved_s = request->prefix_s,
                              .trust = score->prefix_trust,
@@ -55,8 +54,7 @@
   score->delay_s = estimate->first_s;
   score->cost
       = estimate->first_s + LATE_COST * estimate->late_s
-        + PAUSE_COST * estimate->pause_s
-        + OVERRUN_COST * estimate->overrun_s
+        + PAUSE_COST * estimate->pause_s + OVERRUN_COST * estimate->overrun_s
         + DURATION_COST * request->events * estimate->event_s
         + OTHERS_COST * MAX (estimate->first_s - estimate->backlog_s, 0)
         + EVICTION_COST * (1 - score->prefix_trust) * request->prefix_s
--- a/tests/pace_fixture.h
+++ b/tests/pace_fixture.h
@@ -293,7 +293,8 @@
     {
       struct fx_seen seen
           = { .at = engine->free_at,
-              .ratio = pace_compare (why.told_s, engine->free_at - fx->now, 0.05) };
+              .ratio
+              = pace_compare (why.told_s, engine->free_at - fx->now, 0.05) };
 
       g_array_append_val (engine->seen, seen);
     }
