--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -25,6 +25,7 @@
 #include "quotas.h"
 #include "reach.h"
 #include "retry.h"
+#include "returns.h"
 #include "servers.h"
 #include "planners.h"
 #include "ratelimits.h"
@@ -70,7 +71,8 @@
   struct loop_timer probe_timer;
   GHashTable *patience;  /* route to struct patience */
   GHashTable *durations; /* route to struct duration */
-  double event_tokens;   /* of a stream's event, as observed; 0: unknown */
+  struct returns *returns;
+  double event_tokens; /* of a stream's event, as observed; 0: unknown */
   GHashTable *peers; /* id to struct route_engine: nodes that take requests */
   struct retry *retry;
   struct forward_list waiting; /* most urgent first */
