planner: value of a replica from those that would remain

Cause: whether a replica was surplus followed from the mean of all engines with the model. The quick one of two was given up for another model because two engines of the mean pace would have been one too many, and loaded again 4 s later: places of three models changed every 5 s.

Change: the value is the cost at the other engines, with the part of the requests that are late there.

--- a/src/planner_round.c
+++ b/src/planner_round.c
@@ -16,7 +16,8 @@
 #define RELIEF_URGENT 1
 #define RELIEF_MAX_TRIES 2
 #define RELIEF_TURNS 8
-#define IDLE_VALUE 0.01 /* of a loaded model without requests */
+#define RESERVED_SHARE 0.5 /* see reserved_urgency */
+#define IDLE_VALUE 0.01    /* of a loaded model without requests */
 /* Delay that a request saves which waits for a model on no engine: it is
    rejected otherwise.  So no model with many requests is evicted for a few
    that wait.  */
@@ -220,11 +221,11 @@
 /* Loads one more replica of MODEL, whose requests are delayed too much, if
    that saves more delay than it costs.  */
 static void
-relieve (struct plan *plan, struct plan_model *model)
+relieve (struct plan *plan, struct plan_model *model, bool fetch)
 {
   double benefit = planner_work_benefit (model);
   struct planner_candidate candidate
-      = choose_engine (plan, model, NULL, benefit, true);
+      = choose_engine (plan, model, NULL, benefit, fetch);
 
   if (candidate.engine == NULL || candidate.busy_s > 0
       || candidate.loss + LOAD_COST * candidate.load_s >= benefit)
@@ -241,6 +242,25 @@
          || (rank + plan->planner->rounds) % RELIEF_TURNS == 0;
 }
 
+/* The least urgency for which a model may use the weight store.  A model that
+   is being loaded and lacks further replicas will need it next: a load for
+   another one would keep it waiting for long.  */
+static double
+reserved_urgency (const GPtrArray *models)
+{
+  double most = 0;
+
+  for (guint i = 0; i < models->len; i++)
+    {
+      const struct plan_model *model = g_ptr_array_index (models, i);
+
+      if (model->needed > model->replicas
+          && (model->pending || model->replicas > model->loaded))
+        most = MAX (most, model->urgency);
+    }
+  return RESERVED_SHARE * most;
+}
+
 /* The same as load_waiting_models and add_replicas, in one order: planned by
    delay, requests that wait at an engine compete with those that wait for one
    for the weight store and for engines.  What requests wait for most is not
@@ -250,6 +270,7 @@
 load_by_urgency (struct plan *plan, const GPtrArray *models)
 {
   bool fetch = !planner_work_is_learning (plan) || plan->is_empty;
+  double reserved = reserved_urgency (models);
   unsigned rank = 0;
   unsigned tries = 0;
 
@@ -261,11 +282,11 @@
         continue;
       if (model->waiting > 0 && model->unlimited == 0)
         try_load (plan, model, NULL, WAITING_VALUE * model->waiting_weight,
-                  fetch);
+                  fetch && model->urgency >= reserved);
       else if (!plan->partial && model->replicas > 0
                && model->replicas < planner_needed_replicas (plan, model)
                && is_in_turn (plan, rank++) && tries++ < RELIEF_MAX_TRIES)
-        relieve (plan, model);
+        relieve (plan, model, model->urgency >= reserved);
     }
 }
 
@@ -519,4 +540,6 @@
   g_ptr_array_unref (models);
   g_hash_table_unref (plan.models);
   g_free (plan.model_array);
+  if (plan.places != NULL)
+    g_array_unref (plan.places);
 }
--- a/src/planner_round.h
+++ b/src/planner_round.h
@@ -39,15 +39,22 @@
   double delay_s;                  /* mean until the first event */
   bool leads;        /* at some engine no model gets more requests */
   unsigned needed;   /* replicas, so that delays are within the objectives */
-  unsigned kept;     /* more than these are surplus */
-  double loss_s;     /* value of one of several replicas */
   bool values_known; /* the next ones have been computed */
   /* Value of a replica on an engine that has the weights in host memory, and
-     on any other engine.  If BY_DELAY see planner_work_set_value.  */
+     on any other engine.  Not set if BY_DELAY.  */
   double value_if_in_memory;
   double value_if_on_disk;
-  double value;
-  double value_per_reload_s;
+};
+
+/* A replica that is loaded or will be.  */
+struct plan_place
+{
+  struct plan_model *model;
+  struct planner_engine *engine;
+  double share;       /* of the requests for MODEL */
+  double speed;       /* that the requests for other models leave */
+  double value;       /* when MODEL had VALUED_AT loaded replicas */
+  unsigned valued_at; /* 0: VALUE is not set */
 };
 
 struct plan
@@ -57,6 +64,8 @@
   struct action_list *out;
   GHashTable *models; /* name to struct plan_model */
   struct plan_model *model_array;
+  GArray
+      *places; /* BY_DELAY: struct plan_place, those of an engine in a row */
   unsigned previous_fetches; /* see planner_previous_fetches */
   /* Engines tell their pace: replicas are planned by delay.  */
   bool by_delay;
--- a/src/planner_state.h
+++ b/src/planner_state.h
@@ -60,8 +60,10 @@
   double pace; /* of its machine, 1: usual; 0: not told */
   /* In the current round, if planned by delay.  */
   struct planner_delay_work work; /* expected, of all its models */
-  double speed_left;              /* that WORK leaves */
-  double delay_s;                 /* of a request without a prompt */
+  unsigned first_place;           /* see struct plan_place */
+  unsigned place_count;
+  double speed_left;     /* that WORK leaves */
+  double delay_s;        /* of a request without a prompt */
   double most_per_s;     /* requests for the model that most ask for */
   double weighted_per_s; /* requests, weighted by priority */
 };
--- a/src/planner_value.c
+++ b/src/planner_value.c
@@ -49,7 +49,7 @@
 }
 
 static double
-value_by_rate (const struct plan *plan, const struct plan_model *model,
+compute_value (const struct plan *plan, const struct plan_model *model,
                double reload_s)
 {
   /* Other replicas take over a part of the requests.  */
@@ -69,18 +69,22 @@
   return BASE_VALUE + delay_value;
 }
 
-static void
-set_values (const struct plan *plan, struct plan_model *model)
+static double
+value_by_rate (const struct plan *plan, const struct planner_engine *engine,
+               struct plan_model *model)
 {
-  model->values_known = true;
-  if (plan->by_delay)
+  if (!model->values_known)
     {
-      planner_work_set_value (plan, model);
-      return;
+      model->value_if_in_memory
+          = compute_value (plan, model, model->site->memory_s);
+      model->value_if_on_disk
+          = compute_value (plan, model, model->site->disk_s);
+      model->values_known = true;
     }
-  model->value_if_in_memory
-      = value_by_rate (plan, model, model->site->memory_s);
-  model->value_if_on_disk = value_by_rate (plan, model, model->site->disk_s);
+  return inventory_name_listed (engine->inventory->in_memory,
+                                model->site->name)
+             ? model->value_if_in_memory
+             : model->value_if_on_disk;
 }
 
 /* Value lost when the model NAME is evicted from ENGINE.  */
@@ -90,23 +94,11 @@
 {
   struct plan_model *model = plan_model (plan, name);
   double value;
-  bool fetches;
 
   if (model == NULL)
     return 0;
-  if (!model->values_known)
-    set_values (plan, model);
-  if (plan->by_delay)
-    {
-      value = model->value;
-      if (model->value_per_reload_s > 0)
-        value += model->value_per_reload_s
-                 * planner_load_s (engine, model->site, &fetches);
-    }
-  else if (inventory_name_listed (engine->inventory->in_memory, name))
-    value = model->value_if_in_memory;
-  else
-    value = model->value_if_on_disk;
+  value = plan->by_delay ? planner_work_value (plan, engine, model)
+                         : value_by_rate (plan, engine, model);
   if (g_strcmp0 (engine->last_loaded, name) == 0
       && ts_to_s (ts_sub (plan->now, engine->loaded_at)) < RECENT_S)
     value += RECENT_VALUE;
--- a/src/planner_work.c
+++ b/src/planner_work.c
@@ -19,12 +19,16 @@
    all models.  */
 #define OWN_MIN_COUNT 5.0
 #define SHARE_PASSES 3
+/* Against rounding errors, where a replica gets all requests.  */
+#define SHARE_MIN 1e-3
 /* Speed that an engine is taken to have left, at least, however busy.  */
 #define LEFT_MIN 0.1
 /* Replicas are added until delays are within this part of the objectives: the
    pace is at times 2.5 times the mean, and requests arrive in bursts.  */
 #define NEED_RATIO 0.7
-/* A replica is surplus if with one fewer they would be within this part.  */
+/* What a request counts that is late, but served.  */
+#define LATE_S 2.0
+/* A replica is surplus if without it they would be within this part.  */
 #define KEEP_RATIO 0.5
 /* What a request counts that is rejected or ends too late; delays count less
    and less as they come near to it.  */
@@ -41,15 +45,6 @@
 #define PATIENCE_S 8.0
 #define LATE_SHARE 0.25
 
-/* A replica that is loaded or will be.  */
-struct place
-{
-  struct plan_model *model;
-  struct planner_engine *engine;
-  double share; /* of the requests for MODEL */
-  double speed; /* that the requests for other models leave */
-};
-
 static const struct planner_delay_work no_work;
 
 /* Never constant, so that one replica more counts even if several are
@@ -79,7 +74,7 @@
 
 /* The work of the engine of PLACE for other models.  */
 static struct planner_delay_work
-other_work (const struct place *place)
+other_work (const struct plan_place *place)
 {
   struct planner_delay_work other = place->engine->work;
 
@@ -151,7 +146,8 @@
 add_place (const struct plan *plan, GArray *places,
            struct planner_engine *engine, const char *name)
 {
-  struct place place = { .model = plan_model (plan, name), .engine = engine };
+  struct plan_place place
+      = { .model = plan_model (plan, name), .engine = engine };
 
   if (place.model != NULL)
     g_array_append_val (places, place);
@@ -183,7 +179,7 @@
 static GArray *
 all_places (const struct plan *plan)
 {
-  GArray *places = g_array_new (FALSE, FALSE, sizeof (struct place));
+  GArray *places = g_array_new (FALSE, FALSE, sizeof (struct plan_place));
   struct planner_engine *engine;
   GHashTableIter iter;
 
@@ -192,8 +188,10 @@
     {
       engine->work = no_work;
       engine->weighted_per_s = 0;
+      engine->first_place = places->len;
       if (!engine->leaving)
         add_engine_places (plan, places, engine);
+      engine->place_count = places->len - engine->first_place;
     }
   return places;
 }
@@ -205,10 +203,10 @@
 share_requests (GArray *places, bool first)
 {
   for (guint i = 0; i < places->len; i++)
-    g_array_index (places, struct place, i).model->speed = 0;
+    g_array_index (places, struct plan_place, i).model->speed = 0;
   for (guint i = 0; i < places->len; i++)
     {
-      struct place *place = &g_array_index (places, struct place, i);
+      struct plan_place *place = &g_array_index (places, struct plan_place, i);
       struct planner_delay_work other = other_work (place);
 
       place->speed = speed_left (place->engine, &other);
@@ -216,7 +214,7 @@
     }
   for (guint i = 0; i < places->len; i++)
     {
-      struct place *place = &g_array_index (places, struct place, i);
+      struct plan_place *place = &g_array_index (places, struct plan_place, i);
       double share = place->speed / place->model->speed;
 
       place->share = first ? share : (place->share + share) / 2;
@@ -229,7 +227,7 @@
   for (guint i = 0; i < places->len; i++)
     {
       struct planner_engine *engine
-          = g_array_index (places, struct place, i).engine;
+          = g_array_index (places, struct plan_place, i).engine;
 
       engine->work = no_work;
       engine->weighted_per_s = 0;
@@ -237,7 +235,8 @@
     }
   for (guint i = 0; i < places->len; i++)
     {
-      const struct place *place = &g_array_index (places, struct place, i);
+      const struct plan_place *place
+          = &g_array_index (places, struct plan_place, i);
       const struct plan_model *model = place->model;
       double per_s = model->per_s * place->share;
 
@@ -249,7 +248,7 @@
 
 /* Adds what the place contributes to the means of its model.  */
 static void
-add_to_model (const struct place *place)
+add_to_model (const struct plan_place *place)
 {
   struct plan_model *model = place->model;
   struct planner_delay_work other = other_work (place);
@@ -265,15 +264,26 @@
   model->other.tokens += place->share * other.tokens;
 }
 
-/* The delay of requests for MODEL with N replicas at engines like those that
-   it has.  */
+/* What the requests for MODEL count for at engines with WORK and PACE: their
+   delay, and the part of them that is late.  */
+static double
+delay_cost (const struct plan_model *model,
+            const struct planner_delay_work *work, double pace)
+{
+  double ratio = planner_delay_ratio (model->requests, work, pace);
+  double late = MIN (MAX (ratio - NEED_RATIO, 0), 1);
+
+  return bounded (planner_delay_s (&model->unit, work, pace)) + LATE_S * late;
+}
+
+/* The same with N replicas at engines like those that MODEL has.  */
 static double
-delay_with (const struct plan_model *model, unsigned n)
+cost_with (const struct plan_model *model, unsigned n)
 {
   struct planner_delay_work work = model->other;
 
   planner_delay_add_work (&work, &model->unit, model->per_s / n);
-  return bounded (planner_delay_s (&model->unit, &work, model->pace));
+  return delay_cost (model, &work, model->pace);
 }
 
 /* The delay that a load of MODEL saves its requests within URGENCY_HORIZON_S,
@@ -301,7 +311,6 @@
 static void
 init_delays (struct plan *plan, struct plan_model *model)
 {
-  double weighted_per_s = model->weight * model->per_s;
   double idle_s;
 
   if (model->speed <= 0)
@@ -315,15 +324,6 @@
   /* Only fewer requests for other models would help.  */
   if (model->needed == PLANNER_DELAY_REPLICAS_MAX && !model->leads)
     model->needed = model->replicas;
-  if (model->loaded > 1)
-    model->kept = planner_delay_replicas (
-        model->requests, model->per_s, &model->other, model->pace, KEEP_RATIO);
-  if (counted_s (plan) < FOUND_S)
-    model->kept = MAX (model->kept, model->loaded);
-  if (model->loaded > 1)
-    model->loss_s = PLANNER_HORIZON_S * weighted_per_s
-                    * (delay_with (model, model->loaded - 1)
-                       - delay_with (model, model->loaded));
   model->urgency = urgency (model, idle_s);
   plan->lacks_replicas
       |= model->replicas > 0 && model->needed > model->replicas;
@@ -372,6 +372,7 @@
   plan->planner->by_delay = true;
   init_models (plan);
   places = all_places (plan);
+  plan->places = places;
   plan->is_empty = places->len == 0;
   for (int pass = 0; pass < SHARE_PASSES; pass++)
     {
@@ -380,8 +381,7 @@
     }
   init_engines (plan);
   for (guint i = 0; i < places->len; i++)
-    add_to_model (&g_array_index (places, struct place, i));
-  g_array_unref (places);
+    add_to_model (&g_array_index (places, struct plan_place, i));
   g_hash_table_iter_init (&iter, plan->models);
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&model))
     init_delays (plan, model);
@@ -418,25 +418,94 @@
          < STARTING_S;
 }
 
-void
-planner_work_set_value (const struct plan *plan, struct plan_model *model)
+/* What the engines of the other replicas of the model of PLACE do for other
+   models, and their pace, in the mean.  */
+static struct planner_delay_work
+other_places (const struct plan_place *place, double *pace)
+{
+  const struct plan_model *model = place->model;
+  struct planner_delay_work own = other_work (place);
+  struct planner_delay_work rest = model->other;
+  double scale = 1 / MAX (1 - place->share, SHARE_MIN);
+
+  planner_delay_add_work (&rest, &own, -place->share);
+  rest.read_s = MAX (rest.read_s * scale, 0);
+  rest.read_square_s = MAX (rest.read_square_s * scale, 0);
+  rest.tokens = MAX (rest.tokens * scale, 0);
+  *pace = (model->pace - place->share * engine_pace (place->engine)) * scale;
+  *pace = MAX (*pace, PACE_MIN);
+  return rest;
+}
+
+/* The value of one of several replicas.  */
+static double
+replica_value (const struct plan *plan, const struct plan_place *place)
+{
+  const struct plan_model *model = place->model;
+  double pace;
+  struct planner_delay_work work = other_places (place, &pace);
+  double more_s;
+
+  planner_delay_add_work (&work, &model->unit,
+                          model->per_s / (model->loaded - 1));
+  if (counted_s (plan) >= FOUND_S
+      && (model->per_s < PLANNER_DELAY_MIN_PER_S
+          || planner_delay_ratio (model->requests, &work, pace) <= KEEP_RATIO))
+    return SURPLUS_VALUE * (1 + model->per_s);
+  more_s = delay_cost (model, &work, pace) - model->delay_s;
+  return BASE_VALUE
+         + PLANNER_HORIZON_S * model->weight * model->per_s * MAX (more_s, 0);
+}
+
+/* The value of the only replica, on ENGINE.  */
+static double
+sole_value (const struct plan_model *model,
+            const struct planner_engine *engine)
 {
+  bool fetches;
+  double reload_s = planner_load_s (engine, model->site, &fetches);
   double per_s = MAX (model->per_s, model->long_per_s);
 
-  model->value_per_reload_s = 0;
+  return IDLE_VALUE
+         + model->weight * per_s * PLANNER_HORIZON_S
+               * (reload_s + PLANNER_MAKE_ROOM_S);
+}
+
+static struct plan_place *
+find_place (const struct plan *plan, const struct planner_engine *engine,
+            const struct plan_model *model)
+{
+  for (unsigned i = 0; i < engine->place_count; i++)
+    {
+      struct plan_place *place = &g_array_index (
+          plan->places, struct plan_place, engine->first_place + i);
+
+      if (place->model == model)
+        return place;
+    }
+  return NULL;
+}
+
+double
+planner_work_value (const struct plan *plan,
+                    const struct planner_engine *engine,
+                    const struct plan_model *model)
+{
+  struct plan_place *place = find_place (plan, engine, model);
+
+  if (place == NULL || model->loaded == 0)
+    return IDLE_VALUE;
+  if (place->valued_at == model->loaded)
+    return place->value;
+  place->valued_at = model->loaded;
   if (planner_work_is_learning (plan) || model->waiting > 0
       || (model->loaded <= 1 && is_starting (plan, model)))
-    model->value = PLANNER_PINNED_VALUE;
-  else if (model->loaded > 1 && model->loaded > model->kept)
-    model->value = SURPLUS_VALUE * (1 + model->per_s);
+    place->value = PLANNER_PINNED_VALUE;
   else if (model->loaded > 1)
-    model->value = BASE_VALUE + model->loss_s;
+    place->value = replica_value (plan, place);
   else
-    {
-      model->value_per_reload_s = model->weight * per_s * PLANNER_HORIZON_S;
-      model->value
-          = IDLE_VALUE + model->value_per_reload_s * PLANNER_MAKE_ROOM_S;
-    }
+    place->value = sole_value (model, engine);
+  return place->value;
 }
 
 double
@@ -446,7 +515,7 @@
 
   /* Those that move to the new replica count in planner_work_place_cost.  */
   return PLANNER_HORIZON_S * model->weight * model->per_s * n / (n + 1)
-         * (delay_with (model, n) - delay_with (model, n + 1));
+         * (cost_with (model, n) - cost_with (model, n + 1));
 }
 
 double
@@ -482,7 +551,7 @@
   double pace = engine_pace (engine);
 
   return g_strdup_printf (
-      " delay_s=%.3f needed=%u kept=%u urgency=%.1f pace=%.2f busy=%.2f",
-      model->delay_s, model->needed, model->kept, model->urgency, pace,
+      " delay_s=%.3f needed=%u urgency=%.1f pace=%.2f busy=%.2f",
+      model->delay_s, model->needed, model->urgency, pace,
       planner_delay_utilization (&engine->work, pace));
 }
--- a/src/planner_work.h
+++ b/src/planner_work.h
@@ -21,7 +21,8 @@
 #define PLANNER_WORK_LONG_S 120.0
 
 /* Sets by_delay, and if it is true the work of all engines and the delays of
-   all models.  Called once the replicas and waiting requests are counted.  */
+   all models.  Called once the replicas and waiting requests are
+   counted.  The caller frees PLACES of PLAN.  */
 void planner_work_init (struct plan *plan);
 
 /* Whether the decider is too new to know what runs, or has run lately, at the
@@ -33,10 +34,10 @@
 unsigned planner_work_needed (const struct plan *plan,
                               const struct plan_model *model);
 
-/* Sets the value of a replica of MODEL: VALUE, and VALUE_PER_RELOAD_S for each
-   second that its engine takes to reload it.  */
-void planner_work_set_value (const struct plan *plan,
-                             struct plan_model *model);
+/* Value of the replica of MODEL on ENGINE.  */
+double planner_work_value (const struct plan *plan,
+                           const struct planner_engine *engine,
+                           const struct plan_model *model);
 
 /* Number of engines that should have an adapter of MODEL which gets PER_S
    requests a second; not more than those that have the model.  */
