--- a/src/planner_round.c
+++ b/src/planner_round.c
@@ -10,7 +10,14 @@
 
 #define PRIOR_RATE_PER_S 0.03 /* rate assumed for a model never requested */
 #define PRELOAD_MAX_TRIES 16  /* per round: each examines every engine */
-#define IDLE_VALUE 0.01       /* of a loaded model without requests */
+/* The same if planned by delay.  The most urgent models are tried in each
+   round, the others in turn.  */
+#define PRELOAD_MAX_TRIES_BY_DELAY 1
+#define RELIEF_URGENT 1
+#define RELIEF_MAX_TRIES 2
+#define RELIEF_TURNS 8
+#define RESERVED_SHARE 0.5 /* see reserved_urgency */
+#define IDLE_VALUE 0.01    /* of a loaded model without requests */
 /* Delay that a request saves which waits for a model on no engine: it is
    rejected otherwise.  So no model with many requests is evicted for a few
    that wait.  */
@@ -131,13 +138,15 @@
 choose_engine (const struct plan *plan, const struct plan_model *model,
                const char *software, double benefit, bool fetch)
 {
-  struct planner_candidate candidate
-      = planner_choose_engine (plan, model->site, software, false);
-  bool slow = candidate.engine == NULL || candidate.loss >= benefit
-              || candidate.busy_s + candidate.load_s >= model->site->load_s;
+  struct planner_candidate candidate = { .engine = NULL };
   bool patient = model->has_local_copy && model->waiting > 0
                  && model->waited_s <= COPY_WAIT_S;
+  bool slow;
 
+  if (model->has_local_copy)
+    candidate = planner_choose_engine (plan, model->site, software, false);
+  slow = candidate.engine == NULL || candidate.loss >= benefit
+         || candidate.busy_s + candidate.load_s >= model->site->load_s;
   if (fetch && slow && !patient && budget_allows_fetch (plan, 0))
     candidate = planner_choose_engine (plan, model->site, software, true);
   return candidate;
@@ -212,11 +221,11 @@
 /* Loads one more replica of MODEL, whose requests are delayed too much, if
    that saves more delay than it costs.  */
 static void
-relieve (struct plan *plan, struct plan_model *model)
+relieve (struct plan *plan, struct plan_model *model, bool fetch)
 {
   double benefit = planner_work_benefit (model);
   struct planner_candidate candidate
-      = choose_engine (plan, model, NULL, benefit, true);
+      = choose_engine (plan, model, NULL, benefit, fetch);
 
   if (candidate.engine == NULL || candidate.busy_s > 0
       || candidate.loss + LOAD_COST * candidate.load_s >= benefit)
@@ -224,6 +233,34 @@
   start_loading (plan, model, &candidate);
 }
 
+/* Whether the model of this rank, by urgency, of those that lack replicas is
+   tried in this round.  */
+static bool
+is_in_turn (const struct plan *plan, unsigned rank)
+{
+  return rank < RELIEF_URGENT
+         || (rank + plan->planner->rounds) % RELIEF_TURNS == 0;
+}
+
+/* The least urgency for which a model may use the weight store.  A model that
+   is being loaded and lacks further replicas will need it next: a load for
+   another one would keep it waiting for long.  */
+static double
+reserved_urgency (const GPtrArray *models)
+{
+  double most = 0;
+
+  for (guint i = 0; i < models->len; i++)
+    {
+      const struct plan_model *model = g_ptr_array_index (models, i);
+
+      if (model->needed > model->replicas
+          && (model->pending || model->replicas > model->loaded))
+        most = MAX (most, model->urgency);
+    }
+  return RESERVED_SHARE * most;
+}
+
 /* The same as load_waiting_models and add_replicas, in one order: planned by
    delay, requests that wait at an engine compete with those that wait for one
    for the weight store and for engines.  What requests wait for most is not
@@ -233,6 +270,9 @@
 load_by_urgency (struct plan *plan, const GPtrArray *models)
 {
   bool fetch = !planner_work_is_learning (plan) || plan->is_empty;
+  double reserved = reserved_urgency (models);
+  unsigned rank = 0;
+  unsigned tries = 0;
 
   for (guint i = 0; i < models->len; i++)
     {
@@ -242,10 +282,11 @@
         continue;
       if (model->waiting > 0 && model->unlimited == 0)
         try_load (plan, model, NULL, WAITING_VALUE * model->waiting_weight,
-                  fetch);
-      else if (model->replicas > 0
-               && model->replicas < planner_needed_replicas (plan, model))
-        relieve (plan, model);
+                  fetch && model->urgency >= reserved);
+      else if (!plan->partial && model->replicas > 0
+               && model->replicas < planner_needed_replicas (plan, model)
+               && is_in_turn (plan, rank++) && tries++ < RELIEF_MAX_TRIES)
+        relieve (plan, model, model->urgency >= reserved);
     }
 }
 
@@ -400,10 +441,12 @@
 preload (struct plan *plan, const GPtrArray *models)
 {
   bool fetch = may_preload (plan);
+  unsigned max_tries
+      = plan->by_delay ? PRELOAD_MAX_TRIES_BY_DELAY : PRELOAD_MAX_TRIES;
   unsigned tries = 0;
   guint next = 0;
 
-  for (guint i = 0; i < models->len && tries < PRELOAD_MAX_TRIES; i++)
+  for (guint i = 0; i < models->len && tries < max_tries; i++)
     {
       guint at = (i + plan->planner->preload_offset) % models->len;
       struct plan_model *model = g_ptr_array_index (models, at);
@@ -458,6 +501,24 @@
     }
 }
 
+/* Rounds follow on changes, up to many in PLANNER_TICK_MS.  Planned by delay,
+   only one in that time looks beyond requests that wait: the rates that the
+   rest follows from change slowly.  */
+static void
+begin_round (struct plan *plan)
+{
+  struct planner *planner = plan->planner;
+
+  plan->partial
+      = plan->by_delay
+        && ts_before (plan->now, ts_add_ms (planner->full_round_at,
+                                            PLANNER_TICK_MS * 9 / 10));
+  if (plan->partial)
+    return;
+  planner->rounds++;
+  planner->full_round_at = plan->now;
+}
+
 void
 planner_run_round (struct planner *planner, struct timespec now,
                    struct action_list *out)
@@ -469,6 +530,7 @@
 
   planner_count (&plan);
   planner_work_init (&plan);
+  begin_round (&plan);
   g_hash_table_iter_init (&iter, planner->engines);
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&engine))
     if (engine->next_model != NULL)
@@ -483,9 +545,15 @@
   load_resuming_models (&plan);
   if (!plan.by_delay)
     add_replicas (&plan, models);
-  planner_replicate_adapters (&plan);
-  preload (&plan, models);
+  if (!plan.partial)
+    {
+      planner_replicate_adapters (&plan);
+      preload (&plan, models);
+    }
   estimate_ready_times (&plan, models);
   g_ptr_array_unref (models);
   g_hash_table_unref (plan.models);
+  g_free (plan.model_array);
+  if (plan.places != NULL)
+    g_array_unref (plan.places);
 }
--- a/src/planner_value.c
+++ b/src/planner_value.c
@@ -49,7 +49,7 @@
 }
 
 static double
-value_by_rate (const struct plan *plan, const struct plan_model *model,
+compute_value (const struct plan *plan, const struct plan_model *model,
                double reload_s)
 {
   /* Other replicas take over a part of the requests.  */
@@ -70,12 +70,21 @@
 }
 
 static double
-compute_value (const struct plan *plan, const struct plan_model *model,
-               double reload_s)
+value_by_rate (const struct plan *plan, const struct planner_engine *engine,
+               struct plan_model *model)
 {
-  if (plan->by_delay)
-    return planner_work_value (plan, model, reload_s);
-  return value_by_rate (plan, model, reload_s);
+  if (!model->values_known)
+    {
+      model->value_if_in_memory
+          = compute_value (plan, model, model->site->memory_s);
+      model->value_if_on_disk
+          = compute_value (plan, model, model->site->disk_s);
+      model->values_known = true;
+    }
+  return inventory_name_listed (engine->inventory->in_memory,
+                                model->site->name)
+             ? model->value_if_in_memory
+             : model->value_if_on_disk;
 }
 
 /* Value lost when the model NAME is evicted from ENGINE.  */
@@ -88,23 +97,8 @@
 
   if (model == NULL)
     return 0;
-  if (!model->values_known)
-    {
-      model->value_if_in_memory
-          = compute_value (plan, model, model->site->memory_s);
-      model->value_if_on_disk
-          = compute_value (plan, model, model->site->disk_s);
-      model->value_if_in_store
-          = compute_value (plan, model, model->site->load_s);
-      model->values_known = true;
-    }
-  if (inventory_name_listed (engine->inventory->in_memory, name))
-    value = model->value_if_in_memory;
-  else if (!plan->by_delay
-           || inventory_name_listed (engine->inventory->on_disk, name))
-    value = model->value_if_on_disk;
-  else
-    value = model->value_if_in_store;
+  value = plan->by_delay ? planner_work_value (plan, engine, model)
+                         : value_by_rate (plan, engine, model);
   if (g_strcmp0 (engine->last_loaded, name) == 0
       && ts_to_s (ts_sub (plan->now, engine->loaded_at)) < RECENT_S)
     value += RECENT_VALUE;
--- a/src/planner_work.h
+++ b/src/planner_work.h
@@ -21,7 +21,8 @@
 #define PLANNER_WORK_LONG_S 120.0
 
 /* Sets by_delay, and if it is true the work of all engines and the delays of
-   all models.  Called once the replicas and waiting requests are counted.  */
+   all models.  Called once the replicas and waiting requests are
+   counted.  The caller frees PLACES of PLAN.  */
 void planner_work_init (struct plan *plan);
 
 /* Whether the decider is too new to know what runs, or has run lately, at the
@@ -33,12 +34,13 @@
 unsigned planner_work_needed (const struct plan *plan,
                               const struct plan_model *model);
 
-/* Value of the replica of MODEL on an engine that reloads it in RELOAD_S.  */
+/* Value of the replica of MODEL on ENGINE.  */
 double planner_work_value (const struct plan *plan,
-                           const struct plan_model *model, double reload_s);
+                           const struct planner_engine *engine,
+                           const struct plan_model *model);
 
 /* Number of engines that should have an adapter of MODEL which gets PER_S
-   requests a second.  */
+   requests a second; not more than those that have the model.  */
 unsigned planner_work_needed_adapters (const struct plan_model *model,
                                        double per_s);
 
@@ -51,6 +53,9 @@
 double planner_work_place_cost (const struct planner_engine *engine,
                                 const struct plan_model *model);
 
+/* -planner_work_place_cost is not greater than this.  */
+double planner_work_most_saved (const struct plan_model *model);
+
 /* Key=value pairs for the log, with a blank before each; the caller frees with
    g_free.  */
 char *planner_work_reason (const struct planner_engine *engine,
