fairshare: a customer above its share does not make the others wait

When capacity was short, a customer that sent many times its usual load had its requests served in turn with all others, which were refused as often.

fairshare orders waiting requests of one priority by the share of its rate that their customer has had, and names customers that have had far more than their share while others lack theirs: their requests are refused from half of the usual delay on and have one step less of urgency. A customer that is served less than half as often as the others is exempt.

--- a/src/forward_customer.c
+++ b/src/forward_customer.c
@@ -187,6 +187,8 @@
   if (counts != NULL && !forward->customer_sent)
     counts->tokens += MIN (forward->parsed.prompt_tokens, TOKENS_MAX)
                       + MIN (forward->parsed.answer_tokens, TOKENS_MAX);
+  if (!forward->customer_sent)
+    forward_fair_sent (forward);
   forward->customer_sent = true;
 }
 
@@ -197,6 +199,8 @@
 
   if (counts != NULL)
     counts->refused++;
+  if (!forward->customer_sent)
+    forward_fair_refused (forward);
 }
 
 /* Whether another node has proven the customer of REQUEST.  */
--- a/src/forward_log.c
+++ b/src/forward_log.c
@@ -41,6 +41,13 @@
                 forward->explanation.delay_s * (double)TS_MS_PER_S);
 }
 
+static void
+log_over (const struct forward *forward, struct log_line *line)
+{
+  if (forward_is_over (forward))
+    log_int (line, "over", 1);
+}
+
 /* The stream that the request continues, and its last event.  */
 static void
 log_resume (const struct forward *forward, struct log_line *line)
@@ -90,6 +97,7 @@
   log_delay (forward, &line);
   log_int (&line, "usable", forward->explanation.usable);
   log_int (&line, "version", (int64_t)forward->site->version);
+  log_over (forward, &line);
   log_end (&line);
 }
 
@@ -135,6 +143,7 @@
   log_int (&line, "cut", forward->head_sent);
   log_int (&line, "sendings", forward_sendings (forward));
   log_delay (forward, &line);
+  log_over (forward, &line);
   log_int (&line, "retry_after_ms", retry_ms);
   log_end (&line);
 }
--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -71,6 +71,7 @@
   else
     TAILQ_INSERT_TAIL (&gateway->waiting, forward, link);
   counter_add (COUNTER_WAITING, 1);
+  forward_fair_wait (forward);
   forward_log_waiting (forward, ready_at);
   add_to_waiting_count (forward, 1);
   gateway_dispatch_later (gateway);
@@ -84,6 +85,7 @@
   TAILQ_REMOVE (&forward->gateway->waiting, forward, link);
   forward->state = FORWARD_NEW;
   counter_add (COUNTER_WAITING, -1);
+  forward_fair_end_wait (forward);
   add_to_waiting_count (forward, -1);
 }
 
@@ -226,8 +228,10 @@
 static unsigned
 compute_urgency (const struct forward *forward)
 {
-  return MIN (URGENCY_BASE + URGENCY_PER_PRIORITY * forward_priority (forward),
-              URGENCY_MAX);
+  unsigned urgency
+      = URGENCY_BASE + URGENCY_PER_PRIORITY * forward_priority (forward);
+
+  return MIN (urgency + forward_is_over (forward), URGENCY_MAX);
 }
 
 static GPtrArray *
@@ -485,6 +489,7 @@
       (double)forward->route->objective_ms / (double)TS_MS_PER_S,
       (double)forward_left_ms (forward) / (double)TS_MS_PER_S);
 
+  limit_s *= forward_delay_share (forward);
   if (forward->target == NULL || forward->dispatches > 0 || delay_s <= limit_s)
     return false;
   if (is_admitted_first (forward))
@@ -679,6 +684,7 @@
   struct forward *forward;
   struct forward *next;
 
+  forward_order_waiting (gateway);
   for (forward = TAILQ_FIRST (&gateway->waiting); forward != NULL;
        forward = next)
     {
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -1,5 +1,5 @@
 /* forward_state - state of one request, shared by the modules forward,
-   forward_send, forward_limit, forward_customer, forward_relay,
+   forward_send, forward_limit, forward_customer, forward_fair, forward_relay,
    forward_resume, forward_quarantine, forward_answer and forward_log.  Private
    to them.  */
 
@@ -44,7 +44,8 @@
   const struct site_route *route;
   const struct site_service *service;
   const struct site_customer *customer; /* of SITE; NULL: none */
-  bool customer_sent;                   /* the request was counted as sent */
+  bool waits_for_capacity; /* counted as waiting, see forward_fair.c */
+  bool customer_sent;      /* the request was counted as sent */
   bool customer_proven; /* by another node, which has passed the request on */
   char *target; /* model or adapter; NULL: not given, or a plain service */
   enum forward_state state;
@@ -208,6 +209,21 @@
 /* The request is refused.  */
 void forward_note_refused (struct forward *forward);
 
+/* forward_fair.c: shares of customers, see fairshare.h.  */
+
+void forward_fair_sent (const struct forward *forward);
+void forward_fair_refused (const struct forward *forward);
+/* The request begins to wait, or ends to.  */
+void forward_fair_wait (struct forward *forward);
+void forward_fair_end_wait (struct forward *forward);
+/* Whether the customer has had far more than its share while others lack
+   theirs.  */
+bool forward_is_over (const struct forward *forward);
+/* Part of the usual longest delay for which the request is sent.  */
+double forward_delay_share (const struct forward *forward);
+/* Sorts the waiting requests.  */
+void forward_order_waiting (struct gateway *gateway);
+
 /* forward_relay.c: requests passed on to other nodes, see cutoff.h.  */
 
 /* Reads whether another node passed the request on, and what it tells.  */
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <string.h>
 #include "counter.h"
+#include "fairshare.h"
 #include "forward.h"
 #include "gateway_state.h"
 #include "histo.h"
@@ -231,6 +232,7 @@
 
   eject_clean (gateway->eject, now);
   reach_clean (gateway->reach, now);
+  fairshare_clean (gateway->fairshare, now);
   loop_timer_set (gateway->core->loop, timer,
                   ts_add_ms (now, CLEANUP_INTERVAL_MS));
 }
@@ -456,6 +458,7 @@
   gateway->service.name = "gateway";
   gateway->options = *options;
   gateway->usage = usage_new ();
+  gateway->fairshare = fairshare_new ();
   TAILQ_INIT (&gateway->waiting);
   TAILQ_INIT (&gateway->open_requests);
   gateway->patience
@@ -478,6 +481,7 @@
     return;
   gateway_keys_stop (gateway);
   usage_free (gateway->usage);
+  fairshare_free (gateway->fairshare);
   pick_free (gateway->pick);
   eject_free (gateway->eject);
   brittle_free (gateway->brittle);
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -31,6 +31,7 @@
 
 struct forward;
 struct keyring;
+struct fairshare;
 struct usage;
 
 TAILQ_HEAD (forward_list, forward);
@@ -85,6 +86,7 @@
   struct site *keyring_site; /* reference */
   uint64_t key_seed;
   struct usage *usage;
+  struct fairshare *fairshare;
 };
 
 /* gateway_probe.c: whether servers are cut off from this node, see cutoff.h.
