--- a/src/forward_admit.c
+++ b/src/forward_admit.c
@@ -87,7 +87,7 @@
 forward_is_overloaded (const struct forward *forward, int64_t *retry_ms)
 {
   double delay_s = forward->explanation.delay_s;
-  double limit_s = delay_limit (forward);
+  double limit_s = delay_limit (forward) * forward_delay_share (forward);
 
   if (forward->target == NULL || forward->dispatches > 0 || delay_s <= limit_s)
     return false;
