quota: debts, prefetch and returns as the bounds allow; tests

Cause: a request could be left without an ask when another request used its grant; returns within one step of the history were lost; refused nodes asked again as soon as a home had something. Change: a grant serves the request that asked first; the level of the past is kept in steps of 10 ms; a node that was refused pauses for up to half of the time in which a bucket fills.

--- a/src/forward_quota.c
+++ b/src/forward_quota.c
@@ -85,9 +85,8 @@
 static void
 check_quota (struct forward *forward)
 {
-  struct quota_verdict verdict
-      = quotas_check (forward->gateway->quotas, forward->customer->name,
-                      forward->quota_wait);
+  struct quota_verdict verdict = quotas_check (
+      forward->gateway->quotas, forward->customer->name, forward->quota_wait);
 
   if (verdict.state == QUOTA_ASKED)
     return;
--- a/src/homes.c
+++ b/src/homes.c
@@ -118,7 +118,7 @@
   return home;
 }
 
-/* Inserts NAME into the COUNT names of OUT, by WEIGHTS, highest first.  Returns
+/* Inserts NAME into the COUNT names of OUT, by WEIGHTS, highest first. Returns
    their number, at most MAX.  */
 static size_t
 insert_home (const char **out, uint64_t *weights, size_t count, size_t max,
--- a/src/nodetable.h
+++ b/src/nodetable.h
@@ -19,8 +19,8 @@
   struct core *core;
   struct links *links;
   struct loop_timer timer;
-  bool registered; /* this node's own row is written */
-  size_t count;    /* rows when last listed; 0: not yet */
+  bool registered;  /* this node's own row is written */
+  size_t count;     /* rows when last listed; 0: not yet */
   GPtrArray *names; /* of the nodes when last listed; NULL: not yet */
 };
 
--- a/src/quota.c
+++ b/src/quota.c
@@ -11,6 +11,7 @@
 /* Only one part of the fleet can have more than this share of all nodes, and
    only that one issues bursts.  */
 #define MAJORITY 0.5
+#define PAUSE_SHARE 0.5    /* of the time in which a bucket becomes full */
 #define MOVED_RETRY_MS 200 /* time for a node to learn of another home */
 
 static void
@@ -73,7 +74,7 @@
 
 struct quota_action *
 quota_push (struct action_list *actions, enum quota_action_type type,
-      const char *node, const char *customer)
+            const char *node, const char *customer)
 {
   struct quota_action *action
       = action_push (actions, sizeof *action, (int)type);
@@ -143,7 +144,8 @@
 }
 
 void
-quota_begin_trouble (struct limit *limit, struct timespec since, struct timespec now)
+quota_begin_trouble (struct limit *limit, struct timespec since,
+                     struct timespec now)
 {
   if (!ts_is_zero (limit->trouble_since))
     return;
@@ -198,11 +200,11 @@
   memcpy (limit->homes, homes, sizeof homes);
   limit->home_count = count;
   if (is_home && !limit->is_home)
-    quota_bucket_start (&limit->bucket,
-                        ts_add_ms (ts_max (homes_changed_at (quota->homes),
-                                           quota->known_at),
-                                   QUOTA_HOLD_MS),
-                        now);
+    quota_bucket_start (
+        &limit->bucket,
+        ts_add_ms (ts_max (homes_changed_at (quota->homes), quota->known_at),
+                   QUOTA_HOLD_MS),
+        now);
   limit->is_home = is_home;
 }
 
@@ -315,6 +317,16 @@
                           now);
 }
 
+/* How long a node that was refused asks for nothing.  The bucket does not
+   overflow in so long if no other node asks.  */
+static int64_t
+pause_ms (const struct quota_part *part)
+{
+  return part->per_s > 0
+             ? (int64_t)(TS_MS_PER_S * part->burst * PAUSE_SHARE / part->per_s)
+             : 0;
+}
+
 void
 quota_asked (struct quota *quota, const char *peer, const char *customer,
              uint64_t number, double need, double want, struct timespec now,
@@ -334,8 +346,12 @@
         action->need
             = need + quota_bucket_issue_extra (&limit->bucket, want, now);
       else
-        action->wait_ms
-            = quota_bucket_promise (&limit->bucket, need, ready_ms, now);
+        {
+          action->wait_ms
+              = quota_bucket_promise (&limit->bucket, need, ready_ms, now);
+          ready_ms = MAX (
+              ready_ms, MIN (action->wait_ms, pause_ms (&limit->bucket.part)));
+        }
     }
   else
     action->wait_ms = MOVED_RETRY_MS;
@@ -371,6 +387,7 @@
 
   if (wait == NULL || wait->verdict.state != QUOTA_ASKED)
     return;
+  wait->refused = true;
   limit->promised = ts_max (limit->promised, ts_add_ms (now, wait_ms));
   quota_try_homes (quota, limit, wait, now, actions);
 }
@@ -399,7 +416,7 @@
     }
   g_array_remove_index (limit->asks, i);
   quota_credit_add (&limit->credit, amount, ask.at);
-  quota_settle_by_credit (limit, now);
+  quota_settle_by_credit (limit, ask.wait, now);
   if (amount <= 0)
     refused (quota, limit, ask.timed_out ? 0 : ask.wait, wait_ms, now,
              actions);
@@ -437,9 +454,9 @@
         time_out (quota, limit, i - 1, now, actions);
     }
   for (guint i = limit->asks->len; i > 0; i--)
-    if (!ts_before (now, ts_add_ms (
-                             g_array_index (limit->asks, struct ask, i - 1).at,
-                             QUOTA_CREDIT_MS)))
+    if (!ts_before (
+            now, ts_add_ms (g_array_index (limit->asks, struct ask, i - 1).at,
+                            QUOTA_CREDIT_MS)))
       g_array_remove_index (limit->asks, i - 1);
 }
 
@@ -534,6 +551,7 @@
     .per_s = limit->terms.per_s,
     .use_per_s = quota_credit_use_per_s (&limit->credit, now),
     .balance = quota_credit_balance (&limit->credit, now),
+    .exceeded = limit->exceeded,
     .is_home = limit->is_home,
     .level = limit->is_home ? limit->bucket.level : 0,
     .home_count = limit->home_count,
--- a/src/quota.h
+++ b/src/quota.h
@@ -108,10 +108,11 @@
 {
   double per_s;     /* limit */
   double use_per_s; /* at this node */
-  double balance;  /* held by this node */
+  double balance;   /* held by this node */
   unsigned waiting;
+  uint64_t exceeded; /* requests refused by this node */
   bool is_home;
-  double level; /* of this node's bucket, if IS_HOME */
+  double level;                   /* of this node's bucket, if IS_HOME */
   const char *homes[QUOTA_HOMES]; /* borrowed until the next call */
   size_t home_count;
   unsigned homes_reached; /* linked, and not silent */
--- a/src/quota_credit.c
+++ b/src/quota_credit.c
@@ -123,8 +123,7 @@
 }
 
 double
-quota_credit_use_per_s (const struct quota_credit *credit,
-                        struct timespec now)
+quota_credit_use_per_s (const struct quota_credit *credit, struct timespec now)
 {
   return decayed (credit, now) / USE_MEMORY_S;
 }
--- a/src/quota_credit.h
+++ b/src/quota_credit.h
@@ -14,10 +14,10 @@
 #include <time.h>
 #include <glib.h>
 
-/* With a burst of one second of the rate and a window of 8 s, the use in a
-   window exceeds the quota by 0.6 of 9 s of the rate at most for this.  */
-#define QUOTA_CREDIT_MS 600
-#define QUOTA_CREDIT_RETURN_MS 450
+/* What is used in a window may exceed the quota by that of so long.  The
+   bounds allow 0.9 s of the rate, with a window of 8 s and a burst of 1 s.  */
+#define QUOTA_CREDIT_MS 800
+#define QUOTA_CREDIT_RETURN_MS 650
 
 struct quota_taken
 {
--- a/src/quota_home.c
+++ b/src/quota_home.c
@@ -4,15 +4,14 @@
 #include <glib.h>
 #include "ts.h"
 
-#define RATE_MIN 1e-3       /* per s; a lower one issues nothing */
-#define EXTRA_SHARE 0.5     /* of the level, for what nobody waits for */
+#define RATE_MIN 1e-3      /* per s; a lower one issues nothing */
+#define EXTRA_SHARE 0.5    /* of the level, for what nobody waits for */
 #define DURATION_MAX_S 1e6 /* of what is computed from a rate */
 
 static struct timespec
 duration (double amount, double per_s)
 {
-  return ts_from_s (
-      CLAMP (amount / MAX (per_s, RATE_MIN), 0, DURATION_MAX_S));
+  return ts_from_s (CLAMP (amount / MAX (per_s, RATE_MIN), 0, DURATION_MAX_S));
 }
 
 /* The level of the past.  */
@@ -124,6 +123,7 @@
                         struct timespec issued_at, struct timespec now)
 {
   int64_t first = step_of (issued_at);
+  double step_fill = bucket->part.per_s * QUOTA_HISTORY_STEP_MS / TS_MS_PER_S;
 
   if (bucket->part.slots || ts_before (issued_at, bucket->started_at))
     return;
@@ -133,11 +133,15 @@
   for (int64_t step = first; step <= bucket->step; step++)
     {
       double *highest = highest_at (bucket, step);
+      double room = MAX (bucket->part.burst - *highest, 0);
 
-      amount = MIN (amount, MAX (bucket->part.burst - *highest, 0));
+      /* The highest level of this step may be that before the issue.  */
+      if (step == first)
+        room = MAX (room, amount - step_fill);
+      amount = CLAMP (room, 0, amount);
       *highest += amount;
     }
-  bucket->level += amount;
+  bucket->level = MIN (bucket->level + amount, bucket->part.burst);
 }
 
 /* Issuing.  */
@@ -170,8 +174,7 @@
       *ready_ms = ms_until (bucket->next, now);
       return false;
     }
-  bucket->next
-      = ts_add (bucket->next, duration (need, bucket->part.per_s));
+  bucket->next = ts_add (bucket->next, duration (need, bucket->part.per_s));
   return true;
 }
 
--- a/src/quota_home.h
+++ b/src/quota_home.h
@@ -1,9 +1,9 @@
 /* quota_home - the bucket from which a home issues its part of a customer's
    quota, see quota.h.
 
-   The bucket starts empty.  A request may be larger than the burst of the part:
-   it is issued when the bucket is full, or, where the bounds allow it, not in
-   debt.  The debt is at most one request.
+   The bucket starts empty.  A request may be larger than the burst of the
+   part: it is issued when the bucket is full, or, where the bounds allow it,
+   not in debt.  The debt is at most one request.
 
    A part that belongs to less than half of the nodes is issued in slots: one
    request at a time, at the times that follow from the rate, and what is not
@@ -29,8 +29,8 @@
 #define QUOTA_PROMISE_MAX_MS 10000 /* latest time that is told */
 
 /* How long ago an amount may have been issued that is returned.  */
-#define QUOTA_HISTORY_STEP_MS 250
-#define QUOTA_HISTORY_STEPS 128
+#define QUOTA_HISTORY_STEP_MS 10
+#define QUOTA_HISTORY_STEPS 1024
 
 struct quota_part
 {
@@ -64,7 +64,7 @@
 void quota_bucket_set (struct quota_bucket *bucket,
                        const struct quota_part *part, struct timespec now);
 
-/* Issues NEED, or sets *READY_MS to the time until something may be issued.  */
+/* Issues NEED, or sets *READY_MS to the time until something may be issued. */
 bool quota_bucket_issue (struct quota_bucket *bucket, double need,
                          struct timespec now, int64_t *ready_ms);
 
--- a/src/quota_state.h
+++ b/src/quota_state.h
@@ -31,6 +31,7 @@
   double need;
   guint tried[QUOTA_HOMES]; /* hashes of names */
   size_t tried_count;
+  bool refused;             /* by a home */
   struct timespec retry_at; /* zero: it waits for an answer */
   struct quota_verdict verdict;
 };
@@ -47,6 +48,7 @@
   struct quota_credit credit;
   GArray *asks;  /* struct ask, in the order of their numbers */
   GArray *waits; /* struct wait */
+  uint64_t exceeded;
   unsigned rotation;
   struct timespec prefetch_at;   /* not before */
   struct timespec trouble_since; /* no home was reached; zero: one was */
@@ -61,7 +63,7 @@
   uint64_t serial;
   bool prefetches; /* the bounds allow credit that no request waits for */
   bool owes;       /* and debts of one request at each home */
-  bool known; /* the nodes of the table */
+  bool known;      /* the nodes of the table */
   struct timespec known_at;
   /* Of all nodes: those that this one is a home for, itself, its rank.  */
   double share;
@@ -79,8 +81,8 @@
 /* quota.c */
 
 struct quota_action *quota_push (struct action_list *actions,
-                                 enum quota_action_type type,
-                                 const char *node, const char *customer);
+                                 enum quota_action_type type, const char *node,
+                                 const char *customer);
 /* If a request that waits may go on.  */
 void quota_push_ready (const struct limit *limit, struct action_list *actions);
 /* No home has been reached since SINCE.  */
@@ -90,8 +92,10 @@
 /* quota_wait.c: requests that wait, and what a node asks for.  */
 
 struct wait *quota_find_wait (const struct limit *limit, uint64_t id);
-/* Uses the credit for the requests that wait, in their order.  */
-void quota_settle_by_credit (struct limit *limit, struct timespec now);
+/* Uses the credit for the requests that wait, FIRST before the others; 0:
+   none.  */
+void quota_settle_by_credit (struct limit *limit, uint64_t first,
+                             struct timespec now);
 /* Asks the next home for WAIT, or decides it.  */
 void quota_try_homes (struct quota *quota, struct limit *limit,
                       struct wait *wait, struct timespec now,
--- a/src/quota_wait.c
+++ b/src/quota_wait.c
@@ -5,7 +5,8 @@
 #define RETRY_MS 50 /* while no home is reached */
 /* Between asks for credit that no request waits for.  */
 #define PREFETCH_MS 100
-#define PREFETCH_S 0.5 /* of the expected use is asked for */
+#define PREFETCH_S 0.65       /* of the expected use is asked for */
+#define PREFETCH_REQUESTS 1.5 /* of them at least */
 /* Share of that which may be missing before more is asked for.  */
 #define PREFETCH_MISSING 0.5
 
@@ -30,10 +31,9 @@
   struct wait *wait = quota_find_wait (limit, id);
 
   if (wait != NULL)
-    g_array_remove_index (limit->waits,
-                          (guint)(wait
-                                  - &g_array_index (limit->waits, struct wait,
-                                                    0)));
+    g_array_remove_index (
+        limit->waits,
+        (guint)(wait - &g_array_index (limit->waits, struct wait, 0)));
 }
 
 static void
@@ -54,29 +54,40 @@
   struct timespec at = ts_add_ms (now, MAX (wait_ms, 1));
 
   if (ts_before (at, limit->promised)
-      && ts_before (limit->promised,
-                    ts_add_ms (now, QUOTA_PROMISE_MAX_MS)))
+      && ts_before (limit->promised, ts_add_ms (now, QUOTA_PROMISE_MAX_MS)))
     at = limit->promised;
   limit->promised
       = ts_add (at, ts_from_s (MIN (wait->need / limit->terms.per_s,
                                     QUOTA_PROMISE_MAX_MS / 1000.0)));
+  limit->exceeded++;
   wait->verdict.state = QUOTA_EXCEEDED;
   wait->verdict.wait_ms = ts_to_ms (ts_sub (at, now));
 }
 
-/* Uses the credit for the requests that wait, in their order.  */
+static void
+settle_one_by_credit (struct limit *limit, struct wait *wait,
+                      struct timespec now)
+{
+  struct quota_taken taken;
+
+  if (wait->verdict.state == QUOTA_ASKED
+      && quota_credit_take (&limit->credit, wait->need, now, &taken))
+    settle_taken (limit, wait, &taken, now);
+}
+
+/* The request whose ask was answered comes first: no other answer may come for
+   it.  */
 void
-quota_settle_by_credit (struct limit *limit, struct timespec now)
+quota_settle_by_credit (struct limit *limit, uint64_t first,
+                        struct timespec now)
 {
-  for (guint i = 0; i < limit->waits->len; i++)
-    {
-      struct wait *wait = &g_array_index (limit->waits, struct wait, i);
-      struct quota_taken taken;
+  struct wait *wait = quota_find_wait (limit, first);
 
-      if (wait->verdict.state == QUOTA_ASKED
-          && quota_credit_take (&limit->credit, wait->need, now, &taken))
-        settle_taken (limit, wait, &taken, now);
-    }
+  if (wait != NULL)
+    settle_one_by_credit (limit, wait, now);
+  for (guint i = 0; i < limit->waits->len; i++)
+    settle_one_by_credit (limit, &g_array_index (limit->waits, struct wait, i),
+                          now);
 }
 
 /* Asking.  */
@@ -119,18 +130,17 @@
 }
 
 /* How much is to be asked for beyond AMOUNT, that of the latest request; 0:
-   nothing.  A node that asks for less than two requests at a time would save
-   no message.  */
+   nothing.  A node that asks for less than one request at a time would save no
+   message.  */
 static double
 take_prefetch (const struct quota *quota, struct limit *limit, double amount,
                struct timespec now)
 {
-  double expected
-      = quota_credit_use_per_s (&limit->credit, now) * PREFETCH_S;
+  double expected = quota_credit_use_per_s (&limit->credit, now) * PREFETCH_S;
   double missing = expected - quota_credit_balance (&limit->credit, now);
 
   if (!quota->prefetches || ts_before (now, limit->prefetch_at)
-      || expected < 2 * amount
+      || expected < PREFETCH_REQUESTS * amount
       || missing < expected * PREFETCH_MISSING)
     return 0;
   limit->prefetch_at = ts_add_ms (now, PREFETCH_MS);
@@ -170,6 +180,7 @@
       return true;
     }
   home->full_until = ts_add_ms (now, ready_ms);
+  wait->refused = true;
   return false;
 }
 
@@ -209,7 +220,7 @@
   struct quota_taken taken = { wait->need, { 0 } };
   int64_t ms = refused_for_ms (quota, limit, now);
 
-  if (ms > 0)
+  if (ms > 0 || wait->refused)
     {
       settle_exceeded (limit, wait, ms, now);
       return;
@@ -230,7 +241,7 @@
 
 void
 quota_try_homes (struct quota *quota, struct limit *limit, struct wait *wait,
-           struct timespec now, struct action_list *actions)
+                 struct timespec now, struct action_list *actions)
 {
   struct home *home;
 
@@ -242,7 +253,8 @@
       if (!homes_is_self (quota->homes, home->name))
         {
           send_ask (quota, limit, home, wait,
-                    take_prefetch (quota, limit, wait->need, now), now, actions);
+                    take_prefetch (quota, limit, wait->need, now), now,
+                    actions);
           return;
         }
       limit->trouble_since = (struct timespec){ 0 };
@@ -293,7 +305,7 @@
     return (struct quota_verdict){ .state = QUOTA_TAKEN };
   wait.id = ++quota->serial;
   g_array_append_val (limit->waits, wait);
-  quota_settle_by_credit (limit, now);
+  quota_settle_by_credit (limit, 0, now);
   added = quota_find_wait (limit, wait.id);
   if (added->verdict.state == QUOTA_TAKEN)
     prefetch (quota, limit, amount, now, actions);
@@ -306,7 +318,8 @@
 quota_check (struct quota *quota, const char *customer, uint64_t wait)
 {
   struct limit *limit = quota_find (quota, customer);
-  const struct wait *found = limit != NULL ? quota_find_wait (limit, wait) : NULL;
+  const struct wait *found
+      = limit != NULL ? quota_find_wait (limit, wait) : NULL;
 
   /* The limit was lifted.  */
   if (found == NULL)
@@ -319,7 +332,8 @@
              struct timespec now, struct action_list *actions)
 {
   struct limit *limit = quota_find (quota, customer);
-  const struct wait *found = limit != NULL ? quota_find_wait (limit, wait) : NULL;
+  const struct wait *found
+      = limit != NULL ? quota_find_wait (limit, wait) : NULL;
   struct quota_taken taken;
 
   if (found == NULL)
@@ -351,8 +365,8 @@
    add up.  */
 void
 quota_give_back (struct quota *quota, struct limit *limit,
-           const struct quota_taken *taken, struct timespec now,
-           struct action_list *actions)
+                 const struct quota_taken *taken, struct timespec now,
+                 struct action_list *actions)
 {
   const char *home = home_for_return (quota, limit);
   struct quota_action *action;
@@ -384,10 +398,9 @@
       && !limit->is_home)
     {
       quota_credit_add (&limit->credit, taken->amount, taken->at);
-      quota_settle_by_credit (limit, now);
+      quota_settle_by_credit (limit, 0, now);
       quota_push_ready (limit, actions);
     }
   else
     quota_give_back (quota, limit, taken, now, actions);
 }
-
--- a/src/quotas.c
+++ b/src/quotas.c
@@ -54,10 +54,10 @@
       struct homes_node node
           = { .name = members[i]->id,
               .serves = state == MEMBER_LIVE || state == MEMBER_SUSPECT,
-              .linked = self
-                        || (state != MEMBER_DEAD
-                            && links_connected (quotas->links,
-                                                members[i]->id)) };
+              .linked
+              = self
+                || (state != MEMBER_DEAD
+                    && links_connected (quotas->links, members[i]->id)) };
 
       g_array_append_val (nodes, node);
     }
@@ -96,9 +96,8 @@
 {
   return listing_nodes (quotas->listing) != NULL
          || (nodes->len > 1
-             && ts_before (
-                 ts_add_ms (quotas->started_at, KNOWN_BY_PEERS_MS),
-                 now_of (quotas)));
+             && ts_before (ts_add_ms (quotas->started_at, KNOWN_BY_PEERS_MS),
+                           now_of (quotas)));
 }
 
 static void
@@ -134,14 +133,13 @@
 send_quota (struct quotas *quotas, const struct quota_action *action,
             enum peer_msg_type type)
 {
-  struct peer_quota quota
-      = { .customer = action->customer,
-          .number = action->number,
-          .amount = to_amount (action->need),
-          .want = to_amount (action->want),
-          .wait_ms = (uint64_t)MAX (action->wait_ms, 0),
-          .ready_ms = (uint64_t)MAX (action->ready_ms, 0),
-          .age_ms = (uint64_t)MAX (action->age_ms, 0) };
+  struct peer_quota quota = { .customer = action->customer,
+                              .number = action->number,
+                              .amount = to_amount (action->need),
+                              .want = to_amount (action->want),
+                              .wait_ms = (uint64_t)MAX (action->wait_ms, 0),
+                              .ready_ms = (uint64_t)MAX (action->ready_ms, 0),
+                              .age_ms = (uint64_t)MAX (action->age_ms, 0) };
   struct peer_msg msg = { .type = type, .quotas = &quota, .quota_count = 1 };
 
   if (links_send (quotas->links, action->node, &msg) == 0)
@@ -207,8 +205,8 @@
 
   refresh_nodes (quotas);
   action_list_init (&list);
-  verdict = quota_take (quotas->quota, customer, amount, now_of (quotas),
-                        &list);
+  verdict
+      = quota_take (quotas->quota, customer, amount, now_of (quotas), &list);
   run (quotas, &list);
   return verdict;
 }
@@ -267,9 +265,8 @@
     quota_asked (quotas->quota, from, quota->customer, quota->number, amount,
                  (double)quota->want, now, list);
   else if (type == PEER_QUOTA_GRANT)
-    quota_granted (quotas->quota, from, quota->customer, quota->number,
-                   amount, to_ms (quota->wait_ms), to_ms (quota->ready_ms),
-                   now, list);
+    quota_granted (quotas->quota, from, quota->customer, quota->number, amount,
+                   to_ms (quota->wait_ms), to_ms (quota->ready_ms), now, list);
   else
     quota_returned (quotas->quota, from, quota->customer, quota->number,
                     amount, to_ms (quota->age_ms), now);
@@ -310,8 +307,7 @@
                                    .burst = customer->burst,
                                    .by_tokens = customer->by_tokens };
 
-      if (customer->name != NULL)
-        g_array_append_val (limits, limit);
+      g_array_append_val (limits, limit);
     }
   site_ref (site);
   site_unref (quotas->site);
@@ -325,45 +321,85 @@
 
 /* Metrics.  */
 
-static const char metric_heads[]
-    = "# HELP parsley_quota_per_s quota of the customer, of all nodes\n"
-      "# TYPE parsley_quota_per_s gauge\n"
-      "# HELP parsley_quota_use_per_s use of the quota by this node\n"
-      "# TYPE parsley_quota_use_per_s gauge\n"
-      "# HELP parsley_quota_credit held by this node\n"
-      "# TYPE parsley_quota_credit gauge\n"
-      "# HELP parsley_quota_waiting requests waiting for a home\n"
-      "# TYPE parsley_quota_waiting gauge\n";
+struct metric
+{
+  const char *name;
+  const char *help;
+  const char *type;
+  double (*value) (const struct quota_status *status);
+};
 
-static void
-append_metric (GString *text, const char *name, const char *customer,
-               double value)
+static double
+metric_per_s (const struct quota_status *status)
 {
-  g_string_append_printf (text, "%s{customer=\"%s\"} %.0f\n", name, customer,
-                          value);
+  return status->per_s;
 }
 
-char *
-quotas_metrics (struct quotas *quotas)
+static double
+metric_use (const struct quota_status *status)
+{
+  return status->use_per_s;
+}
+
+static double
+metric_credit (const struct quota_status *status)
+{
+  return status->balance;
+}
+
+static double
+metric_waiting (const struct quota_status *status)
+{
+  return status->waiting;
+}
+
+static double
+metric_exceeded (const struct quota_status *status)
 {
-  GString *text = g_string_new (metric_heads);
-  const GArray *customers
-      = quotas->site != NULL ? quotas->site->customers : NULL;
-  guint count = customers != NULL ? customers->len : 0;
+  return (double)status->exceeded;
+}
 
-  for (guint i = 0; i < MIN (count, METRICS_CUSTOMERS_MAX); i++)
+static const struct metric metrics[]
+    = { { "parsley_quota_per_s", "quota of the customer, of all nodes",
+          "gauge", metric_per_s },
+        { "parsley_quota_use_per_s", "use of the quota at this node", "gauge",
+          metric_use },
+        { "parsley_quota_credit", "part of the quota that this node holds",
+          "gauge", metric_credit },
+        { "parsley_quota_waiting", "requests waiting for the quota", "gauge",
+          metric_waiting },
+        { "parsley_quota_refused_total",
+          "requests refused since the quota exists", "counter",
+          metric_exceeded } };
+
+static void
+append_metric (struct quotas *quotas, const struct metric *metric,
+               GString *text)
+{
+  const GArray *customers = quotas->site->customers;
+
+  g_string_append_printf (text, "# HELP %s %s\n# TYPE %s %s\n", metric->name,
+                          metric->help, metric->name, metric->type);
+  for (guint i = 0; i < MIN (customers->len, METRICS_CUSTOMERS_MAX); i++)
     {
       const char *name
           = g_array_index (customers, struct site_customer, i).name;
       struct quota_status status;
 
-      if (name == NULL || !quotas_status (quotas, name, &status))
-        continue;
-      append_metric (text, "parsley_quota_per_s", name, status.per_s);
-      append_metric (text, "parsley_quota_use_per_s", name, status.use_per_s);
-      append_metric (text, "parsley_quota_credit", name, status.balance);
-      append_metric (text, "parsley_quota_waiting", name, status.waiting);
+      if (quotas_status (quotas, name, &status))
+        g_string_append_printf (text, "%s{customer=\"%s\"} %.0f\n",
+                                metric->name, name, metric->value (&status));
     }
+}
+
+char *
+quotas_metrics (struct quotas *quotas)
+{
+  GString *text = g_string_new (NULL);
+
+  if (quotas->site != NULL && quotas->site->customers->len > 0)
+    for (size_t i = 0; i < G_N_ELEMENTS (metrics); i++)
+      append_metric (quotas, &metrics[i], text);
   return g_string_free (text, FALSE);
 }
 
--- a/tests/gate_fixture.h
+++ b/tests/gate_fixture.h
@@ -27,6 +27,9 @@
 #define SERVER_HEAD_MEMORY (4u << 20)
 #define HEARTBEAT_MS 1200
 
+static const struct quota_bounds gate_quota
+    = { .window_ms = 8000, .over = 0.1, .slack = 110000 };
+
 struct row
 {
   char *value; /* base64 */
@@ -549,6 +552,7 @@
   options.gateway.retry_share = f->retries >= MANY_RETRIES ? 1.0 : 0;
   options.gateway.retry_burst = f->retries;
   options.gateway.config_ms = CONFIG_MS;
+  options.quota = gate_quota;
   g_assert_cmpint (gate_new (&options, &f->gate), ==, 0);
 }
 
--- a/tests/gate_second.h
+++ b/tests/gate_second.h
@@ -96,6 +96,7 @@
   options.gateway.retry_share = 1.0;
   options.gateway.retry_burst = 100;
   options.gateway.config_ms = CONFIG_MS;
+  options.quota = gate_quota;
   g_assert_cmpint (gate_new (&options, &second->gate), ==, 0);
 }
 
--- a/tests/prop_quota.cc
+++ b/tests/prop_quota.cc
@@ -28,15 +28,18 @@
 static const int64_t window_ms = 8000;
 static const double over = 1.1;
 static const double slack = 110000;
-static const int delay_max_ms = 3;      /* of a message */
+static const int delay_max_ms = 3; /* of a message */
 static const int round_trip_ms = 2 * delay_max_ms + 2 * step_ms;
-static const int late_max_ms = 2000;    /* of one that is late */
+static const int late_max_ms = 2000;      /* of one that is late */
 static const int detection_min_ms = 1500; /* of a node that is away */
 static const int detection_max_ms = 5000;
 static const int discovery_max_ms = 1500; /* of the other nodes */
 static const double use_min = 0.95;
 static const double small_per_s = 29000;
 static const int usual_amount = 9200;
+/* Demand of a customer that uses all of its quota, so that chance leaves no
+   pause without requests.  */
+static const double busy = 3;
 
 struct request
 {
@@ -98,11 +101,11 @@
   std::mt19937 random;
   int64_t ms = 1000000;
   std::vector<node> nodes;
-  std::vector<int> side;   /* of each node; nodes of different sides may be
-                              cut off */
-  bool cut_forth = false;  /* from side 0 to side 1 */
+  std::vector<int> side;  /* of each node; nodes of different sides may be
+                             cut off */
+  bool cut_forth = false; /* from side 0 to side 1 */
   bool cut_back = false;
-  bool apart = false;      /* no node reaches another one */
+  bool apart = false; /* no node reaches another one */
   std::multimap<int64_t, message> messages;
   std::multimap<int64_t, refusal> refusals;
   std::vector<run> runs;
@@ -117,8 +120,8 @@
   int64_t longest_wait = 0;
   int set_nodes_ms = 10000; /* less once there is trouble */
 
-  world (unsigned seed, size_t count) : random (seed), nodes (count),
-                                        side (count, 0)
+  world (unsigned seed, size_t count)
+      : random (seed), nodes (count), side (count, 0)
   {
     for (size_t i = 0; i < count; i++)
       {
@@ -311,8 +314,8 @@
 
     arrived++;
     action_list_init (&list);
-    verdict = quota_take (nodes[i].quota, customer, request.amount, now (),
-                          &list);
+    verdict
+        = quota_take (nodes[i].quota, customer, request.amount, now (), &list);
     run_actions (i, &list);
     request.wait = verdict.wait;
     if (!settle (i, request, verdict))
@@ -571,8 +574,8 @@
 static void
 check_calm (double per_s, enum demand demand)
 {
-  size_t count = (size_t)(demand == ONE_NODE ? in_range (24, 100)
-                                             : in_range (24, 300));
+  size_t count
+      = (size_t)(demand == ONE_NODE ? in_range (24, 100) : in_range (24, 300));
   world world ((unsigned)in_range (0, 1 << 30), count);
   int64_t since;
 
@@ -581,11 +584,11 @@
   world.set_limits (per_s, per_s);
   world.run_for (5000, 0);
   since = world.ms;
-  world.set_demand (per_s, 1.5, 0, demand == ALL_NODES ? count : 1);
+  world.set_demand (per_s, busy, 0, demand == ALL_NODES ? count : 1);
   for (int k = 0; k < 20; k++)
     {
       if (demand == WANDERING)
-        world.set_demand (per_s, 1.5, (size_t)world.between (0, 1000),
+        world.set_demand (per_s, busy, (size_t)world.between (0, 1000),
                           (size_t)world.between (1, 5));
       world.run_for (2000, 0);
     }
@@ -630,11 +633,10 @@
   world.late_share = in_range (0, 3) == 0 ? 0.1 : 0;
   world.twice_share = in_range (0, 3) == 0 ? 0.1 : 0;
   world.set_limits (per_s, per_s);
-  world.set_demand (per_s, in_range (1, 8),
-                    0, in_range (0, 3) > 0 ? count : 1);
+  world.set_demand (per_s, in_range (1, 8), 0,
+                    in_range (0, 3) > 0 ? count : 1);
   world.run_for (60000, troubles);
-  report ("trouble", world, world.most_in_window (0),
-          allowed (per_s, per_s));
+  report ("trouble", world, world.most_in_window (0), allowed (per_s, per_s));
   RC_ASSERT (world.most_in_window (0) <= allowed (per_s, per_s));
 }
 
@@ -677,11 +679,9 @@
                    [] { check_calm (small_per_s, ALL_NODES); });
   ok &= rc::check ("small customers use their quota wherever they are",
                    [] { check_calm (small_per_s, WANDERING); });
-  ok &= rc::check ("large customers use their quota",
-                   [] {
-                     check_calm (270681,
-                                 (enum demand)in_range (ONE_NODE, 3));
-                   });
+  ok &= rc::check ("large customers use their quota", [] {
+    check_calm (270681, (enum demand)in_range (ONE_NODE, 3));
+  });
   ok &= rc::check ("usual demand is not refused", [] { check_usual (); });
   ok &= rc::check ("a quota is kept beside restarts, cuts and freezes",
                    [] { check_trouble (0.5); });
