prop_quota: one kind of fault at a time, at full demand; returns are used

Change: eight properties, each with one kind of fault under eight times the quota, and one for returns.

--- a/tests/prop_quota.cc
+++ b/tests/prop_quota.cc
@@ -112,9 +112,11 @@
   int amount_min = usual_amount;
   int amount_max = usual_amount;
   double refused_share = 0; /* of taken requests: they do not run */
-  double late_share = 0;    /* of messages */
+  int refused_after_ms = 9000;
+  double late_share = 0; /* of messages */
   double twice_share = 0;
-  unsigned long sent = 0; /* messages */
+  int known_max_ms = discovery_max_ms; /* until the table is read */
+  unsigned long sent = 0;              /* messages */
   unsigned long arrived = 0;
   unsigned long exceeded = 0;
   int64_t longest_wait = 0;
@@ -298,7 +300,8 @@
     if (verdict.state == QUOTA_EXCEEDED)
       exceeded++;
     else if (chance (refused_share))
-      refusals.insert ({ ms + between (0, 9000), { i, verdict.taken } });
+      refusals.insert (
+          { ms + between (0, refused_after_ms), { i, verdict.taken } });
     else
       runs.push_back ({ ms, request.amount });
     return true;
@@ -421,7 +424,7 @@
     for (auto at = messages.begin (); at != messages.end ();)
       at = at->second.to == i ? messages.erase (at) : std::next (at);
     node.frozen_until = node.started = ms + down_ms;
-    node.known_at = node.started + between (0, discovery_max_ms);
+    node.known_at = node.started + between (0, known_max_ms);
     for (size_t j = 0; j < nodes.size (); j++)
       {
         node.found_at[j] = node.started + between (0, discovery_max_ms);
@@ -640,6 +643,135 @@
   RC_ASSERT (world.most_in_window (0) <= allowed (per_s, per_s));
 }
 
+/* One kind of fault at a time, with as much demand as may hurt.  */
+enum fault
+{
+  KILLED,   /* all nodes, again and again */
+  CUT,      /* in both directions */
+  ONE_WAY,  /* in one direction */
+  APART,    /* every node from every other one, idle at first */
+  FROZEN,   /* a part of the nodes, which all wake at once */
+  ALONE,    /* all start and know only themselves at first */
+  ROLLING,  /* one after another is started again */
+  FLAPPING, /* a cut that comes and goes */
+  FAULTS
+};
+
+static const char *const faults[FAULTS] = { "nodes that are killed at once",
+                                            "a cut",
+                                            "a cut in one direction",
+                                            "nodes that all are cut off",
+                                            "nodes that freeze",
+                                            "nodes that find each other late",
+                                            "nodes that restart",
+                                            "a cut that comes and goes" };
+
+static void
+play_fault (world &world, enum fault fault)
+{
+  size_t count = world.nodes.size ();
+  size_t part = count * (size_t)in_range (1, 10) / 10;
+
+  world.set_nodes_ms = 250;
+  for (size_t i = 0; i < part; i++)
+    world.side[i] = 1;
+  switch (fault)
+    {
+    case KILLED:
+      for (int k = 0; k < 6; k++)
+        {
+          for (size_t i = 0; i < count; i++)
+            world.restart (i, world.between (0, 200));
+          world.run_for (in_range (500, 5000), 0);
+        }
+      break;
+    case CUT:
+    case ONE_WAY:
+      world.cut_forth = fault == CUT || in_range (0, 2) == 0;
+      world.cut_back = fault == CUT || !world.cut_forth;
+      world.run_for (30000, 0);
+      break;
+    case APART:
+      world.apart = true;
+      for (auto &node : world.nodes)
+        node.per_s /= 1000;
+      world.run_for (25000, 0);
+      for (auto &node : world.nodes)
+        node.per_s *= 1000;
+      world.run_for (20000, 0);
+      break;
+    case FROZEN:
+      for (size_t i = 0; i < part; i++)
+        world.nodes[i].frozen_until = world.ms + 20000;
+      world.run_for (20000, 0);
+      break;
+    case ALONE:
+      world.known_max_ms = 50;
+      for (size_t i = 0; i < count; i++)
+        world.restart (i, 0);
+      break;
+    case ROLLING:
+      for (size_t i = 0; i < count; i++)
+        {
+          world.restart (i, 1000);
+          world.run_for (700, 0);
+        }
+      break;
+    default:
+      for (int k = 0; k < 10; k++)
+        {
+          world.cut_forth = world.cut_back = k % 2 == 0;
+          world.run_for (in_range (1000, 6000), 0);
+        }
+    }
+  world.heal ();
+  world.run_for (12000, 0);
+}
+
+static void
+check_fault (enum fault fault)
+{
+  double per_s = any_limit ();
+  world world ((unsigned)in_range (0, 1 << 30), (size_t)in_range (2, 40));
+  size_t count = world.nodes.size ();
+
+  for (size_t i = 0; i < count; i++)
+    world.set_nodes (i);
+  if (in_range (0, 2) > 0)
+    {
+      world.amount_min = 800;
+      world.amount_max = 20000;
+    }
+  world.set_limits (per_s, per_s);
+  world.set_demand (per_s, 8, 0, count);
+  world.run_for (10000, 0);
+  play_fault (world, fault);
+  report (std::to_string (fault).c_str (), world, world.most_in_window (0),
+          allowed (per_s, per_s));
+  RC_ASSERT (world.most_in_window (0) <= allowed (per_s, per_s));
+}
+
+/* What requests return that were refused is used by others.  */
+static void
+check_returned ()
+{
+  double per_s = 270681;
+  world world ((unsigned)in_range (0, 1 << 30), (size_t)in_range (24, 100));
+  int64_t since;
+
+  for (size_t i = 0; i < world.nodes.size (); i++)
+    world.set_nodes (i);
+  world.refused_share = 0.4;
+  world.refused_after_ms = 500;
+  world.set_limits (per_s, per_s);
+  world.run_for (5000, 0);
+  since = world.ms;
+  world.set_demand (per_s, 2 * busy, 0, world.nodes.size ());
+  world.run_for (20000, 0);
+  RC_ASSERT (world.used_since (since) >= use_min * per_s * 20);
+  RC_ASSERT (world.most_in_window (0) <= allowed (per_s, per_s));
+}
+
 /* A lower limit holds one window after it is known everywhere.  */
 static void
 check_change ()
@@ -683,6 +815,10 @@
     check_calm (270681, (enum demand)in_range (ONE_NODE, 3));
   });
   ok &= rc::check ("usual demand is not refused", [] { check_usual (); });
+  ok &= rc::check ("what is returned is used", [] { check_returned (); });
+  for (int fault = 0; fault < FAULTS; fault++)
+    ok &= rc::check (std::string ("a quota is kept beside ") + faults[fault],
+                     [fault] { check_fault ((enum fault)fault); });
   ok &= rc::check ("a quota is kept beside restarts, cuts and freezes",
                    [] { check_trouble (0.5); });
   ok &= rc::check ("a quota is kept when faults are rare",
