--- a/tests/prop_quota.cc
+++ b/tests/prop_quota.cc
@@ -28,15 +28,18 @@
 static const int64_t window_ms = 8000;
 static const double over = 1.1;
 static const double slack = 110000;
-static const int delay_max_ms = 3;      /* of a message */
+static const int delay_max_ms = 3; /* of a message */
 static const int round_trip_ms = 2 * delay_max_ms + 2 * step_ms;
-static const int late_max_ms = 2000;    /* of one that is late */
+static const int late_max_ms = 2000;      /* of one that is late */
 static const int detection_min_ms = 1500; /* of a node that is away */
 static const int detection_max_ms = 5000;
 static const int discovery_max_ms = 1500; /* of the other nodes */
 static const double use_min = 0.95;
 static const double small_per_s = 29000;
 static const int usual_amount = 9200;
+/* Demand of a customer that uses all of its quota, so that chance leaves no
+   pause without requests.  */
+static const double busy = 3;
 
 struct request
 {
@@ -98,27 +101,29 @@
   std::mt19937 random;
   int64_t ms = 1000000;
   std::vector<node> nodes;
-  std::vector<int> side;   /* of each node; nodes of different sides may be
-                              cut off */
-  bool cut_forth = false;  /* from side 0 to side 1 */
+  std::vector<int> side;  /* of each node; nodes of different sides may be
+                             cut off */
+  bool cut_forth = false; /* from side 0 to side 1 */
   bool cut_back = false;
-  bool apart = false;      /* no node reaches another one */
+  bool apart = false; /* no node reaches another one */
   std::multimap<int64_t, message> messages;
   std::multimap<int64_t, refusal> refusals;
   std::vector<run> runs;
   int amount_min = usual_amount;
   int amount_max = usual_amount;
   double refused_share = 0; /* of taken requests: they do not run */
-  double late_share = 0;    /* of messages */
+  int refused_after_ms = 9000;
+  double late_share = 0; /* of messages */
   double twice_share = 0;
-  unsigned long sent = 0; /* messages */
+  int known_max_ms = discovery_max_ms; /* until the table is read */
+  unsigned long sent = 0;              /* messages */
   unsigned long arrived = 0;
   unsigned long exceeded = 0;
   int64_t longest_wait = 0;
   int set_nodes_ms = 10000; /* less once there is trouble */
 
-  world (unsigned seed, size_t count) : random (seed), nodes (count),
-                                        side (count, 0)
+  world (unsigned seed, size_t count)
+      : random (seed), nodes (count), side (count, 0)
   {
     for (size_t i = 0; i < count; i++)
       {
@@ -295,7 +300,8 @@
     if (verdict.state == QUOTA_EXCEEDED)
       exceeded++;
     else if (chance (refused_share))
-      refusals.insert ({ ms + between (0, 9000), { i, verdict.taken } });
+      refusals.insert (
+          { ms + between (0, refused_after_ms), { i, verdict.taken } });
     else
       runs.push_back ({ ms, request.amount });
     return true;
@@ -311,8 +317,8 @@
 
     arrived++;
     action_list_init (&list);
-    verdict = quota_take (nodes[i].quota, customer, request.amount, now (),
-                          &list);
+    verdict
+        = quota_take (nodes[i].quota, customer, request.amount, now (), &list);
     run_actions (i, &list);
     request.wait = verdict.wait;
     if (!settle (i, request, verdict))
@@ -418,7 +424,7 @@
     for (auto at = messages.begin (); at != messages.end ();)
       at = at->second.to == i ? messages.erase (at) : std::next (at);
     node.frozen_until = node.started = ms + down_ms;
-    node.known_at = node.started + between (0, discovery_max_ms);
+    node.known_at = node.started + between (0, known_max_ms);
     for (size_t j = 0; j < nodes.size (); j++)
       {
         node.found_at[j] = node.started + between (0, discovery_max_ms);
@@ -571,8 +577,8 @@
 static void
 check_calm (double per_s, enum demand demand)
 {
-  size_t count = (size_t)(demand == ONE_NODE ? in_range (24, 100)
-                                             : in_range (24, 300));
+  size_t count
+      = (size_t)(demand == ONE_NODE ? in_range (24, 100) : in_range (24, 300));
   world world ((unsigned)in_range (0, 1 << 30), count);
   int64_t since;
 
@@ -581,11 +587,11 @@
   world.set_limits (per_s, per_s);
   world.run_for (5000, 0);
   since = world.ms;
-  world.set_demand (per_s, 1.5, 0, demand == ALL_NODES ? count : 1);
+  world.set_demand (per_s, busy, 0, demand == ALL_NODES ? count : 1);
   for (int k = 0; k < 20; k++)
     {
       if (demand == WANDERING)
-        world.set_demand (per_s, 1.5, (size_t)world.between (0, 1000),
+        world.set_demand (per_s, busy, (size_t)world.between (0, 1000),
                           (size_t)world.between (1, 5));
       world.run_for (2000, 0);
     }
@@ -630,14 +636,142 @@
   world.late_share = in_range (0, 3) == 0 ? 0.1 : 0;
   world.twice_share = in_range (0, 3) == 0 ? 0.1 : 0;
   world.set_limits (per_s, per_s);
-  world.set_demand (per_s, in_range (1, 8),
-                    0, in_range (0, 3) > 0 ? count : 1);
+  world.set_demand (per_s, in_range (1, 8), 0,
+                    in_range (0, 3) > 0 ? count : 1);
   world.run_for (60000, troubles);
-  report ("trouble", world, world.most_in_window (0),
+  report ("trouble", world, world.most_in_window (0), allowed (per_s, per_s));
+  RC_ASSERT (world.most_in_window (0) <= allowed (per_s, per_s));
+}
+
+/* One kind of fault at a time, with as much demand as may hurt.  */
+enum fault
+{
+  KILLED,   /* all nodes, again and again */
+  CUT,      /* in both directions */
+  ONE_WAY,  /* in one direction */
+  APART,    /* every node from every other one, idle at first */
+  FROZEN,   /* a part of the nodes, which all wake at once */
+  ALONE,    /* all start and know only themselves at first */
+  ROLLING,  /* one after another is started again */
+  FLAPPING, /* a cut that comes and goes */
+  FAULTS
+};
+
+static const char *const faults[FAULTS] = { "nodes that are killed at once",
+                                            "a cut",
+                                            "a cut in one direction",
+                                            "nodes that all are cut off",
+                                            "nodes that freeze",
+                                            "nodes that find each other late",
+                                            "nodes that restart",
+                                            "a cut that comes and goes" };
+
+static void
+play_fault (world &world, enum fault fault)
+{
+  size_t count = world.nodes.size ();
+  size_t part = count * (size_t)in_range (1, 10) / 10;
+
+  world.set_nodes_ms = 250;
+  for (size_t i = 0; i < part; i++)
+    world.side[i] = 1;
+  switch (fault)
+    {
+    case KILLED:
+      for (int k = 0; k < 6; k++)
+        {
+          for (size_t i = 0; i < count; i++)
+            world.restart (i, world.between (0, 200));
+          world.run_for (in_range (500, 5000), 0);
+        }
+      break;
+    case CUT:
+    case ONE_WAY:
+      world.cut_forth = fault == CUT || in_range (0, 2) == 0;
+      world.cut_back = fault == CUT || !world.cut_forth;
+      world.run_for (30000, 0);
+      break;
+    case APART:
+      world.apart = true;
+      for (auto &node : world.nodes)
+        node.per_s /= 1000;
+      world.run_for (25000, 0);
+      for (auto &node : world.nodes)
+        node.per_s *= 1000;
+      world.run_for (20000, 0);
+      break;
+    case FROZEN:
+      for (size_t i = 0; i < part; i++)
+        world.nodes[i].frozen_until = world.ms + 20000;
+      world.run_for (20000, 0);
+      break;
+    case ALONE:
+      world.known_max_ms = 50;
+      for (size_t i = 0; i < count; i++)
+        world.restart (i, 0);
+      break;
+    case ROLLING:
+      for (size_t i = 0; i < count; i++)
+        {
+          world.restart (i, 1000);
+          world.run_for (700, 0);
+        }
+      break;
+    default:
+      for (int k = 0; k < 10; k++)
+        {
+          world.cut_forth = world.cut_back = k % 2 == 0;
+          world.run_for (in_range (1000, 6000), 0);
+        }
+    }
+  world.heal ();
+  world.run_for (12000, 0);
+}
+
+static void
+check_fault (enum fault fault)
+{
+  double per_s = any_limit ();
+  world world ((unsigned)in_range (0, 1 << 30), (size_t)in_range (2, 40));
+  size_t count = world.nodes.size ();
+
+  for (size_t i = 0; i < count; i++)
+    world.set_nodes (i);
+  if (in_range (0, 2) > 0)
+    {
+      world.amount_min = 800;
+      world.amount_max = 20000;
+    }
+  world.set_limits (per_s, per_s);
+  world.set_demand (per_s, 8, 0, count);
+  world.run_for (10000, 0);
+  play_fault (world, fault);
+  report (std::to_string (fault).c_str (), world, world.most_in_window (0),
           allowed (per_s, per_s));
   RC_ASSERT (world.most_in_window (0) <= allowed (per_s, per_s));
 }
 
+/* What requests return that were refused is used by others.  */
+static void
+check_returned ()
+{
+  double per_s = 270681;
+  world world ((unsigned)in_range (0, 1 << 30), (size_t)in_range (24, 100));
+  int64_t since;
+
+  for (size_t i = 0; i < world.nodes.size (); i++)
+    world.set_nodes (i);
+  world.refused_share = 0.4;
+  world.refused_after_ms = 500;
+  world.set_limits (per_s, per_s);
+  world.run_for (5000, 0);
+  since = world.ms;
+  world.set_demand (per_s, 2 * busy, 0, world.nodes.size ());
+  world.run_for (20000, 0);
+  RC_ASSERT (world.used_since (since) >= use_min * per_s * 20);
+  RC_ASSERT (world.most_in_window (0) <= allowed (per_s, per_s));
+}
+
 /* A lower limit holds one window after it is known everywhere.  */
 static void
 check_change ()
@@ -677,12 +811,14 @@
                    [] { check_calm (small_per_s, ALL_NODES); });
   ok &= rc::check ("small customers use their quota wherever they are",
                    [] { check_calm (small_per_s, WANDERING); });
-  ok &= rc::check ("large customers use their quota",
-                   [] {
-                     check_calm (270681,
-                                 (enum demand)in_range (ONE_NODE, 3));
-                   });
+  ok &= rc::check ("large customers use their quota", [] {
+    check_calm (270681, (enum demand)in_range (ONE_NODE, 3));
+  });
   ok &= rc::check ("usual demand is not refused", [] { check_usual (); });
+  ok &= rc::check ("what is returned is used", [] { check_returned (); });
+  for (int fault = 0; fault < FAULTS; fault++)
+    ok &= rc::check (std::string ("a quota is kept beside ") + faults[fault],
+                     [fault] { check_fault ((enum fault)fault); });
   ok &= rc::check ("a quota is kept beside restarts, cuts and freezes",
                    [] { check_trouble (0.5); });
   ok &= rc::check ("a quota is kept when faults are rare",
