forward, planner: callers' patience as the configuration tells

Cause: after a restart nodes do not know how long callers wait, so that 600 requests waited for a model until their callers left. In the first second of traffic the store's slot went to a model that nobody asks for. Planned by delay, no fetch that no request waits for starts while rates are unknown.

--- a/src/forward_admit.c
+++ b/src/forward_admit.c
@@ -7,12 +7,21 @@
    route with the highest priority, of several.  */
 #define ADMITTED_FIRST_SHARE 0.4
 
-struct timespec
-forward_leaves_at (const struct forward *forward)
+/* As the configuration tells, otherwise as observed; zero: not known.  */
+static struct timespec
+patience_of (const struct forward *forward)
 {
-  struct timespec patience = patience_estimate (
+  if (forward->route->patience_ms > 0)
+    return ts_from_ms (forward->route->patience_ms);
+  return patience_estimate (
       gateway_patience (forward->gateway, forward->route->name),
       forward_now (forward));
+}
+
+struct timespec
+forward_leaves_at (const struct forward *forward)
+{
+  struct timespec patience = patience_of (forward);
 
   if (ts_is_zero (patience))
     return forward->deadline;
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -48,7 +48,7 @@
   bool waits_for_capacity; /* counted as waiting, see forward_fair.c */
   bool customer_sent;      /* the request was counted as sent */
   bool customer_proven; /* by another node, which has passed the request on */
-  uint64_t quota_wait;            /* see quota_check; 0: it does not wait */
+  uint64_t quota_wait;  /* see quota_check; 0: it does not wait */
   struct quota_taken quota_taken; /* of the customer's quota */
   char *target; /* model or adapter; NULL: not given, or a plain service */
   enum forward_state state;
--- a/src/planner_round.c
+++ b/src/planner_round.c
@@ -424,7 +424,8 @@
 {
   const struct planner *planner = plan->planner;
 
-  if (plan->lacks_replicas || !budget_allows_fetch (plan, 1))
+  if (plan->lacks_replicas || !budget_allows_fetch (plan, 1)
+      || (plan->by_delay && planner_rates_unknown (plan)))
     return false;
   return !ts_is_zero (planner->first_request_at)
          || planner->budget.in_flight + plan->previous_fetches == 0;
--- a/src/planner_value.c
+++ b/src/planner_value.c
@@ -22,8 +22,8 @@
 #define RECENT_VALUE 30.0
 
 /* Whether request rates are not known yet.  */
-static bool
-rates_unknown (const struct plan *plan)
+bool
+planner_rates_unknown (const struct plan *plan)
 {
   const struct planner *planner = plan->planner;
 
@@ -43,7 +43,7 @@
   n = (unsigned)ceil (model->per_s * plan->planner->request_s
                       / PLANNER_MAX_UTILIZATION);
 
-  if (rates_unknown (plan))
+  if (planner_rates_unknown (plan))
     n = MAX (n, MIN (model->loaded, START_REPLICAS));
   return n;
 }
--- a/src/planner_value.h
+++ b/src/planner_value.h
@@ -14,6 +14,10 @@
   10.0 /* arrivals in this time are delayed by a reload */
 #define PLANNER_PINNED_VALUE 1e6 /* never evicted */
 
+/* Whether the request rates are not known yet, as this decider has counted
+   arrivals for too short a time.  */
+bool planner_rates_unknown (const struct plan *plan);
+
 /* Number of replicas that the request rate of MODEL needs.  */
 unsigned planner_needed_replicas (const struct plan *plan,
                                   const struct plan_model *model);
--- a/src/site.h
+++ b/src/site.h
@@ -80,6 +80,8 @@
   /* Target latency of the response, or of the first event of a stream.  */
   int64_t objective_ms;
   int64_t gap_ms; /* target time between two events of a stream */
+  /* Callers leave when nothing has come for so long; 0: not known.  */
+  int64_t patience_ms;
   struct site_split *splits;
   size_t split_count;
 };
