--- a/src/forward_pace.c
+++ b/src/forward_pace.c
@@ -1,3 +1,4 @@
+#include <sys/param.h>
 #include "counter.h"
 #include "delay.h"
 #include "forward_state.h"
@@ -11,8 +12,17 @@
 #define EVENT_TOKENS_WEIGHT 0.05
 #define EVENT_TOKENS_DEFAULT 5.0
 #define EVENT_TOKENS_MAX 256.0
+#define PROMPT_TOKENS_MAX 250000u /* as many as a server has room for */
+#define ANSWER_TOKENS_MAX 100000u
 #define CACHED_TRUST 0.5 /* more likely cached than not */
 
+/* Callers name the lengths of their prompts, and may name any.  */
+static uint64_t
+prompt_tokens (const struct forward *forward)
+{
+  return MIN (forward->parsed.prompt_tokens, PROMPT_TOKENS_MAX);
+}
+
 static double
 event_tokens (const struct forward *forward)
 {
@@ -26,7 +36,7 @@
                       struct pick_request *request)
 {
   const struct site_route *route = forward->route;
-  uint64_t tokens = forward->parsed.prompt_tokens;
+  uint64_t tokens = prompt_tokens (forward);
 
   /* A prompt of unknown length is taken for the mean one.  */
   request->read_s = tokens > 0 ? delay_read_s (tokens) : DELAY_QUEUED_S;
@@ -36,7 +46,8 @@
   request->gap_s = (double)route->gap_ms / TS_MS_PER_S;
   request->event_tokens = event_tokens (forward);
   request->events
-      = (double)forward->parsed.answer_tokens / request->event_tokens;
+      = (double)MIN (forward->parsed.answer_tokens, ANSWER_TOKENS_MAX)
+        / request->event_tokens;
   request->left_s = (double)forward_left_ms (forward) / TS_MS_PER_S;
 }
 
@@ -57,7 +68,7 @@
   if (why->prefix_trust > CACHED_TRUST)
     counter_add (COUNTER_CACHED, 1);
   pick_sent (forward->gateway->pick, forward->engine->id,
-             forward->parsed.prompt_tokens, forward->sent_at);
+             prompt_tokens (forward), forward->sent_at);
 }
 
 void
--- a/src/returns.c
+++ b/src/returns.c
@@ -6,6 +6,8 @@
 
 /* Targets whose times have passed are forgotten beyond this number.  */
 #define TARGETS_MAX 1024
+/* Requests may claim to take any time.  */
+#define WORK_MAX_S 1.0
 
 struct returns
 {
@@ -50,7 +52,8 @@
   double next_s = MAX (least_s, 0);
 
   if (last != NULL)
-    next_s = MAX (next_s, ts_to_s (ts_sub (*last, now)) + work_s);
+    next_s = MAX (next_s,
+                  ts_to_s (ts_sub (*last, now)) + MIN (work_s, WORK_MAX_S));
   next_s = MIN (next_s, RETURNS_MAX_S);
   if (g_hash_table_size (returns->last) >= TARGETS_MAX)
     g_hash_table_foreach_remove (returns->last, has_passed, &now);
--- a/src/route.h
+++ b/src/route.h
@@ -45,7 +45,7 @@
   double pace;
   double pace_events;
   double pace_moment;
-  double pace_told; /* the drift, not corrected by what was observed */
+  double pace_told;    /* the drift, not corrected by what was observed */
   bool leaving;        /* gets no new requests */
   bool adapter_loaded; /* for targets that are adapters */
 };
