--- a/src/planner.c
+++ b/src/planner.c
@@ -490,3 +490,9 @@
     n += engine->order.stage != STAGE_NONE;
   return n;
 }
+
+unsigned
+planner_short_models (const struct planner *planner)
+{
+  return planner->short_models;
+}
--- a/src/planner.h
+++ b/src/planner.h
@@ -56,6 +56,7 @@
   char *adapter; /* NULL for a model */
   uint64_t expected;
   bool ok;      /* PLANNER_ORDER_DONE: it was carried out */
+  bool fetches; /* PLANNER_ORDER: the engine fetches from the weight store */
   char *reason; /* key=value pairs: inputs of the decision */
 };
 
@@ -142,4 +143,8 @@
 /* Number of orders whose outcome is not known yet.  */
 unsigned planner_open_orders (const struct planner *planner);
 
+/* Number of models that lacked replicas in the last round, if planned by
+   delay.  */
+unsigned planner_short_models (const struct planner *planner);
+
 #endif
--- a/src/planner_order.c
+++ b/src/planner_order.c
@@ -46,6 +46,7 @@
   action->model = g_strdup (order->model);
   action->adapter = g_strdup (order->adapter);
   action->expected = order->expected;
+  action->fetches = order->fetches;
   action->reason = g_strdup (order->reason);
   return action;
 }
--- a/src/planner_round.h
+++ b/src/planner_round.h
@@ -72,7 +72,6 @@
   bool is_empty;            /* BY_DELAY: no model is loaded or being loaded */
   bool partial;             /* BY_DELAY: only for what waits */
   unsigned adapter_targets; /* that were examined in this round */
-  bool lacks_replicas;      /* BY_DELAY: requests for some model are delayed */
 };
 
 static inline struct plan_model *
--- a/src/planner_state.h
+++ b/src/planner_state.h
@@ -99,6 +99,7 @@
   unsigned loads_at_once;
   bool by_delay;                    /* an engine has told its pace */
   unsigned rounds;                  /* number of them */
+  unsigned short_models;            /* see planner_short_models */
   struct timespec full_round_at;    /* last one that was not partial */
   unsigned preload_offset;          /* next model to try, see preload */
   struct timespec first_request_at; /* zero: none yet */
--- a/src/planner_work.c
+++ b/src/planner_work.c
@@ -18,6 +18,8 @@
 /* Requests seen from which a model's own figures count, instead of those of
    all models.  */
 #define OWN_MIN_COUNT 5.0
+/* Adapters that are asked for less often stay where they are.  */
+#define ADAPTER_MIN_PER_S 0.05
 #define SHARE_PASSES 3
 /* Against rounding errors, where a replica gets all requests.  */
 #define SHARE_MIN 1e-3
@@ -46,6 +48,15 @@
 #define LATE_SHARE 0.25
 
 static const struct planner_delay_work no_work;
+/* Assumed until any request tells what it is like.  */
+static const struct planner_delay_requests unknown_requests
+    = { .kinds = { { .count = 1,
+                     .tokens = 3870,
+                     .answer_tokens = 100,
+                     .objective_s = 1,
+                     .priority = 1 } },
+        .used = 1,
+        .count = 1 };
 
 /* Never constant, so that one replica more counts even if several are
    missing.  */
@@ -130,9 +141,11 @@
       const struct planner_delay_requests *own
           = g_hash_table_lookup (planner->requests, name);
 
-      model->requests = own != NULL && own->count >= OWN_MIN_COUNT
-                            ? own
-                            : &planner->all_requests;
+      model->requests = &unknown_requests;
+      if (own != NULL && own->count >= OWN_MIN_COUNT)
+        model->requests = own;
+      else if (planner->all_requests.count > 0)
+        model->requests = &planner->all_requests;
       model->weight = planner_delay_weight (model->requests);
       model->unit = planner_delay_unit (model->requests);
       model->per_s *= correction;
@@ -325,8 +338,8 @@
   if (model->needed == PLANNER_DELAY_REPLICAS_MAX && !model->leads)
     model->needed = model->replicas;
   model->urgency = urgency (model, idle_s);
-  plan->lacks_replicas
-      |= model->replicas > 0 && model->needed > model->replicas;
+  plan->planner->short_models
+      += model->replicas > 0 && model->needed > model->replicas;
 }
 
 static void
@@ -364,6 +377,7 @@
   GHashTableIter iter;
   GArray *places;
 
+  plan->planner->short_models = 0;
   plan->by_delay = tells_pace (plan->planner);
   if (!plan->by_delay)
     return;
@@ -407,6 +421,10 @@
   planner_delay_add_work (&other, &model->unit, rest / model->loaded);
   needed = planner_delay_replicas (model->requests, per_s, &other, model->pace,
                                    NEED_RATIO);
+  /* Requests for an adapter move to a further replica of the model only with
+     the adapter.  */
+  if (model->needed > 1 && per_s >= ADAPTER_MIN_PER_S)
+    needed = MAX (needed, model->needed);
   return MIN (needed, model->loaded);
 }
 
--- a/src/planners.c
+++ b/src/planners.c
@@ -2,6 +2,7 @@
 
 #include <limits.h>
 #include <string.h>
+#include "counter.h"
 #include "cutoff.h"
 #include "planners_state.h"
 
@@ -81,6 +82,7 @@
   (void)data;
   set_limits (planners, planner);
   planner_tick (planner, now, out);
+  planners->short_models += planner_short_models (planner);
   planners->tick_at
       = ts_min (planners->tick_at, planner_next_tick (planner, now));
 }
@@ -97,8 +99,10 @@
   throttle_run_done (&planners->throttle, server_count (planners),
                      TICK_PAUSE_US, planners_now (planners));
   planners->tick_at = ts_add_ms (planners_now (planners), PLANNER_TICK_MS);
+  planners->short_models = 0;
   if (planners_may_decide (planners))
     planners_each_planner (planners, tick_planner, NULL);
+  counter_set (COUNTER_SHORT_MODELS, planners->short_models);
   if (planners->deciding)
     planners_publish_replicas (planners);
 }
--- a/src/planners_lease.c
+++ b/src/planners_lease.c
@@ -1,4 +1,5 @@
 #include <string.h>
+#include "counter.h"
 #include "log.h"
 #include "planners_state.h"
 
@@ -37,6 +38,7 @@
     return;
   log_lease (planners, EVENT_LEASE_LOST, fence);
   planners->deciding = false;
+  counter_set (COUNTER_SHORT_MODELS, 0);
   listing_stop_publishing (planners->listing);
   g_hash_table_remove_all (planners->by_service);
 }
--- a/src/planners_order.c
+++ b/src/planners_order.c
@@ -152,6 +152,7 @@
   lease_order_sent (planners->lease, planners_now (planners));
   counter_add (
       is_load (action->type) ? COUNTER_LOAD_ORDERS : COUNTER_UNLOAD_ORDERS, 1);
+  counter_add (COUNTER_STORE_LOAD_ORDERS, action->fetches);
   backend->ops->order (backend, &order, on_order_response, rpc);
 }
 
--- a/src/planners_state.h
+++ b/src/planners_state.h
@@ -45,6 +45,7 @@
   struct timespec tick_at;   /* next tick of the planners */
   struct throttle throttle;  /* of ticks */
   struct timespec repeat_at; /* when all demand is sent again */
+  unsigned short_models;     /* of all planners in the last tick */
   struct timespec compared_at; /* last search for changes to publish */
   struct timespec published_at;
   uint64_t published_version; /* of the configuration */
--- a/tests/test_planner_load.c
+++ b/tests/test_planner_load.c
@@ -174,6 +174,27 @@
   return (unsigned)g_ascii_strtoull (id + 1, NULL, 10);
 }
 
+static uint64_t
+model_mb (const struct fixture *f, const char *name)
+{
+  return f->models[engine_index (name)].memory_mb;
+}
+
+static uint64_t
+used_mb (const struct fixture *f, const struct engine *engine)
+{
+  uint64_t mb = 0;
+
+  for (guint i = 0; i < engine->inventory->models->len; i++)
+    {
+      const struct inventory_model *held
+          = g_ptr_array_index (engine->inventory->models, i);
+
+      mb += model_mb (f, held->name);
+    }
+  return mb;
+}
+
 static void
 begin_order (struct fixture *f, const struct planner_action *action)
 {
@@ -194,8 +215,8 @@
       bool local
           = inventory_name_listed (engine->inventory->on_disk, action->model);
 
-      g_assert_cmpuint (engine->inventory->models->len + 1, <=,
-                        ENGINE_MB / MODEL_MB);
+      g_assert_cmpuint (used_mb (f, engine) + model_mb (f, action->model), <=,
+                        ENGINE_MB);
       f->loads++;
       f->fetches += !local;
       f->fetching += !local;
@@ -251,7 +272,8 @@
           .objective_s = f->objective_s,
           .priority = 1 };
 
-  planner_note_requests (f->planner, name, &kind);
+  if (f->objective_s > 0)
+    planner_note_requests (f->planner, name, &kind);
   planner_request_arrived (f->planner, name, count, ts_from_ms (f->ms));
   if (replicas (f, model) == 0)
     f->waiting[model] += count;
@@ -375,6 +397,56 @@
   tear_down (&f);
 }
 
+/* An engine with three models that are all asked for often, beside idle ones:
+   it gets relief, and each model is loaded elsewhere before it is unloaded
+   there, if at all.  */
+static void
+test_crowded_by_several (void)
+{
+  struct fixture f;
+
+  set_up (&f, 4, 3);
+  for (unsigned i = 0; i < 3; i++)
+    {
+      f.models[i].memory_mb = 60;
+      put (&f, 0, i, true);
+      f.per_s[i] = 2;
+    }
+  for (unsigned i = 0; i < 3; i++)
+    put (&f, 1 + i, i, false);
+  report_all (&f);
+  f.objective_s = 0.5;
+  for (int i = 0; i < 300; i++)
+    {
+      run (&f, 0.1);
+      for (unsigned m = 0; m < 3; m++)
+        g_assert_cmpuint (replicas (&f, m), >, 0);
+    }
+  g_assert_cmpuint (replicas (&f, 0) + replicas (&f, 1) + replicas (&f, 2), >=,
+                    5);
+  g_assert_cmpuint (f.unloads, ==, 0);
+  tear_down (&f);
+}
+
+/* Nodes of an earlier release, and routes without an objective, do not tell
+   what requests are like: replicas are found nevertheless.  */
+static void
+test_unknown_requests (void)
+{
+  struct fixture f;
+
+  set_up (&f, 3, 2);
+  put (&f, 0, 0, true);
+  put (&f, 1, 0, false);
+  put (&f, 2, 0, false);
+  report_all (&f);
+  f.objective_s = 0;
+  f.per_s[0] = 12;
+  run (&f, 15);
+  g_assert_cmpuint (replicas (&f, 0), >=, 2);
+  tear_down (&f);
+}
+
 /* A model that nobody asked for becomes hot, then cools down: its replicas go
    where others are asked for.  */
 static void
@@ -552,6 +624,9 @@
   g_test_add_func ("/planner-load/crowded-slow-engine",
                    test_crowded_slow_engine);
   g_test_add_func ("/planner-load/calm", test_calm);
+  g_test_add_func ("/planner-load/crowded-by-several",
+                   test_crowded_by_several);
+  g_test_add_func ("/planner-load/unknown-requests", test_unknown_requests);
   g_test_add_func ("/planner-load/hot-model", test_hot_model);
   g_test_add_func ("/planner-load/demand-moves", test_demand_moves);
   g_test_add_func ("/planner-load/short-of-places", test_short_of_places);
