--- a/src/planner_round.c
+++ b/src/planner_round.c
@@ -436,8 +436,7 @@
 static void
 preload (struct plan *plan, const GPtrArray *models)
 {
-  bool fetch
-      = plan->planner->short_models == 0 && budget_allows_fetch (plan, 1);
+  bool fetch = !plan->lacks_replicas && budget_allows_fetch (plan, 1);
   unsigned max_tries
       = plan->by_delay ? PRELOAD_MAX_TRIES_BY_DELAY : PRELOAD_MAX_TRIES;
   unsigned tries = 0;
--- a/src/planner_round.h
+++ b/src/planner_round.h
@@ -69,6 +69,7 @@
   /* Engines tell their pace: replicas are planned by delay.  */
   bool by_delay;
   bool is_empty;            /* BY_DELAY: no model is loaded or being loaded */
+  bool lacks_replicas;      /* BY_DELAY: requests for some model are delayed */
   bool partial;             /* BY_DELAY: only for what waits */
   unsigned adapter_targets; /* that were examined in this round */
 };
--- a/src/planner_work.c
+++ b/src/planner_work.c
@@ -334,8 +334,11 @@
   if (model->needed == PLANNER_DELAY_REPLICAS_MAX && !model->leads)
     model->needed = model->replicas;
   model->urgency = urgency (model, idle_s);
-  plan->planner->short_models
-      += model->replicas > 0 && model->needed > model->replicas;
+  if (model->replicas > 0 && model->needed > model->replicas)
+    {
+      plan->lacks_replicas = true;
+      plan->planner->short_models++;
+    }
 }
 
 static void
