planner: the priority of waiting requests orders the weight store

Cause: for a model that few had asked for, arrivals to come counted with the mean priority of all models, so that three requests went before one of the highest priority.

Change: they count with the priority of those that wait.

Measured: test_planner_load store-priority failed before and passes now.

--- a/src/planner_work.c
+++ b/src/planner_work.c
@@ -145,7 +145,9 @@
         model->requests = own;
       else if (planner->all_requests.count > 0)
         model->requests = &planner->all_requests;
-      model->weight = planner_delay_weight (model->requests);
+      /* Priorities differ by model more than lengths do.  */
+      model->weight
+          = planner_delay_weight (own != NULL ? own : model->requests);
       model->unit = planner_delay_unit (model->requests);
       model->per_s *= correction;
     }
@@ -304,7 +306,9 @@
   double load_s
       = model->has_local_copy ? model->site->disk_s : model->site->load_s;
   double helped_s = MAX (URGENCY_HORIZON_S - load_s, 0);
-  double come = model->weight * model->per_s * helped_s;
+  double weight = model->waiting > 0 ? model->waiting_weight / model->waiting
+                                     : model->weight;
+  double come = weight * model->per_s * helped_s;
   double wait = model->waiting_weight;
 
   if (load_s >= PATIENCE_S)
--- a/tests/test_planner_load.c
+++ b/tests/test_planner_load.c
@@ -617,6 +617,32 @@
   tear_down (&f);
 }
 
+/* Requests wait for two models that only the weight store has: one of the
+   highest priority goes before three others.  */
+static void
+test_store_priority (void)
+{
+  struct fixture f;
+
+  set_up (&f, 3, 5);
+  for (unsigned i = 0; i < 3; i++)
+    put (&f, i, i, true);
+  report_all (&f);
+  f.per_s[0] = 0.5;
+  run (&f, 12);
+  for (int i = 0; i < 3; i++)
+    planner_request_arrived (f.planner, "m3", 1, ts_from_ms (f.ms));
+  planner_set_waiting (f.planner, "n", "m3", 3, 1, ts_from_ms (f.ms));
+  planner_request_arrived (f.planner, "m4", 1, ts_from_ms (f.ms));
+  planner_set_waiting (f.planner, "n", "m4", 1, 0, ts_from_ms (f.ms));
+  run (&f, 14);
+  g_assert_cmpuint (replicas (&f, 4), ==, 1);
+  g_assert_cmpuint (replicas (&f, 3), ==, 0);
+  run (&f, 14);
+  g_assert_cmpuint (replicas (&f, 3), ==, 1);
+  tear_down (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -633,5 +659,6 @@
   g_test_add_func ("/planner-load/random-arrivals", test_random_arrivals);
   g_test_add_func ("/planner-load/take-over", test_take_over);
   g_test_add_func ("/planner-load/store-order", test_store_order);
+  g_test_add_func ("/planner-load/store-priority", test_store_priority);
   return g_test_run ();
 }
