planner: a fetch that is slowed down shows it before it ends

Cause: the store's limit followed from fetches that had ended, which takes several times as long where they slow each other down.

--- a/src/budget.c
+++ b/src/budget.c
@@ -110,6 +110,21 @@
     }
 }
 
+bool
+budget_is_slowed (double so_far_s, double nominal_s)
+{
+  return nominal_s > 0 && so_far_s > SLOWED_RATIO * nominal_s;
+}
+
+void
+budget_slowed (struct budget *budget, unsigned concurrent)
+{
+  if (concurrent < 2)
+    return;
+  budget->concurrency_limit = MIN (budget->concurrency_limit, concurrent - 1);
+  budget->unslowed_count = 0;
+}
+
 unsigned
 budget_max_in_flight (const struct budget *budget)
 {
--- a/src/budget.h
+++ b/src/budget.h
@@ -53,6 +53,14 @@
 void budget_record_fetch (struct budget *budget, unsigned concurrent,
                           double measured_s, double nominal_s);
 
+/* Whether a fetch that takes NOMINAL_S undisturbed, and has taken SO_FAR_S,
+   is slowed down.  */
+bool budget_is_slowed (double so_far_s, double nominal_s);
+
+/* A fetch that started with CONCURRENT fetches in flight is being slowed down:
+   no more than before it start together until it ends.  */
+void budget_slowed (struct budget *budget, unsigned concurrent);
+
 /* Maximum number of fetches in flight.  */
 unsigned budget_max_in_flight (const struct budget *budget);
 
--- a/src/planner_order.c
+++ b/src/planner_order.c
@@ -380,12 +380,31 @@
   request_report (engine, out);
 }
 
+/* A fetch under way shows that it is slowed down before it ends, which may
+   take several times as long as usual.  */
+static void
+check_slowed (struct planner *planner, const struct planner_engine *engine,
+              struct timespec now)
+{
+  const struct planner_order *order = &engine->order;
+  const struct site_model *model;
+
+  if (!planner->by_delay || order->stage != STAGE_RUNNING || !order->fetches)
+    return;
+  model = planner_model (planner, order->model);
+  if (model != NULL
+      && budget_is_slowed (ts_to_s (ts_sub (now, order->accepted_at)),
+                           model->load_s))
+    budget_slowed (&planner->budget, order->concurrent);
+}
+
 void
 planner_advance_order (struct planner *planner, struct planner_engine *engine,
                        struct timespec now, struct action_list *out)
 {
   struct planner_order *order = &engine->order;
 
+  check_slowed (planner, engine, now);
   if (!engine->has_report && !engine->leaving
       && !ts_before (now, engine->next_report_at))
     {
--- a/tests/test_planner_load.c
+++ b/tests/test_planner_load.c
@@ -40,6 +40,7 @@
   unsigned loads;
   unsigned fetches;
   unsigned fetching; /* now */
+  unsigned most_fetching;
   unsigned unloads;
   struct action_list list;
   int64_t ms;
@@ -220,6 +221,7 @@
       f->loads++;
       f->fetches += !local;
       f->fetching += !local;
+      f->most_fetching = MAX (f->most_fetching, f->fetching);
       ms = (int64_t)((local ? DISK_S : STORE_S * f->fetching) * 1000);
     }
   engine->ends_ms = f->ms + ms;
@@ -617,6 +619,24 @@
   tear_down (&f);
 }
 
+/* Fetches slow each other down, which shows when one of them takes longer than
+   it should: further ones must not wait for its end to learn that.  */
+static void
+test_slowed_fetches (void)
+{
+  struct fixture f;
+
+  set_up (&f, 40, 60);
+  for (unsigned i = 0; i < 40; i++)
+    put (&f, i, i, true);
+  report_all (&f);
+  f.per_s[0] = 40;
+  run (&f, 200);
+  g_assert_cmpuint (f.most_fetching, <=, 2);
+  g_assert_cmpuint (replicas (&f, 0), >=, 6);
+  tear_down (&f);
+}
+
 /* Requests wait for two models that only the weight store has: one of the
    highest priority goes before three others.  */
 static void
@@ -659,6 +679,7 @@
   g_test_add_func ("/planner-load/random-arrivals", test_random_arrivals);
   g_test_add_func ("/planner-load/take-over", test_take_over);
   g_test_add_func ("/planner-load/store-order", test_store_order);
+  g_test_add_func ("/planner-load/slowed-fetches", test_slowed_fetches);
   g_test_add_func ("/planner-load/store-priority", test_store_priority);
   return g_test_run ();
 }
