--- a/src/forward.c
+++ b/src/forward.c
@@ -9,6 +9,7 @@
 #define STARTING_RETRY_MS 500 /* time to obtain the configuration */
 #define CONFIG_RETRY_MS 500   /* time for a newer configuration to arrive */
 #define STOPPING_RETRY_MS 20  /* another node can take the request at once */
+#define STATUS_UNAUTHORIZED 401
 #define DEFAULT_TIMEOUT_MS 60000 /* when neither caller nor route sets one */
 
 static void
@@ -44,6 +45,7 @@
 forward_finish (struct forward *forward)
 {
   forward_dequeue (forward);
+  forward_end_quota (forward);
   forward_limits_unwant (forward);
   origins_cancel (&forward->origin_query);
   forward->state = FORWARD_DONE;
@@ -55,7 +57,7 @@
 send_refusal (struct forward *forward, unsigned status, const char *why,
               int64_t retry_ms)
 {
-  const char *headers[7] = { NULL };
+  const char *headers[9] = { NULL };
   char seconds[32];
   size_t n = 0;
   char *relay = forward->unreached || forward_tells_origin (forward)
@@ -70,6 +72,11 @@
       headers[n++] = "Retry-After";
       headers[n++] = seconds;
     }
+  if (status == STATUS_UNAUTHORIZED)
+    {
+      headers[n++] = "WWW-Authenticate";
+      headers[n++] = "Bearer";
+    }
   if (relay != NULL)
     {
       headers[n++] = CALLER_RELAY_HEADER;
@@ -91,6 +98,7 @@
                 int64_t retry_ms)
 {
   counter_add (COUNTER_REFUSED, 1);
+  forward_note_refused (forward);
   forward_log_refused (forward, status, why, retry_ms);
   if (forward->request != NULL && forward->head_sent)
     httpd_stream_abort (forward->request);
@@ -287,13 +295,14 @@
   return g_strndup (uri, strcspn (uri, "?"));
 }
 
-static const struct site_route *
-find_route (struct forward *forward)
+const struct site_route *
+forward_find_route (const struct site *site,
+                    const struct httpd_request *request)
 {
-  const char *host = httpd_header (forward->request, "Host");
-  char *path = path_of (forward->request);
+  const char *host = httpd_header (request, "Host");
+  char *path = path_of (request);
   const struct site_route *route
-      = site_route (forward->site, host != NULL ? host : "", path);
+      = site_route (site, host != NULL ? host : "", path);
 
   g_free (path);
   return route;
@@ -345,6 +354,17 @@
                             forward->target, &kind);
 }
 
+void
+forward_send_accepted (struct forward *forward)
+{
+  if (forward->target != NULL && !forward->relayed)
+    note_arrival (forward);
+  if (forward->parsed.resumes && forward->route->kind == SITE_STREAM)
+    forward_resume (forward);
+  else
+    forward_route (forward);
+}
+
 static void
 accept_request (struct forward *forward)
 {
@@ -377,12 +397,14 @@
                       STARTING_RETRY_MS);
       return;
     }
-  forward->route = find_route (forward);
+  forward->route = forward_find_route (forward->site, forward->request);
   if (forward->route == NULL || !find_service (forward))
     {
       refuse_unknown_route (forward);
       return;
     }
+  if (forward_reject_key (forward))
+    return;
   set_deadline (forward);
   if (!accepts_now (forward))
     {
@@ -392,12 +414,8 @@
   forward_set_features (forward);
   if (forward_reject_quarantined (forward))
     return;
-  if (forward->target != NULL && !forward->relayed)
-    note_arrival (forward);
-  if (forward->parsed.resumes && forward->route->kind == SITE_STREAM)
-    forward_resume (forward);
-  else
-    forward_route (forward);
+  if (forward_take_quota (forward))
+    forward_send_accepted (forward);
 }
 
 void
--- a/src/forward_answer.c
+++ b/src/forward_answer.c
@@ -200,7 +200,10 @@
       forward->last_event = forward->sse.last_id;
     }
   if (before == 0 && forward->sse.events > 0 && !forward->to_peer)
-    forward_note_answer (forward);
+    {
+      forward_pace_first_event (forward);
+      forward_note_answer (forward);
+    }
   return err;
 }
 
@@ -248,8 +251,8 @@
                   ts_sub (forward_now (forward), forward->sent_at));
   note_request_time (forward);
   for (size_t i = 0; !forward->to_peer && i < forward->parsed.part_count; i++)
-    pick_hint (gateway->pick, forward->engine->id, forward->parsed.parts[i],
-               true, forward_now (forward));
+    pick_cached (gateway->pick, forward->engine, forward->parsed.parts[i],
+                 forward_now (forward));
   if (forward->request != NULL && forward->streaming)
     end_stream (forward);
   else if (forward->request != NULL)
@@ -597,6 +600,7 @@
   headers = copy_response_headers (forward);
   peer_answer = read_peer_answer (forward, result);
   forward->call = NULL;
+  forward_pace_end (forward, result->error == 0);
   forward_end_in_flight (forward);
   refusal = result->error == 0 && forward->head_parsed
             && forward->answer.not_run && forward->answer.id_matches
--- a/src/forward_log.c
+++ b/src/forward_log.c
@@ -25,6 +25,8 @@
   if (forward->route != NULL)
     log_str (line, "route", forward->route->name);
   log_str (line, "target", forward->target);
+  if (forward->customer != NULL)
+    log_str (line, "customer", forward->customer->name);
   if (forward->relayed)
     log_int (line, "relayed", 1);
   log_double (line, "age_ms", age_ms (forward));
@@ -39,6 +41,27 @@
                 forward->explanation.delay_s * (double)TS_MS_PER_S);
 }
 
+/* What that estimate rests on, if the engine tells its pace.  */
+static void
+log_pace (const struct forward *forward, struct log_line *line)
+{
+  const struct pick_explanation *why = &forward->explanation;
+
+  if (!why->paced)
+    return;
+  log_double (line, "pace", why->pace);
+  log_double (line, "wait_ms", why->wait_s * (double)TS_MS_PER_S);
+  log_double (line, "event_ms", why->event_s * (double)TS_MS_PER_S);
+  log_double (line, "prefix_trust", why->prefix_trust);
+}
+
+static void
+log_over (const struct forward *forward, struct log_line *line)
+{
+  if (forward_is_over (forward))
+    log_int (line, "over", 1);
+}
+
 /* The stream that the request continues, and its last event.  */
 static void
 log_resume (const struct forward *forward, struct log_line *line)
@@ -63,7 +86,7 @@
 
   begin_line (forward, &line, EVENT_REQUEST_WAITING);
   log_int (&line, "usable", forward->explanation.usable);
-  log_int (&line, "priority", forward->route->priority);
+  log_int (&line, "priority", forward_priority (forward));
   if (!ts_is_zero (ready_at))
     log_double (&line, "ready_in_ms",
                 to_ms (ts_sub (ready_at, forward_now (forward))));
@@ -86,8 +109,10 @@
   log_str (&line, "reason", pick_reason_name (forward->explanation.reason));
   log_double (&line, "load", forward->explanation.load);
   log_delay (forward, &line);
+  log_pace (forward, &line);
   log_int (&line, "usable", forward->explanation.usable);
   log_int (&line, "version", (int64_t)forward->site->version);
+  log_over (forward, &line);
   log_end (&line);
 }
 
@@ -133,6 +158,7 @@
   log_int (&line, "cut", forward->head_sent);
   log_int (&line, "sendings", forward_sendings (forward));
   log_delay (forward, &line);
+  log_over (forward, &line);
   log_int (&line, "retry_after_ms", retry_ms);
   log_end (&line);
 }
--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -5,9 +5,6 @@
 #include "ts.h"
 
 #define DEFAULT_RETRY_AFTER_MS 300 /* when no better estimate is known */
-/* Share of an engine's queue that is at least as urgent as a request of a
-   route with the highest priority, of several.  */
-#define ADMITTED_FIRST_SHARE 0.4
 #define URGENCY_MAX 9
 #define URGENCY_PER_PRIORITY 2 /* step from one route priority to the next */
 #define URGENCY_BASE 2         /* of route priority 0 */
@@ -71,6 +68,7 @@
   else
     TAILQ_INSERT_TAIL (&gateway->waiting, forward, link);
   counter_add (COUNTER_WAITING, 1);
+  forward_fair_wait (forward);
   forward_log_waiting (forward, ready_at);
   add_to_waiting_count (forward, 1);
   gateway_dispatch_later (gateway);
@@ -84,6 +82,7 @@
   TAILQ_REMOVE (&forward->gateway->waiting, forward, link);
   forward->state = FORWARD_NEW;
   counter_add (COUNTER_WAITING, -1);
+  forward_fair_end_wait (forward);
   add_to_waiting_count (forward, -1);
 }
 
@@ -121,12 +120,12 @@
    those that refuse connections or are cut off from this node, brittle ones
    that have enough, and the one of the attempt in progress.  */
 static GPtrArray *
-excluded_replicas (struct forward *forward, const GArray *replicas)
+excluded_replicas (struct forward *forward, const GArray *replicas,
+                   size_t *nodes)
 {
   GPtrArray *ids = g_ptr_array_new ();
-  size_t nodes;
 
-  links_members (forward->gateway->links, &nodes);
+  links_members (forward->gateway->links, nodes);
   if (forward->call != NULL)
     g_ptr_array_add (ids, forward->engine->id);
   for (size_t i = 0; i < forward->tried_count; i++)
@@ -140,7 +139,7 @@
       const struct route_replica *replica
           = &g_array_index (replicas, struct route_replica, i);
 
-      if (is_excluded (forward, replica, nodes))
+      if (is_excluded (forward, replica, *nodes))
         g_ptr_array_add (ids, replica->engine->id);
     }
   return ids;
@@ -163,7 +162,8 @@
 static struct route_engine *
 pick_engine (struct forward *forward, const GArray *replicas)
 {
-  GPtrArray *ids = excluded_replicas (forward, replicas);
+  size_t nodes;
+  GPtrArray *ids = excluded_replicas (forward, replicas, &nodes);
   struct pick_request request
       = { .replicas = (const struct route_replica *)replicas->data,
           .count = replicas->len,
@@ -176,9 +176,11 @@
           .target
           = forward->target != NULL ? g_str_hash (forward->parsed.model) : 0,
           .short_prompt = forward->parsed.prompt_tokens <= DELAY_PIECE_TOKENS,
+          .nodes = nodes,
           .adapter = forward->parsed.adapter != NULL };
   struct route_engine *engine;
 
+  forward_pace_request (forward, &request);
   forward_limits_reset (forward);
   do
     {
@@ -226,8 +228,10 @@
 static unsigned
 compute_urgency (const struct forward *forward)
 {
-  return MIN (URGENCY_BASE + URGENCY_PER_PRIORITY * forward_priority (forward),
-              URGENCY_MAX);
+  unsigned urgency
+      = URGENCY_BASE + URGENCY_PER_PRIORITY * forward_priority (forward);
+
+  return MIN (urgency + forward_is_over (forward), URGENCY_MAX);
 }
 
 static GPtrArray *
@@ -241,7 +245,10 @@
           .left_ms = forward_left_ms (forward),
           .urgency = compute_urgency (forward),
           .resumes = forward->parsed.resumes,
-          .resume_after = forward->parsed.resume_after };
+          .resume_after = forward->parsed.resume_after,
+          .hide_key = forward->site->keys_required,
+          .customer
+          = forward->customer != NULL ? forward->customer->name : NULL };
   GPtrArray *headers = g_ptr_array_new_with_free_func (g_free);
 
   if (forward->head_sent)
@@ -369,6 +376,7 @@
   route_engine_unref (forward->engine);
   forward->engine = engine;
   forward->dispatches++;
+  forward_note_sent (forward);
   if (!forward->deposited && forward_deposits (forward))
     {
       retry_deposit (gateway->retry, forward->service->name);
@@ -377,6 +385,7 @@
   forward->sent_to[forward->dispatches - 1] = g_str_hash (engine->address);
   forward->state = FORWARD_SENT;
   forward->sent_at = now;
+  forward_pace_sent (forward);
   forward->first_at = (struct timespec){ 0 };
   forward->heard_at = now;
   forward->silent = false;
@@ -406,6 +415,7 @@
 {
   if (forward->call == NULL)
     return;
+  forward_pace_end (forward, false);
   attempt_cancel (&forward->attempts[forward->count - 1],
                   httpc_phase (forward->call));
   httpc_cancel (forward->call);
@@ -414,68 +424,16 @@
   eject_abandon (forward->gateway->eject, forward->engine->id);
 }
 
-/* When the caller is likely to be gone if it has got nothing.  */
-static struct timespec
-leaves_at (const struct forward *forward)
-{
-  struct timespec patience = patience_estimate (
-      gateway_patience (forward->gateway, forward->route->name),
-      forward_now (forward));
-
-  if (ts_is_zero (patience))
-    return forward->deadline;
-  return ts_min (forward->deadline, ts_add (forward->arrived, patience));
-}
-
 /* Whether the model will be ready too late for the caller, so that waiting is
    pointless.  */
 static bool
 ready_too_late (const struct forward *forward, struct timespec ready_at)
 {
   return !ts_is_zero (ready_at)
-         && ts_before (leaves_at (forward),
+         && ts_before (forward_leaves_at (forward),
                        ts_add_ms (ready_at, FORWARD_ANSWER_MIN_MS));
 }
 
-/* Whether some route of the service has a lower priority, so that engines
-   admit this request before most others.  */
-static bool
-is_admitted_first (const struct forward *forward)
-{
-  const GArray *routes = forward->site->routes;
-
-  for (guint i = 0; i < routes->len; i++)
-    {
-      const struct site_route *route
-          = &g_array_index (routes, struct site_route, i);
-      const char *service = site_split (route, 0);
-
-      if (route->priority > forward->route->priority && service != NULL
-          && strcmp (service, forward->service->name) == 0)
-        return true;
-    }
-  return false;
-}
-
-/* Sets *RETRY_MS and returns true if the chosen engine is so busy that the
-   request should not be sent there.  */
-static bool
-is_overloaded (const struct forward *forward, int64_t *retry_ms)
-{
-  double delay_s = forward->explanation.delay_s;
-  double limit_s = delay_limit_s (
-      (double)forward->route->objective_ms / (double)TS_MS_PER_S,
-      (double)forward_left_ms (forward) / (double)TS_MS_PER_S);
-
-  if (forward->target == NULL || forward->dispatches > 0 || delay_s <= limit_s)
-    return false;
-  if (is_admitted_first (forward))
-    delay_s *= ADMITTED_FIRST_SHARE;
-  *retry_ms = ts_to_ms (ts_from_s (delay_retry_s (
-      delay_s, limit_s, g_rand_double (forward->gateway->core->rand))));
-  return delay_s > limit_s;
-}
-
 /* Dispatches the request to ENGINE, or rejects it if that is overloaded.  A
    request that has been waiting goes on waiting while it may be answered in
    time.  */
@@ -486,7 +444,7 @@
                      + FORWARD_ANSWER_MIN_MS;
   int64_t retry_ms;
 
-  if (!is_overloaded (forward, &retry_ms))
+  if (!forward_is_overloaded (forward, &retry_ms))
     {
       forward_limits_prefetch (forward);
       forward_dispatch (forward, engine);
@@ -497,7 +455,10 @@
     forward_wait_for_limit (forward);
   else if (forward->state != FORWARD_WAITING
            || forward_left_ms (forward) < delay_ms)
-    forward_fail (forward, "the servers are overloaded", retry_ms);
+    {
+      counter_add (COUNTER_OVERLOADED, 1);
+      forward_fail (forward, "the servers are overloaded", retry_ms);
+    }
 }
 
 /* Whether no server may continue the stream, so that waiting is pointless.  */
@@ -661,6 +622,7 @@
   struct forward *forward;
   struct forward *next;
 
+  forward_order_waiting (gateway);
   for (forward = TAILQ_FIRST (&gateway->waiting); forward != NULL;
        forward = next)
     {
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -1,6 +1,7 @@
 /* forward_state - state of one request, shared by the modules forward,
-   forward_send, forward_limit, forward_relay, forward_resume,
-   forward_quarantine, forward_answer and forward_log.  Private to them.  */
+   forward_send, forward_admit, forward_limit, forward_customer, forward_fair,
+   forward_quota, forward_relay, forward_resume, forward_quarantine,
+   forward_answer and forward_log.  Private to them.  */
 
 #ifndef PARSLEYRILL_FORWARD_STATE_H
 #define PARSLEYRILL_FORWARD_STATE_H
@@ -36,6 +37,7 @@
 {
   TAILQ_ENTRY (forward) link; /* while FORWARD_WAITING */
   TAILQ_ENTRY (forward) open_link;
+  TAILQ_ENTRY (forward) quota_link; /* while QUOTA_WAIT is not 0 */
   struct gateway *gateway;
   struct httpd_request *request; /* NULL once the caller is gone */
   struct caller_request parsed;
@@ -43,6 +45,11 @@
   const struct site_route *route;
   const struct site_service *service;
   const struct site_customer *customer; /* of SITE; NULL: none */
+  bool waits_for_capacity; /* counted as waiting, see forward_fair.c */
+  bool customer_sent;      /* the request was counted as sent */
+  bool customer_proven; /* by another node, which has passed the request on */
+  uint64_t quota_wait;            /* see quota_check; 0: it does not wait */
+  struct quota_taken quota_taken; /* of the customer's quota */
   char *target; /* model or adapter; NULL: not given, or a plain service */
   enum forward_state state;
   struct timespec arrived;
@@ -62,11 +69,16 @@
                                           NULL: none */
   struct pick_explanation explanation; /* of the latest choice of a replica */
   struct timespec sent_at;
-  struct timespec first_at;      /* first byte of the response; zero: none */
-  struct timespec heard_at;      /* latest byte, or the dispatch */
-  struct caller_response answer; /* of the current attempt */
-  struct relay_note peer_note;   /* of the current attempt, if TO_PEER */
-  bool head_parsed;              /* ANSWER is valid */
+  /* What the server was expected to take, at the pace that it tells, until
+     the first event and from event to event; 0: no estimate.  */
+  double expected_s;
+  double expected_event_s;
+  struct timespec first_event_at; /* zero: none yet */
+  struct timespec first_at;       /* first byte of the response; zero: none */
+  struct timespec heard_at;       /* latest byte, or the dispatch */
+  struct caller_response answer;  /* of the current attempt */
+  struct relay_note peer_note;    /* of the current attempt, if TO_PEER */
+  bool head_parsed;               /* ANSWER is valid */
   bool streaming; /* the current response is passed on as a stream */
   bool head_sent; /* the response head was sent to the caller */
   bool silent;    /* the current engine is being waited for in silence */
@@ -137,6 +149,12 @@
 /* Fails the request: 503 if it certainly did not run, otherwise 502.  */
 void forward_fail (struct forward *forward, const char *why, int64_t retry_ms);
 void forward_finish (struct forward *forward);
+/* NULL if there is none.  */
+const struct site_route *
+forward_find_route (const struct site *site,
+                    const struct httpd_request *request);
+/* Sends the request, which was accepted, to a server.  */
+void forward_send_accepted (struct forward *forward);
 /* Whether the request can still be sent to a server and answered in time,
    should this node be stopping.  */
 bool forward_may_send (const struct forward *forward);
@@ -169,6 +187,27 @@
 /* The current engine will not be used again for this request.  */
 void forward_mark_tried (struct forward *forward);
 
+/* forward_admit.c */
+
+/* When the caller is likely to be gone if it has got nothing.  */
+struct timespec forward_leaves_at (const struct forward *forward);
+/* Sets *RETRY_MS and returns true if the chosen engine is so busy that the
+   request should not be sent there.  */
+bool forward_is_overloaded (const struct forward *forward, int64_t *retry_ms);
+
+/* forward_pace.c */
+
+/* Adds what the choice of a server that tells its pace needs.  */
+void forward_pace_request (const struct forward *forward,
+                           struct pick_request *request);
+/* The request is being sent to the current engine.  */
+void forward_pace_sent (struct forward *forward);
+/* The first event of the current response has come: the server has read the
+   prompt, and its cache has the prompt's parts.  */
+void forward_pace_first_event (struct forward *forward);
+/* The current attempt has ended, at whatever event; COMPLETE: at the last.  */
+void forward_pace_end (struct forward *forward, bool complete);
+
 /* forward_limit.c: servers that name limits, see ratelimit.h.  */
 
 /* Whether the request may be sent to server ID now, as far as its limit goes.
@@ -188,6 +227,41 @@
 void forward_limits_unwant (struct forward *forward);
 void forward_limits_free (struct forward *forward);
 
+/* forward_customer.c: keys of customers, see keyring.h.  */
+
+/* Sets the customer that the request's key belongs to.  Refuses the request
+   and returns true if its route needs another key.  */
+bool forward_reject_key (struct forward *forward);
+/* What the request is charged, in the unit of its customer, which must be
+   known.  */
+uint64_t forward_amount (const struct forward *forward);
+/* The request is sent to a server or node.  */
+void forward_note_sent (struct forward *forward);
+/* The request is refused.  */
+void forward_note_refused (struct forward *forward);
+/* forward_quota.c: quotas of customers, see quota.h.  */
+
+/* Takes the request's part of its customer's quota.  Otherwise returns false:
+   the request waits for it, or was refused.  */
+bool forward_take_quota (struct forward *forward);
+/* The request has ended.  What it has taken is returned if it did not run.  */
+void forward_end_quota (struct forward *forward);
+
+/* forward_fair.c: shares of customers, see fairshare.h.  */
+
+void forward_fair_sent (const struct forward *forward);
+void forward_fair_refused (const struct forward *forward);
+/* The request begins to wait, or ends to.  */
+void forward_fair_wait (struct forward *forward);
+void forward_fair_end_wait (struct forward *forward);
+/* Whether the customer has had far more than its share while others lack
+   theirs.  */
+bool forward_is_over (const struct forward *forward);
+/* Part of the usual longest delay for which the request is sent.  */
+double forward_delay_share (const struct forward *forward);
+/* Sorts the waiting requests.  */
+void forward_order_waiting (struct gateway *gateway);
+
 /* forward_relay.c: requests passed on to other nodes, see cutoff.h.  */
 
 /* Reads whether another node passed the request on, and what it tells.  */
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -3,12 +3,14 @@
 #include <errno.h>
 #include <string.h>
 #include "counter.h"
+#include "fairshare.h"
 #include "forward.h"
 #include "gateway_state.h"
 #include "histo.h"
 #include "lookup.h"
 #include "reject.h"
 #include "ts.h"
+#include "usage.h"
 
 #define CALLER_IDLE_S 120    /* longer than any deadline of callers */
 #define BODY_MAX (64u << 20) /* bytes; used until a limit is configured */
@@ -141,11 +143,15 @@
 static void
 on_metrics (void *user, struct httpd_request *request)
 {
+  const struct gateway *gateway = user;
   char *counters = counter_text ();
+  char *quotas = quotas_metrics (gateway->quotas);
   GString *text = g_string_new (counters);
 
-  (void)user;
   histo_text (text);
+  usage_text (gateway->usage, text);
+  g_string_append (text, quotas);
+  g_free (quotas);
   respond_text (request, 200, "text/plain; version=0.0.4", text->str);
   g_string_free (text, TRUE);
   g_free (counters);
@@ -161,6 +167,16 @@
 
 /* Waiting requests.  */
 
+static void
+on_quota_timer (struct loop_timer *timer)
+{
+  struct gateway *gateway
+      = (struct gateway *)((char *)timer
+                           - offsetof (struct gateway, quota_timer));
+
+  forward_check_quotas (gateway);
+}
+
 static void
 on_dispatch_timer (struct loop_timer *timer)
 {
@@ -229,6 +245,7 @@
 
   eject_clean (gateway->eject, now);
   reach_clean (gateway->reach, now);
+  fairshare_clean (gateway->fairshare, now);
   loop_timer_set (gateway->core->loop, timer,
                   ts_add_ms (now, CLEANUP_INTERVAL_MS));
 }
@@ -362,6 +379,7 @@
   httpd_free (gateway->metrics);
   httpc_free (gateway->httpc);
   loop_timer_clear (gateway->core->loop, &gateway->dispatch_timer);
+  loop_timer_clear (gateway->core->loop, &gateway->quota_timer);
   loop_timer_clear (gateway->core->loop, &gateway->cleanup_timer);
   loop_timer_clear (gateway->core->loop, &gateway->retry_timer);
   gateway_probe_stop (gateway);
@@ -378,6 +396,7 @@
   gateway->links = links_find (kernel);
   gateway->listing = listing_find (kernel);
   gateway->ratelimits = ratelimits_find (kernel);
+  gateway->quotas = quotas_find (kernel);
   gateway->planners = planners_find (kernel);
   gateway->origins = origins_find (kernel);
   gateway->versionlog = versionlog_find (kernel);
@@ -386,10 +405,12 @@
   gateway->httpc = httpc_new (&client);
   if (gateway->httpc == NULL)
     return -ENOMEM;
+  gateway_keys_start (gateway);
   start_retry_window (gateway);
   create_policies (gateway);
   gateway_probe_start (gateway);
   gateway->dispatch_timer.fire = on_dispatch_timer;
+  gateway->quota_timer.fire = on_quota_timer;
   gateway->cleanup_timer.fire = on_cleanup_timer;
   loop_timer_set (gateway->core->loop, &gateway->cleanup_timer,
                   loop_now (gateway->core->loop));
@@ -429,6 +450,10 @@
       || event->type == KERNEL_SITE_CHANGED
       || event->type == KERNEL_LIMIT_CHANGED)
     gateway_dispatch_soon (gateway);
+  /* Not at once: the event may come from within a request.  */
+  if (event->type == KERNEL_QUOTA_CHANGED)
+    loop_timer_set (gateway->core->loop, &gateway->quota_timer,
+                    loop_now (gateway->core->loop));
   if (event->type != KERNEL_MEMBERS_CHANGED || gateway->retry == NULL)
     return;
   retry = node_retry_limits (gateway);
@@ -452,10 +477,14 @@
   gateway->service.ops = &gateway_ops;
   gateway->service.name = "gateway";
   gateway->options = *options;
+  gateway->usage = usage_new ();
+  gateway->fairshare = fairshare_new ();
   TAILQ_INIT (&gateway->waiting);
+  TAILQ_INIT (&gateway->waiting_for_quota);
   TAILQ_INIT (&gateway->open_requests);
   gateway->patience
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  gateway->returns = returns_new ();
   gateway->durations
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   gateway->peers
@@ -472,6 +501,9 @@
 
   if (gateway == NULL)
     return;
+  gateway_keys_stop (gateway);
+  usage_free (gateway->usage);
+  fairshare_free (gateway->fairshare);
   pick_free (gateway->pick);
   eject_free (gateway->eject);
   brittle_free (gateway->brittle);
@@ -480,6 +512,7 @@
   g_hash_table_unref (gateway->waiting_for);
   g_hash_table_unref (gateway->patience);
   g_hash_table_unref (gateway->durations);
+  returns_free (gateway->returns);
   g_hash_table_unref (gateway->peers);
   if (gateway->services != NULL)
     g_hash_table_unref (gateway->services);
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -22,14 +22,19 @@
 #include "patience.h"
 #include "pick.h"
 #include "quarantines.h"
+#include "quotas.h"
 #include "reach.h"
 #include "retry.h"
+#include "returns.h"
 #include "servers.h"
 #include "planners.h"
 #include "ratelimits.h"
 #include "versionlog.h"
 
 struct forward;
+struct keyring;
+struct fairshare;
+struct usage;
 
 TAILQ_HEAD (forward_list, forward);
 
@@ -48,6 +53,7 @@
   struct gateway_options options;
   struct listing *listing;
   struct ratelimits *ratelimits;
+  struct quotas *quotas;
   struct planners *planners;
   struct links *links;
   struct origins *origins;
@@ -66,9 +72,13 @@
   struct loop_timer probe_timer;
   GHashTable *patience;  /* route to struct patience */
   GHashTable *durations; /* route to struct duration */
+  struct returns *returns;
+  double event_tokens; /* of a stream's event, as observed; 0: unknown */
   GHashTable *peers; /* id to struct route_engine: nodes that take requests */
   struct retry *retry;
   struct forward_list waiting; /* most urgent first */
+  struct forward_list waiting_for_quota;
+  struct loop_timer quota_timer;
   GHashTable
       *waiting_for; /* "SERVICE TARGET\nSOFTWARE" -> number of requests */
   struct loop_timer dispatch_timer;
@@ -78,6 +88,12 @@
   struct forward_list open_requests;
   unsigned open; /* of OPEN_REQUESTS */
   struct drain drain;
+  /* Of the customers of KEYRING_SITE, see forward_customer.c.  */
+  struct keyring *keyring;
+  struct site *keyring_site; /* reference */
+  uint64_t key_seed;
+  struct usage *usage;
+  struct fairshare *fairshare;
 };
 
 /* gateway_probe.c: whether servers are cut off from this node, see cutoff.h.
@@ -96,6 +112,13 @@
 void gateway_server_heard (struct gateway *gateway, const char *id);
 void gateway_server_removed (struct gateway *gateway, const char *id);
 
+/* forward_customer.c */
+
+/* Draws the seed of the keyring.  */
+void gateway_keys_start (struct gateway *gateway);
+/* Frees the keyring; another is made when it is needed.  */
+void gateway_keys_stop (struct gateway *gateway);
+
 /* How long callers of route NAME wait; created when first asked for;
    borrowed.  */
 struct patience *gateway_patience (struct gateway *gateway, const char *name);
