--- a/src/planner_round.h
+++ b/src/planner_round.h
@@ -28,7 +28,6 @@
   bool pending;        /* an engine evicts models to load it */
   /* The next ones only if BY_DELAY of the plan; see planner_work.h.  */
   const struct planner_delay_requests *requests; /* never NULL then */
-  double long_per_s;                             /* over a longer time */
   struct planner_delay_work unit;  /* work of one request a second */
   double weight;                   /* of a request, by priority */
   double waiting_weight;           /* sum over WAITING */
@@ -70,9 +69,9 @@
   /* Engines tell their pace: replicas are planned by delay.  */
   bool by_delay;
   bool is_empty;            /* BY_DELAY: no model is loaded or being loaded */
+  bool lacks_replicas;      /* BY_DELAY: requests for some model are delayed */
   bool partial;             /* BY_DELAY: only for what waits */
   unsigned adapter_targets; /* that were examined in this round */
-  bool lacks_replicas;      /* BY_DELAY: requests for some model are delayed */
 };
 
 static inline struct plan_model *
--- a/src/planner_work.c
+++ b/src/planner_work.c
@@ -18,6 +18,8 @@
 /* Requests seen from which a model's own figures count, instead of those of
    all models.  */
 #define OWN_MIN_COUNT 5.0
+/* Adapters that are asked for less often stay where they are.  */
+#define ADAPTER_MIN_PER_S 0.05
 #define SHARE_PASSES 3
 /* Against rounding errors, where a replica gets all requests.  */
 #define SHARE_MIN 1e-3
@@ -46,6 +48,15 @@
 #define LATE_SHARE 0.25
 
 static const struct planner_delay_work no_work;
+/* Assumed until any request tells what it is like.  */
+static const struct planner_delay_requests unknown_requests
+    = { .kinds = { { .count = 1,
+                     .tokens = 3870,
+                     .answer_tokens = 100,
+                     .objective_s = 1,
+                     .priority = 1 } },
+        .used = 1,
+        .count = 1 };
 
 /* Never constant, so that one replica more counts even if several are
    missing.  */
@@ -119,7 +130,6 @@
 {
   const struct planner *planner = plan->planner;
   double correction = rate_correction (plan, RATES_TIME_CONSTANT_S);
-  double long_correction = rate_correction (plan, PLANNER_WORK_LONG_S);
   struct plan_model *model;
   GHashTableIter iter;
   const char *name;
@@ -130,15 +140,16 @@
       const struct planner_delay_requests *own
           = g_hash_table_lookup (planner->requests, name);
 
-      model->requests = own != NULL && own->count >= OWN_MIN_COUNT
-                            ? own
-                            : &planner->all_requests;
-      model->weight = planner_delay_weight (model->requests);
+      model->requests = &unknown_requests;
+      if (own != NULL && own->count >= OWN_MIN_COUNT)
+        model->requests = own;
+      else if (planner->all_requests.count > 0)
+        model->requests = &planner->all_requests;
+      /* Priorities differ by model more than lengths do.  */
+      model->weight
+          = planner_delay_weight (own != NULL ? own : model->requests);
       model->unit = planner_delay_unit (model->requests);
       model->per_s *= correction;
-      model->long_per_s
-          = long_correction
-            * rates_per_s (planner->arrivals_long, name, plan->now);
     }
 }
 
@@ -295,7 +306,9 @@
   double load_s
       = model->has_local_copy ? model->site->disk_s : model->site->load_s;
   double helped_s = MAX (URGENCY_HORIZON_S - load_s, 0);
-  double come = model->weight * model->per_s * helped_s;
+  double weight = model->waiting > 0 ? model->waiting_weight / model->waiting
+                                     : model->weight;
+  double come = weight * model->per_s * helped_s;
   double wait = model->waiting_weight;
 
   if (load_s >= PATIENCE_S)
@@ -325,8 +338,11 @@
   if (model->needed == PLANNER_DELAY_REPLICAS_MAX && !model->leads)
     model->needed = model->replicas;
   model->urgency = urgency (model, idle_s);
-  plan->lacks_replicas
-      |= model->replicas > 0 && model->needed > model->replicas;
+  if (model->replicas > 0 && model->needed > model->replicas)
+    {
+      plan->lacks_replicas = true;
+      plan->planner->short_models++;
+    }
 }
 
 static void
@@ -364,6 +380,7 @@
   GHashTableIter iter;
   GArray *places;
 
+  plan->planner->short_models = 0;
   plan->by_delay = tells_pace (plan->planner);
   if (!plan->by_delay)
     return;
@@ -407,6 +424,10 @@
   planner_delay_add_work (&other, &model->unit, rest / model->loaded);
   needed = planner_delay_replicas (model->requests, per_s, &other, model->pace,
                                    NEED_RATIO);
+  /* Requests for an adapter move to a further replica of the model only with
+     the adapter.  */
+  if (model->needed > 1 && per_s >= ADAPTER_MIN_PER_S)
+    needed = MAX (needed, model->needed);
   return MIN (needed, model->loaded);
 }
 
@@ -459,12 +480,15 @@
 
 /* The value of the only replica, on ENGINE.  */
 static double
-sole_value (const struct plan_model *model,
+sole_value (const struct plan *plan, const struct plan_model *model,
             const struct planner_engine *engine)
 {
   bool fetches;
   double reload_s = planner_load_s (engine, model->site, &fetches);
-  double per_s = MAX (model->per_s, model->long_per_s);
+  double long_per_s = rates_per_s (plan->planner->arrivals_long,
+                                   model->site->name, plan->now)
+                      * rate_correction (plan, PLANNER_WORK_LONG_S);
+  double per_s = MAX (model->per_s, long_per_s);
 
   return IDLE_VALUE
          + model->weight * per_s * PLANNER_HORIZON_S
@@ -504,7 +528,7 @@
   else if (model->loaded > 1)
     place->value = replica_value (plan, place);
   else
-    place->value = sole_value (model, engine);
+    place->value = sole_value (plan, model, engine);
   return place->value;
 }
 
--- a/tests/test_planner_load.c
+++ b/tests/test_planner_load.c
@@ -40,6 +40,7 @@
   unsigned loads;
   unsigned fetches;
   unsigned fetching; /* now */
+  unsigned most_fetching;
   unsigned unloads;
   struct action_list list;
   int64_t ms;
@@ -174,6 +175,27 @@
   return (unsigned)g_ascii_strtoull (id + 1, NULL, 10);
 }
 
+static uint64_t
+model_mb (const struct fixture *f, const char *name)
+{
+  return f->models[engine_index (name)].memory_mb;
+}
+
+static uint64_t
+used_mb (const struct fixture *f, const struct engine *engine)
+{
+  uint64_t mb = 0;
+
+  for (guint i = 0; i < engine->inventory->models->len; i++)
+    {
+      const struct inventory_model *held
+          = g_ptr_array_index (engine->inventory->models, i);
+
+      mb += model_mb (f, held->name);
+    }
+  return mb;
+}
+
 static void
 begin_order (struct fixture *f, const struct planner_action *action)
 {
@@ -194,11 +216,12 @@
       bool local
           = inventory_name_listed (engine->inventory->on_disk, action->model);
 
-      g_assert_cmpuint (engine->inventory->models->len + 1, <=,
-                        ENGINE_MB / MODEL_MB);
+      g_assert_cmpuint (used_mb (f, engine) + model_mb (f, action->model), <=,
+                        ENGINE_MB);
       f->loads++;
       f->fetches += !local;
       f->fetching += !local;
+      f->most_fetching = MAX (f->most_fetching, f->fetching);
       ms = (int64_t)((local ? DISK_S : STORE_S * f->fetching) * 1000);
     }
   engine->ends_ms = f->ms + ms;
@@ -251,7 +274,8 @@
           .objective_s = f->objective_s,
           .priority = 1 };
 
-  planner_note_requests (f->planner, name, &kind);
+  if (f->objective_s > 0)
+    planner_note_requests (f->planner, name, &kind);
   planner_request_arrived (f->planner, name, count, ts_from_ms (f->ms));
   if (replicas (f, model) == 0)
     f->waiting[model] += count;
@@ -375,6 +399,56 @@
   tear_down (&f);
 }
 
+/* An engine with three models that are all asked for often, beside idle ones:
+   it gets relief, and each model is loaded elsewhere before it is unloaded
+   there, if at all.  */
+static void
+test_crowded_by_several (void)
+{
+  struct fixture f;
+
+  set_up (&f, 4, 3);
+  for (unsigned i = 0; i < 3; i++)
+    {
+      f.models[i].memory_mb = 60;
+      put (&f, 0, i, true);
+      f.per_s[i] = 2;
+    }
+  for (unsigned i = 0; i < 3; i++)
+    put (&f, 1 + i, i, false);
+  report_all (&f);
+  f.objective_s = 0.5;
+  for (int i = 0; i < 300; i++)
+    {
+      run (&f, 0.1);
+      for (unsigned m = 0; m < 3; m++)
+        g_assert_cmpuint (replicas (&f, m), >, 0);
+    }
+  g_assert_cmpuint (replicas (&f, 0) + replicas (&f, 1) + replicas (&f, 2), >=,
+                    5);
+  g_assert_cmpuint (f.unloads, ==, 0);
+  tear_down (&f);
+}
+
+/* Nodes of an earlier release, and routes without an objective, do not tell
+   what requests are like: replicas are found nevertheless.  */
+static void
+test_unknown_requests (void)
+{
+  struct fixture f;
+
+  set_up (&f, 3, 2);
+  put (&f, 0, 0, true);
+  put (&f, 1, 0, false);
+  put (&f, 2, 0, false);
+  report_all (&f);
+  f.objective_s = 0;
+  f.per_s[0] = 12;
+  run (&f, 15);
+  g_assert_cmpuint (replicas (&f, 0), >=, 2);
+  tear_down (&f);
+}
+
 /* A model that nobody asked for becomes hot, then cools down: its replicas go
    where others are asked for.  */
 static void
@@ -545,6 +619,50 @@
   tear_down (&f);
 }
 
+/* Fetches slow each other down, which shows when one of them takes longer than
+   it should: further ones must not wait for its end to learn that.  */
+static void
+test_slowed_fetches (void)
+{
+  struct fixture f;
+
+  set_up (&f, 40, 60);
+  for (unsigned i = 0; i < 40; i++)
+    put (&f, i, i, true);
+  report_all (&f);
+  f.per_s[0] = 40;
+  run (&f, 200);
+  g_assert_cmpuint (f.most_fetching, <=, 2);
+  g_assert_cmpuint (replicas (&f, 0), >=, 6);
+  tear_down (&f);
+}
+
+/* Requests wait for two models that only the weight store has: one of the
+   highest priority goes before three others.  */
+static void
+test_store_priority (void)
+{
+  struct fixture f;
+
+  set_up (&f, 3, 5);
+  for (unsigned i = 0; i < 3; i++)
+    put (&f, i, i, true);
+  report_all (&f);
+  f.per_s[0] = 0.5;
+  run (&f, 12);
+  for (int i = 0; i < 3; i++)
+    planner_request_arrived (f.planner, "m3", 1, ts_from_ms (f.ms));
+  planner_set_waiting (f.planner, "n", "m3", 3, 1, ts_from_ms (f.ms));
+  planner_request_arrived (f.planner, "m4", 1, ts_from_ms (f.ms));
+  planner_set_waiting (f.planner, "n", "m4", 1, 0, ts_from_ms (f.ms));
+  run (&f, 14);
+  g_assert_cmpuint (replicas (&f, 4), ==, 1);
+  g_assert_cmpuint (replicas (&f, 3), ==, 0);
+  run (&f, 14);
+  g_assert_cmpuint (replicas (&f, 3), ==, 1);
+  tear_down (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -552,11 +670,16 @@
   g_test_add_func ("/planner-load/crowded-slow-engine",
                    test_crowded_slow_engine);
   g_test_add_func ("/planner-load/calm", test_calm);
+  g_test_add_func ("/planner-load/crowded-by-several",
+                   test_crowded_by_several);
+  g_test_add_func ("/planner-load/unknown-requests", test_unknown_requests);
   g_test_add_func ("/planner-load/hot-model", test_hot_model);
   g_test_add_func ("/planner-load/demand-moves", test_demand_moves);
   g_test_add_func ("/planner-load/short-of-places", test_short_of_places);
   g_test_add_func ("/planner-load/random-arrivals", test_random_arrivals);
   g_test_add_func ("/planner-load/take-over", test_take_over);
   g_test_add_func ("/planner-load/store-order", test_store_order);
+  g_test_add_func ("/planner-load/slowed-fetches", test_slowed_fetches);
+  g_test_add_func ("/planner-load/store-priority", test_store_priority);
   return g_test_run ();
 }
