planner: models that lack every replica count by their rejected requests

Cause: requests for a model that is not loaded in time are rejected at once, so that none waited and the planner did not load it: after a restart of all nodes a model with 50 requests a second stayed away. While an engine made room for it, the store's only slot went to another model. Change: a model without replicas and with more than 0.3 requests a second is lacking, with its arrivals as the weight; a model that an engine makes room for keeps the store; a new decider may fetch such a model after 1 s. No speculative fetch beside another one while rates are unknown.

--- a/src/planner_round.c
+++ b/src/planner_round.c
@@ -253,8 +253,10 @@
 }
 
 /* The least urgency for which a model may use the weight store.  A model that
-   is being loaded and lacks further replicas will need it next: a load for
-   another one would keep it waiting for long.  */
+   an engine makes room for, or that is being loaded and lacks further
+   replicas, will need it next: a load for another one would keep it waiting
+   for long.
+ */
 static double
 reserved_urgency (const GPtrArray *models)
 {
@@ -264,8 +266,9 @@
     {
       const struct plan_model *model = g_ptr_array_index (models, i);
 
-      if (model->needed > model->replicas
-          && (model->pending || model->replicas > model->loaded))
+      if ((model->pending && model->replicas == 0)
+          || (model->needed > model->replicas
+              && (model->pending || model->replicas > model->loaded)))
         most = MAX (most, model->urgency);
     }
   return RESERVED_SHARE * most;
@@ -279,7 +282,7 @@
 static void
 load_by_urgency (struct plan *plan, const GPtrArray *models)
 {
-  bool fetch = !planner_work_is_learning (plan) || plan->is_empty;
+  bool fetch = planner_work_may_fetch (plan) || plan->is_empty;
   double reserved = reserved_urgency (models);
   unsigned rank = 0;
   unsigned tries = 0;
@@ -290,13 +293,16 @@
 
       if (model->pending)
         continue;
-      if (model->waiting > 0 && model->unlimited == 0)
-        try_load (plan, model, NULL, WAITING_VALUE * model->waiting_weight,
+      if (model->unlimited == 0 && planner_work_is_lacking (model))
+        try_load (plan, model, NULL,
+                  WAITING_VALUE * planner_work_lost_weight (model),
                   fetch && model->urgency >= reserved);
       else if (!plan->partial && model->replicas > 0
                && model->replicas < planner_needed_replicas (plan, model)
                && is_in_turn (plan, rank++) && tries++ < RELIEF_MAX_TRIES)
         relieve (plan, model, model->urgency >= reserved);
+      if (model->pending)
+        reserved = MAX (reserved, RESERVED_SHARE * model->urgency);
     }
 }
 
@@ -426,19 +432,20 @@
   g_ptr_array_unref (short_of);
 }
 
-/* Whether a fetch may start that no request waits for.  Before the first
-   request it is not known how many fetches the store serves at full speed; one
-   that was slowed down would last into the time of requests.  */
+/* Whether a fetch may start that no request waits for.  While the request
+   rates are unknown, so is which models will be in demand, and how many
+   fetches the store serves at full speed: one that was slowed down would keep
+   it from the models in demand for long.  */
 static bool
 may_preload (const struct plan *plan)
 {
-  const struct planner *planner = plan->planner;
+  const struct budget *budget = &plan->planner->budget;
 
-  if (plan->lacks_replicas || !budget_allows_fetch (plan, 1)
-      || (plan->by_delay && planner_rates_unknown (plan)))
+  if (plan->lacks_replicas || !budget_allows_fetch (plan, 1))
     return false;
-  return !ts_is_zero (planner->first_request_at)
-         || planner->budget.in_flight + plan->previous_fetches == 0;
+  if (!planner_rates_unknown (plan))
+    return true;
+  return !plan->by_delay && budget->in_flight + plan->previous_fetches == 0;
 }
 
 /* Loads models that are on no engine ahead of requests, where there is room or
--- a/src/planner_work.c
+++ b/src/planner_work.c
@@ -10,6 +10,8 @@
    models in use were evicted in its first second.  A model with a request
    every 2 s has been asked for within this time in 9 of 10 cases.  */
 #define LEARNING_S 5.0
+/* All nodes report their demand several times in this time.  */
+#define FETCH_LEARNING_S 1.0
 /* Until then the number of replicas that is found counts as needed: it is the
    best estimate of what is asked for.  */
 #define FOUND_S 10.0
@@ -35,6 +37,9 @@
 /* What a request counts that is rejected or ends too late; delays count less
    and less as they come near to it.  */
 #define LOST_S 20.0
+/* Requests a second from which a model without replicas is in demand although
+   none waits: more than one in the time constant of the rates.  */
+#define LACKING_MIN_PER_S 0.3
 #define BASE_VALUE 0.3 /* of one of several replicas, at least */
 #define IDLE_VALUE 0.01
 #define SURPLUS_VALUE 0.05
@@ -115,6 +120,12 @@
   return plan->by_delay && counted_s (plan) < LEARNING_S;
 }
 
+bool
+planner_work_may_fetch (const struct plan *plan)
+{
+  return counted_s (plan) >= FETCH_LEARNING_S;
+}
+
 /* Rates are decaying sums, which are too low until the decider has counted for
    long.  */
 static double
@@ -297,6 +308,23 @@
   return delay_cost (model, &work, model->pace);
 }
 
+bool
+planner_work_is_lacking (const struct plan_model *model)
+{
+  return model->waiting > 0
+         || (model->replicas == 0 && model->per_s >= LACKING_MIN_PER_S);
+}
+
+double
+planner_work_lost_weight (const struct plan_model *model)
+{
+  double come = model->replicas == 0
+                    ? model->weight * model->per_s * PLANNER_HORIZON_S
+                    : 0;
+
+  return model->waiting_weight + come;
+}
+
 /* The delay that a load of MODEL saves its requests within URGENCY_HORIZON_S,
    weighted by priority: requests that wait now, unless they leave before it
    ends, and those to come.  */
@@ -314,7 +342,7 @@
   if (load_s >= PATIENCE_S)
     wait *= LATE_SHARE;
   if (model->replicas == 0)
-    return model->waiting > 0 ? LOST_S * (wait + come) : 0;
+    return planner_work_is_lacking (model) ? LOST_S * (wait + come) : 0;
   wait *= LOST_S;
   if (model->needed > model->replicas)
     wait += come * MAX (model->delay_s - idle_s, 0);
--- a/src/planner_work.h
+++ b/src/planner_work.h
@@ -29,6 +29,18 @@
    engines: it evicts nothing and adds no replicas.  */
 bool planner_work_is_learning (const struct plan *plan);
 
+/* Whether the decider has counted requests for long enough to tell which
+   models are lacking most.  */
+bool planner_work_may_fetch (const struct plan *plan);
+
+/* Whether requests need MODEL and no engine may serve them: they wait, or are
+   rejected at once because a load takes longer than their callers wait.  */
+bool planner_work_is_lacking (const struct plan_model *model);
+
+/* Requests that a load of MODEL may save, weighted by priority: those that
+   wait, and if there is no replica those to come.  */
+double planner_work_lost_weight (const struct plan_model *model);
+
 /* Number of replicas that MODEL should have: one more than now while requests
    are delayed too much.  */
 unsigned planner_work_needed (const struct plan *plan,
