--- a/src/delay.c
+++ b/src/delay.c
@@ -39,6 +39,8 @@
 #define LIMIT_OBJECTIVES 1.25 /* times the objective */
 #define LIMIT_MIN_S 1.0
 #define LIMIT_LEFT_SHARE 0.7 /* of the time left, at most */
+/* The same, at least, of streams: their duration is known least.  */
+#define LIMIT_STREAM_SHARE 0.5
 #define RETRY_MIN_S 0.3
 #define RETRY_SPREAD 0.5 /* of the time to the retry */
 
@@ -190,9 +192,12 @@
 }
 
 double
-delay_limit_left_s (double left_s)
+delay_limit_left_s (double left_s, double stream_s)
 {
-  return LIMIT_LEFT_SHARE * MAX (left_s, 0);
+  double share = 1 - stream_s / MAX (left_s, 0.001);
+
+  return MAX (left_s, 0)
+         * MIN (MAX (share, LIMIT_STREAM_SHARE), LIMIT_LEFT_SHARE);
 }
 
 double
--- a/src/delay.h
+++ b/src/delay.h
@@ -94,8 +94,9 @@
 
 /* The same for engines that tell their pace: a late answer is worth more than
    none, so that only requests are rejected that would not be answered before
-   their callers leave, in LEFT_S.  */
-double delay_limit_left_s (double left_s);
+   their callers leave, in LEFT_S.  STREAM_S: what follows the first event
+   takes so long; 0: nothing follows.  */
+double delay_limit_left_s (double left_s, double stream_s);
 
 /* When a request that was rejected for a delay of DELAY_S above LIMIT_S should
    come back, in seconds.  RANDOM, from 0 to 1, spreads the requests that are
--- a/src/forward_admit.c
+++ b/src/forward_admit.c
@@ -47,7 +47,7 @@
       = ts_to_s (ts_sub (forward_leaves_at (forward), forward_now (forward)));
 
   if (forward->explanation.paced)
-    return delay_limit_left_s (left_s);
+    return delay_limit_left_s (left_s, forward->explanation.stream_s);
   return delay_limit_s (
       (double)forward->route->objective_ms / (double)TS_MS_PER_S,
       (double)forward_left_ms (forward) / (double)TS_MS_PER_S);
--- a/src/hints.h
+++ b/src/hints.h
@@ -14,8 +14,9 @@
 #include <stdint.h>
 #include <time.h>
 
-/* Tokens that an engine keeps in its cache: 40 prompts of 6,300.  */
-#define HINTS_CACHE_TOKENS 252000
+/* Tokens that an engine has room for, in its cache and running requests, as
+   measured.  */
+#define HINTS_CACHE_TOKENS 232000
 
 struct hints;
 
--- a/src/pick.c
+++ b/src/pick.c
@@ -30,6 +30,8 @@
    short one.  */
 #define MIXED_S 0.03
 
+#define MEAN_TOKENS_WEIGHT 0.02 /* of one prompt */
+
 struct pick *
 pick_new (const struct pick_options *options)
 {
@@ -131,6 +133,11 @@
 pick_sent (struct pick *pick, const char *engine, uint64_t tokens,
            struct timespec now)
 {
+  if (pick->mean_tokens <= 0)
+    pick->mean_tokens = (double)tokens;
+  else
+    pick->mean_tokens
+        += MEAN_TOKENS_WEIGHT * ((double)tokens - pick->mean_tokens);
   hints_sent (pick->hints, engine, tokens, now);
 }
 
@@ -405,6 +412,7 @@
       why->pace = scores[index].pace;
       why->told_s = why->delay_s * told_share (replica, replica->pace);
       why->event_s = scores[index].estimate.event_s;
+      why->stream_s = request->events * why->event_s;
       why->event_told_s
           = why->event_s * told_share (replica, replica->pace_events);
       why->wait_s = scores[index].estimate.backlog_s;
--- a/src/pick.h
+++ b/src/pick.h
@@ -65,6 +65,7 @@
   uint64_t target;     /* BY_DELAY: hash of the target */
   bool short_prompt;   /* BY_DELAY: the engine reads it in one piece */
   /* BY_DELAY, for replicas that tell their pace.  */
+  double prompt_tokens;
   double read_s;      /* to read the whole prompt, at the usual pace */
   double objective_s; /* until the first event */
   double gap_s;       /* see struct delay_need */
@@ -102,6 +103,7 @@
   double told_s;       /* DELAY_S without the correction by observations */
   double event_told_s; /* the same of the time from event to event */
   double event_s;      /* from event to event; 0: no stream */
+  double stream_s;     /* from the first event to the last */
   double wait_s;       /* of DELAY_S, before its prompt is read */
   double late_s;       /* expected excess of DELAY_S over the objective */
   double prefix_trust; /* 0 to 1 */
--- a/src/pick_pace.c
+++ b/src/pick_pace.c
@@ -24,11 +24,26 @@
    costs let prefixes evict each other until all servers read more than they
    can.  */
 #define EVICTION_COST 12.0
+/* Beyond its memory an engine interrupts requests and reads their prompts
+   anew: costs for each time that the requests there fill it over once.  */
+#define MEMORY_COST 5.0
 /* News of a server's load are up to 0.4 s old.  What other nodes may have sent
    there meanwhile takes about this long; and that share of long delays.  */
 #define MARGIN_S 0.25
 #define MARGIN_SHARE 0.25
 
+/* How far the request and those at a server are over its memory, as a share of
+   that.  */
+static double
+memory_excess (const struct pick *pick, const struct pick_request *request,
+               const struct delay_load *load)
+{
+  double others = (double)load->running + load->queued + load->sent;
+  double tokens = others * pick->mean_tokens + request->prompt_tokens;
+
+  return MAX (tokens / HINTS_CACHE_TOKENS - 1, 0);
+}
+
 void
 pick_estimate_paced (const struct pick *pick,
                      const struct pick_request *request,
@@ -40,14 +55,15 @@
           .pace = replica->pace > 0 ? replica->pace : 1,
           .moment = replica->pace_moment,
           .event_pace = replica->pace_events > 0 ? replica->pace_events : 1 };
-  struct delay_need need = { .read_s = request->read_s,
-                             .saved_s = request->prefix_s,
-                             .trust = score->prefix_trust,
-                             .objective_s = request->objective_s,
-                             .gap_s = request->gap_s,
-                             .events = request->events,
-                             .event_tokens = request->event_tokens,
-                             .left_s = request->left_s };
+  struct delay_need need
+      = { .read_s = request->read_s,
+          .saved_s = MIN (request->prefix_s, request->read_s),
+          .trust = score->prefix_trust,
+          .objective_s = request->objective_s,
+          .gap_s = request->gap_s,
+          .events = request->events,
+          .event_tokens = request->event_tokens,
+          .left_s = request->left_s };
   struct delay_estimate *estimate = &score->estimate;
 
   /* A server may tell less than this node alone has sent there.  */
@@ -61,7 +77,8 @@
         + PAUSE_COST * estimate->pause_s + OVERRUN_COST * estimate->overrun_s
         + DURATION_COST * request->events * estimate->event_s
         + OTHERS_COST * MAX (estimate->first_s - estimate->backlog_s, 0)
-        + EVICTION_COST * (1 - score->prefix_trust) * request->prefix_s
+        + EVICTION_COST * (1 - need.trust) * need.saved_s
+        + MEMORY_COST * memory_excess (pick, request, &server.load)
         + pick_place_delay_s (pick, request, replica, score);
 }
 
