--- a/src/forward_pace.c
+++ b/src/forward_pace.c
@@ -69,7 +69,11 @@
   if (why->prefix_trust > CACHED_TRUST)
     counter_add (COUNTER_CACHED, 1);
   pick_sent (forward->gateway->pick, forward->engine->id,
-             prompt_tokens (forward), forward->sent_at);
+             prompt_tokens (forward),
+             (uint64_t)(why->prefix_trust
+                        * (double)MIN (forward->parsed.shared_tokens,
+                                       PROMPT_TOKENS_MAX)),
+             forward->sent_at);
 }
 
 void
--- a/src/hints.h
+++ b/src/hints.h
@@ -40,7 +40,7 @@
 /* Hints of server ID up to AT are trusted half as much.  */
 void hints_gap (struct hints *hints, const char *id, struct timespec at);
 
-/* This node sent a prompt of TOKENS to server ID.  */
+/* This node sent a prompt with TOKENS that it had not cached to server ID.  */
 void hints_sent (struct hints *hints, const char *id, uint64_t tokens,
                  struct timespec now);
 
--- a/src/pick.c
+++ b/src/pick.c
@@ -131,14 +131,14 @@
 
 void
 pick_sent (struct pick *pick, const char *engine, uint64_t tokens,
-           struct timespec now)
+           uint64_t cached, struct timespec now)
 {
   if (pick->mean_tokens <= 0)
     pick->mean_tokens = (double)tokens;
   else
     pick->mean_tokens
         += MEAN_TOKENS_WEIGHT * ((double)tokens - pick->mean_tokens);
-  hints_sent (pick->hints, engine, tokens, now);
+  hints_sent (pick->hints, engine, tokens - MIN (cached, tokens), now);
 }
 
 static bool
--- a/src/pick.h
+++ b/src/pick.h
@@ -153,9 +153,10 @@
 void pick_cached (struct pick *pick, const struct route_engine *engine,
                   uint64_t prefix, struct timespec at);
 
-/* This thread sent ENGINE a prompt of TOKENS, which may evict others.  */
+/* This thread sent ENGINE a prompt of TOKENS, of which it has likely CACHED;
+   the others may evict parts of other prompts.  */
 void pick_sent (struct pick *pick, const char *engine, uint64_t tokens,
-                struct timespec now);
+                uint64_t cached, struct timespec now);
 
 /* Cache events of ENGINE were missed: hints up to AT are trusted half as
    much.  */
--- a/tests/pace_fixture.h
+++ b/tests/pace_fixture.h
@@ -373,7 +373,9 @@
         engine->cold++;
       fx_cache (fx, engine, subject, fx->now);
       pick_hint (view->pick, engine->id, subject, true, fx_time (fx->now));
-      pick_sent (view->pick, engine->id, tokens, fx_time (fx->now));
+      pick_sent (view->pick, engine->id, tokens,
+                 (uint64_t)(why.prefix_trust * FX_SHARED_TOKENS),
+                 fx_time (fx->now));
     }
   view->routes[e].inflight++;
   g_array_append_val (engine->waiting, stream);
--- a/tests/test_pace.c
+++ b/tests/test_pace.c
@@ -269,7 +269,7 @@
   two.replicas[0].pace = two.replicas[0].pace_events = 0.3;
   two.replicas[0].running = 28;
   g_assert_cmpuint (to_warm (&two, 0), >, 40);
-  pick_sent (two.pick, "e0", 9190, at (0));
+  pick_sent (two.pick, "e0", 9190, 0, at (0));
   g_assert_cmpuint (to_warm (&two, 0), <, 5);
   pick_free (two.pick);
 }
@@ -284,7 +284,7 @@
 
   set_up (&two);
   warm = to_warm (&two, 0);
-  pick_sent (two.pick, "e0", HINTS_CACHE_TOKENS / 20, at (0));
+  pick_sent (two.pick, "e0", HINTS_CACHE_TOKENS / 20, 0, at (0));
   g_assert_cmpuint (to_warm (&two, 0), <, warm / 2);
   pick_free (two.pick);
 
--- a/tests/test_pace_choice.c
+++ b/tests/test_pace_choice.c
@@ -75,7 +75,7 @@
           request.objective_s = 0.1;
           request.gap_s = 0.1;
           request.nodes = FX_NODES;
-          pick_sent (pick, "a", 10 * FX_LONG_TOKENS, fx_time (l));
+          pick_sent (pick, "a", 10 * FX_LONG_TOKENS, 0, fx_time (l));
         }
 #endif
       at = pick_replica (pick, &request, fx_time (1 + l / 1000.0), &why);
