--- a/src/forward_pace.c
+++ b/src/forward_pace.c
@@ -38,6 +38,7 @@
   const struct site_route *route = forward->route;
   uint64_t tokens = prompt_tokens (forward);
 
+  request->prompt_tokens = (double)tokens;
   /* A prompt of unknown length is taken for the mean one.  */
   request->read_s = tokens > 0 ? delay_read_s (tokens) : DELAY_QUEUED_S;
   request->objective_s = (double)route->objective_ms / TS_MS_PER_S;
@@ -68,7 +69,11 @@
   if (why->prefix_trust > CACHED_TRUST)
     counter_add (COUNTER_CACHED, 1);
   pick_sent (forward->gateway->pick, forward->engine->id,
-             prompt_tokens (forward), forward->sent_at);
+             prompt_tokens (forward),
+             (uint64_t)(why->prefix_trust
+                        * (double)MIN (forward->parsed.shared_tokens,
+                                       PROMPT_TOKENS_MAX)),
+             forward->sent_at);
 }
 
 void
--- a/src/hints.h
+++ b/src/hints.h
@@ -14,8 +14,9 @@
 #include <stdint.h>
 #include <time.h>
 
-/* Tokens that an engine keeps in its cache: 40 prompts of 6,300.  */
-#define HINTS_CACHE_TOKENS 252000
+/* Tokens that an engine has room for, in its cache and running requests, as
+   measured.  */
+#define HINTS_CACHE_TOKENS 232000
 
 struct hints;
 
@@ -39,7 +40,7 @@
 /* Hints of server ID up to AT are trusted half as much.  */
 void hints_gap (struct hints *hints, const char *id, struct timespec at);
 
-/* This node sent a prompt of TOKENS to server ID.  */
+/* This node sent a prompt with TOKENS that it had not cached to server ID.  */
 void hints_sent (struct hints *hints, const char *id, uint64_t tokens,
                  struct timespec now);
 
--- a/tests/pace_fixture.h
+++ b/tests/pace_fixture.h
@@ -345,6 +345,7 @@
           .prefix = subject,
           .by_delay = true,
           .prefix_s = subject > 0 ? delay_read_s (FX_SHARED_TOKENS) : 0,
+          .prompt_tokens = tokens,
           .read_s = delay_read_s (tokens),
           .objective_s = fx->objective_s,
           .gap_s = FX_GAP_S,
@@ -372,7 +373,9 @@
         engine->cold++;
       fx_cache (fx, engine, subject, fx->now);
       pick_hint (view->pick, engine->id, subject, true, fx_time (fx->now));
-      pick_sent (view->pick, engine->id, tokens, fx_time (fx->now));
+      pick_sent (view->pick, engine->id, tokens,
+                 (uint64_t)(why.prefix_trust * FX_SHARED_TOKENS),
+                 fx_time (fx->now));
     }
   view->routes[e].inflight++;
   g_array_append_val (engine->waiting, stream);
