forward: the decider is told the highest priority of what waits for a model

With priorities of customers, requests of one route that wait for the same model differ in priority, and the decider was told that of the request which had come or gone last.

forward_waiting_priority takes that of the first in the list, which begins with the highest. Without customers nothing changes.

/gate-fair/priority fails before (4 where 0 is expected) and passes.

--- a/src/forward_fair.c
+++ b/src/forward_fair.c
@@ -1,3 +1,4 @@
+#include <string.h>
 #include "counter.h"
 #include "fairshare.h"
 #include "forward_state.h"
@@ -91,6 +92,31 @@
   return forward_is_over (forward) ? OVER_DELAY_SHARE : 1;
 }
 
+static bool
+needs_same (const struct forward *a, const struct forward *b)
+{
+  return g_strcmp0 (a->target, b->target) == 0
+         && g_strcmp0 (a->software, b->software) == 0
+         && strcmp (a->service->name, b->service->name) == 0;
+}
+
+/* Requests of one route have the same priority unless customers have their
+   own.  */
+unsigned
+forward_waiting_priority (const struct forward *forward)
+{
+  const struct forward *at;
+
+  if (!has_shares (forward))
+    return forward_priority (forward);
+  TAILQ_FOREACH (at, &forward->gateway->waiting, link)
+    {
+      if (needs_same (at, forward))
+        return forward_priority (at); /* the list begins with the highest */
+    }
+  return forward_priority (forward);
+}
+
 static GArray *
 collect_waiting (const struct gateway *gateway)
 {
--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -34,7 +34,7 @@
       + change;
   planners_set_waiting (gateway->planners, service, forward->target,
                         forward->software, (unsigned)n, forward->deadline,
-                        forward_priority (forward));
+                        forward_waiting_priority (forward));
   if (n > 0)
     g_hash_table_replace (gateway->waiting_for, key, GINT_TO_POINTER (n));
   else
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -221,6 +221,9 @@
 bool forward_is_over (const struct forward *forward);
 /* Part of the usual longest delay for which the request is sent.  */
 double forward_delay_share (const struct forward *forward);
+/* The highest priority of the requests that wait for what FORWARD needs; its
+   own if none does.  */
+unsigned forward_waiting_priority (const struct forward *forward);
 /* Sorts the waiting requests.  */
 void forward_order_waiting (struct gateway *gateway);
 
--- a/tests/test_gate_fair.c
+++ b/tests/test_gate_fair.c
@@ -4,6 +4,7 @@
 #include "forward_state.h"
 #include "keys_fixture.h"
 #include "fairshare.h"
+#include "planners_state.h"
 
 #define CALLS 6
 
@@ -47,7 +48,8 @@
       = g_strdup_printf ("http://127.0.0.1:%u/safe/x", gate_port (f->gate));
   char *auth = g_strdup_printf ("Authorization: Bearer %s", key);
   char *name = g_strdup_printf (ID ": call-%u", id);
-  const char *headers[] = { "Host: h.example", auth, name, NULL };
+  const char *headers[]
+      = { "Host: h.example", "Parsleyrill-Model: m", auth, name, NULL };
   struct httpc_request request = { .method = "GET",
                                    .url = url,
                                    .headers = headers,
@@ -187,11 +189,65 @@
   tear_down (&f);
 }
 
+static void
+note_priority (void *user, struct demand *demand)
+{
+  if (demand->waiting > 0)
+    *(unsigned *)user = demand->priority;
+}
+
+/* The priority with which the decider is told of requests that wait.  */
+static unsigned
+told_priority (const struct fixture *f)
+{
+  struct planners *planners
+      = (struct planners *)gate_service (f->gate, PLANNERS_NAME);
+  unsigned priority = G_MAXUINT;
+
+  demand_each (planners->demand, note_priority, &priority);
+  return priority;
+}
+
+/* Guards against a decider that is told the priority of the request that came
+   last, instead of the highest of those that wait for the same model, and
+   against one that is told the priority of the route.  */
+static void
+test_priority (void)
+{
+  static const char models[]
+      = "{\"Version\":2,\"Routes\":[{\"Name\":\"safe\",\"Hostname\":"
+        "\"h.example\",\"Prefix\":\"/safe/\",\"Kind\":\"safe\",\"Priority\":2,"
+        "\"TimeoutMs\":20000,\"Service\":\"app\"}],\"Services\":[{\"Name\":"
+        "\"app\",\"Engine\":{\"Slots\":8,\"WeightsMb\":100,\"LoadsPerS\":1,"
+        "\"Models\":[{\"Name\":\"m\",\"WeightsMb\":10,\"LoadS\":1}]}}],"
+        "\"Tenants\":[{\"Name\":\"a\",\"ApiKeys\":[\"" KEY_A "\"],"
+        "\"Priority\":0},{\"Name\":\"b\",\"ApiKeys\":[\"" KEY_B "\"],"
+        "\"Priority\":4}]}";
+  static const char *const keys[] = { KEY_B, KEY_A, KEY_B };
+  struct caller_call calls[3] = { 0 };
+  struct fixture f;
+
+  set_up (&f);
+  put_row (&f, "op/config", models);
+  RUN_UNTIL (&f, version_at (f.gate) == 2);
+  for (unsigned i = 0; i < 3; i++)
+    {
+      start_call (&f, &calls[i], keys[i], i);
+      RUN_UNTIL (&f, waiting_at (&f) == i + 1);
+      g_assert_cmpuint (told_priority (&f), ==, i == 0 ? 4 : 0);
+    }
+  httpc_cancel (calls[1].call);
+  RUN_UNTIL (&f, waiting_at (&f) == 2);
+  g_assert_cmpuint (told_priority (&f), ==, 4);
+  tear_down (&f);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/gate-fair/order", test_order);
   g_test_add_func ("/gate-fair/urgency", test_urgency);
+  g_test_add_func ("/gate-fair/priority", test_priority);
   return g_test_run ();
 }
