--- a/tests/prop_quota.cc
+++ b/tests/prop_quota.cc
@@ -116,6 +116,7 @@
   double late_share = 0; /* of messages */
   double twice_share = 0;
   int known_max_ms = discovery_max_ms; /* until the table is read */
+  int found_max_ms = discovery_max_ms; /* until the others are found */
   unsigned long sent = 0;              /* messages */
   unsigned long arrived = 0;
   unsigned long exceeded = 0;
@@ -427,7 +428,7 @@
     node.known_at = node.started + between (0, known_max_ms);
     for (size_t j = 0; j < nodes.size (); j++)
       {
-        node.found_at[j] = node.started + between (0, discovery_max_ms);
+        node.found_at[j] = node.started + between (0, found_max_ms);
         node.away_since[j] = 0;
       }
     set_limit (i, node.limit, node.burst);
@@ -678,11 +679,13 @@
   switch (fault)
     {
     case KILLED:
+      if (in_range (0, 2) > 0)
+        world.known_max_ms = world.found_max_ms = 50;
       for (int k = 0; k < 6; k++)
         {
           for (size_t i = 0; i < count; i++)
             world.restart (i, world.between (0, 200));
-          world.run_for (in_range (500, 5000), 0);
+          world.run_for (in_range (300, 4000), 0);
         }
       break;
     case CUT:
