quota_home: a home holds for 1 s

Cause: after a kill of all nodes every request within a quota was rejected for more than 3 s, the time that a new home issued nothing. Change: 1 s, longer than credit lives (0.8 s), which is what the hold waits for. test_quota checks that nothing is issued until just before the hold ends, whatever its length (1.5 s of 3 s before).

--- a/src/quota_home.h
+++ b/src/quota_home.h
@@ -23,7 +23,7 @@
    starts again.  */
 #define QUOTA_PAUSE_MS 2000
 /* Nothing is issued for so long by a node that becomes a home.  */
-#define QUOTA_HOLD_MS 3000
+#define QUOTA_HOLD_MS 1000
 /* How long a slot is open.  */
 #define QUOTA_SLOT_MS 250
 #define QUOTA_PROMISE_MAX_MS 10000 /* latest time that is told */
