--- a/src/quota_wait.c
+++ b/src/quota_wait.c
@@ -8,7 +8,7 @@
 #define PREFETCH_S 0.65       /* of the expected use is asked for */
 #define PREFETCH_REQUESTS 1.5 /* of them at least */
 /* Share of that which may be missing before more is asked for.  */
-#define PREFETCH_MISSING 0.5
+#define PREFETCH_MISSING 0.75
 
 /* Requests that wait.  */
 
