--- a/src/forward_pace.c
+++ b/src/forward_pace.c
@@ -38,7 +38,6 @@
   const struct site_route *route = forward->route;
   uint64_t tokens = prompt_tokens (forward);
 
-  request->prompt_tokens = (double)tokens;
   /* A prompt of unknown length is taken for the mean one.  */
   request->read_s = tokens > 0 ? delay_read_s (tokens) : DELAY_QUEUED_S;
   request->objective_s = (double)route->objective_ms / TS_MS_PER_S;
--- a/src/pick.c
+++ b/src/pick.c
@@ -30,8 +30,6 @@
    short one.  */
 #define MIXED_S 0.03
 
-#define MEAN_TOKENS_WEIGHT 0.02 /* of one prompt */
-
 struct pick *
 pick_new (const struct pick_options *options)
 {
@@ -133,11 +131,6 @@
 pick_sent (struct pick *pick, const char *engine, uint64_t tokens,
            uint64_t cached, struct timespec now)
 {
-  if (pick->mean_tokens <= 0)
-    pick->mean_tokens = (double)tokens;
-  else
-    pick->mean_tokens
-        += MEAN_TOKENS_WEIGHT * ((double)tokens - pick->mean_tokens);
   hints_sent (pick->hints, engine, tokens - MIN (cached, tokens), now);
 }
 
--- a/src/pick.h
+++ b/src/pick.h
@@ -65,7 +65,6 @@
   uint64_t target;     /* BY_DELAY: hash of the target */
   bool short_prompt;   /* BY_DELAY: the engine reads it in one piece */
   /* BY_DELAY, for replicas that tell their pace.  */
-  double prompt_tokens;
   double read_s;      /* to read the whole prompt, at the usual pace */
   double objective_s; /* until the first event */
   double gap_s;       /* see struct delay_need */
--- a/src/pick_pace.c
+++ b/src/pick_pace.c
@@ -24,26 +24,11 @@
    costs let prefixes evict each other until all servers read more than they
    can.  */
 #define EVICTION_COST 12.0
-/* Beyond its memory an engine interrupts requests and reads their prompts
-   anew: costs for each time that the requests there fill it over once.  */
-#define MEMORY_COST 5.0
 /* News of a server's load are up to 0.4 s old.  What other nodes may have sent
    there meanwhile takes about this long; and that share of long delays.  */
 #define MARGIN_S 0.25
 #define MARGIN_SHARE 0.25
 
-/* How far the request and those at a server are over its memory, as a share of
-   that.  */
-static double
-memory_excess (const struct pick *pick, const struct pick_request *request,
-               const struct delay_load *load)
-{
-  double others = (double)load->running + load->queued + load->sent;
-  double tokens = others * pick->mean_tokens + request->prompt_tokens;
-
-  return MAX (tokens / HINTS_CACHE_TOKENS - 1, 0);
-}
-
 void
 pick_estimate_paced (const struct pick *pick,
                      const struct pick_request *request,
@@ -78,7 +63,6 @@
         + DURATION_COST * request->events * estimate->event_s
         + OTHERS_COST * MAX (estimate->first_s - estimate->backlog_s, 0)
         + EVICTION_COST * (1 - need.trust) * need.saved_s
-        + MEMORY_COST * memory_excess (pick, request, &server.load)
         + pick_place_delay_s (pick, request, replica, score);
 }
 
--- a/src/pick_state.h
+++ b/src/pick_state.h
@@ -13,7 +13,6 @@
   char *zone;
   GRand *rand;
   struct hints *hints;
-  double mean_tokens; /* of the prompts sent; 0: unknown */
 };
 
 struct score
--- a/tests/test_pace_choice.c
+++ b/tests/test_pace_choice.c
@@ -148,9 +148,13 @@
 {
   struct lost four = count_lost (4, 16);
   struct lost two = count_lost (2, 9);
+  /* Nearly as much as the servers can read: more sent away from the servers
+     that have their prefixes would be more to read.  */
+  struct lost busy = count_lost (4, 20);
 
   g_assert_cmpuint (3 * four.now, <, 2 * four.old);
   g_assert_cmpuint (3 * two.now, <, 2 * two.old);
+  g_assert_cmpuint (3 * busy.now, <, 2 * busy.old);
   g_assert_cmpuint (100 * four.quick, >, 40 * four.requests);
   g_assert_cmpuint (100 * two.quick, >, 60 * two.requests);
 }
