planner: the speed of a model as observed

Cause: large models take several times as long as small ones for as many tokens, and got as many replicas.

Conclusion: works on fakes; what a decider sees of rarely asked models is too little to tell.

--- a/src/forward_pace.c
+++ b/src/forward_pace.c
@@ -6,6 +6,9 @@
 /* Short times tell little of a server's pace.  */
 #define FIRST_NOISE_S 0.05
 #define EVENT_NOISE_S 0.005
+/* The most of the expected time that a request waits for others, where it
+   tells the speed of its model.  */
+#define WAIT_SHARE 0.25
 #define EVENTS_MIN 8 /* that tell the time between them */
 /* Of the mean number of tokens of an event.  */
 #define EVENT_TOKENS_WEIGHT 0.05
@@ -74,6 +77,11 @@
     servers_observe_first (
         listing_servers (gateway->listing), forward->engine->id,
         pace_compare (forward->expected_s, actual_s, FIRST_NOISE_S), now);
+  if (forward->target != NULL && forward->parsed.model != NULL
+      && forward->explanation.wait_s <= WAIT_SHARE * forward->expected_s)
+    planners_observe_first (
+        gateway->planners, forward->service->name, forward->parsed.model,
+        pace_compare (forward->expected_s, actual_s, FIRST_NOISE_S));
   for (size_t i = 0; i < forward->parsed.part_count; i++)
     pick_cached (gateway->pick, forward->engine, forward->parsed.parts[i],
                  now);
--- a/src/planner.c
+++ b/src/planner.c
@@ -1,6 +1,7 @@
 #include "planner.h"
 
 #include <string.h>
+#include "modelspeed.h"
 #include "planner_state.h"
 #include "planner_work.h"
 #include "reqtime.h"
@@ -175,6 +176,12 @@
     engine->pace = pace;
 }
 
+void
+planner_set_speeds (struct planner *planner, const struct modelspeed *speed)
+{
+  planner->speeds = speed;
+}
+
 void
 planner_note_requests (struct planner *planner, const char *target,
                        const struct planner_delay_kind *kind)
@@ -188,9 +195,19 @@
       requests = g_new0 (struct planner_delay_requests, 1);
       g_hash_table_insert (planner->requests, g_strdup (model), requests);
     }
-  if (requests != NULL)
-    planner_delay_add (requests, kind);
   planner_delay_add (&planner->all_requests, kind);
+  if (requests != NULL)
+    {
+      /* Work for this model in tokens of a model of mean speed.  */
+      struct planner_delay_kind own = *kind;
+      double factor = planner->speeds != NULL
+                          ? modelspeed_factor (planner->speeds, model)
+                          : 1;
+
+      own.tokens *= factor;
+      own.answer_tokens *= factor;
+      planner_delay_add (requests, &own);
+    }
   g_free (model);
 }
 
--- a/src/planner.h
+++ b/src/planner.h
@@ -31,6 +31,7 @@
 
 #define PLANNER_TICK_MS 100 /* maximum interval of planning rounds */
 
+struct modelspeed;
 struct planner;
 
 struct planner_options
@@ -84,6 +85,11 @@
    throughput.  */
 void planner_set_pace (struct planner *planner, const char *id, double pace);
 
+/* SPEED, borrowed, tells how long the work for each model takes; NULL: alike.
+ */
+void planner_set_speeds (struct planner *planner,
+                         const struct modelspeed *speed);
+
 /* What requests for TARGET, "MODEL" or "MODEL/ADAPTER", are like.  Their
    arrival is told by planner_request_arrived.  */
 void planner_note_requests (struct planner *planner, const char *target,
--- a/src/planner_state.h
+++ b/src/planner_state.h
@@ -107,6 +107,7 @@
   /* What requests are like: name of a model to struct
      planner_delay_requests.  */
   GHashTable *requests;
+  const struct modelspeed *speeds;            /* borrowed; NULL: not known */
   struct planner_delay_requests all_requests; /* of all models */
 };
 
--- a/src/planners.c
+++ b/src/planners.c
@@ -168,6 +168,27 @@
   return time;
 }
 
+/* Of SERVICE; created when first asked for; borrowed.  */
+static struct modelspeed *
+model_speeds (struct planners *planners, const char *service)
+{
+  struct modelspeed *speed = g_hash_table_lookup (planners->speeds, service);
+
+  if (speed == NULL)
+    {
+      speed = modelspeed_new ();
+      g_hash_table_insert (planners->speeds, g_strdup (service), speed);
+    }
+  return speed;
+}
+
+void
+planners_observe_first (struct planners *planners, const char *service,
+                        const char *model, double ratio)
+{
+  modelspeed_add (model_speeds (planners, service), model, ratio);
+}
+
 static void
 update_planners (struct planners *planners, struct site *site)
 {
@@ -191,6 +212,7 @@
           planner = planner_new (&options);
           planner_set_request_time (
               planner, request_time (planners, service->name)->mean_s);
+          planner_set_speeds (planner, model_speeds (planners, service->name));
           g_hash_table_insert (planners->by_service, g_strdup (service->name),
                                planner);
         }
@@ -471,6 +493,12 @@
 static const struct service_ops planners_ops
     = { planners_start, planners_stop, planners_event };
 
+static void
+free_speed (gpointer speed)
+{
+  modelspeed_free (speed);
+}
+
 static void
 free_planner (gpointer planner)
 {
@@ -491,6 +519,8 @@
   planners->demand = demand_new ();
   planners->request_times
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  planners->speeds
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_speed);
   planners->cut_off
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   return &planners->service;
@@ -508,6 +538,7 @@
   replica_receiver_free (planners->in);
   demand_free (planners->demand);
   g_hash_table_unref (planners->request_times);
+  g_hash_table_unref (planners->speeds);
   g_hash_table_unref (planners->cut_off);
   lease_free (planners->lease);
   site_unref (planners->site);
--- a/src/planners.h
+++ b/src/planners.h
@@ -42,6 +42,11 @@
 void planners_request_ended (struct planners *planners, const char *service,
                              const struct reqtime_sample *sample);
 
+/* The first event of a request for MODEL of SERVICE took RATIO times as long
+   as expected, where it did not wait for others.  */
+void planners_observe_first (struct planners *planners, const char *service,
+                             const char *model, double ratio);
+
 /* WAITING requests at this node wait for TARGET now; with SOFTWARE those that
    only servers with that version may serve, otherwise NULL.  PRIORITY, 0 being
    the highest, and DEADLINE are those of the most urgent one.  */
--- a/src/planners_state.h
+++ b/src/planners_state.h
@@ -6,6 +6,7 @@
 
 #include <glib.h>
 #include "core.h"
+#include "modelspeed.h"
 #include "lease.h"
 #include "links.h"
 #include "listing.h"
@@ -39,6 +40,7 @@
   struct replica_receiver *in; /* replicas published by another node */
   struct demand_table *demand; /* of this node */
   GHashTable *request_times; /* service to struct reqtime, seen by this node */
+  GHashTable *speeds;        /* service to struct modelspeed, the same */
   struct loop_timer timer;   /* of the lease and the planners */
   struct loop_timer flush;   /* of DEMAND */
   struct loop_timer loads;   /* of the loads of servers */
--- a/tests/test_planner_load.c
+++ b/tests/test_planner_load.c
@@ -3,6 +3,7 @@
 
 #include <math.h>
 #include <glib.h>
+#include "modelspeed.h"
 #include "planner.h"
 #include "ts.h"
 
@@ -449,6 +450,34 @@
   tear_down (&f);
 }
 
+/* Of two models that as many ask for, work for the large one takes four times
+   as long: both got as many replicas.  */
+static void
+test_large_model (void)
+{
+  struct fixture f;
+  struct modelspeed *speed = modelspeed_new ();
+
+  set_up (&f, 12, 2);
+  for (unsigned i = 0; i < 12; i++)
+    for (unsigned m = 0; m < 2; m++)
+      put (&f, i, m, i == m);
+  for (int i = 0; i < 100; i++)
+    {
+      modelspeed_add (speed, "m0", 0.5);
+      modelspeed_add (speed, "m1", 2);
+    }
+  planner_set_speeds (f.planner, speed);
+  report_all (&f);
+  f.per_s[0] = 8;
+  f.per_s[1] = 8;
+  run (&f, 40);
+  g_test_message ("small: %u, large: %u", replicas (&f, 0), replicas (&f, 1));
+  g_assert_cmpuint (replicas (&f, 1), >, replicas (&f, 0));
+  tear_down (&f);
+  modelspeed_free (speed);
+}
+
 /* A model that nobody asked for becomes hot, then cools down: its replicas go
    where others are asked for.  */
 static void
@@ -673,6 +702,7 @@
   g_test_add_func ("/planner-load/crowded-by-several",
                    test_crowded_by_several);
   g_test_add_func ("/planner-load/unknown-requests", test_unknown_requests);
+  g_test_add_func ("/planner-load/large-model", test_large_model);
   g_test_add_func ("/planner-load/hot-model", test_hot_model);
   g_test_add_func ("/planner-load/demand-moves", test_demand_moves);
   g_test_add_func ("/planner-load/short-of-places", test_short_of_places);
