listing: words that waited during a pause do not confirm the configuration

prop_config now checks refusals of keys at every running node, also one that is not in touch: none may be for good by a configuration that is older than the bound and the way of a message. The other node then reads words that the decider had sent before the pause. Their age does not contain the time that they waited, so the old configuration counted as confirmed, for unknown routes (404) as for keys (401).

For 0.25 s after a pause (loop_woke_at) words do not confirm anything; the node asks the store.

--- a/src/listing.c
+++ b/src/listing.c
@@ -29,6 +29,9 @@
    would delay the store.  */
 #define START_LIST_NODES_MAX 150
 #define START_WAIT_MS 2000
+/* After a pause, the messages that came during it are read within this time.
+ */
+#define BACKLOG_MS 250
 #define CONFIG_FAULTS_LOGGED_MAX 16 /* of a version */
 /* Time for the number of nodes to be known, before the servers are listed.  */
 #define START_DELAY_MS 30
@@ -743,20 +746,32 @@
   listing->publishing = false;
 }
 
+/* Whether words of the decider that are read now may have waited while this
+   node stood still.  Their age does not contain that time.  */
+static bool
+may_have_waited (const struct listing *listing)
+{
+  struct timespec woke_at = loop_woke_at (listing->core->loop);
+
+  return !ts_is_zero (woke_at)
+         && ts_before (listing_now (listing), ts_add_ms (woke_at, BACKLOG_MS));
+}
+
 /* Queries the store once for a version that is told for the first time.  The
    timer of the table repeats that at its own pace.  */
 static void
 set_peer_info (struct listing *listing, const struct listing_peer_info *info)
 {
   struct timespec now = listing_now (listing);
+  int64_t config_age_ms = may_have_waited (listing) ? 0 : info->config_age_ms;
 
   listing->peer_listed_at = ts_add_ms (now, -info->age_ms);
   /* After the store was restored, versions of former eras mean nothing.  */
   listing->peer_list_version = info->list_era == listing->core->platform->era
                                    ? info->list_version
                                    : 0;
-  if (confwatch_told (&listing->confwatch, info->config_version,
-                      info->config_age_ms, now)
+  if (confwatch_told (&listing->confwatch, info->config_version, config_age_ms,
+                      now)
       && !is_suspended (&listing->config_table))
     query_now (&listing->config_table);
 }
--- a/tests/prop_config.cc
+++ b/tests/prop_config.cc
@@ -65,6 +65,7 @@
   uint64_t version;
   int64_t age_ms;
   int64_t config_age_ms;
+  unsigned tenure; /* of the decider that sent it */
 };
 
 struct announcement
@@ -104,6 +105,7 @@
   int64_t published_age_ms;
   int64_t published_config_age_ms;
   uint64_t published_version;
+  int64_t old_word_ms; /* last accepted of another tenure */
 };
 
 struct edit
@@ -128,6 +130,7 @@
   uint64_t store_version = 1; /* of its rows */
   std::vector<edit> edits;
   int decider = 0;
+  unsigned tenure = 0; /* increases with each change of the decider */
   bool cut[node_count][node_count] = {};
   node nodes[node_count] = {};
   unsigned checks = 0;
@@ -149,6 +152,7 @@
   void receive (node &n);
   void announce (node &n);
   void check (node &n);
+  void check_keys (node &n);
   bool stalled () const;
   uint64_t newest () const;
 };
@@ -330,6 +334,7 @@
   if (nodes[decider].alive)
     listing_stop_publishing (nodes[decider].listing);
   decider = i;
+  tenure++;
   nodes[i].published_ms = 0;
   listing_start_publishing (nodes[i].listing);
 }
@@ -424,8 +429,8 @@
   n.published_version = version;
   for (node &to : nodes)
     if (to.alive && to.number != n.number && !cut[n.number][to.number])
-      to.words->push_back (
-          { n.number, now_ms + link_ms, version, age_ms, config_age_ms });
+      to.words->push_back ({ n.number, now_ms + link_ms, version, age_ms,
+                             config_age_ms, tenure });
 }
 
 /* Messages of a node that does not decide any more have a lower fencing token
@@ -449,6 +454,11 @@
         }
       if (w.from != decider || n.number == decider)
         continue;
+      /* A node that decides again has a higher fencing token, so that its old
+         words are dropped too.  Accepted here, as always, but not counted
+         against the refusals of keys.  */
+      if (w.tenure != tenure)
+        n.old_word_ms = now_ms;
       info.age_ms = w.age_ms;
       info.config_version = w.version;
       info.config_age_ms = w.config_age_ms;
@@ -500,6 +510,31 @@
         { n.number, now_ms + link_ms, n.seen, false, true });
 }
 
+/* At every running node, also one that is not in touch: no key is refused for
+   good by a configuration that is older than the bound and the way of a
+   message, and none is held to be removed by the newest one while the node is
+   in touch.  */
+void
+world::check_keys (node &n)
+{
+  uint64_t due = 0;
+
+  for (const edit &e : edits)
+    if (e.acked_ms + config_ms + link_max_ms <= now_ms)
+      due = e.version;
+  if (now_ms - n.old_word_ms > config_ms + link_max_ms && n.seen < due
+      && listing_config_is_current (n.listing, config_ms))
+    RC_FAIL ("node " + std::to_string (n.number) + " refuses keys by version "
+             + std::to_string (n.seen) + " for " + std::to_string (due)
+             + " at " + std::to_string (now_ms));
+  if (now_ms - n.sound_from_ms >= touch_ms && now_ms - stall_to_ms >= touch_ms
+      && !stalled () && n.seen == newest ()
+      && listing_config_is_outdated (n.listing, config_ms))
+    RC_FAIL ("node " + std::to_string (n.number)
+             + " accepts no keys by the newest version at "
+             + std::to_string (now_ms));
+}
+
 void
 world::check (node &n)
 {
@@ -540,6 +575,7 @@
         publish (n);
       announce (n);
       check (n);
+      check_keys (n);
     }
 }
 
