tests: the head alone tells whether the key is at fault

/gate-keys/head holds forward_key_fault to what forward_start would do: 401 for no, an unknown and a forged customer, not for public and unknown routes, valid keys and requests that another node passes on.

--- a/tests/test_gate_keys.c
+++ b/tests/test_gate_keys.c
@@ -4,9 +4,11 @@
 #include <stdio.h>
 #include <unistd.h>
 #include "keys_fixture.h"
+#include "forward.h"
 #include "gateway_state.h"
 #include "log.h"
 #include "planners_state.h"
+#include "relay.h"
 #include "usage.h"
 
 #define CUSTOMER_LINE "Parsleyrill-Tenant: "
@@ -274,6 +276,77 @@
   tear_down (&f);
 }
 
+/* Answers 401 if the head alone shows that the gate would.  */
+static void
+judge_head (void *user, struct httpd_request *request)
+{
+  struct fixture *f = user;
+  struct gateway *gateway
+      = (struct gateway *)gate_service (f->gate, "gateway");
+
+  httpd_respond (request, forward_key_fault (gateway, request) ? 401 : 200,
+                 "text/plain", NULL, "", 0);
+}
+
+static void
+ignore_end (void *user, struct httpd_request *request, bool complete)
+{
+  (void)user;
+  (void)request;
+  (void)complete;
+}
+
+static void
+check_head (struct fixture *f, const struct httpd *judge, long status,
+            const char *path, const char *header)
+{
+  const char *headers[] = { "Host: h.example", ID ": r1", header, NULL };
+  char *url
+      = g_strdup_printf ("http://127.0.0.1:%u%s", httpd_port (judge), path);
+  struct httpc_request request = {
+    .method = "GET", .url = url, .headers = headers, .done = on_done, .user = f
+  };
+
+  f->done = false;
+  f->call = httpc_start (f->caller, &request);
+  RUN_UNTIL (f, f->done);
+  g_assert_cmpint (f->status, ==, status);
+  g_free (url);
+}
+
+/* Guards against bodies that are read of requests without a valid key, and
+   against others, also of another node, that are refused before they are.  */
+static void
+test_head (void)
+{
+  struct relay_note note
+      = { .node = (char *)"n2", .config = 1, .customer = (char *)"a" };
+  struct fixture f;
+  struct httpd *judge;
+  char *text;
+  char *line;
+
+  set_up (&f);
+  serve_keys (&f);
+  judge = start_server (&f, judge_head, ignore_end);
+  check_head (&f, judge, 401, "/safe/x", NULL);
+  check_head (&f, judge, 401, "/safe/x", "Authorization: Bearer unknown");
+  check_head (&f, judge, 200, "/safe/x", "Authorization: Bearer " KEY_A);
+  check_head (&f, judge, 200, "/open/x", NULL);
+  check_head (&f, judge, 200, "/none/x", NULL);
+  check_head (&f, judge, 401, "/safe/x",
+              CALLER_RELAY_HEADER ": node=n2;config=1;customer=a;code=00");
+  note.code = relay_code (&note, "r1", f.settings.peer_token);
+  text = relay_format (&note);
+  line = g_strdup_printf (CALLER_RELAY_HEADER ": %s", text);
+  check_head (&f, judge, 200, "/safe/x", line);
+  g_free (line);
+  g_free (text);
+  g_free (note.code);
+  httpd_free (judge);
+  tear_down (&f);
+}
+
 /* Guards against keys in the log.  Runs last: its log has all lines of the
    tests before.  */
 static void
@@ -317,6 +390,7 @@
   g_test_add_func ("/gate-keys/changed", test_changed);
   g_test_add_func ("/gate-keys/fault", test_fault);
   g_test_add_func ("/gate-keys/usage", test_usage);
+  g_test_add_func ("/gate-keys/head", test_head);
   g_test_add_func ("/gate-keys/log", test_log);
   failed = g_test_run ();
   fclose (file);
