--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,8 @@
 PROGRAMS = $(BUILD)/parsleyd $(BUILD)/parsleyctl $(BUILD)/parsley-gate $(if $(STANDIN_OBJ),$(BUILD)/parsley-standin) $(if $(BENCH_OBJ),$(BUILD)/parsley-bench)
 TESTS = $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test_*.c))
 PROPS = $(patsubst tests/%.cc,$(BUILD)/tests/%,$(wildcard tests/prop_*.cc))
+# Run one at a time after all others: they check what a process needs at most.
+SERIAL_TESTS = $(filter $(BUILD)/tests/test_hostile_%,$(TESTS))
 SOCKET_TESTS = $(sort $(wildcard tests/sock_*.sh))
 FUZZERS = $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/fuzz_*.c))
 C_FILES = $(wildcard src/*.c platform/*.c daemons/*.c standins/*.c bench/*.c tests/*.c)
@@ -88,10 +90,10 @@
 	  '$(PREFIX)' '$(VERSION)' '$(PKGS)' > $@
 
 check: all $(TESTS) $(PROPS)
-	BUILD=$(BUILD) scripts/check.sh $(TESTS) $(PROPS) $(SOCKET_TESTS)
+	BUILD=$(BUILD) SERIAL_TESTS="$(SERIAL_TESTS)" scripts/check.sh $(filter-out $(SERIAL_TESTS),$(TESTS)) $(PROPS) $(SOCKET_TESTS)
 
 check-long: all $(TESTS) $(PROPS)
-	BUILD=$(BUILD) RC_LONG=1 scripts/check.sh $(TESTS) $(PROPS) $(SOCKET_TESTS)
+	BUILD=$(BUILD) RC_LONG=1 SERIAL_TESTS="$(SERIAL_TESTS)" scripts/check.sh $(filter-out $(SERIAL_TESTS),$(TESTS)) $(PROPS) $(SOCKET_TESTS)
 
 tests: all $(TESTS) $(PROPS)
 
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
-# Runs the test programs given, JOBS (default 4) at a time. Tests listed in
+# Runs the test programs given, JOBS (default 4) at a time, and then those in
+# SERIAL_TESTS one at a time. Tests listed in
 # KNOWN-RED.txt (first word: name of the test) may fail; when one does, the list
 # is printed. Any other failure makes the exit status 1. A test that runs longer
 # than WATCHDOG_S seconds is killed and counts as failed.
@@ -28,6 +29,10 @@
 chmod +x "$RESULTS/run-one"
 
 printf '%s\n' "$@" | xargs -n 1 -P "${JOBS:-4}" "$RESULTS/run-one"
+for test in ${SERIAL_TESTS:-}; do
+  set -- "$@" "$test"
+  "$RESULTS/run-one" "$test"
+done
 
 for f in "$RESULTS"/*.failed; do
   [ -e "$f" ] || continue
