httpd, membudget: an account of what is held for clients

Change: each connection has an account (membudget); bodies are counted from the end of the head, with their copy to a server; over the limit the largest and slowest are closed or refused with 503 before anything is sent. A body that does not matter is not kept (wants_body). Heads, bodies and responses must make progress. MemoryMb and FdLimit are read by both programs; glibc's mmap threshold is fixed, so that bodies are given back.

--- a/daemons/parsley-gate.c
+++ b/daemons/parsley-gate.c
@@ -1,5 +1,6 @@
 #include <errno.h>
 #include <fcntl.h>
+#include <malloc.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -28,6 +29,10 @@
 #define LOG_LINES_PER_S 400
 #define FDS_RESERVED 300 /* descriptors not used for callers' connections */
 
+/* Bytes.  Without a fixed threshold glibc raises it to the size of bodies that
+   were freed, and then keeps their memory.  */
+#define MMAP_THRESHOLD (128 << 10)
+
 enum
 {
   EXIT_OK = 0,
@@ -406,6 +411,7 @@
     }
   else if (!options->check_only)
     {
+      mallopt (M_MMAP_THRESHOLD, MMAP_THRESHOLD);
       curl_global_init (CURL_GLOBAL_DEFAULT);
       status = run (&process);
       curl_global_cleanup ();
--- a/daemons/parsleyd.c
+++ b/daemons/parsleyd.c
@@ -1,4 +1,5 @@
 #include <errno.h>
+#include <malloc.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
@@ -10,6 +11,10 @@
 #include "node.h"
 #include "settings.h"
 
+/* Bytes.  Without a fixed threshold glibc raises it to the size of bodies that
+   were freed, and then keeps their memory.  */
+#define MMAP_THRESHOLD (128 << 10)
+
 enum
 {
   EXIT_OK = 0,
@@ -89,6 +94,7 @@
 
   if (signal_fd < 0)
     return EXIT_START;
+  mallopt (M_MMAP_THRESHOLD, MMAP_THRESHOLD);
   curl_global_init (CURL_GLOBAL_DEFAULT);
   status = run (settings, signal_fd);
   curl_global_cleanup ();
--- a/src/forward.c
+++ b/src/forward.c
@@ -288,17 +288,30 @@
 }
 
 static const struct site_route *
-find_route (struct forward *forward)
+find_route (const struct site *site, const struct httpd_request *request)
 {
-  const char *host = httpd_header (forward->request, "Host");
-  char *path = path_of (forward->request);
+  const char *host = httpd_header (request, "Host");
+  char *path = path_of (request);
   const struct site_route *route
-      = site_route (forward->site, host != NULL ? host : "", path);
+      = site_route (site, host != NULL ? host : "", path);
 
   g_free (path);
   return route;
 }
 
+/* A request that finds no route, or a node that does not take requests, is
+   refused whatever its body is, see accept_request.  */
+bool
+forward_wants_body (const struct gateway *gateway,
+                    const struct httpd_request *request)
+{
+  struct site *site = listing_site (gateway->listing);
+
+  return site != NULL
+         && drain_is_open (&gateway->drain, loop_now (gateway->core->loop))
+         && find_route (site, request) != NULL;
+}
+
 static struct drain_request
 drain_request (const struct forward *forward)
 {
@@ -360,7 +373,7 @@
                       STARTING_RETRY_MS);
       return;
     }
-  forward->route = find_route (forward);
+  forward->route = find_route (forward->site, forward->request);
   if (forward->route == NULL || !find_service (forward))
     {
       refuse_unknown_route (forward);
--- a/src/forward.h
+++ b/src/forward.h
@@ -17,6 +17,11 @@
 struct forward;
 
 /* Takes ownership of REQUEST.  */
+/* Whether the response to REQUEST, whose head is complete, depends on its
+   body.  */
+bool forward_wants_body (const struct gateway *gateway,
+                         const struct httpd_request *request);
+
 void forward_start (struct gateway *gateway, struct httpd_request *request);
 
 /* The caller's request is gone.  */
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -7,6 +7,7 @@
 #include "gateway_state.h"
 #include "histo.h"
 #include "lookup.h"
+#include "membudget.h"
 #include "reject.h"
 #include "ts.h"
 
@@ -18,7 +19,11 @@
 #define SERVER_KEEPALIVE_S 3 /* connections idle for longer are not reused */
 /* Auxiliary servers: address lookup, readiness and metrics.  */
 #define AUX_CONNECTIONS_MAX 256u
+#define AUX_DESCRIPTORS_SHARE 20 /* of all descriptors, for each of them */
 #define AUX_IDLE_S 30
+#define HEADS_SHARE 4 /* of the memory, for the parsers of connections */
+#define KEPT_DESCRIPTORS_SHARE 8 /* connections kept to servers */
+#define KEPT_MAX 256
 #define ADDRESSES_MAX 64 /* callers use at most this many */
 /* With a second address a caller fails over at once.  It may use any
    address of the list, so an address outside its zone attracts cross-zone
@@ -45,6 +50,12 @@
   forward_start (user, request);
 }
 
+static bool
+front_wants_body (void *user, struct httpd_request *request)
+{
+  return forward_wants_body (user, request);
+}
+
 static void
 on_front_gone (void *user, struct httpd_request *request, bool complete)
 {
@@ -151,6 +162,14 @@
   g_free (counters);
 }
 
+static bool
+aux_wants_body (void *user, struct httpd_request *request)
+{
+  (void)user;
+  (void)request;
+  return false;
+}
+
 static void
 on_aux_gone (void *user, struct httpd_request *request, bool complete)
 {
@@ -235,22 +254,43 @@
 
 /* Service interface.  */
 
+static unsigned
+max_connections (const struct gateway *gateway)
+{
+  size_t bytes = (size_t)gateway->core->settings->memory_mb << 20;
+  size_t heads = bytes / HEADS_SHARE / HEAD_MEMORY_BYTES;
+  unsigned max = gateway->options.max_connections;
+
+  return heads > 0 && (max == 0 || heads < max) ? (unsigned)heads : max;
+}
+
+static unsigned
+max_aux_connections (const struct gateway *gateway)
+{
+  unsigned max = gateway->core->settings->fd_limit / AUX_DESCRIPTORS_SHARE;
+
+  return max > 0 && max < AUX_CONNECTIONS_MAX ? max : AUX_CONNECTIONS_MAX;
+}
+
 static int
 start_front_server (struct gateway *gateway)
 {
   const struct gateway_options *o = &gateway->options;
-  struct httpd_options options = { .loop = gateway->core->loop,
-                                   .address = o->front.address,
-                                   .port = o->front.port,
-                                   .max_connections = o->max_connections,
-                                   .idle_timeout_s = CALLER_IDLE_S,
-                                   .head_memory = HEAD_MEMORY_BYTES,
-                                   .body_max = BODY_MAX,
-                                   .request = on_front,
-                                   .gone = on_front_gone,
-                                   .writable = on_front_writable,
-                                   .rejected = reject_log,
-                                   .user = gateway };
+  struct httpd_options options
+      = { .loop = gateway->core->loop,
+          .address = o->front.address,
+          .port = o->front.port,
+          .max_connections = max_connections (gateway),
+          .budget = gateway->budget,
+          .wants_body = front_wants_body,
+          .idle_timeout_s = CALLER_IDLE_S,
+          .head_memory = HEAD_MEMORY_BYTES,
+          .body_max = BODY_MAX,
+          .request = on_front,
+          .gone = on_front_gone,
+          .writable = on_front_writable,
+          .rejected = reject_log,
+          .user = gateway };
 
   return httpd_new (&options, &gateway->front);
 }
@@ -261,14 +301,18 @@
                   void (*request) (void *user, struct httpd_request *request),
                   struct httpd **out)
 {
-  struct httpd_options options = { .loop = gateway->core->loop,
-                                   .address = address->address,
-                                   .port = address->port,
-                                   .max_connections = AUX_CONNECTIONS_MAX,
-                                   .idle_timeout_s = AUX_IDLE_S,
-                                   .request = request,
-                                   .gone = on_aux_gone,
-                                   .user = gateway };
+  struct httpd_options options
+      = { .loop = gateway->core->loop,
+          .address = address->address,
+          .port = address->port,
+          .max_connections = max_aux_connections (gateway),
+          .budget = gateway->budget,
+          .wants_body = aux_wants_body,
+          .rejected = reject_log,
+          .idle_timeout_s = AUX_IDLE_S,
+          .request = request,
+          .gone = on_aux_gone,
+          .user = gateway };
 
   return address->address != NULL ? httpd_new (&options, out) : 0;
 }
@@ -367,11 +411,30 @@
   gateway_probe_stop (gateway);
 }
 
+static int
+start_client (struct gateway *gateway)
+{
+  const struct settings *settings = gateway->core->settings;
+  struct membudget_options budget
+      = membudget_share (settings->memory_mb, settings->fd_limit, 1);
+  struct httpc_options client
+      = { .loop = gateway->core->loop,
+          .max_connections
+          = MIN (settings->fd_limit / KEPT_DESCRIPTORS_SHARE, KEPT_MAX),
+          .max_connection_age_s = SERVER_KEEPALIVE_S,
+          .collected_max
+          = membudget_collected_max (&budget, HTTPC_COLLECTED_MAX) };
+
+  gateway->budget = membudget_new (&budget);
+  client.budget = gateway->budget;
+  gateway->httpc = httpc_new (&client);
+  return gateway->httpc != NULL ? 0 : -ENOMEM;
+}
+
 static int
 gateway_start (struct service *service, struct kernel *kernel)
 {
   struct gateway *gateway = (struct gateway *)service;
-  struct httpc_options client = { .max_connection_age_s = SERVER_KEEPALIVE_S };
   int err;
 
   gateway->core = core_find (kernel);
@@ -382,10 +445,9 @@
   gateway->origins = origins_find (kernel);
   gateway->versionlog = versionlog_find (kernel);
   gateway->quarantines = quarantines_find (kernel);
-  client.loop = gateway->core->loop;
-  gateway->httpc = httpc_new (&client);
-  if (gateway->httpc == NULL)
-    return -ENOMEM;
+  err = start_client (gateway);
+  if (err < 0)
+    return err;
   start_retry_window (gateway);
   create_policies (gateway);
   gateway_probe_start (gateway);
@@ -404,6 +466,8 @@
 {
   httpd_set_body_max (gateway->front,
                       site->body_bytes > 0 ? site->body_bytes : BODY_MAX);
+  httpd_set_timeouts (gateway->front, site->head_timeout_ms,
+                      site->idle_timeout_ms);
 }
 
 static void
@@ -472,6 +536,7 @@
 
   if (gateway == NULL)
     return;
+  membudget_free (gateway->budget);
   pick_free (gateway->pick);
   eject_free (gateway->eject);
   brittle_free (gateway->brittle);
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -53,6 +53,7 @@
   struct origins *origins;
   struct versionlog *versionlog;
   struct quarantines *quarantines;
+  struct membudget *budget; /* of clients and calls to servers */
   struct httpc *httpc;
   struct httpd *front;
   struct httpd *directory;
--- a/src/httpc.c
+++ b/src/httpc.c
@@ -12,6 +12,7 @@
 #include <curl/curl.h>
 #include <glib.h>
 #include "httpc_head.h"
+#include "membudget.h"
 #include "probe.h"
 #include "ts.h"
 
@@ -47,8 +48,9 @@
   GHashTable *broken; /* set of paths of connections that must not be used */
   struct socket_watch *serving; /* in read_socket, unless removed */
   long max_age_s;
-  size_t collected_max; /* bytes */
-  size_t collected;     /* bytes of all calls */
+  struct membudget *budget; /* NULL: none */
+  size_t collected_max;     /* bytes */
+  size_t collected;         /* bytes of all calls */
 };
 
 struct httpc_call
@@ -107,6 +109,8 @@
   release_connection (call);
   curl_slist_free_all (call->headers);
   call->httpc->collected -= call->collected->len;
+  membudget_add (call->httpc->budget, -(int64_t)call->collected->len);
+  membudget_add_call (call->httpc->budget, -1);
   g_string_free (call->collected, TRUE);
   g_free (call->body);
   g_free (call);
@@ -510,6 +514,7 @@
   long max_connections = options->max_connections;
 
   httpc->loop = options->loop;
+  httpc->budget = options->budget;
   httpc->max_age_s = options->max_connection_age_s;
   if (httpc->max_age_s == 0)
     httpc->max_age_s = DEFAULT_MAX_AGE_S;
@@ -735,6 +740,7 @@
   if (call->too_large)
     return 0;
   httpc->collected += n;
+  membudget_add (httpc->budget, (int64_t)n);
   g_string_append_len (call->collected, bytes, (gssize)n);
   return n;
 }
@@ -921,6 +927,7 @@
   set_limits (call);
   set_callbacks (call);
   CK_LIST_INSERT_HEAD (&httpc->calls, call, link);
+  membudget_add_call (httpc->budget, 1);
   restart_idle_timer (call);
   curl_multi_add_handle (httpc->multi, easy);
   return call;
--- a/src/httpc.h
+++ b/src/httpc.h
@@ -34,6 +34,7 @@
 
 struct httpc;
 struct httpc_call;
+struct membudget;
 
 enum httpc_phase
 {
@@ -116,6 +117,8 @@
   /* Max bytes of the bodies that all calls are collecting; one call may
      collect at most half of it.  0: HTTPC_COLLECTED_MAX.  */
   size_t collected_max;
+  /* Where calls and collected bytes are counted; borrowed; may be NULL.  */
+  struct membudget *budget;
 };
 
 /* NULL when curl cannot be initialized.  */
--- a/src/httpd.c
+++ b/src/httpd.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 #include <microhttpd.h>
 #include <glib.h>
+#include "httpd_body.h"
 #include "httpd_conn.h"
 #include "httpd_head.h"
 #include "httpd_reject.h"
@@ -18,13 +19,13 @@
 
 #define DEFAULT_MAX_CONNECTIONS 4096u
 #define DEFAULT_IDLE_TIMEOUT_S 30u
-#define REQUEST_TIMEOUT_FACTOR 2 /* times the idle timeout */
+#define DEFAULT_HEAD_TIMEOUT_MS 5000
+#define CONNECTION_CHECK_MS 250
 #define STUCK_CHECK_MS 50
 #define STUCK_CHECKS 2 /* in succession, until a connection is closed */
-#define STREAM_BLOCK_BYTES (16u << 10) /* passed to libmicrohttpd at once */
 
-static void
-resume (struct httpd_request *request)
+void
+httpd_resume (struct httpd_request *request)
 {
   if (!request->suspended)
     return;
@@ -33,97 +34,20 @@
   MHD_resume_connection (request->connection);
 }
 
-static void
-suspend (struct httpd_request *request)
+void
+httpd_suspend (struct httpd_request *request)
 {
   request->suspended = true;
   MHD_suspend_connection (request->connection);
 }
 
-static size_t
-buffered_bytes (const struct httpd_request *request)
-{
-  return request->out->len - request->out_offset;
-}
-
-static void
-discard_read_bytes (struct httpd_request *request)
-{
-  if (request->out_offset == request->out->len)
-    g_string_truncate (request->out, 0);
-  else if (request->out_offset > HTTPD_STREAM_BUFFER)
-    g_string_erase (request->out, 0, (gssize)request->out_offset);
-  else
-    return;
-  request->out_offset = 0;
-}
-
-static void
-notify_writable (struct httpd_request *request)
-{
-  struct httpd *httpd = request->httpd;
-
-  if (!request->stalled || buffered_bytes (request) > HTTPD_STREAM_BUFFER / 2)
-    return;
-  request->stalled = false;
-  if (httpd->options.writable != NULL)
-    httpd->options.writable (httpd->options.user, request);
-}
-
-/* Without chunks a regular end of the connection ends the response, so a
-   truncated one needs a reset.  SO_LINGER would not do: libmicrohttpd shuts
-   sockets down before it closes them.  */
-static void
-reset_connection (int fd)
-{
-  const struct sockaddr none = { .sa_family = AF_UNSPEC };
-
-  if (connect (fd, &none, sizeof none) < 0)
-    shutdown (fd, SHUT_RDWR);
-}
-
-/* libmicrohttpd handles the error only at the next event of the socket; the
-   shutdown causes one.  */
-static ssize_t
-abort_stream (const struct httpd_request *request)
-{
-  if (request->has_chunks)
-    shutdown (request->disconnect.fd, SHUT_RDWR);
-  else
-    reset_connection (request->disconnect.fd);
-  return MHD_CONTENT_READER_END_WITH_ERROR;
-}
-
-static ssize_t
-read_stream (void *cls, uint64_t pos, char *buffer, size_t max)
-{
-  struct httpd_request *request = cls;
-  size_t n = buffered_bytes (request);
-
-  (void)pos;
-  if (request->aborted || (n == 0 && request->truncated))
-    return abort_stream (request);
-  if (n == 0 && request->ended)
-    return MHD_CONTENT_READER_END_OF_STREAM;
-  if (n == 0)
-    {
-      suspend (request);
-      return 0;
-    }
-  if (n > max)
-    n = max;
-  memcpy (buffer, request->out->str + request->out_offset, n);
-  request->out_offset += n;
-  discard_read_bytes (request);
-  notify_writable (request);
-  return (ssize_t)n;
-}
-
 static void
 request_free (struct httpd_request *request)
 {
   loop_unwatch (request->httpd->options.loop, &request->disconnect);
   CK_LIST_REMOVE (request, link);
+  if (request->tiny_chunks)
+    request->httpd->tiny_uploads--;
   if (request->response != NULL)
     MHD_destroy_response (request->response);
   g_string_free (request->body, TRUE);
@@ -145,26 +69,15 @@
   request->connection = connection;
   request->uri = g_strdup (uri);
   request->body = g_string_new (NULL);
+  request->conn = httpd_conn_of (connection);
+  request->conn->request = request;
   request->out = g_string_new (NULL);
   CK_LIST_INSERT_HEAD (&httpd->requests, request, link);
   return request;
 }
 
-static void
-append_body (struct httpd_request *request, const char *data, size_t n)
-{
-  if (request->too_large
-      || request->body->len + n > request->httpd->options.body_max)
-    {
-      request->too_large = true;
-      request->discarded += n;
-    }
-  else
-    g_string_append_len (request->body, data, (gssize)n);
-}
-
-static struct httpd_conn *
-get_conn (struct MHD_Connection *connection)
+struct httpd_conn *
+httpd_conn_of (struct MHD_Connection *connection)
 {
   return MHD_get_connection_info (connection,
                                   MHD_CONNECTION_INFO_SOCKET_CONTEXT)
@@ -182,7 +95,7 @@
   (void)events;
   loop_unwatch (request->httpd->options.loop, watch);
   request->aborted = true;
-  resume (request);
+  httpd_resume (request);
 }
 
 static void
@@ -198,15 +111,18 @@
 
 /* Suspends the connection before the request callback, so that an immediate
    response takes the same path as a later one.  */
-static enum MHD_Result
-dispatch_request (struct httpd_request *request)
+enum MHD_Result
+httpd_dispatch (struct httpd_request *request)
 {
   struct httpd *httpd = request->httpd;
 
+  if (!membudget_may_call (httpd->options.budget))
+    return httpd_reject_busy (request);
   request->stage = STAGE_DISPATCHED;
   httpd->open_requests++;
-  suspend (request);
-  httpd_conn_stop_timer (get_conn (request->connection));
+  httpd_suspend (request);
+  httpd_conn_stop_timer (request->conn);
+  httpd_conn_set_state (request->conn, MEMBUDGET_RUNNING);
   watch_disconnect (request);
   httpd->options.request (httpd->options.user, request);
   return MHD_YES;
@@ -219,6 +135,7 @@
       request->connection, request->status, request->response);
 
   request->stage = STAGE_RESPONDED;
+  httpd_conn_set_state (request->conn, MEMBUDGET_SENDING);
   MHD_destroy_response (request->response);
   request->response = NULL;
   return result;
@@ -255,7 +172,7 @@
   strip_target (request);
   request->method = g_strdup (line->method);
   request->stage = STAGE_BODY;
-  return MHD_YES;
+  return httpd_body_begin (request);
 }
 
 static enum MHD_Result
@@ -269,7 +186,7 @@
     return httpd_reject_malformed (request, fault);
   if (request->too_large)
     return httpd_reject_large_body (request);
-  return dispatch_request (request);
+  return httpd_dispatch (request);
 }
 
 static enum MHD_Result
@@ -290,16 +207,15 @@
 
       return accept_head (request, &line);
     }
+  if (request->conn->account.closing)
+    return MHD_NO;
   if (request->stage == STAGE_BODY && *size > 0)
     {
-      append_body (request, data, *size);
+      size_t n = *size;
+
       *size = 0;
       request->stuck = 0;
-      if (request->discarded <= HTTPD_DISCARD_MAX)
-        return MHD_YES;
-      httpd_report_rejection (request->httpd, HTTPD_REJECT_BODY_TOO_LARGE,
-                              NULL);
-      return MHD_NO;
+      return httpd_body_append (request, data, n);
     }
   if (request->stage == STAGE_BODY)
     return end_body (request);
@@ -318,6 +234,7 @@
   struct httpd_request *request = *con_cls;
   bool complete = code == MHD_REQUEST_TERMINATED_COMPLETED_OK;
 
+  (void)connection;
   if (request == NULL)
     return;
   *con_cls = NULL;
@@ -325,7 +242,8 @@
     httpd_report_unparsed (request);
   if (request->closes && complete)
     httpd_discard_unread (request);
-  httpd_conn_start_timer (get_conn (connection));
+  httpd_conn_start_timer (request->conn);
+  httpd_conn_request_ended (request->conn);
   if (request->stage > STAGE_BODY)
     {
       httpd->open_requests--;
@@ -414,8 +332,7 @@
 on_connection (void *cls, struct MHD_Connection *connection, void **context,
                enum MHD_ConnectionNotificationCode code)
 {
-  const struct httpd *httpd = cls;
-  int fd;
+  struct httpd *httpd = cls;
 
   if (code == MHD_CONNECTION_NOTIFY_CLOSED)
     {
@@ -423,11 +340,20 @@
       *context = NULL;
       return;
     }
-  fd = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD)
-           ->connect_fd;
-  *context = httpd_conn_new (httpd->options.loop, fd,
-                             (int64_t)httpd->options.idle_timeout_s
-                                 * REQUEST_TIMEOUT_FACTOR * TS_MS_PER_S);
+  *context = httpd_conn_new (httpd, connection);
+}
+
+static void
+on_check_timer (struct loop_timer *timer)
+{
+  struct httpd *httpd
+      = (struct httpd *)((char *)timer - offsetof (struct httpd, check_timer));
+  struct timespec now = loop_now (httpd->options.loop);
+
+  httpd_conn_check_all (httpd, now);
+  membudget_relieve (httpd->options.budget, now);
+  loop_timer_set (httpd->options.loop, timer,
+                  ts_add_ms (now, CONNECTION_CHECK_MS));
 }
 
 static struct MHD_Daemon *
@@ -455,6 +381,10 @@
     options->idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S;
   if (options->body_max == 0)
     options->body_max = HTTPD_BODY_MAX;
+  if (options->head_timeout_ms == 0)
+    options->head_timeout_ms = DEFAULT_HEAD_TIMEOUT_MS;
+  if (options->idle_ms == 0)
+    options->idle_ms = (int64_t)options->idle_timeout_s * TS_MS_PER_S;
   if (options->head_memory == 0)
     options->head_memory = HTTPD_HEAD_MEMORY;
 }
@@ -468,8 +398,11 @@
 
   httpd->options = *options;
   CK_LIST_INIT (&httpd->requests);
+  TAILQ_INIT (&httpd->conns);
   fill_defaults (&httpd->options);
   httpd->port = options->port;
+  httpd->group.limit = httpd->options.max_connections;
+  httpd->group.base = httpd->options.head_memory;
   fd = listen_tcp (options->address, &httpd->port, options->share_port);
   if (fd < 0)
     {
@@ -490,6 +423,9 @@
   httpd->prepare.prepare = run_before_sleep;
   err = loop_watch (options->loop, &httpd->watch, EPOLLIN);
   loop_prepare_add (options->loop, &httpd->prepare);
+  httpd->check_timer.fire = on_check_timer;
+  loop_timer_set (options->loop, &httpd->check_timer,
+                  ts_add_ms (loop_now (options->loop), CONNECTION_CHECK_MS));
   if (err < 0)
     {
       httpd_free (httpd);
@@ -508,7 +444,7 @@
   CK_LIST_FOREACH (request, &httpd->requests, link)
     {
       request->aborted = true;
-      resume (request);
+      httpd_resume (request);
     }
 }
 
@@ -520,6 +456,7 @@
   abort_all (httpd);
   loop_unwatch (httpd->options.loop, &httpd->watch);
   loop_prepare_remove (&httpd->prepare);
+  loop_timer_clear (httpd->options.loop, &httpd->check_timer);
   MHD_stop_daemon (httpd->daemon);
   g_free (httpd);
 }
@@ -536,6 +473,14 @@
   httpd->options.body_max = bytes;
 }
 
+void
+httpd_set_timeouts (struct httpd *httpd, int64_t head_ms, int64_t idle_ms)
+{
+  httpd->options.head_timeout_ms = head_ms;
+  httpd->options.idle_ms = idle_ms;
+  fill_defaults (&httpd->options);
+}
+
 void
 httpd_quiesce (struct httpd *httpd)
 {
@@ -551,10 +496,10 @@
   return httpd->open_requests;
 }
 
-static void
-send_response (struct httpd_request *request, struct MHD_Response *response,
-               unsigned status, const char *content_type,
-               const char *const *headers)
+void
+httpd_send_response (struct httpd_request *request,
+                     struct MHD_Response *response, unsigned status,
+                     const char *content_type, const char *const *headers)
 {
   if (content_type != NULL && *content_type != '\0')
     MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE,
@@ -565,7 +510,8 @@
     MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
   request->response = response;
   request->status = status;
-  resume (request);
+  httpd_hold (request);
+  httpd_resume (request);
 }
 
 void
@@ -576,51 +522,13 @@
   struct MHD_Response *response = MHD_create_response_from_buffer (
       length, (void *)body, MHD_RESPMEM_MUST_COPY);
 
-  send_response (request, response, status, content_type, headers);
-}
-
-void
-httpd_stream_begin (struct httpd_request *request, unsigned status,
-                    const char *content_type, const char *const *headers)
-{
-  struct MHD_Response *response = MHD_create_response_from_callback (
-      MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES, read_stream, request, NULL);
-
-  request->streaming = true;
-  send_response (request, response, status, content_type, headers);
-}
-
-int
-httpd_stream_write (struct httpd_request *request, const void *bytes,
-                    size_t length)
-{
-  if (buffered_bytes (request) > HTTPD_STREAM_BUFFER)
-    {
-      request->stalled = true;
-      return -EAGAIN;
-    }
-  g_string_append_len (request->out, bytes, (gssize)length);
-  resume (request);
-  return 0;
-}
-
-void
-httpd_stream_end (struct httpd_request *request)
-{
-  request->ended = true;
-  resume (request);
-}
-
-void
-httpd_stream_abort (struct httpd_request *request)
-{
-  request->truncated = true;
-  resume (request);
+  request->response_bytes = length;
+  httpd_send_response (request, response, status, content_type, headers);
 }
 
 void
 httpd_drop (struct httpd_request *request)
 {
   request->aborted = true;
-  resume (request);
+  httpd_resume (request);
 }
--- a/src/httpd.h
+++ b/src/httpd.h
@@ -26,12 +26,20 @@
 
 struct httpd;
 struct httpd_request;
+struct membudget;
 
 enum httpd_reject
 {
   HTTPD_REJECT_BODY_TOO_LARGE,
   HTTPD_REJECT_MALFORMED,
-  HTTPD_REJECT_UNPARSED /* by libmicrohttpd; the fault is the reason phrase */
+  HTTPD_REJECT_UNPARSED, /* by libmicrohttpd; the fault is the reason phrase */
+  HTTPD_REJECT_BUSY,     /* too little memory or too few descriptors: 503 */
+  HTTPD_REJECT_MEMORY,   /* closed: held most while others asked */
+  HTTPD_REJECT_CONNECTIONS, /* closed: idlest of too many */
+  HTTPD_REJECT_SLOW_HEAD,
+  HTTPD_REJECT_SLOW_BODY,
+  HTTPD_REJECT_SLOW_READER,
+  HTTPD_REJECT_UNWANTED_BODY /* long body of a request that is refused */
 };
 
 struct httpd_options
@@ -44,12 +52,27 @@
   /* Idle connections are closed after this time; a request must be complete
      within twice this time.  0: 30.  */
   unsigned idle_timeout_s;
-  /* Bytes; 0: HTTPD_BODY_MAX.  A longer body is answered with 413 at its end;
-     after HTTPD_DISCARD_MAX bytes more the connection is closed instead.  */
+  /* Bytes; 0: HTTPD_BODY_MAX.  A longer body is answered with 413: at its end,
+     or at once when it is said to be HTTPD_DISCARD_MAX bytes longer, or after
+     so many bytes more.  */
   size_t body_max;
   /* Memory of a connection in bytes; limits the size of a request's headers.
      0: HTTPD_HEAD_MEMORY.  */
   size_t head_memory;
+  /* From the first byte of a head to its last, milliseconds; 0: 5000.  */
+  int64_t head_timeout_ms;
+  /* Without a byte of a body, without a byte of a response being taken, and
+     between two requests, milliseconds; 0: as idle_timeout_s.  */
+  int64_t idle_ms;
+  /* Memory and descriptors of the thread; borrowed; NULL: no limits.  */
+  struct membudget *budget;
+  /* Called when the head of a request with a body is complete.  Returns
+     whether the response depends on the body.  If not, the request callback
+     gets the request without it: after a short body, which is read and
+     dropped, or else at once, and the connection is closed after the response
+     (to POST and PUT; with other methods the body is read in any case, and the
+     connection closed after 1 MiB).  NULL: it does.  */
+  bool (*wants_body) (void *user, struct httpd_request *request);
   void (*request) (void *user, struct httpd_request *request);
   /* The request is about to be freed; see Ownership.  */
   void (*gone) (void *user, struct httpd_request *request, bool complete);
@@ -63,7 +86,7 @@
 };
 
 #define HTTPD_BODY_MAX (4u << 20)       /* bytes */
-#define HTTPD_DISCARD_MAX (16u << 20)   /* bytes */
+#define HTTPD_DISCARD_MAX (1u << 20)    /* bytes */
 #define HTTPD_HEAD_MEMORY (16u << 10)   /* bytes */
 #define HTTPD_STREAM_BUFFER (64u << 10) /* bytes, for a slow client */
 
@@ -77,6 +100,10 @@
 /* Sets the maximum size in bytes of bodies that are still to be received.  */
 void httpd_set_body_max (struct httpd *httpd, size_t bytes);
 
+/* Sets head_timeout_ms and idle_ms of the options.  */
+void httpd_set_timeouts (struct httpd *httpd, int64_t head_ms,
+                         int64_t idle_ms);
+
 /* Stops accepting connections; open ones are kept.  */
 void httpd_quiesce (struct httpd *httpd);
 
--- a/src/httpd_reject.h
+++ b/src/httpd_reject.h
@@ -11,12 +11,18 @@
 void httpd_report_rejection (const struct httpd *httpd, enum httpd_reject why,
                              const char *fault);
 
-/* Both queue a response and report the rejection.  Nothing that follows the
+/* All queue a response and report the rejection.  Nothing that follows the
    request on its connection is read.  FAULT is a string constant.  */
 enum MHD_Result httpd_reject_large_body (struct httpd_request *request);
+/* 503: there is no memory or descriptor for it; it has not run.  */
+enum MHD_Result httpd_reject_busy (struct httpd_request *request);
 enum MHD_Result httpd_reject_malformed (struct httpd_request *request,
                                         const char *fault);
 
+/* Writes a response to the socket FD, if it takes one, and reads what has
+   come.  Nothing else may be sent there.  */
+void httpd_send_refusal (int fd, enum httpd_reject why);
+
 /* Reports a request that libmicrohttpd has answered by itself, if it has.  */
 void httpd_report_unparsed (const struct httpd_request *request);
 
--- a/src/httpd_state.h
+++ b/src/httpd_state.h
@@ -1,5 +1,5 @@
-/* httpd_state - state of a server and of a request.  Private to httpd,
-   httpd_reject and httpd_request.  */
+/* httpd_state - state of a server and of a request.  Private to httpd and the
+   modules whose names begin with httpd_.  */
 
 #ifndef PARSLEYRILL_HTTPD_STATE_H
 #define PARSLEYRILL_HTTPD_STATE_H
@@ -7,6 +7,7 @@
 #include <microhttpd.h>
 #include <glib.h>
 #include "httpd.h"
+#include "membudget.h"
 
 enum stage
 {
@@ -21,6 +22,7 @@
   CK_LIST_ENTRY (httpd_request) link;
   struct httpd *httpd;
   struct MHD_Connection *connection;
+  struct httpd_conn *conn;
   struct loop_watch disconnect; /* libmicrohttpd does not poll suspended
                                    connections */
   char *method;
@@ -43,17 +45,27 @@
   bool aborted;    /* close at once */
   bool too_large;
   bool rejected;    /* by this module */
-  size_t discarded; /* bytes of a body that is too large */
+  bool unwanted;    /* the body is read and dropped */
+  bool tiny_chunks; /* counted in tiny_uploads */
+  unsigned pieces;  /* of the body, as libmicrohttpd passed it */
+  size_t announced; /* bytes of the body, held from its beginning */
+  size_t response_bytes;
+  size_t discarded; /* bytes of a body that is too large or unwanted */
   unsigned stuck;   /* checks since bytes of the body were read */
   bool stalled;     /* a write returned -EAGAIN */
 };
 
 CK_LIST_HEAD (request_list, httpd_request);
+TAILQ_HEAD (conn_list, httpd_conn);
 
 struct httpd
 {
   struct httpd_options options;
   struct request_list requests;
+  struct conn_list conns;
+  struct membudget_group group;
+  struct loop_timer check_timer;
+  unsigned tiny_uploads; /* bodies in very small chunks */
   struct MHD_Daemon *daemon;
   struct loop_watch watch;
   struct loop_prepare prepare;
@@ -63,4 +75,16 @@
   struct timespec stuck_checked_at;
 };
 
+struct httpd_conn *httpd_conn_of (struct MHD_Connection *connection);
+void httpd_suspend (struct httpd_request *request);
+void httpd_resume (struct httpd_request *request);
+/* Passes the request to the request callback.  */
+enum MHD_Result httpd_dispatch (struct httpd_request *request);
+void httpd_send_response (struct httpd_request *request,
+                          struct MHD_Response *response, unsigned status,
+                          const char *content_type,
+                          const char *const *headers);
+/* Counts in the budget what is held for REQUEST.  */
+bool httpd_hold (struct httpd_request *request);
+
 #endif
--- a/src/links.c
+++ b/src/links.c
@@ -15,6 +15,10 @@
 #include "peer.h"
 #include "ts.h"
 
+/* Connections of nodes that have not authenticated: part of the descriptors.
+ */
+#define UNAUTHENTICATED_SHARE 10
+#define UNAUTHENTICATED_MAX 256
 #define DISCOVER_INTERVAL_MS 1000 /* between requests, while not linked */
 #define DISCOVER_TIMEOUT_MS 900
 #define DISCOVER_BODY_MAX_BYTES 4096u
@@ -463,24 +467,34 @@
     update_instances (links, event->data);
 }
 
+static unsigned
+unauthenticated_max (const struct settings *settings)
+{
+  unsigned max = settings->fd_limit / UNAUTHENTICATED_SHARE;
+
+  return MIN (max, UNAUTHENTICATED_MAX);
+}
+
 static int
 start_peer (struct links *links)
 {
   const struct settings *settings = links->core->settings;
-  struct peer_options options = { .loop = links->core->loop,
-                                  .clk = links->core->clk,
-                                  .host = settings->peer_address,
-                                  .port = settings->peer_port,
-                                  .token = settings->peer_token,
-                                  .node = links->core->node,
-                                  .incarnation = links->core->incarnation,
-                                  .region = settings->region,
-                                  .zone = settings->zone,
-                                  .message = on_message,
-                                  .up = on_up,
-                                  .down = on_down,
-                                  .user = links,
-                                  .rand = links->core->rand };
+  struct peer_options options
+      = { .loop = links->core->loop,
+          .clk = links->core->clk,
+          .host = settings->peer_address,
+          .port = settings->peer_port,
+          .token = settings->peer_token,
+          .node = links->core->node,
+          .incarnation = links->core->incarnation,
+          .region = settings->region,
+          .zone = settings->zone,
+          .unauthenticated_max = unauthenticated_max (settings),
+          .message = on_message,
+          .up = on_up,
+          .down = on_down,
+          .user = links,
+          .rand = links->core->rand };
 
   links->peer = peer_new (&options);
   return links->peer != NULL ? 0 : -errno;
--- a/src/node.c
+++ b/src/node.c
@@ -21,6 +21,7 @@
 #include "ts.h"
 
 #define FROM_TRAFFIC_SLOTS 16384u
+#define FDS_RESERVED 300 /* descriptors not used for callers' connections */
 #define DRAIN_CHECK_MS 50
 /* Time until gossip has reached all nodes and none returns this one in
    lookups.  */
@@ -47,6 +48,15 @@
   bool closed; /* since the last look at the open requests, or before */
 };
 
+/* Of callers, per thread.  */
+static unsigned
+max_connections (const struct settings *settings)
+{
+  unsigned reserved = MIN (FDS_RESERVED, settings->fd_limit / 2);
+
+  return (settings->fd_limit - reserved) / MAX (settings->threads, 1);
+}
+
 static int
 create_traffic (struct node *node)
 {
@@ -66,6 +76,9 @@
     .entry_ttl_s = settings->entry_ttl_s,
     .default_deadline_ms = settings->deadline_ms,
     .idle_timeout_ms = settings->idle_timeout_ms,
+    .memory_mb = settings->memory_mb,
+    .fd_limit = settings->fd_limit,
+    .max_connections = max_connections (settings),
   };
 
   return traffic_new (&options, &node->traffic);
--- a/src/peer.c
+++ b/src/peer.c
@@ -365,7 +365,7 @@
   (void)events;
   if (fd < 0)
     return;
-  if (peer->unauthenticated >= UNAUTHENTICATED_MAX)
+  if (peer->unauthenticated >= peer->options.unauthenticated_max)
     close (fd);
   else
     add_link (peer, fd, NULL);
@@ -492,6 +492,8 @@
     return NULL;
   peer = g_new0 (struct peer, 1);
   peer->options = *options;
+  if (peer->options.unauthenticated_max == 0)
+    peer->options.unauthenticated_max = UNAUTHENTICATED_MAX;
   peer->token = g_strdup (options->token);
   peer->node = g_strdup (options->node);
   peer->zone = g_strdup (options->zone);
--- a/src/peer.h
+++ b/src/peer.h
@@ -33,6 +33,7 @@
   uint64_t incarnation;
   const char *region;
   const char *zone;
+  unsigned unauthenticated_max; /* links; 0: 256 */
   struct timespec idle_timeout; /* least time without incoming data after
                                    which a link is closed; zero: 3 s */
   /* FROM and MSG are valid only during the call.  */
--- a/src/settings.h
+++ b/src/settings.h
@@ -36,6 +36,8 @@
   unsigned loads_per_min;   /* rate limit of the weight store */
   unsigned loads_at_once;   /* concurrent loads that it serves at full speed */
   unsigned adapters_at_once; /* concurrent adapter fetches at full speed */
+  unsigned memory_mb;        /* that the process may use; 0: not known */
+  unsigned fd_limit;         /* open file descriptors; 0: not known */
   enum log_level log_level;
   enum log_format log_format;
   bool check_only;
--- a/src/site.h
+++ b/src/site.h
@@ -93,7 +93,11 @@
   GArray *customers;  /* struct site_customer */
   bool keys_required; /* of all routes that are not public */
   size_t body_bytes;  /* maximum size of a request's body; 0: no limit here */
-  GHashTable *hosts;  /* name to GPtrArray of routes, longest prefix first */
+  /* A head takes at most so long; idle connections are kept at least so long,
+     milliseconds; 0: not set.  */
+  int64_t head_timeout_ms;
+  int64_t idle_timeout_ms;
+  GHashTable *hosts; /* name to GPtrArray of routes, longest prefix first */
 };
 
 /* An empty one with one reference.  */
--- a/src/traffic.h
+++ b/src/traffic.h
@@ -39,7 +39,9 @@
   int64_t default_deadline_ms; /* for requests without a deadline; 0: 60 s */
   int64_t idle_timeout_ms;     /* of a streaming backend server; 0: 10 s */
   unsigned max_connections;    /* from callers, per thread; 0: 4096 */
-  unsigned idle_timeout_s;     /* of a caller's connection; 0: 30 */
+  unsigned memory_mb;      /* of the process; 0: not known, no limits follow */
+  unsigned fd_limit;       /* the same */
+  unsigned idle_timeout_s; /* of a caller's connection; 0: 30 */
 };
 
 /* Binds the port in every thread's server.  Returns 0 and sets *OUT, or a
--- a/src/worker.c
+++ b/src/worker.c
@@ -10,6 +10,7 @@
 #include "eject.h"
 #include "entry.h"
 #include "log.h"
+#include "membudget.h"
 #include "pick.h"
 #include "reach.h"
 #include "reject.h"
@@ -21,6 +22,8 @@
 #define INBOX_SLOTS 4096u   /* messages */
 #define TICK_MS 20          /* between dispatch rounds for waiting requests */
 #define CONNECTION_IDLE_S 3 /* connections idle for longer are not reused */
+#define KEPT_DESCRIPTORS_SHARE 8 /* connections kept to servers */
+#define KEPT_MAX 256
 #define ADMIN_ROOT "/admin/"
 #define SERVICE_ROOT "/v1/services/"
 
@@ -207,6 +210,25 @@
     endpoint->handle (worker, request);
 }
 
+/* A request without an endpoint, or by no operator, is refused whatever its
+   body is.  */
+static bool
+wants_body (void *user, struct httpd_request *request)
+{
+  const struct worker *worker = user;
+  const char *path = httpd_path (request);
+  const struct endpoint *endpoint = find_endpoint (path);
+
+  if (has_repeated_header (request))
+    return false;
+  if (g_str_has_prefix (path, ADMIN_ROOT))
+    return api_token_matches (httpd_header (request, "Authorization"),
+                              worker->options->operator_token);
+  return g_str_has_prefix (path, SERVICE_ROOT)
+         || (endpoint != NULL && strcmp (endpoint->method, "POST") == 0
+             && strcmp (httpd_method (request), "POST") == 0);
+}
+
 static gboolean
 is_request (gpointer key, gpointer value, gpointer request)
 {
@@ -349,6 +371,8 @@
                                    .port = o->port,
                                    .share_port = true,
                                    .max_connections = o->max_connections,
+                                   .budget = worker->budget,
+                                   .wants_body = wants_body,
                                    .idle_timeout_s = o->idle_timeout_s,
                                    .request = on_request,
                                    .gone = on_gone,
@@ -402,6 +426,9 @@
 {
   struct ring_options inbox = { .slots = INBOX_SLOTS, .release = msg_free };
   struct httpc_options client = { .max_connection_age_s = CONNECTION_IDLE_S };
+  const struct traffic_options *o = worker->options;
+  struct membudget_options budget
+      = membudget_share (o->memory_mb, o->fd_limit, o->threads);
 
   worker->loop = loop_new (worker->options->clk);
   if (worker->loop == NULL)
@@ -409,7 +436,13 @@
   worker->inbox = ring_new (&inbox);
   if (worker->inbox == NULL)
     return -errno;
+  worker->budget = membudget_new (&budget);
   client.loop = worker->loop;
+  client.budget = worker->budget;
+  client.max_connections
+      = MIN (o->fd_limit / KEPT_DESCRIPTORS_SHARE / o->threads, KEPT_MAX);
+  client.collected_max
+      = membudget_collected_max (&budget, HTTPC_COLLECTED_MAX);
   worker->httpc = httpc_new (&client);
   if (worker->httpc == NULL)
     return -ENOMEM;
@@ -468,6 +501,7 @@
     return;
   httpd_free (worker->httpd);
   httpc_free (worker->httpc);
+  membudget_free (worker->budget);
   free_policies (worker);
   route_reader_free (worker->reader);
   g_hash_table_unref (worker->calls);
--- a/src/worker.h
+++ b/src/worker.h
@@ -30,6 +30,7 @@
   const unsigned *draining; /* atomic, enum worker_draining */
   unsigned index;
   struct loop *loop;
+  struct membudget *budget; /* of clients and calls to servers */
   struct httpd *httpd;
   struct httpc *httpc;
   struct ring *inbox;
