httpd: accept again when a connection was closed at the limit

Cause: libmicrohttpd at its connection limit accepts again only in a run after one has been closed; nothing caused that run, and parsleyd served nobody for 30 s beside 400 silent connections. Change: such a run is asked for when a connection is closed at the limit.

--- a/src/httpd.c
+++ b/src/httpd.c
@@ -336,10 +336,14 @@
 
   if (code == MHD_CONNECTION_NOTIFY_CLOSED)
     {
+      /* At its limit libmicrohttpd accepts again only in its next run.  */
+      if (httpd->connections-- >= httpd->options.max_connections)
+        httpd->run_pending = true;
       httpd_conn_free (*context);
       *context = NULL;
       return;
     }
+  httpd->connections++;
   *context = httpd_conn_new (httpd, connection);
 }
 
--- a/src/httpd_state.h
+++ b/src/httpd_state.h
@@ -70,6 +70,7 @@
   struct loop_watch watch;
   struct loop_prepare prepare;
   unsigned open_requests;
+  unsigned connections;
   uint16_t port;
   bool run_pending; /* call MHD_run before the loop sleeps */
   struct timespec stuck_checked_at;
