httpd, api: tests of the limits; large JSON bodies are skimmed

Cause: a body of 4 MiB with two million values takes a node of parsleyd 80 MB to parse; a new body beyond the hard limit closed active ones. Change: of a body over 64 KiB only the members of the outermost object are parsed (api_skim); a body for which there is no room is refused and closes stale ones only. test_membudget, test_httpd_limits, test_api_skim. Conclusion: names that occur twice within inner objects of such bodies are no longer rejected here; the server sees them.

--- a/src/api.c
+++ b/src/api.c
@@ -6,9 +6,11 @@
 #include <glib.h>
 #include <jansson.h>
 #include <xxhash.h>
+#include "api_skim.h"
 
 #define SERVICE_PATH_PREFIX "/v1/services/"
 #define BEARER_PREFIX "Bearer "
+#define SKIM_MIN_BYTES (64u << 10) /* larger bodies are not parsed whole */
 #define NAME_MAX_BYTES 255u
 
 static int
@@ -152,6 +154,21 @@
   return err;
 }
 
+static json_t *
+parse_body (const char *body, size_t length)
+{
+  char *outline;
+  json_t *json;
+
+  if (length < SKIM_MIN_BYTES)
+    return json_loadb (body, length, JSON_REJECT_DUPLICATES, NULL);
+  outline = api_skim (body, length);
+  json = outline != NULL ? json_loads (outline, JSON_REJECT_DUPLICATES, NULL)
+                         : NULL;
+  g_free (outline);
+  return json;
+}
+
 int
 api_read_completion (const char *uri, const struct api_headers *headers,
                      const char *body, size_t length,
@@ -166,7 +183,7 @@
   err = read_headers (headers, request, why);
   if (err < 0)
     return err;
-  json = json_loadb (body, length, JSON_REJECT_DUPLICATES, NULL);
+  json = parse_body (body, length);
   err = read_body (json, request, why);
   json_decref (json);
   if (err < 0)
--- a/src/membudget.c
+++ b/src/membudget.c
@@ -196,13 +196,13 @@
   return budget->options.bytes / HARD_DEN * HARD_NUM;
 }
 
-/* Closes accounts until at most LIMIT bytes are used.  */
+/* Closes accounts, stale ones or any, until at most LIMIT bytes are used.  */
 static bool
-relieve_to (struct membudget *budget, size_t limit, struct timespec now)
+relieve_to (struct membudget *budget, size_t limit, bool stale,
+            struct timespec now)
 {
-  while (budget->options.bytes > 0 && budget->used > limit)
+  while (budget->used > limit)
     {
-      bool stale = budget->used <= hard_limit (budget);
       struct membudget_account *account = find_heaviest (budget, stale, now);
 
       if (account == NULL)
@@ -215,8 +215,10 @@
 void
 membudget_relieve (struct membudget *budget, struct timespec now)
 {
-  if (budget != NULL)
-    relieve_to (budget, budget->options.bytes, now);
+  if (budget == NULL || budget->options.bytes == 0)
+    return;
+  relieve_to (budget, budget->options.bytes, true, now);
+  relieve_to (budget, hard_limit (budget), false, now);
 }
 
 bool
@@ -233,7 +235,7 @@
   limit = budget->options.bytes;
   if (bytes > MEMBUDGET_SMALL)
     limit -= limit / LARGE_SHARE_FREE;
-  return !grows || limit == 0 || relieve_to (budget, limit, now);
+  return !grows || limit == 0 || relieve_to (budget, limit, true, now);
 }
 
 void
--- a/src/membudget.h
+++ b/src/membudget.h
@@ -101,8 +101,8 @@
                      struct timespec now);
 void membudget_leave (struct membudget_account *account);
 
-/* Sets what is held for ACCOUNT.  When that exceeds the limit, others are
-   closed.  Returns whether the limit is kept; a large account is to be refused
+/* Sets what is held for ACCOUNT.  When that exceeds the limit, stale accounts
+   are closed.  Returns whether the limit is kept; a large account is to be refused
    otherwise.  */
 bool membudget_hold (struct membudget_account *account, size_t bytes,
                      struct timespec now);
@@ -115,7 +115,8 @@
 /* Whether there is a descriptor left for a call to a server.  */
 bool membudget_may_call (const struct membudget *budget);
 
-/* Closes accounts while more than the limit is used.  */
+/* Closes accounts while more than the limit is used; to be called a few times
+   a second.  */
 void membudget_relieve (struct membudget *budget, struct timespec now);
 
 size_t membudget_used (const struct membudget *budget);
