httpd: bodies that were dropped are never passed on; slow clients by rate

Cause: a route could come into force between the head of a request, whose body was not wanted then, and its end; a client that sends a byte now and then kept the memory that it had announced. Change: forward refuses such a request with 503; fewer than 8 KiB are no progress of an account; of too many connections the one that waits longest for its request goes first. Measured: test_body_dropped, test_httpd_limits, test_membudget pass.

--- a/src/forward.c
+++ b/src/forward.c
@@ -379,6 +379,12 @@
       refuse_unknown_route (forward);
       return;
     }
+  /* The route has come since the head was read.  */
+  if (httpd_body_dropped (forward->request))
+    {
+      forward_refuse (forward, 503, "no such route", CONFIG_RETRY_MS);
+      return;
+    }
   set_deadline (forward);
   if (!accepts_now (forward))
     {
--- a/src/httpd.h
+++ b/src/httpd.h
@@ -129,6 +129,10 @@
 /* The body, NUL-terminated.  */
 const char *httpd_body (const struct httpd_request *request, size_t *length);
 
+/* Whether the request has a body that was not kept, because wants_body said
+   so.  Such a request must not be passed on.  */
+bool httpd_body_dropped (const struct httpd_request *request);
+
 /* User pointer of a request, initially NULL.  */
 void httpd_set_user (struct httpd_request *request, void *user);
 void *httpd_get_user (const struct httpd_request *request);
--- a/src/httpd_body.c
+++ b/src/httpd_body.c
@@ -48,12 +48,12 @@
   bool is_short = !request->chunked && length <= DROP_SMALL
                   && !has_expectation (request);
 
+  request->unwanted = true;
   if (!is_short && allows_early_response (request))
     {
       request->closes = true;
       return httpd_dispatch (request);
     }
-  request->unwanted = true;
   return MHD_YES;
 }
 
@@ -116,7 +116,7 @@
 {
   struct httpd_conn *conn = request->conn;
 
-  conn->account.progress = loop_now (request->httpd->options.loop);
+  httpd_conn_received (conn, n);
   request->pieces++;
   if (request->unwanted)
     return drop_body (request, n);
--- a/src/httpd_conn.c
+++ b/src/httpd_conn.c
@@ -11,6 +11,9 @@
 #include "httpd_state.h"
 #include "ts.h"
 
+/* Fewer bytes are no progress of an account: clients that hold memory could
+   keep it with a byte now and then.  */
+#define PROGRESS_BYTES 8192
 #define REQUEST_TIMEOUT_FACTOR 2 /* times the idle timeout */
 
 /* libmicrohttpd reads end-of-file then and closes the connection.  */
@@ -86,7 +89,7 @@
   conn->timer.fire = on_timeout;
   conn->account.close = on_over_budget;
   conn->account.state = MEMBUDGET_RECEIVING;
-  conn->account.progress = now;
+  conn->byte_at = now;
   TAILQ_INSERT_TAIL (&httpd->conns, conn, link);
   httpd_conn_start_timer (conn);
   membudget_join (httpd->options.budget, &httpd->group, &conn->account,
@@ -124,8 +127,23 @@
 void
 httpd_conn_set_state (struct httpd_conn *conn, enum membudget_state state)
 {
+  struct timespec now = loop_now (conn->httpd->options.loop);
+
   conn->account.state = state;
-  conn->account.progress = loop_now (conn->httpd->options.loop);
+  conn->account.progress = now;
+  conn->account.since = now;
+  conn->byte_at = now;
+}
+
+void
+httpd_conn_received (struct httpd_conn *conn, size_t n)
+{
+  conn->byte_at = loop_now (conn->httpd->options.loop);
+  conn->came += n;
+  if (conn->came < PROGRESS_BYTES)
+    return;
+  conn->came = 0;
+  conn->account.progress = conn->byte_at;
 }
 
 void
@@ -165,8 +183,7 @@
 check_head (struct httpd_conn *conn, bool came, struct timespec now)
 {
   const struct httpd_options *options = &conn->httpd->options;
-  struct timespec idle_until
-      = ts_add_ms (conn->account.progress, options->idle_ms);
+  struct timespec idle_until = ts_add_ms (conn->byte_at, options->idle_ms);
   struct timespec woke = loop_woke_at (options->loop);
 
   if (came && !conn->in_head)
@@ -182,6 +199,18 @@
     shut_down (conn);
 }
 
+static void
+note_taken (struct httpd_conn *conn, uint64_t bytes, struct timespec now)
+{
+  if (bytes != conn->taken_now)
+    conn->byte_at = now;
+  conn->taken_now = bytes;
+  if (bytes - conn->taken < PROGRESS_BYTES)
+    return;
+  conn->taken = bytes;
+  conn->account.progress = now;
+}
+
 static void
 check_conn (struct httpd_conn *conn, struct timespec now)
 {
@@ -195,15 +224,13 @@
       || getsockopt (conn->fd, IPPROTO_TCP, TCP_INFO, &info, &size) < 0)
     return;
   came = info.tcpi_bytes_received != conn->received && !conn->ended;
-  if (info.tcpi_bytes_acked != conn->taken
-      && conn->account.state == MEMBUDGET_SENDING)
-    conn->account.progress = now;
+  if (conn->account.state == MEMBUDGET_SENDING)
+    note_taken (conn, info.tcpi_bytes_acked, now);
   conn->received = info.tcpi_bytes_received;
-  conn->taken = info.tcpi_bytes_acked;
   conn->ended = false;
-  late = !ts_before (now, ts_add_ms (ts_max (conn->account.progress,
-                                             loop_woke_at (options->loop)),
-                                     options->idle_ms));
+  late = !ts_before (
+      now, ts_add_ms (ts_max (conn->byte_at, loop_woke_at (options->loop)),
+                      options->idle_ms));
   if (conn->request == NULL || conn->request->stage == STAGE_HEAD)
     check_head (conn, came, now);
   else if (is_in_body (conn) && late)
--- a/src/httpd_conn.h
+++ b/src/httpd_conn.h
@@ -25,10 +25,13 @@
   struct httpd *httpd;
   struct httpd_request *request; /* NULL: none */
   int fd;
-  uint64_t received; /* bytes at the last check */
-  uint64_t taken;    /* bytes at the last check */
-  bool in_head;      /* bytes of a head have come */
-  bool ended;        /* a request has ended since the last check */
+  uint64_t received;  /* bytes at the last check */
+  uint64_t taken;     /* bytes when the account made progress last */
+  uint64_t taken_now; /* bytes at the last check */
+  size_t came;        /* bytes of a body since the account made progress */
+  struct timespec byte_at; /* when a byte was received or taken last */
+  bool in_head;            /* bytes of a head have come */
+  bool ended;              /* a request has ended since the last check */
   struct timespec head_since;
 };
 
@@ -44,6 +47,8 @@
 
 void httpd_conn_set_state (struct httpd_conn *conn,
                            enum membudget_state state);
+/* N bytes of a body have come.  */
+void httpd_conn_received (struct httpd_conn *conn, size_t n);
 void httpd_conn_head_ended (struct httpd_conn *conn);
 /* The request is about to be freed.  */
 void httpd_conn_request_ended (struct httpd_conn *conn);
--- a/src/httpd_request.c
+++ b/src/httpd_request.c
@@ -99,6 +99,12 @@
   return request->body->str;
 }
 
+bool
+httpd_body_dropped (const struct httpd_request *request)
+{
+  return request->unwanted;
+}
+
 void
 httpd_set_user (struct httpd_request *request, void *user)
 {
--- a/src/membudget.c
+++ b/src/membudget.c
@@ -129,7 +129,7 @@
 }
 
 /* Connections that have not brought a request go before those that have; of
-   these, those of the source with most, and the slowest.  */
+   these, those of the source with most, and the one that waits longest.  */
 static bool
 is_more_idle (const struct membudget_account *a,
               const struct membudget_account *b)
@@ -140,7 +140,7 @@
     return a->state == MEMBUDGET_RECEIVING;
   if (a->source->connections != b->source->connections)
     return a->source->connections > b->source->connections;
-  return ts_before (a->progress, b->progress);
+  return ts_before (a->since, b->since);
 }
 
 static struct membudget_account *
@@ -283,6 +283,7 @@
   account->source = find_source (budget, source);
   account->source->refs++;
   account->progress = now;
+  account->since = now;
   count_connection (account, 1);
   TAILQ_INSERT_TAIL (&budget->accounts, account, link);
   if (!has_many_connections (budget, group))
--- a/src/membudget.h
+++ b/src/membudget.h
@@ -69,7 +69,8 @@
   void (*close) (struct membudget_account *account, enum membudget_lack lack);
   size_t bytes;
   enum membudget_state state;
-  struct timespec progress; /* when the client sent or took a byte last */
+  struct timespec progress; /* when the client sent or took bytes last */
+  struct timespec since;    /* of STATE */
   bool closing;
 };
 
@@ -102,8 +103,8 @@
 void membudget_leave (struct membudget_account *account);
 
 /* Sets what is held for ACCOUNT.  When that exceeds the limit, stale accounts
-   are closed.  Returns whether the limit is kept; a large account is to be refused
-   otherwise.  */
+   are closed.  Returns whether the limit is kept; a large account is to be
+   refused otherwise.  */
 bool membudget_hold (struct membudget_account *account, size_t bytes,
                      struct timespec now);
 
