--- a/src/forward.c
+++ b/src/forward.c
@@ -308,6 +308,20 @@
   return route;
 }
 
+/* A request that finds no route, or a node that does not take requests, is
+   refused whatever its body is, see accept_request.  */
+bool
+forward_wants_body (struct gateway *gateway,
+                    const struct httpd_request *request)
+{
+  struct site *site = listing_site (gateway->listing);
+
+  return site != NULL
+         && drain_is_open (&gateway->drain, loop_now (gateway->core->loop))
+         && forward_find_route (site, request) != NULL
+         && !forward_key_fault (gateway, request);
+}
+
 static struct drain_request
 drain_request (const struct forward *forward)
 {
@@ -405,6 +419,13 @@
     }
   if (forward_reject_key (forward))
     return;
+  /* The route or the key has come since the head was read.  */
+  if (httpd_body_dropped (forward->request))
+    {
+      forward_refuse (forward, 503, "the configuration has changed",
+                      CONFIG_RETRY_MS);
+      return;
+    }
   set_deadline (forward);
   if (!accepts_now (forward))
     {
