--- a/src/planner_round.h
+++ b/src/planner_round.h
@@ -35,8 +35,9 @@
   double speed;                    /* left, summed over the replicas */
   double pace;                     /* mean of the engines with a replica */
   struct planner_delay_work other; /* mean of other models' work there */
-  double delay_s;                  /* mean until the first event */
-  bool leads;        /* at some engine no model gets more requests */
+  double cost_s;     /* the same, with what late requests count */
+  double delay_s;    /* mean until the first event */
+  bool leads;        /* some engine reads for no model more */
   unsigned needed;   /* replicas, so that delays are within the objectives */
   bool values_known; /* the next ones have been computed */
   /* Value of a replica on an engine that has the weights in host memory, and
--- a/src/planner_state.h
+++ b/src/planner_state.h
@@ -64,7 +64,7 @@
   unsigned place_count;
   double speed_left;     /* that WORK leaves */
   double delay_s;        /* of a request without a prompt */
-  double most_per_s;     /* requests for the model that most ask for */
+  double most_read_s;    /* reading for the model that it reads most for */
   double weighted_per_s; /* requests, weighted by priority */
 };
 
--- a/src/planner_work.c
+++ b/src/planner_work.c
@@ -3,6 +3,7 @@
 #include <math.h>
 #include <string.h>
 #include "planner_choice.h"
+#include "planner_share.h"
 #include "planner_value.h"
 #include "ts.h"
 
@@ -12,6 +13,9 @@
 #define LEARNING_S 5.0
 /* All nodes report their demand several times in this time.  */
 #define FETCH_LEARNING_S 1.0
+/* From then on a model that is asked for often gets replicas, where nothing in
+   use has to give way.  */
+#define RELIEF_LEARNING_S 2.0
 /* Until then the number of replicas that is found counts as needed: it is the
    best estimate of what is asked for.  */
 #define FOUND_S 10.0
@@ -22,11 +26,8 @@
 #define OWN_MIN_COUNT 5.0
 /* Adapters that are asked for less often stay where they are.  */
 #define ADAPTER_MIN_PER_S 0.05
-#define SHARE_PASSES 3
 /* Against rounding errors, where a replica gets all requests.  */
 #define SHARE_MIN 1e-3
-/* Speed that an engine is taken to have left, at least, however busy.  */
-#define LEFT_MIN 0.1
 /* Replicas are added until delays are within this part of the objectives: the
    pace is at times 2.5 times the mean, and requests arrive in bursts.  */
 #define NEED_RATIO 0.7
@@ -71,37 +72,6 @@
   return LOST_S * delay_s / (LOST_S + delay_s);
 }
 
-static double
-engine_pace (const struct planner_engine *engine)
-{
-  return engine->pace > 0 ? engine->pace : 1;
-}
-
-/* The speed that OTHER work leaves at ENGINE.  */
-static double
-speed_left (const struct planner_engine *engine,
-            const struct planner_delay_work *other)
-{
-  double pace = engine_pace (engine);
-  double left = 1 - planner_delay_utilization (other, pace);
-
-  return MAX (left, LEFT_MIN) / pace;
-}
-
-/* The work of the engine of PLACE for other models.  */
-static struct planner_delay_work
-other_work (const struct plan_place *place)
-{
-  struct planner_delay_work other = place->engine->work;
-
-  planner_delay_add_work (&other, &place->model->unit,
-                          -place->model->per_s * place->share);
-  other.read_s = MAX (other.read_s, 0);
-  other.read_square_s = MAX (other.read_square_s, 0);
-  other.tokens = MAX (other.tokens, 0);
-  return other;
-}
-
 /* Seconds for which this decider has counted arrivals.  */
 static double
 counted_s (const struct plan *plan)
@@ -164,108 +134,16 @@
     }
 }
 
-static void
-add_place (const struct plan *plan, GArray *places,
-           struct planner_engine *engine, const char *name)
-{
-  struct plan_place place
-      = { .model = plan_model (plan, name), .engine = engine };
-
-  if (place.model != NULL)
-    g_array_append_val (places, place);
-}
-
-static void
-add_engine_places (const struct plan *plan, GArray *places,
-                   struct planner_engine *engine)
-{
-  const struct planner_order *order = &engine->order;
-  bool ordered = order->stage != STAGE_NONE;
-  const char *loading = engine->next_model;
-
-  for (guint i = 0; i < engine->inventory->models->len; i++)
-    {
-      const struct inventory_model *held
-          = g_ptr_array_index (engine->inventory->models, i);
-
-      if (!ordered || order->type != BACKEND_UNLOAD
-          || strcmp (order->model, held->name) != 0)
-        add_place (plan, places, engine, held->name);
-    }
-  if (ordered && order->type == BACKEND_LOAD)
-    loading = order->model;
-  if (loading != NULL && inventory_model (engine->inventory, loading) == NULL)
-    add_place (plan, places, engine, loading);
-}
-
-static GArray *
-all_places (const struct plan *plan)
-{
-  GArray *places = g_array_new (FALSE, FALSE, sizeof (struct plan_place));
-  struct planner_engine *engine;
-  GHashTableIter iter;
-
-  g_hash_table_iter_init (&iter, plan->planner->engines);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&engine))
-    {
-      engine->work = no_work;
-      engine->weighted_per_s = 0;
-      engine->first_place = places->len;
-      if (!engine->leaving)
-        add_engine_places (plan, places, engine);
-      engine->place_count = places->len - engine->first_place;
-    }
-  return places;
-}
-
-/* Shares the requests for each model among its places.  Each pass follows the
-   work that the one before gave to the engines, half of the way, so that two
-   equal engines do not exchange theirs.  */
-static void
-share_requests (GArray *places, bool first)
-{
-  for (guint i = 0; i < places->len; i++)
-    g_array_index (places, struct plan_place, i).model->speed = 0;
-  for (guint i = 0; i < places->len; i++)
-    {
-      struct plan_place *place = &g_array_index (places, struct plan_place, i);
-      struct planner_delay_work other = other_work (place);
-
-      place->speed = speed_left (place->engine, &other);
-      place->model->speed += place->speed;
-    }
-  for (guint i = 0; i < places->len; i++)
-    {
-      struct plan_place *place = &g_array_index (places, struct plan_place, i);
-      double share = place->speed / place->model->speed;
-
-      place->share = first ? share : (place->share + share) / 2;
-    }
-}
-
-static void
-sum_work (GArray *places)
+/* What the requests for MODEL count for at engines with WORK and PACE: their
+   delay, and the part of them that is late.  */
+static double
+delay_cost (const struct plan_model *model,
+            const struct planner_delay_work *work, double pace)
 {
-  for (guint i = 0; i < places->len; i++)
-    {
-      struct planner_engine *engine
-          = g_array_index (places, struct plan_place, i).engine;
+  double ratio = planner_delay_ratio (model->requests, work, pace);
+  double late = MIN (MAX (ratio - NEED_RATIO, 0), 1);
 
-      engine->work = no_work;
-      engine->weighted_per_s = 0;
-      engine->most_per_s = 0;
-    }
-  for (guint i = 0; i < places->len; i++)
-    {
-      const struct plan_place *place
-          = &g_array_index (places, struct plan_place, i);
-      const struct plan_model *model = place->model;
-      double per_s = model->per_s * place->share;
-
-      planner_delay_add_work (&place->engine->work, &model->unit, per_s);
-      place->engine->weighted_per_s += model->weight * per_s;
-      place->engine->most_per_s = MAX (place->engine->most_per_s, per_s);
-    }
+  return bounded (planner_delay_s (&model->unit, work, pace)) + LATE_S * late;
 }
 
 /* Adds what the place contributes to the means of its model.  */
@@ -273,32 +151,23 @@
 add_to_model (const struct plan_place *place)
 {
   struct plan_model *model = place->model;
-  struct planner_delay_work other = other_work (place);
-  double pace = engine_pace (place->engine);
+  struct planner_delay_work other = planner_share_other_work (place);
+  double pace = planner_share_pace (place->engine);
 
   model->pace += place->share * pace;
-  model->leads |= model->per_s * place->share >= place->engine->most_per_s;
+  model->leads |= model->per_s * place->share * model->unit.read_s
+                  >= place->engine->most_read_s;
   model->delay_s += place->share
                     * bounded (planner_delay_s (&model->unit,
                                                 &place->engine->work, pace));
+  model->cost_s
+      += place->share * delay_cost (model, &place->engine->work, pace);
   model->other.read_s += place->share * other.read_s;
   model->other.read_square_s += place->share * other.read_square_s;
   model->other.tokens += place->share * other.tokens;
 }
 
-/* What the requests for MODEL count for at engines with WORK and PACE: their
-   delay, and the part of them that is late.  */
-static double
-delay_cost (const struct plan_model *model,
-            const struct planner_delay_work *work, double pace)
-{
-  double ratio = planner_delay_ratio (model->requests, work, pace);
-  double late = MIN (MAX (ratio - NEED_RATIO, 0), 1);
-
-  return bounded (planner_delay_s (&model->unit, work, pace)) + LATE_S * late;
-}
-
-/* The same with N replicas at engines like those that MODEL has.  */
+/* What they count for with N replicas at engines like those that MODEL has. */
 static double
 cost_with (const struct plan_model *model, unsigned n)
 {
@@ -345,7 +214,7 @@
     return planner_work_is_lacking (model) ? LOST_S * (wait + come) : 0;
   wait *= LOST_S;
   if (model->needed > model->replicas)
-    wait += come * MAX (model->delay_s - idle_s, 0);
+    wait += come * MAX (model->cost_s - idle_s, 0);
   return wait;
 }
 
@@ -362,9 +231,13 @@
   if (model->replicas > 0)
     model->needed = planner_delay_replicas (
         model->requests, model->per_s, &model->other, model->pace, NEED_RATIO);
-  /* Only fewer requests for other models would help.  */
+  /* Only fewer requests for other models would help, unless its own are too
+     many even without these.  */
   if (model->needed == PLANNER_DELAY_REPLICAS_MAX && !model->leads)
-    model->needed = model->replicas;
+    model->needed
+        = MAX (model->replicas,
+               planner_delay_replicas (model->requests, model->per_s, &no_work,
+                                       model->pace, NEED_RATIO));
   model->urgency = urgency (model, idle_s);
   if (model->replicas > 0 && model->needed > model->replicas)
     {
@@ -381,11 +254,8 @@
 
   g_hash_table_iter_init (&iter, plan->planner->engines);
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&engine))
-    {
-      engine->speed_left = speed_left (engine, &engine->work);
-      engine->delay_s = bounded (
-          planner_delay_s (&no_work, &engine->work, engine_pace (engine)));
-    }
+    engine->delay_s = bounded (planner_delay_s (&no_work, &engine->work,
+                                                planner_share_pace (engine)));
 }
 
 static bool
@@ -406,7 +276,6 @@
 {
   struct plan_model *model;
   GHashTableIter iter;
-  GArray *places;
 
   plan->planner->short_models = 0;
   plan->by_delay = tells_pace (plan->planner);
@@ -416,17 +285,11 @@
     budget_assume_single (&plan->planner->budget);
   plan->planner->by_delay = true;
   init_models (plan);
-  places = all_places (plan);
-  plan->places = places;
-  plan->is_empty = places->len == 0;
-  for (int pass = 0; pass < SHARE_PASSES; pass++)
-    {
-      share_requests (places, pass == 0);
-      sum_work (places);
-    }
+  planner_share_requests (plan);
+  plan->is_empty = plan->places->len == 0;
   init_engines (plan);
-  for (guint i = 0; i < places->len; i++)
-    add_to_model (&g_array_index (places, struct plan_place, i));
+  for (guint i = 0; i < plan->places->len; i++)
+    add_to_model (&g_array_index (plan->places, struct plan_place, i));
   g_hash_table_iter_init (&iter, plan->models);
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&model))
     init_delays (plan, model);
@@ -435,7 +298,7 @@
 unsigned
 planner_work_needed (const struct plan *plan, const struct plan_model *model)
 {
-  if (planner_work_is_learning (plan))
+  if (plan->by_delay && counted_s (plan) < RELIEF_LEARNING_S)
     return MIN (model->needed, model->replicas);
   return MIN (model->needed, model->replicas + 1);
 }
@@ -473,7 +336,7 @@
 other_places (const struct plan_place *place, double *pace)
 {
   const struct plan_model *model = place->model;
-  struct planner_delay_work own = other_work (place);
+  struct planner_delay_work own = planner_share_other_work (place);
   struct planner_delay_work rest = model->other;
   double scale = 1 / MAX (1 - place->share, SHARE_MIN);
 
@@ -481,7 +344,8 @@
   rest.read_s = MAX (rest.read_s * scale, 0);
   rest.read_square_s = MAX (rest.read_square_s * scale, 0);
   rest.tokens = MAX (rest.tokens * scale, 0);
-  *pace = (model->pace - place->share * engine_pace (place->engine)) * scale;
+  *pace = (model->pace - place->share * planner_share_pace (place->engine))
+          * scale;
   *pace = MAX (*pace, PACE_MIN);
   return rest;
 }
@@ -538,6 +402,23 @@
   return NULL;
 }
 
+/* Whether MODEL may have been asked for without this decider knowing.  That is
+   not so if it decided for some time before the first request arrived.  */
+static bool
+may_be_in_use (const struct plan *plan, const struct plan_model *model)
+{
+  const struct planner *planner = plan->planner;
+  double quiet_s
+      = ts_to_s (ts_sub (planner->first_request_at, planner->started_at));
+
+  if (!planner_work_is_learning (plan))
+    return false;
+  return counted_s (plan) < RELIEF_LEARNING_S || quiet_s < LEARNING_S
+         || model->loaded > 1
+         || isfinite (
+             rates_idle_s (planner->arrivals, model->site->name, plan->now));
+}
+
 double
 planner_work_value (const struct plan *plan,
                     const struct planner_engine *engine,
@@ -550,7 +431,7 @@
   if (place->valued_at == model->loaded)
     return place->value;
   place->valued_at = model->loaded;
-  if (planner_work_is_learning (plan) || model->waiting > 0
+  if (may_be_in_use (plan, model) || model->waiting > 0
       || (model->loaded <= 1 && is_starting (plan, model)))
     place->value = PLANNER_PINNED_VALUE;
   else if (model->loaded > 1)
@@ -574,7 +455,7 @@
 planner_work_place_cost (const struct planner_engine *engine,
                          const struct plan_model *model)
 {
-  double pace = engine_pace (engine);
+  double pace = planner_share_pace (engine);
   double share = engine->speed_left / (model->speed + engine->speed_left);
   double moved_per_s = model->per_s * share;
   struct planner_delay_work work = engine->work;
@@ -600,7 +481,7 @@
 planner_work_reason (const struct planner_engine *engine,
                      const struct plan_model *model)
 {
-  double pace = engine_pace (engine);
+  double pace = planner_share_pace (engine);
 
   return g_strdup_printf (
       " delay_s=%.3f needed=%u urgency=%.1f pace=%.2f busy=%.2f",
--- a/src/planner_work.h
+++ b/src/planner_work.h
@@ -26,7 +26,7 @@
 void planner_work_init (struct plan *plan);
 
 /* Whether the decider is too new to know what runs, or has run lately, at the
-   engines: it evicts nothing and adds no replicas.  */
+   engines: it evicts nothing that may be in use.  */
 bool planner_work_is_learning (const struct plan *plan);
 
 /* Whether the decider has counted requests for long enough to tell which
--- a/tests/test_planner_load.c
+++ b/tests/test_planner_load.c
@@ -627,6 +627,28 @@
   tear_down (&f);
 }
 
+/* The first requests of the day, long after the take-over: models that nobody
+   has asked for give way within 3 s to one that many ask for.  */
+static void
+test_first_requests (void)
+{
+  struct fixture f;
+
+  set_up (&f, 4, 8);
+  for (unsigned i = 0; i < 8; i++)
+    put (&f, i / 2, i, true);
+  for (unsigned i = 1; i < 4; i++)
+    put (&f, i, 0, false);
+  report_all (&f);
+  run (&f, 10);
+  f.per_s[0] = 12;
+  f.per_s[1] = 1;
+  run (&f, 3.5);
+  g_assert_cmpuint (replicas (&f, 0), >=, 2);
+  g_assert_cmpuint (replicas (&f, 1), ==, 1);
+  tear_down (&f);
+}
+
 /* The weight store serves one load at a time at full speed, and a load for one
    request took it from the model that most asked for.  */
 static void
@@ -708,6 +730,7 @@
   g_test_add_func ("/planner-load/short-of-places", test_short_of_places);
   g_test_add_func ("/planner-load/random-arrivals", test_random_arrivals);
   g_test_add_func ("/planner-load/take-over", test_take_over);
+  g_test_add_func ("/planner-load/first-requests", test_first_requests);
   g_test_add_func ("/planner-load/store-order", test_store_order);
   g_test_add_func ("/planner-load/slowed-fetches", test_slowed_fetches);
   g_test_add_func ("/planner-load/store-priority", test_store_priority);
