planner: no waiting for an engine that drains

Cause: an unload waits for the requests that run. The model for which an engine made room was not loaded elsewhere for that time, up to 13 s, and the weight store was idle.

Change: planned by delay, an engine that has made room for 2 s no longer keeps the model from other engines; if one of them has loaded it, the room is left to others.

--- a/src/planner_count.c
+++ b/src/planner_count.c
@@ -3,6 +3,22 @@
 #include <string.h>
 #include "ts.h"
 
+/* Longer than an unload takes that waits for short requests only.  */
+#define DRAIN_S 2.0
+
+/* Whether ENGINE has been making room for so long that the model to be loaded
+   there may be loaded elsewhere: an unload waits for the requests that run,
+   which took 13 s while the weight store was idle.  */
+static bool
+is_draining (const struct plan *plan, const struct planner_engine *engine)
+{
+  const struct planner_order *order = &engine->order;
+
+  return plan->planner->by_delay && order->stage != STAGE_NONE
+         && order->type == BACKEND_UNLOAD
+         && ts_to_s (ts_sub (plan->now, order->sent_at)) > DRAIN_S;
+}
+
 /* Counts the replicas on ENGINE for each model.  */
 static void
 count_engine (struct plan *plan, const struct planner_engine *engine)
@@ -36,7 +52,7 @@
   if (engine->next_model != NULL)
     {
       model = plan_model (plan, engine->next_model);
-      if (model != NULL)
+      if (model != NULL && !is_draining (plan, engine))
         model->pending = true;
     }
 }
--- a/src/planner_round.c
+++ b/src/planner_round.c
@@ -88,6 +88,15 @@
                 < budget_max_in_flight (budget);
 }
 
+/* Whether MODEL, for which ENGINE has made room, got a replica from another
+   engine in the meantime.  */
+static bool
+is_served_elsewhere (const struct planner_engine *engine,
+                     const struct plan_model *model)
+{
+  return model->replicas > engine->next_replicas && model->waiting == 0;
+}
+
 /* Loads next_model on ENGINE, or evicts a model to make room for it.  */
 static void
 continue_loading (struct plan *plan, struct planner_engine *engine)
@@ -109,6 +118,11 @@
   if (planner_free_mb (plan->planner, engine)
       >= (int64_t)model->site->memory_mb)
     {
+      if (plan->by_delay && is_served_elsewhere (engine, model))
+        {
+          g_clear_pointer (&engine->next_model, g_free);
+          return;
+        }
       if (fetches && !budget_allows_fetch (plan, 0))
         return;
       issue_load (plan, engine, engine->next_model, "goal");
@@ -128,6 +142,7 @@
                const struct planner_candidate *candidate)
 {
   candidate->engine->next_model = g_strdup (model->site->name);
+  candidate->engine->next_replicas = model->replicas;
   model->pending = true;
   continue_loading (plan, candidate->engine);
 }
--- a/src/planner_state.h
+++ b/src/planner_state.h
@@ -53,8 +53,9 @@
   struct planner_order order;
   char *last_loaded;         /* model; NULL: none by this decider */
   struct timespec loaded_at; /* when LAST_LOADED was found to be loaded */
-  char *next_model;   /* models are evicted to load this one; NULL: none */
-  double limit_per_s; /* requests that it takes; 0: any rate */
+  char *next_model;       /* models are evicted to load this one; NULL: none */
+  unsigned next_replicas; /* of NEXT_MODEL, when that was set */
+  double limit_per_s;     /* requests that it takes; 0: any rate */
   struct timespec no_order_before;
   struct timespec adapters_settled_at; /* no adapter is unloaded until then */
   double pace; /* of its machine, 1: usual; 0: not told */
--- a/tests/test_planner_load.c
+++ b/tests/test_planner_load.c
@@ -22,7 +22,8 @@
 {
   struct inventory *inventory;
   double pace;
-  char *changing; /* model of the order in progress; NULL: none */
+  int64_t unload_ms; /* if more than UNLOAD_MS */
+  char *changing;    /* model of the order in progress; NULL: none */
   enum backend_order_type type;
   int64_t ends_ms;
 };
@@ -201,7 +202,7 @@
 begin_order (struct fixture *f, const struct planner_action *action)
 {
   struct engine *engine = &f->engines[engine_index (action->engine)];
-  int64_t ms = UNLOAD_MS;
+  int64_t ms = MAX (UNLOAD_MS, engine->unload_ms);
 
   if (g_test_verbose ())
     g_test_message ("%" G_GINT64_FORMAT " %s %s %s %s", f->ms,
@@ -627,6 +628,26 @@
   tear_down (&f);
 }
 
+/* The engine chosen for a further replica makes room only when the requests
+   that run there have ended: the replica is loaded at another one, while the
+   weight store is idle.  */
+static void
+test_slow_drain (void)
+{
+  struct fixture f;
+
+  set_up (&f, 4, 8);
+  for (unsigned i = 0; i < 8; i++)
+    put (&f, i / 2, i, true);
+  report_all (&f);
+  f.engines[1].unload_ms = 15000;
+  f.per_s[0] = 8;
+  f.per_s[1] = 1;
+  run (&f, 25);
+  g_assert_cmpuint (replicas (&f, 0), >=, 2);
+  tear_down (&f);
+}
+
 /* The first requests of the day, long after the take-over: models that nobody
    has asked for give way within 3 s to one that many ask for.  */
 static void
@@ -730,6 +751,7 @@
   g_test_add_func ("/planner-load/short-of-places", test_short_of_places);
   g_test_add_func ("/planner-load/random-arrivals", test_random_arrivals);
   g_test_add_func ("/planner-load/take-over", test_take_over);
+  g_test_add_func ("/planner-load/slow-drain", test_slow_drain);
   g_test_add_func ("/planner-load/first-requests", test_first_requests);
   g_test_add_func ("/planner-load/store-order", test_store_order);
   g_test_add_func ("/planner-load/slowed-fetches", test_slowed_fetches);
