--- a/src/planner_state.h
+++ b/src/planner_state.h
@@ -53,8 +53,9 @@
   struct planner_order order;
   char *last_loaded;         /* model; NULL: none by this decider */
   struct timespec loaded_at; /* when LAST_LOADED was found to be loaded */
-  char *next_model;   /* models are evicted to load this one; NULL: none */
-  double limit_per_s; /* requests that it takes; 0: any rate */
+  char *next_model;       /* models are evicted to load this one; NULL: none */
+  unsigned next_replicas; /* of NEXT_MODEL, when that was set */
+  double limit_per_s;     /* requests that it takes; 0: any rate */
   struct timespec no_order_before;
   struct timespec adapters_settled_at; /* no adapter is unloaded until then */
   double pace; /* of its machine, 1: usual; 0: not told */
@@ -64,7 +65,7 @@
   unsigned place_count;
   double speed_left;     /* that WORK leaves */
   double delay_s;        /* of a request without a prompt */
-  double most_per_s;     /* requests for the model that most ask for */
+  double most_read_s;    /* reading for the model that it reads most for */
   double weighted_per_s; /* requests, weighted by priority */
 };
 
