quota: requests queue for a home that will have enough soon

Cause: a customer with twice its quota, spread over 24 nodes, got half of it: after a refusal a node rejected all its requests for half a second, small ones too, since large ones drove the buckets into debt. Change: a request waits up to 0.6 s for the time that a home told it, and asks again; then it is rejected. Any request may leave a debt of half the burst of a part (one request before), small ones five eighths.

--- a/src/quota.c
+++ b/src/quota.c
@@ -389,8 +389,7 @@
 
   if (wait == NULL || wait->verdict.state != QUOTA_ASKED)
     return;
-  wait->refused = true;
-  limit->promised = ts_max (limit->promised, ts_add_ms (now, wait_ms));
+  quota_note_refusal (wait, wait_ms, now);
   quota_try_homes (quota, limit, wait, now, actions);
 }
 
--- a/src/quota.h
+++ b/src/quota.h
@@ -31,6 +31,9 @@
 #define QUOTA_SILENT_MS 1000 /* and is asked last for so long */
 /* A request waits for so long from when no home was reached.  */
 #define QUOTA_PATIENCE_MS 1000
+/* A request waits no longer for a home that will have enough.  Rejected and
+   sent again, a request loses a second or more.  */
+#define QUOTA_QUEUE_MS 600
 /* Failure detection takes less: an interval or two of probes, and the time
    until a suspected node is declared dead, see member.h.  */
 #define QUOTA_LEAVE_MS 8000
--- a/src/quota_home.c
+++ b/src/quota_home.c
@@ -4,7 +4,11 @@
 #include <glib.h>
 #include "ts.h"
 
-#define RATE_MIN 1e-3      /* per s; a lower one issues nothing */
+#define RATE_MIN 1e-3 /* per s; a lower one issues nothing */
+/* Shares of the burst of a part: a small request, and what may be owed.  */
+#define SMALL_SHARE 0.125
+#define SMALL_DEBT 0.625
+#define LARGE_DEBT 0.5
 #define EXTRA_SHARE 0.5    /* of the level, for what nobody waits for */
 #define DURATION_MAX_S 1e6 /* of what is computed from a rate */
 
@@ -178,12 +182,25 @@
   return true;
 }
 
+/* The level from which NEED is issued.  The debt that is left lets a bucket
+   that is smaller than two requests not overflow between them.  Small requests
+   may owe more, so that large ones, which need most of the quota for few
+   callers, do not keep them from it.  */
+static double
+least_level (const struct quota_part *part, double need)
+{
+  double least = MIN (need, part->burst);
+  double debt = need <= SMALL_SHARE * part->burst ? SMALL_DEBT : LARGE_DEBT;
+
+  return part->owes ? least - debt * part->burst : least;
+}
+
 bool
 quota_bucket_issue (struct quota_bucket *bucket, double need,
                     struct timespec now, int64_t *ready_ms)
 {
   double per_s = bucket->part.per_s;
-  double least = bucket->part.owes ? 0 : MIN (need, bucket->part.burst);
+  double least = least_level (&bucket->part, need);
 
   fill (bucket, now);
   if (ts_before (now, bucket->ready_at))
--- a/src/quota_home.h
+++ b/src/quota_home.h
@@ -37,7 +37,7 @@
   double per_s;
   double burst;
   double unit;  /* usual size of a request */
-  bool owes;    /* issues any request while not in debt */
+  bool owes;    /* requests may leave a debt */
   bool slots;   /* issued in slots */
   double phase; /* of the slots, from 0 to 1 */
 };
--- a/src/quota_state.h
+++ b/src/quota_state.h
@@ -31,7 +31,9 @@
   double need;
   guint tried[QUOTA_HOMES]; /* hashes of names */
   size_t tried_count;
-  bool refused;             /* by a home */
+  bool refused; /* by a home */
+  struct timespec began_at;
+  struct timespec ready_at; /* when a home may issue it; zero: none told */
   struct timespec retry_at; /* zero: it waits for an answer */
   struct quota_verdict verdict;
 };
@@ -62,7 +64,7 @@
   GHashTable *limits; /* customer -> struct limit */
   uint64_t serial;
   bool prefetches; /* the bounds allow credit that no request waits for */
-  bool owes;       /* and debts of one request at each home */
+  bool owes;       /* and small debts at each home */
   bool known;      /* the nodes of the table */
   struct timespec known_at;
   /* Of all nodes: those that this one is a home for, itself, its rank.  */
@@ -101,6 +103,9 @@
 void quota_try_homes (struct quota *quota, struct limit *limit,
                       struct wait *wait, struct timespec now,
                       struct action_list *actions);
+/* A home refused WAIT and will have enough in WAIT_MS.  */
+void quota_note_refusal (struct wait *wait, int64_t wait_ms,
+                         struct timespec now);
 /* Gives TAKEN to a home.  */
 void quota_give_back (struct quota *quota, struct limit *limit,
                       const struct quota_taken *taken, struct timespec now,
--- a/src/quota_wait.c
+++ b/src/quota_wait.c
@@ -166,6 +166,16 @@
   g_array_append_val (limit->asks, ask);
 }
 
+void
+quota_note_refusal (struct wait *wait, int64_t wait_ms, struct timespec now)
+{
+  struct timespec at = ts_add_ms (now, wait_ms);
+
+  wait->refused = true;
+  if (ts_is_zero (wait->ready_at) || ts_before (at, wait->ready_at))
+    wait->ready_at = at;
+}
+
 /* This node is the home.  */
 static bool
 issue_here (struct limit *limit, struct home *home, struct wait *wait,
@@ -180,7 +190,9 @@
       return true;
     }
   home->full_until = ts_add_ms (now, ready_ms);
-  wait->refused = true;
+  quota_note_refusal (
+      wait, quota_bucket_promise (&limit->bucket, wait->need, ready_ms, now),
+      now);
   return false;
 }
 
@@ -212,6 +224,29 @@
          && !ts_before (now, ts_add_ms (quota->known_at, QUOTA_HOLD_MS));
 }
 
+/* All homes that can be asked have refused.  The request asks again when the
+   first of them may issue it, if that is soon; homes tell each asker another
+   time.  */
+static void
+settle_refused (struct limit *limit, struct wait *wait, int64_t ms,
+                struct timespec now)
+{
+  struct timespec last = ts_add_ms (wait->began_at, QUOTA_QUEUE_MS);
+  struct timespec at = wait->ready_at;
+
+  if (ts_is_zero (at))
+    at = ts_add_ms (now, MAX (ms, 1));
+  if (!ts_before (last, at) && ts_before (now, at))
+    {
+      wait->retry_at = at;
+      wait->ready_at = (struct timespec){ 0 };
+      wait->refused = false;
+      wait->tried_count = 0;
+    }
+  else
+    settle_exceeded (limit, wait, MAX (ms, ts_to_ms (ts_sub (at, now))), now);
+}
+
 /* No home can be asked.  */
 static void
 settle_alone (const struct quota *quota, struct limit *limit,
@@ -222,7 +257,7 @@
 
   if (ms > 0 || wait->refused)
     {
-      settle_exceeded (limit, wait, ms, now);
+      settle_refused (limit, wait, ms, now);
       return;
     }
   quota_begin_trouble (limit, now, now);
@@ -298,7 +333,8 @@
             struct timespec now, struct action_list *actions)
 {
   struct limit *limit = quota_find (quota, customer);
-  struct wait wait = { .need = amount, .verdict.state = QUOTA_ASKED };
+  struct wait wait
+      = { .need = amount, .began_at = now, .verdict.state = QUOTA_ASKED };
   struct wait *added;
 
   if (limit == NULL)
