--- a/src/rates.c
+++ b/src/rates.c
@@ -14,7 +14,7 @@
 struct rates
 {
   GHashTable *by_name; /* name to struct rate */
-  double decay_per_s; /* 1 / the time constant */
+  double decay_per_s;  /* 1 / the time constant */
 };
 
 struct rates *
