--- a/src/forward.c
+++ b/src/forward.c
@@ -308,18 +308,17 @@
   return route;
 }
 
-/* A request that finds no route, or a node that does not take requests, is
-   refused whatever its body is, see accept_request.  */
+/* A request that finds no route, or has no valid key, is refused whatever its
+   body is, see accept_request.  */
 bool
 forward_wants_body (struct gateway *gateway,
                     const struct httpd_request *request)
 {
   struct site *site = listing_site (gateway->listing);
 
-  return site != NULL
-         && drain_is_open (&gateway->drain, loop_now (gateway->core->loop))
-         && forward_find_route (site, request) != NULL
-         && !forward_key_fault (gateway, request);
+  return site == NULL
+         || (forward_find_route (site, request) != NULL
+             && !forward_key_fault (gateway, request));
 }
 
 static struct drain_request
@@ -360,9 +359,12 @@
           .objective_ms = forward->route->objective_ms,
           .gap_ms
           = forward->route->kind == SITE_STREAM ? forward->route->gap_ms : 0,
-          .prompt_tokens = forward->parsed.prompt_tokens,
-          .shared_tokens = forward->parsed.shared_tokens,
-          .answer_tokens = forward->parsed.answer_tokens };
+          .prompt_tokens
+          = MIN (forward->parsed.prompt_tokens, FORWARD_PROMPT_TOKENS_MAX),
+          .shared_tokens
+          = MIN (forward->parsed.shared_tokens, FORWARD_PROMPT_TOKENS_MAX),
+          .answer_tokens
+          = MIN (forward->parsed.answer_tokens, FORWARD_ANSWER_TOKENS_MAX) };
 
   planners_request_arrived (forward->gateway->planners, forward->service->name,
                             forward->target, &kind);
--- a/src/forward_pace.c
+++ b/src/forward_pace.c
@@ -15,15 +15,13 @@
 #define EVENT_TOKENS_WEIGHT 0.05
 #define EVENT_TOKENS_DEFAULT 5.0
 #define EVENT_TOKENS_MAX 256.0
-#define PROMPT_TOKENS_MAX 250000u /* as many as a server has room for */
-#define ANSWER_TOKENS_MAX 100000u
 #define CACHED_TRUST 0.5 /* more likely cached than not */
 
 /* Callers name the lengths of their prompts, and may name any.  */
 static uint64_t
 prompt_tokens (const struct forward *forward)
 {
-  return MIN (forward->parsed.prompt_tokens, PROMPT_TOKENS_MAX);
+  return MIN (forward->parsed.prompt_tokens, FORWARD_PROMPT_TOKENS_MAX);
 }
 
 static double
@@ -49,7 +47,7 @@
   request->gap_s = (double)route->gap_ms / TS_MS_PER_S;
   request->event_tokens = event_tokens (forward);
   request->events
-      = (double)MIN (forward->parsed.answer_tokens, ANSWER_TOKENS_MAX)
+      = (double)MIN (forward->parsed.answer_tokens, FORWARD_ANSWER_TOKENS_MAX)
         / request->event_tokens;
   request->left_s = (double)forward_left_ms (forward) / TS_MS_PER_S;
 }
@@ -74,7 +72,7 @@
              prompt_tokens (forward),
              (uint64_t)(why->prefix_trust
                         * (double)MIN (forward->parsed.shared_tokens,
-                                       PROMPT_TOKENS_MAX)),
+                                       FORWARD_PROMPT_TOKENS_MAX)),
              forward->sent_at);
 }
 
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -20,6 +20,10 @@
 #include "ts.h"
 
 #define FORWARD_DISPATCHES_MAX 6 /* to servers, including refused ones */
+/* Larger numbers of tokens that callers claim are taken for these in
+   estimates.  The first is as many as a server has room for.  */
+#define FORWARD_PROMPT_TOKENS_MAX 250000u
+#define FORWARD_ANSWER_TOKENS_MAX 100000u
 #define FORWARD_ANSWER_MIN_MS 60 /* minimum duration of a useful response */
 #define FORWARD_SERVER_ERROR 500 /* lowest status of a server error */
 
--- a/src/httpd_conn.c
+++ b/src/httpd_conn.c
@@ -211,6 +211,17 @@
   conn->account.progress = now;
 }
 
+/* A client that has taken all that there is does not lag behind, however
+   slowly the response is made.  */
+static void
+note_empty (struct httpd_conn *conn, struct timespec now)
+{
+  if (has_untaken_bytes (conn))
+    return;
+  conn->byte_at = now;
+  conn->account.progress = now;
+}
+
 static void
 check_conn (struct httpd_conn *conn, struct timespec now)
 {
@@ -220,12 +231,19 @@
   bool came;
   bool late;
 
-  if (conn->account.state == MEMBUDGET_RUNNING
-      || getsockopt (conn->fd, IPPROTO_TCP, TCP_INFO, &info, &size) < 0)
+  if (conn->account.state == MEMBUDGET_RUNNING)
     return;
+  if (getsockopt (conn->fd, IPPROTO_TCP, TCP_INFO, &info, &size) < 0)
+    {
+      conn->account.progress = now;
+      return;
+    }
   came = info.tcpi_bytes_received != conn->received && !conn->ended;
   if (conn->account.state == MEMBUDGET_SENDING)
-    note_taken (conn, info.tcpi_bytes_acked, now);
+    {
+      note_taken (conn, info.tcpi_bytes_acked, now);
+      note_empty (conn, now);
+    }
   conn->received = info.tcpi_bytes_received;
   conn->ended = false;
   late = !ts_before (
--- a/src/planner_count.c
+++ b/src/planner_count.c
@@ -52,7 +52,9 @@
   if (engine->next_model != NULL)
     {
       model = plan_model (plan, engine->next_model);
-      if (model != NULL && !is_draining (plan, engine))
+      /* No third engine makes room for the same model.  */
+      if (model != NULL
+          && (++model->places_pending > 1 || !is_draining (plan, engine)))
         model->pending = true;
     }
 }
--- a/src/planner_delay.c
+++ b/src/planner_delay.c
@@ -100,7 +100,8 @@
   weight = MIN (kind->count / to->count, 1);
   to->tokens += weight * (kind->tokens - to->tokens);
   to->answer_tokens += weight * (kind->answer_tokens - to->answer_tokens);
-  to->priority = kind->priority;
+  to->priority = to->count > kind->count ? MIN (to->priority, kind->priority)
+                                         : kind->priority;
   for (unsigned i = 0; i < requests->used; i++)
     requests->count += requests->kinds[i].count;
 }
--- a/src/planner_round.h
+++ b/src/planner_round.h
@@ -26,6 +26,7 @@
   bool has_local_copy; /* an engine that stays has its weights in memory or on
                           disk */
   bool pending;        /* an engine evicts models to load it */
+  unsigned places_pending; /* engines that make room for it */
   /* The next ones only if BY_DELAY of the plan; see planner_work.h.  */
   const struct planner_delay_requests *requests; /* never NULL then */
   struct planner_delay_work unit;  /* work of one request a second */
--- a/src/quota.c
+++ b/src/quota.c
@@ -47,6 +47,7 @@
   quota->homes = homes_new (options->node);
   quota->prefetches
       = bounds->over * (double)bounds->window_ms >= QUOTA_CREDIT_MS;
+  quota->slack = bounds->slack;
   quota->owes = bounds->slack >= QUOTA_HOMES * LARGEST_TOKENS;
   quota->limits
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, limit_free);
--- a/src/quota_home.c
+++ b/src/quota_home.c
@@ -229,7 +229,8 @@
   fill (bucket, now);
   if (bucket->part.slots || ts_before (now, bucket->ready_at))
     return 0;
-  extra = CLAMP (bucket->level * EXTRA_SHARE, 0, want);
+  /* Messages carry whole amounts.  */
+  extra = floor (CLAMP (bucket->level * EXTRA_SHARE, 0, want));
   bucket->level -= extra;
   return extra;
 }
--- a/src/quota_state.h
+++ b/src/quota_state.h
@@ -64,6 +64,7 @@
   GHashTable *limits; /* customer -> struct limit */
   uint64_t serial;
   bool prefetches; /* the bounds allow credit that no request waits for */
+  double slack;    /* of the bounds */
   bool owes;       /* and small debts at each home */
   bool known;      /* the nodes of the table */
   struct timespec known_at;
--- a/src/quota_wait.c
+++ b/src/quota_wait.c
@@ -2,7 +2,8 @@
 #include "quota_state.h"
 #include "ts.h"
 
-#define RETRY_MS 50 /* while no home is reached */
+#define REQUEST_SLACK_SHARE 0.5 /* that one request may use */
+#define RETRY_MS 50             /* while no home is reached */
 /* Between asks for credit that no request waits for.  */
 #define PREFETCH_MS 100
 #define PREFETCH_S 0.65       /* of the expected use is asked for */
@@ -328,6 +329,16 @@
   return verdict;
 }
 
+/* A request for more would leave its home a debt that the bounds do not
+   allow.  */
+static double
+most_at_once (const struct quota *quota, const struct limit *limit)
+{
+  double slack = limit->terms.by_tokens ? quota->slack : 0;
+
+  return MAX (limit->terms.burst + slack * REQUEST_SLACK_SHARE, 1);
+}
+
 struct quota_verdict
 quota_take (struct quota *quota, const char *customer, double amount,
             struct timespec now, struct action_list *actions)
@@ -339,6 +350,8 @@
 
   if (limit == NULL)
     return (struct quota_verdict){ .state = QUOTA_TAKEN };
+  if (amount > most_at_once (quota, limit))
+    return (struct quota_verdict){ .state = QUOTA_EXCEEDED };
   wait.id = ++quota->serial;
   g_array_append_val (limit->waits, wait);
   quota_settle_by_credit (limit, 0, now);
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -281,6 +281,28 @@
   quota_free (node);
 }
 
+/* One request that claims a huge amount left a home a debt that kept its
+   customer from the quota for hours.  */
+static void
+test_huge_request (void)
+{
+  struct quota *node = new_node_that (false);
+  struct action_list actions;
+  char *home = NULL;
+
+  action_list_init (&actions);
+  g_assert_cmpint (
+      quota_take (node, CUSTOMER, 1e12, at_ms (0), &actions).state, ==,
+      QUOTA_EXCEEDED);
+  g_assert_null (action_pop (&actions));
+  g_assert_cmpint (
+      quota_take (node, CUSTOMER, 5000, at_ms (0), &actions).state, ==,
+      QUOTA_ASKED);
+  g_assert_cmpuint (find_ask (&actions, &home), !=, 0);
+  g_free (home);
+  quota_free (node);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -292,6 +314,7 @@
   g_test_add_func ("/quota/promises", test_promises);
   g_test_add_func ("/quota/returned-twice", test_returned_twice);
   g_test_add_func ("/quota/silent-home", test_silent_home);
+  g_test_add_func ("/quota/huge-request", test_huge_request);
   g_test_add_func ("/quota/credit-lapses", test_credit_lapses);
   return g_test_run ();
 }
