--- a/src/delay.c
+++ b/src/delay.c
@@ -18,9 +18,7 @@
 /* Tokens of a stream event, which is sent once all are decoded.  */
 #define EVENT_TOKENS 5
 /* What the prompts that come while a request runs add to each of its events,
-   for each request that runs: DELAY_QUEUED_S in about 50 events.  With it, an
-   event takes 87 ms at pace 0.55 and 187 ms at 1.2 with 26 requests running;
-   77 ms and 210 ms were measured.  */
+   for each request that runs: DELAY_QUEUED_S in about 50 events.  */
 #define READING_S 0.002
 /* How far the time until the first event is from its estimate, usually, as a
    share of it.  */
--- a/src/hints.h
+++ b/src/hints.h
@@ -14,8 +14,7 @@
 #include <stdint.h>
 #include <time.h>
 
-/* Tokens that an engine has room for, in its cache and running requests, as
-   measured.  */
+/* Tokens that an engine has room for, in its cache and running requests.  */
 #define HINTS_CACHE_TOKENS 232000
 
 struct hints;
