--- a/src/pick_pace.c
+++ b/src/pick_pace.c
@@ -6,8 +6,8 @@
 /* Trust in a prefix at a further home, which has it only if the others were
    busy before.  */
 #define FURTHER_HOME_TRUST 0.4
-/* With costs of 3 for lateness and pauses, and of 4 for evictions, more requests
-   are late at a high load than without paces.
+/* With costs of 3 for lateness and pauses, and of 4 for evictions, more
+   requests are late at a high load than without paces.
 
    Costs, in seconds of delay, of each second of lateness, of pauses beyond the
    gap and after the deadline, which make the response worth less; of each
