--- a/review/stand2.c
+++ b/review/stand2.c
@@ -741,13 +741,39 @@
   run_engine (engine);
 }
 
+static int
+listen_again (uint16_t port)
+{
+  struct sockaddr_in a = { .sin_family = AF_INET,
+                           .sin_addr.s_addr = htonl (INADDR_LOOPBACK),
+                           .sin_port = htons (port) };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  int one = 1;
+
+  if (fd < 0 || setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one) < 0
+      || bind (fd, (struct sockaddr *)&a, sizeof a) < 0
+      || listen (fd, 256) < 0)
+    finish (2);
+  return fd;
+}
+
 void
 engine_restart (struct engine *engine, const char *id)
 {
   snprintf (engine->id, sizeof engine->id, "%s", id);
+  if (engine->listen_fd < 0)
+    engine->listen_fd = listen_again (engine->port);
   run_engine (engine);
 }
 
+void
+engine_crash (struct engine *engine)
+{
+  engine_kill (engine);
+  close (engine->listen_fd);
+  engine->listen_fd = -1;
+}
+
 void
 engine_kill (struct engine *engine)
 {
--- a/review/stand2.h
+++ b/review/stand2.h
@@ -62,7 +62,10 @@
 void engine_start (struct engine *engine);
 /* Starts another process on the same machine.  */
 void engine_restart (struct engine *engine, const char *id);
+/* The process ends; the machine keeps its address.  */
 void engine_kill (struct engine *engine);
+/* The same; connections to the address are refused until a restart.  */
+void engine_crash (struct engine *engine);
 /* From now on connections to the machine are not answered.  */
 void engine_darken (struct engine *engine);
 /* Writes its entry in the store; STATE NULL: removes it.  EXTRA: more members,
