--- a/review/stand2.c
+++ b/review/stand2.c
@@ -179,8 +179,10 @@
       = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
   socklen_t size = sizeof a;
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  int one = 1;
 
-  if (fd < 0 || bind (fd, (struct sockaddr *)&a, sizeof a) < 0
+  if (fd < 0 || setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one) < 0
+      || bind (fd, (struct sockaddr *)&a, sizeof a) < 0
       || listen (fd, backlog) < 0
       || getsockname (fd, (struct sockaddr *)&a, &size) < 0)
     finish (2);
